--- /dev/null
+++ b/crates/core/src/config/compiled.rs
@@ -0,0 +1,111 @@
+//! Immutable view of one version of the configuration that requests use.
+//!
+//! A request pins one view for its whole life, so it never sees parts of two versions.
+
+use std::collections::BTreeMap;
+
+use super::record::{Kind, RecordKey, Version};
+use super::spec::{BackendServerPolicy, RouteSpec, ServiceSpec, Spec};
+use super::state::ConfigState;
+use crate::id::{BackendServerName, RouteName, SchemaVersion, ServiceName};
+
+/// A route ready for matching.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Name of the record.
+    pub name: RouteName,
+    /// Schema version of the form in use.
+    pub schema: SchemaVersion,
+    /// Meaning of the form.
+    pub spec: RouteSpec,
+}
+
+/// Policy of a service.
+pub type ServicePolicy = ServiceSpec;
+
+/// One version of the configuration, ready for use.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct CompiledConfig {
+    /// Version that the view was made from.
+    pub version: Version,
+    /// Routes, the most specific first.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServicePolicy>,
+    /// Operators' wishes about backend servers.
+    pub backend_servers: BTreeMap<BackendServerName, BackendServerPolicy>,
+    /// Records whose newest understood form could not be read, so that a lower one is in use.
+    pub passed_over: Vec<(RecordKey, SchemaVersion)>,
+}
+
+impl CompiledConfig {
+    /// Builds the view for a reader that understands schema versions up to `max_schema`.
+    #[must_use]
+    pub fn new(state: &ConfigState, max_schema: SchemaVersion) -> Self {
+        let mut view = Self {
+            version: state.version(),
+            ..Self::default()
+        };
+        for (key, record) in state.records() {
+            for (schema, form) in record.forms.range(..=max_schema).rev() {
+                match Spec::read(key, *schema, form) {
+                    Ok(spec) => {
+                        view.insert(key, *schema, spec);
+                        break;
+                    }
+                    Err(_) => view.passed_over.push((key.clone(), *schema)),
+                }
+            }
+        }
+        view.routes.sort_by(|a, b| {
+            let specificity = |route: &Route| {
+                (
+                    route.spec.path_prefix.len(),
+                    route.spec.host.is_some(),
+                    route.spec.method.is_some(),
+                )
+            };
+            specificity(b)
+                .cmp(&specificity(a))
+                .then_with(|| a.name.cmp(&b.name))
+        });
+        view
+    }
+
+    fn insert(&mut self, key: &RecordKey, schema: SchemaVersion, spec: Spec) {
+        match spec {
+            Spec::Route(spec) => self.routes.push(Route {
+                name: key.name.clone(),
+                schema,
+                spec,
+            }),
+            Spec::Service(spec) => {
+                self.services.insert(key.name.clone(), spec);
+            }
+            Spec::BackendServer(spec) => {
+                self.backend_servers.insert(key.name.clone(), spec);
+            }
+        }
+    }
+
+    /// References of routes and backend servers to services that the view lacks.
+    #[must_use]
+    pub fn dangling(&self) -> Vec<(RecordKey, ServiceName)> {
+        let routes = self.routes.iter().flat_map(|route| {
+            std::iter::once(&route.spec.service)
+                .chain(route.spec.fallback.as_ref())
+                .map(|service| (RecordKey::new(Kind::Route, route.name.clone()), service))
+        });
+        let servers = self.backend_servers.iter().map(|(name, policy)| {
+            (
+                RecordKey::new(Kind::BackendServer, name.clone()),
+                &policy.service,
+            )
+        });
+        routes
+            .chain(servers)
+            .filter(|(_, service)| !self.services.contains_key(*service))
+            .map(|(key, service)| (key, service.clone()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/spec.rs
@@ -0,0 +1,370 @@
+//! Typed bodies of the forms, per kind and schema version.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::MAX_SCHEMA;
+use super::record::{Form, Kind, RecordKey};
+use crate::id::{SchemaVersion, ServiceName};
+
+/// Class of the requests of a route, in the order in which they are shed last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Class {
+    /// Long jobs.
+    Bulk,
+    /// Idempotent look-ups.
+    Lookup,
+    /// Non-idempotent work.
+    Command,
+    /// Short checks that other work waits for.
+    Check,
+}
+
+/// Wish of the operators about a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendServerState {
+    /// May get work.
+    Enabled,
+    /// Finishes its work and gets no new work.
+    Draining,
+    /// Gets no work.
+    Disabled,
+}
+
+/// Meaning of a route form, whatever its schema version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteSpec {
+    /// Host that must match, if any.
+    pub host: Option<String>,
+    /// Prefix of the path that must match.
+    pub path_prefix: String,
+    /// Method that must match, if any.
+    pub method: Option<String>,
+    /// Service that gets the requests.
+    pub service: ServiceName,
+    /// Service that gets them when the first has no backend server that is able to serve.
+    pub fallback: Option<ServiceName>,
+    /// Class of the requests.
+    pub class: Class,
+    /// Longest time for one request, in milliseconds.
+    pub timeout_ms: u64,
+    /// Most further tries of one request.
+    pub retries: u32,
+    /// Whether slow look-ups may be sent a second time.
+    pub hedge: bool,
+}
+
+/// Meaning of a service form.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceSpec {
+    /// Places in the queue at each backend server.
+    pub queue: u32,
+    /// Share of the slots that bulk requests may hold, 0 to 1.
+    pub bulk_share: f64,
+    /// Time in which a new backend server is brought to full load, in milliseconds.
+    pub slow_start_ms: u64,
+}
+
+/// Meaning of a backend server form.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendServerPolicy {
+    /// Service that the backend server belongs to.
+    pub service: ServiceName,
+    /// Wish of the operators.
+    pub state: BackendServerState,
+    /// Cap on the slots that are used.
+    pub max_slots: Option<u32>,
+}
+
+/// Meaning of a form.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Spec {
+    /// A route.
+    Route(RouteSpec),
+    /// A service.
+    Service(ServiceSpec),
+    /// A backend server.
+    BackendServer(BackendServerPolicy),
+}
+
+/// A form cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpecError(String);
+
+impl fmt::Display for SpecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for SpecError {}
+
+/// Longest accepted route timeout, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 600_000;
+const DEFAULT_QUEUE: u32 = 32;
+const DEFAULT_BULK_SHARE: f64 = 0.5;
+const DEFAULT_SLOW_START_MS: u64 = 5_000;
+const DEFAULT_RETRIES: u32 = 1;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RouteV1 {
+    path_prefix: String,
+    service: ServiceName,
+    idempotent: bool,
+    timeout_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RouteV2 {
+    host: Option<String>,
+    path_prefix: String,
+    method: Option<String>,
+    service: ServiceName,
+    fallback: Option<ServiceName>,
+    class: Class,
+    timeout_ms: u64,
+    #[serde(default = "default_retries")]
+    retries: u32,
+    #[serde(default)]
+    hedge: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceV1 {
+    #[serde(default = "default_queue")]
+    queue: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServiceV2 {
+    #[serde(default = "default_queue")]
+    queue: u32,
+    #[serde(default = "default_bulk_share")]
+    bulk_share: f64,
+    #[serde(default = "default_slow_start")]
+    slow_start_ms: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BackendServerV1 {
+    service: ServiceName,
+    #[serde(default = "default_enabled")]
+    enabled: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BackendServerV2 {
+    service: ServiceName,
+    state: BackendServerState,
+    max_slots: Option<u32>,
+}
+
+fn default_queue() -> u32 {
+    DEFAULT_QUEUE
+}
+
+fn default_bulk_share() -> f64 {
+    DEFAULT_BULK_SHARE
+}
+
+fn default_slow_start() -> u64 {
+    DEFAULT_SLOW_START_MS
+}
+
+fn default_retries() -> u32 {
+    DEFAULT_RETRIES
+}
+
+fn default_enabled() -> bool {
+    true
+}
+
+impl From<RouteV1> for RouteSpec {
+    fn from(route: RouteV1) -> Self {
+        let class = if route.idempotent {
+            Class::Lookup
+        } else {
+            Class::Command
+        };
+        Self {
+            host: None,
+            path_prefix: route.path_prefix,
+            method: None,
+            service: route.service,
+            fallback: None,
+            class,
+            timeout_ms: route.timeout_ms,
+            retries: DEFAULT_RETRIES,
+            hedge: false,
+        }
+    }
+}
+
+impl From<RouteV2> for RouteSpec {
+    fn from(route: RouteV2) -> Self {
+        Self {
+            host: route.host.map(|host| host.to_ascii_lowercase()),
+            path_prefix: route.path_prefix,
+            method: route.method,
+            service: route.service,
+            fallback: route.fallback,
+            class: route.class,
+            timeout_ms: route.timeout_ms,
+            retries: route.retries,
+            hedge: route.hedge,
+        }
+    }
+}
+
+impl From<ServiceV1> for ServiceSpec {
+    fn from(service: ServiceV1) -> Self {
+        Self {
+            queue: service.queue,
+            bulk_share: DEFAULT_BULK_SHARE,
+            slow_start_ms: DEFAULT_SLOW_START_MS,
+        }
+    }
+}
+
+impl From<ServiceV2> for ServiceSpec {
+    fn from(service: ServiceV2) -> Self {
+        Self {
+            queue: service.queue,
+            bulk_share: service.bulk_share,
+            slow_start_ms: service.slow_start_ms,
+        }
+    }
+}
+
+impl From<BackendServerV1> for BackendServerPolicy {
+    fn from(server: BackendServerV1) -> Self {
+        let state = if server.enabled {
+            BackendServerState::Enabled
+        } else {
+            BackendServerState::Disabled
+        };
+        Self {
+            service: server.service,
+            state,
+            max_slots: None,
+        }
+    }
+}
+
+impl From<BackendServerV2> for BackendServerPolicy {
+    fn from(server: BackendServerV2) -> Self {
+        Self {
+            service: server.service,
+            state: server.state,
+            max_slots: server.max_slots,
+        }
+    }
+}
+
+impl RouteSpec {
+    /// Whether a request of this route may run more than once.
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        matches!(self.class, Class::Lookup | Class::Check)
+    }
+}
+
+impl Spec {
+    /// Reads a form of a record.
+    ///
+    /// # Errors
+    ///
+    /// The schema version is unknown, the body does not fit it, a value is out of range, or the
+    /// body points at a record that the form's references do not list.
+    pub fn read(key: &RecordKey, schema: SchemaVersion, form: &Form) -> Result<Self, SpecError> {
+        let spec = Self::parse(key.kind, schema, &form.body)?;
+        spec.check_values()?;
+        match spec.refs().find(|to| !form.refs.contains(to)) {
+            Some(to) => Err(SpecError(format!("`refs` does not list {to}"))),
+            None => Ok(spec),
+        }
+    }
+
+    fn parse(
+        kind: Kind,
+        schema: SchemaVersion,
+        body: &serde_json::Value,
+    ) -> Result<Self, SpecError> {
+        fn get<'a, T: Deserialize<'a>>(body: &'a serde_json::Value) -> Result<T, SpecError> {
+            T::deserialize(body).map_err(|e| SpecError(e.to_string()))
+        }
+        Ok(match (kind, schema) {
+            (Kind::Route, 1) => Self::Route(get::<RouteV1>(body)?.into()),
+            (Kind::Route, 2) => Self::Route(get::<RouteV2>(body)?.into()),
+            (Kind::Service, 1) => Self::Service(get::<ServiceV1>(body)?.into()),
+            (Kind::Service, 2) => Self::Service(get::<ServiceV2>(body)?.into()),
+            (Kind::BackendServer, 1) => Self::BackendServer(get::<BackendServerV1>(body)?.into()),
+            (Kind::BackendServer, 2) => Self::BackendServer(get::<BackendServerV2>(body)?.into()),
+            _ => {
+                return Err(SpecError(format!(
+                    "schema {schema} is not one of 1 to {MAX_SCHEMA}"
+                )));
+            }
+        })
+    }
+
+    fn check_values(&self) -> Result<(), SpecError> {
+        match self {
+            Self::Route(route) => {
+                if !route.path_prefix.starts_with('/') {
+                    return Err(SpecError(
+                        "`path_prefix` does not start with `/`".to_owned(),
+                    ));
+                }
+                if route.timeout_ms == 0 || route.timeout_ms > MAX_TIMEOUT_MS {
+                    return Err(SpecError(format!(
+                        "`timeout_ms` is not between 1 and {MAX_TIMEOUT_MS}"
+                    )));
+                }
+                if route.hedge && !route.is_idempotent() {
+                    return Err(SpecError(
+                        "`hedge` needs class `lookup` or `check`".to_owned(),
+                    ));
+                }
+            }
+            Self::Service(service) => {
+                if !(service.bulk_share > 0.0 && service.bulk_share <= 1.0) {
+                    return Err(SpecError(
+                        "`bulk_share` is not above 0 and at most 1".to_owned(),
+                    ));
+                }
+            }
+            Self::BackendServer(server) => {
+                if server.max_slots == Some(0) {
+                    return Err(SpecError("`max_slots` is 0".to_owned()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that the body points at.
+    pub fn refs(&self) -> impl Iterator<Item = RecordKey> + use<> {
+        let services: Vec<&ServiceName> = match self {
+            Self::Route(route) => std::iter::once(&route.service)
+                .chain(route.fallback.as_ref())
+                .collect(),
+            Self::Service(_) => Vec::new(),
+            Self::BackendServer(server) => vec![&server.service],
+        };
+        let keys: Vec<RecordKey> = services
+            .into_iter()
+            .map(|name| RecordKey::new(Kind::Service, name.clone()))
+            .collect();
+        keys.into_iter()
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,20 @@
+//! Type aliases for identifiers.
+
+/// Name of a backend server; equal to the id of the daemon beside it.
+pub type BackendServerName = String;
+/// Identifier that an author gives to a change set; the same id names the same change.
+pub type ChangeId = String;
+/// Name of a data centre.
+pub type DataCentre = String;
+/// Identifier of a daemon, unique in the mesh.
+pub type DaemonId = String;
+/// Start time of a daemon in milliseconds since the Unix epoch; a restart has a higher one.
+pub type Incarnation = u64;
+/// Position of an entry in a stream of the log.
+pub type Offset = u64;
+/// Name of a route record.
+pub type RouteName = String;
+/// Version of the schema of a form.
+pub type SchemaVersion = u32;
+/// Name of a service.
+pub type ServiceName = String;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decision logic of a configuration distribution system for a service mesh.
+//!
+//! Everything here is a pure function or a state machine of the form
+//! `(state, event, now) -> actions`. The crate opens no sockets, reads no clock, starts no task and
+//! draws no random numbers, so that recorded traces can be replayed through it and other programs
+//! can embed it. `now` is always a [`std::time::Duration`] since an arbitrary fixed start of a
+//! monotonic clock; random choices take a `u64` from the caller.
+
+pub mod config;
+pub mod error;
+pub mod id;
+pub mod membership;
+pub mod prelude;
+pub mod rendezvous;
+pub mod routing;
--- /dev/null
+++ b/crates/core/src/membership/member.rs
@@ -0,0 +1,98 @@
+//! One member and the table of all members.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{DaemonId, DataCentre, Incarnation, ServiceName};
+
+/// State of a daemon together with its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// Started, not yet able to serve.
+    Cold,
+    /// Able to serve.
+    Ready,
+    /// Finishes running work and takes no new work.
+    Draining,
+    /// Did not answer probes; not yet confirmed as dead.
+    Suspect,
+    /// Ended by itself.
+    Left,
+    /// Confirmed as dead.
+    Dead,
+}
+
+/// What is known about one daemon and its backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Identifier of the daemon.
+    pub id: DaemonId,
+    /// Start time of the daemon in milliseconds since the Unix epoch.
+    pub incarnation: Incarnation,
+    /// Counts the updates within one incarnation.
+    pub sequence: u64,
+    /// Data centre of the daemon.
+    pub data_centre: DataCentre,
+    /// Service of the backend server, once it has announced itself.
+    pub service: Option<ServiceName>,
+    /// Address of the daemon's listener for peers.
+    pub peer_addr: SocketAddr,
+    /// State of the daemon and its backend server.
+    pub state: MemberState,
+    /// Slots of the backend server.
+    pub slots: u32,
+}
+
+impl Member {
+    /// Whether `self` is a newer statement about the same daemon than `other`.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.sequence, self.state)
+            > (other.incarnation, other.sequence, other.state)
+    }
+
+    /// Whether new work may be sent to this member.
+    #[must_use]
+    pub fn is_able(&self) -> bool {
+        self.state == MemberState::Ready && self.service.is_some()
+    }
+}
+
+/// Table of all known members.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    by_id: BTreeMap<DaemonId, Member>,
+}
+
+impl Members {
+    /// Takes over a statement if it is newer than what is known; returns whether it was.
+    pub fn merge(&mut self, member: Member) -> bool {
+        match self.by_id.get(&member.id) {
+            Some(known) if !member.supersedes(known) => false,
+            _ => {
+                self.by_id.insert(member.id.clone(), member);
+                true
+            }
+        }
+    }
+
+    /// The member with this id.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Member> {
+        self.by_id.get(id)
+    }
+
+    /// All members, ordered by id.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.by_id.values()
+    }
+
+    /// Members whose backend server belongs to `service`.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+        self.iter()
+            .filter(move |member| member.service.as_deref() == Some(service))
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,42 @@
+//! Match of a request to a route.
+
+use crate::config::{CompiledConfig, Route};
+
+/// Parts of a request that routes look at.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestLine<'a> {
+    /// Host without port, in lower case.
+    pub host: Option<&'a str>,
+    /// Method.
+    pub method: &'a str,
+    /// Path without query.
+    pub path: &'a str,
+}
+
+/// Finds the most specific route that matches.
+#[must_use]
+pub fn find_route<'a>(config: &'a CompiledConfig, line: RequestLine<'_>) -> Option<&'a Route> {
+    config
+        .routes
+        .iter()
+        .find(|route| matches_route(route, line))
+}
+
+fn matches_route(route: &Route, line: RequestLine<'_>) -> bool {
+    let spec = &route.spec;
+    has_prefix(line.path, &spec.path_prefix)
+        && spec
+            .method
+            .as_deref()
+            .is_none_or(|method| method == line.method)
+        && spec
+            .host
+            .as_deref()
+            .is_none_or(|host| Some(host) == line.host)
+}
+
+/// Whether `prefix` ends at a segment boundary of `path`.
+fn has_prefix(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/'))
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Work in progress.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
