--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Slots and the bounded queue beside a backend server.
--- /dev/null
+++ b/crates/core/src/balance/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server.
--- /dev/null
+++ b/crates/core/src/idempotency/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests with an idempotency key.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,16 @@
 //! can embed it. `now` is always a [`std::time::Duration`] since an arbitrary fixed start of a
 //! monotonic clock; random choices take a `u64` from the caller.
 
+pub mod admission;
+pub mod balance;
 pub mod config;
 pub mod error;
 pub mod id;
+pub mod idempotency;
 pub mod membership;
 pub mod prelude;
+pub mod registry;
+pub mod relay;
 pub mod rendezvous;
+pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/core/src/registry/mod.rs
@@ -0,0 +1,1 @@
+//! Fold of the log's stream of members.
--- /dev/null
+++ b/crates/core/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! Distribution of log entries between daemons.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Budgets for retries and hedges.
