--- /dev/null
+++ b/crates/client/src/transport/mod.rs
@@ -0,0 +1,128 @@
+//! HTTP/1.1 client for control traffic.
+//!
+//! The request path does not use it: here a request may be slow, is small, and is bounded by a
+//! deadline that the code that sends it gives.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr, bail};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Largest answer body, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time for a connection to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answer to a control request.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status code.
+    pub status: StatusCode,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Client with pooled connections.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+    name: Option<String>,
+    token: Option<String>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// Makes a client without open connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let inner = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(15))
+            .build(connector);
+        Self {
+            inner,
+            name: None,
+            token: None,
+        }
+    }
+
+    /// Sends `name` in the `x-client` header of each request.
+    #[must_use]
+    pub fn with_name(mut self, name: impl Into<String>) -> Self {
+        self.name = Some(name.into());
+        self
+    }
+
+    /// Sends `token` as bearer token of each request.
+    #[must_use]
+    pub fn with_token(mut self, token: Option<String>) -> Self {
+        self.token = token;
+        self
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// The URI is malformed, the connection fails, the answer is larger than 16 MiB, or `timeout`
+    /// passes. The request may have taken effect unless the connection was refused.
+    pub async fn send(
+        &self,
+        method: Method,
+        uri: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply> {
+        let target: Uri = uri
+            .parse()
+            .wrap_err_with(|| format!("failed to parse the address `{uri}`"))?;
+        let mut req = Request::builder().method(method).uri(target);
+        if let Some(name) = &self.name {
+            req = req.header("x-client", name);
+        }
+        if let Some(token) = &self.token {
+            req = req.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let req = req
+            .body(Full::new(body))
+            .wrap_err("failed to build a request")?;
+        let exchange = async {
+            let res = self.inner.request(req).await?;
+            let (parts, body) = res.into_parts();
+            match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+                Ok(body) => Ok(Reply {
+                    status: parts.status,
+                    body: body.to_bytes(),
+                }),
+                Err(e) => bail!("failed to read the answer: {e}"),
+            }
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(reply) => reply.wrap_err_with(|| format!("failed to reach {uri}")),
+            Err(_) => bail!("failed to reach {uri}: no answer within {timeout:?}"),
+        }
+    }
+
+    /// Sends a GET request.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpClient::send`].
+    pub async fn get(&self, uri: &str, timeout: Duration) -> Result<Reply> {
+        self.send(Method::GET, uri, Bytes::new(), timeout).await
+    }
+}
