Add balance, admission and retry state machines

The data path needs a choice of backend server, slots with a bounded queue, and budgets for second attempts.

--- /dev/null
+++ b/crates/core/src/admission/queue.rs
@@ -0,0 +1,86 @@
+//! The ordered, bounded queue.
+
+use std::time::Duration;
+
+use super::ticket::TicketId;
+use crate::config::Class;
+
+/// A request in the queue.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Waiting {
+    pub id: TicketId,
+    pub class: Class,
+    /// Whether it counts towards the bulk share.
+    pub bulk: bool,
+    pub route: usize,
+    pub deadline: Duration,
+    /// Order of arrival; decides between equal deadlines.
+    pub arrival: u64,
+}
+
+impl Waiting {
+    fn precedes(&self, other: &Self) -> bool {
+        (other.class, self.deadline, self.arrival) < (self.class, other.deadline, other.arrival)
+    }
+}
+
+/// Waiting requests in the order in which they start: higher class, then earlier deadline.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiting: Vec<Waiting>,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Position that `item` would get.
+    pub fn position(&self, item: &Waiting) -> usize {
+        self.waiting.partition_point(|other| other.precedes(item))
+    }
+
+    pub fn insert(&mut self, item: Waiting) {
+        let at = self.position(&item);
+        self.waiting.insert(at, item);
+    }
+
+    /// Requests that start before `item`.
+    pub fn ahead_of(&self, item: &Waiting) -> &[Waiting] {
+        &self.waiting[..self.position(item)]
+    }
+
+    pub fn all(&self) -> &[Waiting] {
+        &self.waiting
+    }
+
+    /// Takes the last request if its class is below `class`.
+    pub fn shed_below(&mut self, class: Class) -> Option<Waiting> {
+        self.waiting.pop_if(|last| last.class < class)
+    }
+
+    /// Takes the first request that may start.
+    pub fn pop_first(&mut self, may_start: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
+        let at = self.waiting.iter().position(may_start)?;
+        Some(self.waiting.remove(at))
+    }
+
+    pub fn remove(&mut self, id: TicketId) -> Option<Waiting> {
+        let at = self.waiting.iter().position(|item| item.id == id)?;
+        Some(self.waiting.remove(at))
+    }
+
+    /// Takes all requests whose deadline has passed.
+    pub fn take_expired(&mut self, now: Duration) -> impl Iterator<Item = Waiting> {
+        self.waiting
+            .extract_if(.., move |item| item.deadline <= now)
+    }
+
+    pub fn take_all(&mut self) -> std::vec::Drain<'_, Waiting> {
+        self.waiting.drain(..)
+    }
+
+    pub fn next_deadline(&self) -> Option<Duration> {
+        self.waiting.iter().map(|item| item.deadline).min()
+    }
+}
--- /dev/null
+++ b/crates/core/src/balance/balancer.rs
@@ -0,0 +1,296 @@
+//! The balancer of one service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::builder::BalancerBuilder;
+use super::endpoint::{Endpoint, Failure, LoadReport, State};
+use super::outlier;
+
+/// Time for which an absent endpoint without outstanding calls is remembered, so that one whose
+/// membership flaps keeps its ejection.
+const ABSENT_KEPT: Duration = Duration::from_secs(60);
+/// Longest time for which any absent endpoint is remembered; equal to the longest route timeout.
+const ABSENT_KEPT_MAX: Duration = Duration::from_secs(600);
+/// Draws per candidate; bounds the time when all endpoints are in slow start.
+const MAX_DRAWS: u32 = 4;
+
+/// Chooses among the backend servers of one service.
+///
+/// Calls are reported by [`dispatched`](Self::dispatched) and then exactly one of
+/// [`answered`](Self::answered) and [`failed`](Self::failed). Names that are not known are ignored.
+#[derive(Debug)]
+pub struct Balancer {
+    cfg: BalancerBuilder,
+    /// Ordered by name.
+    states: Vec<State>,
+    /// Indices of candidates; kept between calls to avoid an allocation per request.
+    candidates: Vec<usize>,
+    scratch: Vec<f64>,
+}
+
+impl Balancer {
+    /// Settings with the defaults of the design page.
+    #[must_use]
+    pub fn builder() -> BalancerBuilder {
+        BalancerBuilder::default()
+    }
+
+    pub(super) fn new(cfg: BalancerBuilder) -> Self {
+        Self {
+            cfg,
+            states: Vec::new(),
+            candidates: Vec::new(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Replaces the set of endpoints that are able to serve.
+    ///
+    /// Observations about endpoints that stay are kept. New ones and ones that were absent start
+    /// with a slow start.
+    pub fn update(&mut self, endpoints: &[Endpoint], now: Duration) {
+        for state in &mut self.states {
+            if state.present {
+                state.absent_since = now;
+            }
+        }
+        let was_present: Vec<bool> = self.states.iter().map(|s| s.present).collect();
+        for state in &mut self.states {
+            state.present = false;
+        }
+        let known = self.states.len();
+        for endpoint in endpoints {
+            let local = endpoint.data_centre == self.cfg.data_centre;
+            let found = self.states[..known]
+                .binary_search_by(|state| (*state.name).cmp(endpoint.name.as_str()));
+            match found {
+                Ok(index) => refresh(
+                    &mut self.states[index],
+                    endpoint,
+                    local,
+                    was_present[index],
+                    now,
+                ),
+                Err(_) => self.states.push(State::new(endpoint, local, now)),
+            }
+        }
+        self.states.retain(|state| is_kept(state, now));
+        self.states.sort_by(|a, b| a.name.cmp(&b.name));
+        self.states.dedup_by(|a, b| a.name == b.name);
+        outlier::enforce_limit(&mut self.states, now, &self.cfg);
+    }
+
+    /// Chooses a backend server for a call; `exclude` lists those that the call must not use.
+    ///
+    /// An ejected endpoint is chosen only when no other can be. Excluded, absent and disabled ones,
+    /// and those that just refused a connection, are never chosen.
+    pub fn choose(&mut self, now: Duration, random: u64, exclude: &[&str]) -> Option<Arc<str>> {
+        self.collect_candidates(now, exclude);
+        let (first, second) = self.draw_two(now, random)?;
+        let score = |index: usize| self.states[index].score(now, &self.cfg);
+        let index = if first != second && score(second) < score(first) {
+            second
+        } else {
+            first
+        };
+        Some(Arc::clone(&self.states[index].name))
+    }
+
+    /// Records that a call was sent.
+    pub fn dispatched(&mut self, name: &str, _now: Duration) {
+        if let Some(index) = self.find(name) {
+            self.states[index].outstanding += 1;
+        }
+    }
+
+    /// Records the response to a call, with its latency and the load that it carried.
+    pub fn answered(
+        &mut self,
+        name: &str,
+        now: Duration,
+        latency: Duration,
+        report: Option<LoadReport>,
+    ) {
+        let Some(index) = self.find(name) else { return };
+        let state = &mut self.states[index];
+        state.outstanding = state.outstanding.saturating_sub(1);
+        state.succeeded();
+        if let Some(report) = report {
+            state.report(report, now);
+        }
+        outlier::observe(state, latency, now);
+        let ln_slowness = outlier::ln_slowness(&self.states, index, &mut self.scratch);
+        self.states[index].latency.ln_slowness = ln_slowness;
+        outlier::judge(&mut self.states, index, now, &self.cfg);
+    }
+
+    /// Records that a call ended without a usable response.
+    pub fn failed(&mut self, name: &str, now: Duration, failure: Failure) {
+        if let Some(index) = self.find(name) {
+            let state = &mut self.states[index];
+            state.outstanding = state.outstanding.saturating_sub(1);
+            state.failed(failure, now, self.cfg.report_half_life);
+        }
+    }
+
+    /// Whether the endpoint is present in the own data centre.
+    #[must_use]
+    pub fn local(&self, name: &str) -> bool {
+        self.find(name)
+            .is_some_and(|index| self.states[index].present && self.states[index].local)
+    }
+
+    /// Whether the endpoint is ejected.
+    #[must_use]
+    pub fn ejected(&self, name: &str, now: Duration) -> bool {
+        self.find(name)
+            .is_some_and(|index| self.states[index].is_ejected(now))
+    }
+
+    /// Calls to the endpoint without a response yet.
+    #[must_use]
+    pub fn outstanding(&self, name: &str) -> u32 {
+        self.find(name)
+            .map_or(0, |index| self.states[index].outstanding)
+    }
+
+    /// Slowness of the endpoint at present, discounted by the age of its last answer.
+    #[must_use]
+    pub fn slowness(&self, name: &str, now: Duration) -> f64 {
+        self.find(name)
+            .map_or(1.0, |index| self.states[index].slowness(now))
+    }
+
+    fn find(&self, name: &str) -> Option<usize> {
+        self.states
+            .binary_search_by(|state| (*state.name).cmp(name))
+            .ok()
+    }
+
+    /// Fills `candidates`: own data centre first, then others, then ejected endpoints.
+    fn collect_candidates(&mut self, now: Duration, exclude: &[&str]) {
+        let able = |s: &State| s.is_usable(now) && !exclude.contains(&&*s.name);
+        self.collect(|s| s.local && able(s) && !s.is_ejected(now));
+        if self.candidates.is_empty() {
+            self.collect(|s| able(s) && !s.is_ejected(now));
+        } else if let Some(own) = self.overload(now) {
+            self.spill(own, now, able);
+        }
+        if self.candidates.is_empty() {
+            self.collect(able);
+        }
+    }
+
+    fn collect(&mut self, of: impl Fn(&State) -> bool) {
+        self.candidates.clear();
+        let matching = self.states.iter().enumerate().filter(|(_, s)| of(s));
+        self.candidates.extend(matching.map(|(index, _)| index));
+    }
+
+    /// Best load among the candidates if all are over the spill threshold.
+    fn overload(&self, now: Duration) -> Option<f64> {
+        let mut best = f64::INFINITY;
+        for &index in &self.candidates {
+            let load = self.states[index].load(now, &self.cfg);
+            if load <= self.cfg.spill_load {
+                return None;
+            }
+            best = best.min(load);
+        }
+        Some(best)
+    }
+
+    /// Replaces the candidates with endpoints of other data centres that have at most the set part
+    /// of the load `own`, if there are any.
+    fn spill(&mut self, own: f64, now: Duration, able: impl Fn(&State) -> bool) {
+        let limit = own * self.cfg.spill_ratio;
+        let fits = |s: &State| {
+            !s.local && able(s) && !s.is_ejected(now) && s.load(now, &self.cfg) <= limit
+        };
+        if self.states.iter().any(fits) {
+            let matching = self.states.iter().enumerate().filter(|(_, s)| fits(s));
+            self.candidates.clear();
+            self.candidates.extend(matching.map(|(index, _)| index));
+        }
+    }
+
+    /// Two candidates, distinct when there is more than one.
+    fn draw_two(&self, now: Duration, random: u64) -> Option<(usize, usize)> {
+        let len = self.candidates.len() as u64;
+        if len == 0 {
+            return None;
+        }
+        let mut bits = Bits(random);
+        let first = self.draw(&mut bits, now);
+        if len == 1 {
+            return Some((first, first));
+        }
+        let mut second = self.draw(&mut bits, now);
+        if second == first {
+            let at = self
+                .candidates
+                .iter()
+                .position(|&c| c == first)
+                .unwrap_or(0) as u64;
+            let other = (at + 1 + bits.below(len - 1)) % len;
+            second = self.candidates[other as usize];
+        }
+        Some((first, second))
+    }
+
+    /// One candidate. One in slow start is replaced by another draw with the probability of the
+    /// share that it does not have yet; its score alone would decide all or nothing when idle.
+    fn draw(&self, bits: &mut Bits, now: Duration) -> usize {
+        let len = self.candidates.len() as u64;
+        let mut drawn = self.candidates[bits.below(len) as usize];
+        for _ in 1..MAX_DRAWS {
+            let ramp = self.states[drawn].ramp(now, self.cfg.slow_start);
+            if ramp >= 1.0 || bits.fraction() < ramp {
+                break;
+            }
+            drawn = self.candidates[bits.below(len) as usize];
+        }
+        drawn
+    }
+}
+
+/// Independent draws from the one random number of a call (SplitMix64).
+struct Bits(u64);
+
+impl Bits {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A number below `limit`, which is small.
+    fn below(&mut self, limit: u64) -> u64 {
+        ((self.next() >> 32) * limit) >> 32
+    }
+
+    /// A number from 0 to below 1.
+    fn fraction(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// Takes over a new description of a known endpoint.
+fn refresh(state: &mut State, endpoint: &Endpoint, local: bool, was_present: bool, now: Duration) {
+    state.data_centre.clone_from(&endpoint.data_centre);
+    state.local = local;
+    state.slots = f64::from(endpoint.slots.max(1));
+    state.enabled = endpoint.enabled;
+    if !was_present {
+        state.ramp_from = now;
+    }
+    state.present = true;
+}
+
+fn is_kept(state: &State, now: Duration) -> bool {
+    let absent = now.saturating_sub(state.absent_since);
+    state.present || absent < ABSENT_KEPT || (state.outstanding > 0 && absent < ABSENT_KEPT_MAX)
+}
