--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Records that a call was given up before its response; says nothing about the endpoint.
+    pub fn cancelled(&mut self, name: &str) {
+        if let Some(index) = self.find(name) {
+            let state = &mut self.states[index];
+            state.outstanding = state.outstanding.saturating_sub(1);
+        }
+    }
+
     /// Whether the endpoint is present in the own data centre.
     #[must_use]
     pub fn local(&self, name: &str) -> bool {
--- /dev/null
+++ b/crates/daemon/src/context/view.rs
@@ -0,0 +1,53 @@
+//! Immutable view of the members that requests use.
+
+use std::collections::BTreeMap;
+
+use baobabreel_core::config::{BackendServerState, CompiledConfig};
+use baobabreel_core::id::ServiceName;
+use baobabreel_core::membership::Member;
+
+/// Members by service.
+#[derive(Debug, Default)]
+pub struct MeshView {
+    by_service: BTreeMap<ServiceName, Vec<Member>>,
+}
+
+impl MeshView {
+    /// Sorts members by their services.
+    #[must_use]
+    pub fn new<'a>(members: impl IntoIterator<Item = &'a Member>) -> Self {
+        let mut by_service: BTreeMap<ServiceName, Vec<Member>> = BTreeMap::new();
+        for member in members {
+            if let Some(service) = &member.service {
+                by_service.entry(service.clone()).or_default().push(member.clone());
+            }
+        }
+        Self { by_service }
+    }
+
+    /// Members whose backend server belongs to `service`.
+    #[must_use]
+    pub fn of_service(&self, service: &str) -> &[Member] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The member with this id among those of `service`.
+    #[must_use]
+    pub fn find(&self, service: &str, id: &str) -> Option<&Member> {
+        self.of_service(service).iter().find(|member| member.id == id)
+    }
+
+    /// Services with their members.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Member])> {
+        self.by_service.iter().map(|(service, members)| (service, members.as_slice()))
+    }
+}
+
+/// Whether new work may go to a member, by its state and the operators' wishes.
+#[must_use]
+pub fn is_able(config: &CompiledConfig, service: &str, member: &Member) -> bool {
+    let wished = config.backend_servers.get(&member.id).is_none_or(|policy| {
+        policy.service == service && policy.state == BackendServerState::Enabled
+    });
+    member.is_able() && wished
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/answer.rs
@@ -0,0 +1,74 @@
+//! Errors of the data path and the answers made from them.
+
+use std::time::Duration;
+
+use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::id::RouteName;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+
+use super::body::ProxyBody;
+use super::headers::OUTCOME;
+
+/// A request that ends with an answer of the daemon itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallError {
+    /// Kind of the error.
+    pub kind: ErrorKind,
+    /// When to ask again, if not after the time of the table.
+    pub retry_after: Option<Duration>,
+    /// What happened, for people.
+    pub detail: String,
+    /// Whether the caller's connection should be closed after the answer.
+    pub close: bool,
+    /// Route of the request, for metrics.
+    pub route: Option<RouteName>,
+}
+
+impl CallError {
+    /// Makes an error.
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self { kind, retry_after: None, detail: detail.into(), close: false, route: None }
+    }
+
+    /// Sets when to ask again.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
+
+    /// Whether the request certainly did not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.kind.answer().outcome == Outcome::NotRun
+    }
+
+    /// Answer for a caller.
+    #[must_use]
+    pub fn into_response(self) -> Response<ProxyBody> {
+        let answer = self.kind.answer();
+        let retry_after = self.retry_after.or(answer.retry_after);
+        let body = serde_json::json!({
+            "error": answer.name,
+            "outcome": answer.outcome.as_str(),
+            "retryable": answer.retryable,
+            "detail": self.detail,
+        });
+        let mut res = Response::new(ProxyBody::full(body.to_string()));
+        *res.status_mut() =
+            StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = res.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+        if let Some(after) = retry_after.filter(|_| answer.retryable) {
+            // The header has whole seconds; 0 would ask for an immediate repeat.
+            let secs = after.as_millis().div_ceil(1_000).max(1);
+            headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(secs).unwrap_or(1)));
+        }
+        if self.close {
+            headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        res
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/balance.rs
@@ -0,0 +1,231 @@
+//! Choice of backend servers and budgets for further tries, shared by all requests.
+//!
+//! The decisions are those of `baobabreel-core`; here they get locks, which are held for a few
+//! hundred nanoseconds and never across an await.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport};
+use baobabreel_core::config::CompiledConfig;
+use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
+use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
+
+use crate::context::{Clock, Identity, MeshView, is_able};
+
+/// Share of the requests that may be tried again.
+const RETRY_SHARE: f64 = 0.1;
+
+/// Further tries that may be made at once.
+const RETRY_BURST: u32 = 10;
+
+/// Slowness from which the own backend server is no longer preferred to a random choice.
+const OWN_SLOWNESS_LIMIT: f64 = 1.5;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Balancer of one service.
+pub type ServiceBalancer = Arc<Mutex<Balancer>>;
+
+/// Budgets and observations of one route.
+#[derive(Debug)]
+pub struct RouteState {
+    budget: Mutex<RetryBudget>,
+    latency: Mutex<LatencyEstimate>,
+}
+
+impl RouteState {
+    fn new() -> Self {
+        Self {
+            budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
+            latency: Mutex::new(LatencyEstimate::default()),
+        }
+    }
+
+    /// Records the latency of an answer.
+    pub fn observe(&self, latency: Duration) {
+        lock(&self.latency).observe(latency);
+    }
+
+    /// Observed latencies.
+    pub fn latency(&self) -> MutexGuard<'_, LatencyEstimate> {
+        lock(&self.latency)
+    }
+}
+
+/// Choice of backend servers and budgets of one daemon.
+#[derive(Debug)]
+pub struct Balance {
+    own: DaemonId,
+    data_centre: DataCentre,
+    services: RwLock<HashMap<ServiceName, ServiceBalancer>>,
+    routes: RwLock<HashMap<RouteName, Arc<RouteState>>>,
+    budget: Mutex<RetryBudget>,
+}
+
+impl Balance {
+    /// Makes the state of a daemon that knows no backend server.
+    #[must_use]
+    pub fn new(identity: &Identity) -> Self {
+        Self {
+            own: identity.id.clone(),
+            data_centre: identity.data_centre.clone(),
+            services: RwLock::default(),
+            routes: RwLock::default(),
+            budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
+        }
+    }
+
+    /// Takes over the members and the operators' wishes.
+    pub fn update(&self, config: &CompiledConfig, view: &MeshView, now: Duration) {
+        for (service, members) in view.services() {
+            let endpoints: Vec<Endpoint> = members
+                .iter()
+                .filter(|member| is_able(config, service, member))
+                .map(|member| Endpoint {
+                    name: member.id.clone(),
+                    data_centre: member.data_centre.clone(),
+                    slots: member.slots,
+                    enabled: true,
+                })
+                .collect();
+            lock(&self.service(config, service)).update(&endpoints, now);
+        }
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        routes.retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+    }
+
+    fn service(&self, config: &CompiledConfig, name: &str) -> ServiceBalancer {
+        if let Some(found) = self.find(name) {
+            return found;
+        }
+        let slow_start_ms = config.services.get(name).map(|service| service.slow_start_ms);
+        let mut builder = Balancer::builder().data_centre(self.data_centre.clone());
+        if let Some(millis) = slow_start_ms {
+            builder = builder.slow_start(Duration::from_millis(millis));
+        }
+        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(
+            services.entry(name.to_owned()).or_insert_with(|| Arc::new(Mutex::new(builder.build()))),
+        )
+    }
+
+    fn find(&self, name: &str) -> Option<ServiceBalancer> {
+        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        services.get(name).map(Arc::clone)
+    }
+
+    /// Budgets and observations of a route.
+    pub fn route(&self, name: &str) -> Arc<RouteState> {
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(found) = routes.get(name) {
+            return Arc::clone(found);
+        }
+        drop(routes);
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let state = routes.entry(name.to_owned()).or_insert_with(|| Arc::new(RouteState::new()));
+        Arc::clone(state)
+    }
+
+    /// Counts a request for the budgets.
+    pub fn on_request(&self, route: &RouteState, now: Duration) {
+        lock(&route.budget).on_request(now);
+        lock(&self.budget).on_request(now);
+    }
+
+    /// Takes one further try out of both budgets.
+    pub fn try_spend(&self, route: &RouteState, now: Duration) -> bool {
+        lock(&route.budget).try_take(now) && lock(&self.budget).try_take(now)
+    }
+
+    /// Chooses a backend server and counts a call to it.
+    ///
+    /// The own backend server is taken when `own_is_free` and it is not slower than its peers, since
+    /// that saves one hop.
+    pub fn choose(
+        &self,
+        service: &str,
+        own_is_free: bool,
+        exclude: &[&str],
+        clock: Clock,
+    ) -> Option<EntryGuard> {
+        let shared = self.find(service)?;
+        let now = clock.now();
+        let mut balancer = lock(&shared);
+        let own = own_is_free
+            && !exclude.contains(&self.own.as_str())
+            && !balancer.ejected(&self.own, now)
+            && balancer.slowness(&self.own, now) < OWN_SLOWNESS_LIMIT;
+        let name = if own {
+            Arc::from(self.own.as_str())
+        } else {
+            balancer.choose(now, rand::random(), exclude)?
+        };
+        balancer.dispatched(&name, now);
+        drop(balancer);
+        Some(EntryGuard { balancer: shared, name, clock, started: now, end: End::Cancelled })
+    }
+
+    /// Counts a call to a backend server that was chosen by other means.
+    pub fn dispatch_to(&self, service: &str, name: &str, clock: Clock) -> Option<EntryGuard> {
+        let shared = self.find(service)?;
+        let now = clock.now();
+        lock(&shared).dispatched(name, now);
+        let name = Arc::from(name);
+        Some(EntryGuard { balancer: shared, name, clock, started: now, end: End::Cancelled })
+    }
+}
+
+#[derive(Debug)]
+enum End {
+    Cancelled,
+    Failed(Failure),
+    Answered { latency: Duration, report: Option<LoadReport> },
+}
+
+/// Call to a backend server that counts as outstanding until it is dropped.
+#[derive(Debug)]
+pub struct EntryGuard {
+    balancer: ServiceBalancer,
+    name: Arc<str>,
+    clock: Clock,
+    started: Duration,
+    end: End,
+}
+
+impl EntryGuard {
+    /// Name of the backend server.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Records the head of the answer.
+    pub fn answered(&mut self, report: Option<LoadReport>) -> Duration {
+        let latency = self.clock.now().saturating_sub(self.started);
+        self.end = End::Answered { latency, report };
+        latency
+    }
+
+    /// Records a failure.
+    pub fn failed(&mut self, failure: Failure) {
+        self.end = End::Failed(failure);
+    }
+}
+
+impl Drop for EntryGuard {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let mut balancer = lock(&self.balancer);
+        match self.end {
+            End::Cancelled => balancer.cancelled(&self.name),
+            End::Failed(failure) => balancer.failed(&self.name, now, failure),
+            End::Answered { latency, report } => {
+                balancer.answered(&self.name, now, latency, report);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/body.rs
@@ -0,0 +1,179 @@
+//! Body type of the data path.
+//!
+//! One closed type instead of a boxed one, so that no dynamic dispatch is on the request path.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use super::balance::EntryGuard;
+use super::host::HostGuard;
+
+/// A body could not be passed on.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The source broke off.
+    Source(hyper::Error),
+    /// More bytes came than are allowed.
+    TooLarge,
+    /// Fewer bytes came than were announced.
+    Short,
+    /// The body was not whole before the deadline.
+    Late,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Source(_) => f.write_str("failed to read a body"),
+            Self::TooLarge => f.write_str("failed to read a body: too large"),
+            Self::Short => f.write_str("failed to read a body: shorter than announced"),
+            Self::Late => f.write_str("failed to read a body: the deadline passed"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Source(e) => Some(e),
+            _ => None,
+        }
+    }
+}
+
+/// What is released at the end of an answer.
+#[derive(Debug)]
+pub enum Guard {
+    /// Slot at the host daemon.
+    Host(HostGuard),
+    /// Outstanding call at the entry daemon.
+    Entry(EntryGuard),
+    /// Both, when the entry daemon is the host daemon.
+    Both(HostGuard, EntryGuard),
+}
+
+impl Guard {
+    /// The answer is whole.
+    pub fn finished(&mut self) {
+        match self {
+            Self::Host(host) | Self::Both(host, _) => host.finished(),
+            Self::Entry(_) => {}
+        }
+    }
+}
+
+/// Body of a request or an answer.
+#[derive(Debug)]
+pub enum ProxyBody {
+    /// No bytes.
+    Empty,
+    /// Bytes in memory.
+    Full(Bytes),
+    /// Bytes that are passed on as they come, at most `left` of them.
+    Stream {
+        /// Source of the bytes.
+        inner: Incoming,
+        /// Bytes that are still allowed.
+        left: u64,
+    },
+    /// Bytes of an answer, with what is released at its end.
+    Tracked {
+        /// Source of the bytes.
+        inner: Incoming,
+        /// Bytes that were announced and have not come.
+        expected: Option<u64>,
+        /// Time at which the answer is broken off.
+        deadline: Pin<Box<tokio::time::Sleep>>,
+        /// Released at the end.
+        guard: Guard,
+    },
+}
+
+impl ProxyBody {
+    /// Body with these bytes.
+    #[must_use]
+    pub fn full(data: impl Into<Bytes>) -> Self {
+        let data = data.into();
+        if data.is_empty() { Self::Empty } else { Self::Full(data) }
+    }
+}
+
+fn poll_incoming(
+    inner: &mut Incoming,
+    cx: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    Pin::new(inner).poll_frame(cx).map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
+}
+
+impl Body for ProxyBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Empty => Poll::Ready(None),
+            full @ Self::Full(_) => match std::mem::replace(full, Self::Empty) {
+                Self::Full(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                _ => Poll::Ready(None),
+            },
+            Self::Stream { inner, left } => {
+                let polled = poll_incoming(inner, cx);
+                if let Poll::Ready(Some(Ok(frame))) = &polled {
+                    let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+                    match left.checked_sub(bytes) {
+                        Some(rest) => *left = rest,
+                        None => return Poll::Ready(Some(Err(BodyError::TooLarge))),
+                    }
+                }
+                polled
+            }
+            Self::Tracked { inner, expected, deadline, guard } => {
+                if deadline.as_mut().poll(cx).is_ready() {
+                    return Poll::Ready(Some(Err(BodyError::Late)));
+                }
+                let polled = poll_incoming(inner, cx);
+                match &polled {
+                    Poll::Ready(Some(Ok(frame))) => {
+                        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+                        if let Some(expected) = expected {
+                            *expected = expected.saturating_sub(bytes);
+                        }
+                        if inner.is_end_stream() {
+                            guard.finished();
+                        }
+                    }
+                    Poll::Ready(None) if expected.is_some_and(|left| left > 0) => {
+                        return Poll::Ready(Some(Err(BodyError::Short)));
+                    }
+                    Poll::Ready(None) => guard.finished(),
+                    _ => {}
+                }
+                polled
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Empty => true,
+            Self::Full(_) => false,
+            Self::Stream { inner, .. } | Self::Tracked { inner, .. } => inner.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Empty => SizeHint::with_exact(0),
+            Self::Full(data) => SizeHint::with_exact(data.len() as u64),
+            Self::Stream { inner, .. } | Self::Tracked { inner, .. } => inner.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/headers.rs
@@ -0,0 +1,85 @@
+//! Headers of the data path.
+
+use std::time::Duration;
+
+use http::header::{
+    CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+
+use crate::telemetry::{Span, TRACEPARENT};
+
+/// Whether the request ran.
+pub const OUTCOME: HeaderName = HeaderName::from_static("baobabreel-outcome");
+/// Head of a call between daemons.
+pub const CALL: HeaderName = HeaderName::from_static("baobabreel-call");
+/// Head of an answer between daemons.
+pub const ANSWER: HeaderName = HeaderName::from_static("baobabreel-answer");
+/// Remaining time in milliseconds.
+pub const TIMEOUT: HeaderName = HeaderName::from_static("baobabreel-timeout-ms");
+/// Marks a second try.
+pub const RETRY: HeaderName = HeaderName::from_static("baobabreel-retry");
+/// Shared secret of daemons.
+pub const TOKEN: HeaderName = HeaderName::from_static("baobabreel-token");
+/// Idempotency key of a caller.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Removes the headers that concern one connection only.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        CONNECTION,
+        KEEP_ALIVE,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        PROXY_CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that only daemons may set.
+pub fn remove_internal(headers: &mut HeaderMap) {
+    for name in [OUTCOME, CALL, ANSWER, TOKEN] {
+        headers.remove(name);
+    }
+}
+
+/// Reads the remaining time; `None` when the header is absent.
+pub fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, String> {
+    let Some(value) = headers.get(TIMEOUT) else { return Ok(None) };
+    let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
+    match millis {
+        Some(millis) => Ok(Some(Duration::from_millis(millis))),
+        None => Err(format!("header `{TIMEOUT}` is not a number of milliseconds")),
+    }
+}
+
+/// Writes the remaining time.
+pub fn write_timeout(headers: &mut HeaderMap, remaining: Duration) {
+    let millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(TIMEOUT, HeaderValue::from(millis));
+}
+
+/// Writes the position in the trace for the next hop.
+pub fn write_trace(headers: &mut HeaderMap, span: &Span) {
+    if let Some(value) = span.context.to_header() {
+        headers.insert(TRACEPARENT, value);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/host.rs
@@ -0,0 +1,412 @@
+//! The backend server beside the daemon: admission and dispatch.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
+use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::id::ServiceName;
+use baobabreel_core::membership::MemberState;
+use http::{HeaderValue, Request, Response, StatusCode, Version};
+use hyper::body::{Body, Incoming};
+use tokio::sync::oneshot;
+
+use super::answer::CallError;
+use super::body::{Guard, ProxyBody};
+use super::headers;
+use super::pool::{BackendConnection, BackendPool, SendError};
+use crate::context::{Cx, Phase};
+use crate::telemetry::{Span, TraceContext};
+
+/// Path of calls; the path of the request follows it.
+pub const CALL_PREFIX: &str = "/peer/v1/call";
+
+/// Time that is left for the way back when a queued request starts.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1);
+
+/// The backend server as it announced itself.
+#[derive(Debug, Clone)]
+pub struct BackendInfo {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its slots.
+    pub slots: u32,
+    /// Its state.
+    pub state: MemberState,
+}
+
+#[derive(Debug)]
+struct Backend {
+    info: BackendInfo,
+    pool: Arc<BackendPool>,
+}
+
+#[derive(Debug)]
+struct Gate {
+    admission: Admission,
+    waiting: HashMap<TicketId, oneshot::Sender<Result<(), CallError>>>,
+    next_id: TicketId,
+}
+
+impl Gate {
+    fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, result) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse { id, kind, retry_after } => {
+                    let e = CallError::new(kind, "the request left the queue");
+                    (id, Err(e.with_retry_after(retry_after)))
+                }
+            };
+            if let Some(tx) = self.waiting.remove(&id) {
+                // A request that is no longer waiting gives its slot back when it is dropped.
+                drop(tx.send(result));
+            }
+        }
+    }
+}
+
+/// The backend server beside the daemon.
+#[derive(Debug)]
+pub struct Host {
+    backend: ArcSwapOption<Backend>,
+    gate: Arc<Mutex<Gate>>,
+    connection_limit: usize,
+}
+
+fn lock(gate: &Mutex<Gate>) -> MutexGuard<'_, Gate> {
+    gate.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Host {
+    /// Makes the state of a daemon whose backend server has not announced itself.
+    #[must_use]
+    pub fn new(connection_limit: usize) -> Self {
+        let gate = Gate {
+            admission: Admission::builder().build(),
+            waiting: HashMap::new(),
+            next_id: 0,
+        };
+        let gate = Arc::new(Mutex::new(gate));
+        Self { backend: ArcSwapOption::empty(), gate, connection_limit }
+    }
+
+    /// Takes over an announcement, or that there is no backend server any more.
+    pub fn set_backend(&self, info: Option<BackendInfo>, now: Duration) {
+        let Some(info) = info else {
+            self.backend.store(None);
+            return;
+        };
+        let known = self.backend.load_full();
+        let pool = match known.filter(|known| known.info.address == info.address) {
+            Some(known) => Arc::clone(&known.pool),
+            None => Arc::new(BackendPool::new(info.address, self.connection_limit)),
+        };
+        let mut gate = lock(&self.gate);
+        if gate.admission.slots() != info.slots {
+            let actions = gate.admission.set_slots(info.slots, now);
+            gate.apply(actions);
+        }
+        drop(gate);
+        self.backend.store(Some(Arc::new(Backend { info, pool })));
+    }
+
+    /// Sets the places in the queue and the share of bulk requests; running requests stay.
+    pub fn configure(&self, queue: usize, bulk_share: f64) {
+        lock(&self.gate).admission.configure(queue, bulk_share);
+    }
+
+    /// The backend server as it announced itself last.
+    pub fn info(&self) -> Option<BackendInfo> {
+        self.backend.load().as_ref().map(|backend| backend.info.clone())
+    }
+
+    /// Load as admission sees it.
+    pub fn load(&self) -> LoadWire {
+        let gate = lock(&self.gate);
+        let load = gate.admission.load();
+        let slots = gate.admission.slots();
+        LoadWire { running: load.running, queued: load.queued, slots }
+    }
+
+    /// Whether a request for `service` would start at once.
+    pub fn is_free(&self, service: &str) -> bool {
+        let ready = self.backend.load().as_ref().is_some_and(|backend| {
+            backend.info.state == MemberState::Ready && backend.info.service == service
+        });
+        ready && {
+            let load = self.load();
+            load.queued == 0 && load.running < load.slots
+        }
+    }
+
+    /// Waits until the request may be dispatched.
+    async fn admit(&self, cx: &Cx, head: &CallHead, deadline: Duration) -> Result<HostGuard, CallError> {
+        let now = cx.clock.now();
+        let mut gate = lock(&self.gate);
+        gate.next_id += 1;
+        let id = gate.next_id;
+        let ticket = Ticket {
+            id,
+            class: head.class,
+            route: &head.route,
+            deadline: deadline.saturating_sub(ANSWER_MARGIN),
+        };
+        let offer = gate.admission.offer(ticket, now);
+        gate.apply(offer.evicted);
+        let guard = HostGuard { cx: Arc::clone(cx), id: Some(id), connection: None };
+        match offer.decision {
+            Decision::Start => Ok(guard),
+            Decision::Refuse { kind, retry_after } => {
+                drop(gate);
+                guard.forget();
+                let e = CallError::new(kind, "the backend server has no room");
+                Err(e.with_retry_after(retry_after))
+            }
+            Decision::Queued => {
+                let (tx, rx) = oneshot::channel();
+                gate.waiting.insert(id, tx);
+                drop(gate);
+                wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
+            }
+        }
+    }
+
+    fn release(&self, id: TicketId, whole: bool, now: Duration) {
+        let mut gate = lock(&self.gate);
+        gate.waiting.remove(&id);
+        let actions = if whole {
+            gate.admission.finish(id, now)
+        } else {
+            gate.admission.cancel(id, now)
+        };
+        gate.apply(actions);
+    }
+
+    /// Number of requests that hold a slot or wait for one.
+    pub fn in_flight(&self) -> u32 {
+        let load = self.load();
+        load.running + load.queued
+    }
+}
+
+async fn wait_for_slot(
+    guard: HostGuard,
+    rx: oneshot::Receiver<Result<(), CallError>>,
+    timeout: Duration,
+) -> Result<HostGuard, CallError> {
+    match tokio::time::timeout(timeout, rx).await {
+        Ok(Ok(Ok(()))) => Ok(guard),
+        Ok(Ok(Err(e))) => {
+            guard.forget();
+            Err(e)
+        }
+        Ok(Err(_)) => Err(CallError::new(ErrorKind::Overloaded, "the queue was closed")),
+        Err(_) => {
+            Err(CallError::new(ErrorKind::DeadlineUnreachable, "the deadline passed in the queue"))
+        }
+    }
+}
+
+/// Slot of a request; given back when it is dropped.
+pub struct HostGuard {
+    cx: Cx,
+    id: Option<TicketId>,
+    connection: Option<BackendConnection>,
+}
+
+impl std::fmt::Debug for HostGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HostGuard").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl HostGuard {
+    /// The answer is whole: the connection can be used again.
+    pub fn finished(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+        if let Some(id) = self.id.take() {
+            self.cx.host.release(id, true, self.cx.clock.now());
+        }
+    }
+
+    /// Drops the guard of a request that admission no longer knows.
+    fn forget(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for HostGuard {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            self.cx.host.release(id, false, self.cx.clock.now());
+        }
+    }
+}
+
+/// Answer of the backend server, with the slot that it holds until its end.
+#[derive(Debug)]
+pub struct Admitted {
+    /// Answer of the backend server.
+    pub response: Response<Incoming>,
+    /// Slot of the request.
+    pub guard: HostGuard,
+    /// Time at which the answer is broken off.
+    pub deadline: Duration,
+}
+
+/// Admits a request and passes it to the backend server.
+pub async fn run(
+    cx: &Cx,
+    head: &CallHead,
+    mut req: Request<ProxyBody>,
+) -> Result<Admitted, CallError> {
+    let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
+    let backend = able_backend(cx, head)?;
+    let mut guard = cx.host.admit(cx, head, deadline).await?;
+    let remaining = deadline.saturating_sub(cx.clock.now());
+    headers::write_timeout(req.headers_mut(), remaining);
+    if head.retry {
+        req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
+    }
+    *req.version_mut() = Version::HTTP_11;
+    let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
+    let (response, connection) = match sent {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(SendError::NotSent(detail))) => {
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        Ok(Err(SendError::Lost(detail))) => {
+            return Err(CallError::new(ErrorKind::UpstreamLost, detail));
+        }
+        Err(_) => {
+            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
+        }
+    };
+    guard.connection = Some(connection);
+    check_answer(&response)?;
+    Ok(Admitted { response, guard, deadline })
+}
+
+fn able_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
+    if cx.phase() == Phase::Draining {
+        return Err(CallError::new(ErrorKind::Draining, "the daemon is draining"));
+    }
+    let none = || CallError::new(ErrorKind::NoBackendServer, "no backend server is announced here");
+    let backend = cx.host.backend.load_full().ok_or_else(none)?;
+    if backend.info.service != head.service {
+        return Err(none());
+    }
+    match backend.info.state {
+        MemberState::Ready => Ok(backend),
+        MemberState::Draining | MemberState::Left => {
+            Err(CallError::new(ErrorKind::Draining, "the backend server is draining"))
+        }
+        _ => Err(CallError::new(ErrorKind::NotReady, "the backend server is not ready")),
+    }
+}
+
+/// Refuses answers that are sheds, and answers whose end cannot be told from a broken connection.
+fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
+    let not_run = Outcome::NotRun.as_str();
+    let shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
+        && res.headers().get(headers::OUTCOME).is_some_and(|value| value == not_run);
+    if shed {
+        return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
+    }
+    let body = res.body();
+    let delimited = body.is_end_stream()
+        || body.size_hint().exact().is_some()
+        || res.headers().contains_key(http::header::TRANSFER_ENCODING);
+    if delimited {
+        return Ok(());
+    }
+    Err(CallError::new(ErrorKind::UpstreamLost, "the answer has neither a length nor chunks"))
+}
+
+/// Body of an answer that gives back its guard at its end.
+pub fn tracked(cx: &Cx, body: Incoming, deadline: Duration, guard: Guard) -> ProxyBody {
+    let left = deadline.saturating_sub(cx.clock.now());
+    let mut guard = guard;
+    if body.is_end_stream() {
+        guard.finished();
+        return ProxyBody::Empty;
+    }
+    let expected = body.size_hint().exact();
+    ProxyBody::Tracked {
+        inner: body,
+        expected,
+        deadline: Box::pin(tokio::time::sleep(left)),
+        guard,
+    }
+}
+
+/// Serves a call of another daemon.
+pub async fn serve_peer_call(cx: Cx, req: Request<Incoming>) -> Response<ProxyBody> {
+    let start = cx.clock.now();
+    let parent = TraceContext::read(req.headers());
+    let span = Span::start("host", parent, 0.0, start);
+    let head = req.headers().get(headers::CALL).map(CallHead::try_from);
+    let (route, result) = match head {
+        Some(Ok(head)) => {
+            let result = call(&cx, &head, req, &span).await;
+            (head.route, result)
+        }
+        Some(Err(e)) => (String::new(), Err(CallError::new(ErrorKind::BadRequest, e.to_string()))),
+        None => {
+            let e = CallError::new(ErrorKind::BadRequest, "the call has no head");
+            (String::new(), Err(e))
+        }
+    };
+    let (mut res, outcome, error) = match result {
+        Ok(res) => (res, Outcome::Ran, None),
+        Err(e) => {
+            let kind = e.kind;
+            (e.into_response(), kind.answer().outcome, Some(kind))
+        }
+    };
+    let answer = AnswerHead { outcome, error, load: cx.host.load() };
+    res.headers_mut().insert(headers::ANSWER, HeaderValue::from(&answer));
+    let result = error.map_or("ran", ErrorKind::name);
+    span.finish(cx.clock.now(), &route, result);
+    res
+}
+
+async fn call(
+    cx: &Cx,
+    head: &CallHead,
+    req: Request<Incoming>,
+    span: &Span,
+) -> Result<Response<ProxyBody>, CallError> {
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path_and_query().and_then(|path| path.as_str().strip_prefix(CALL_PREFIX));
+    let uri = path
+        .and_then(|path| path.parse().ok())
+        .ok_or_else(|| CallError::new(ErrorKind::BadRequest, "the call has no path"))?;
+    let body = if body.is_end_stream() {
+        ProxyBody::Empty
+    } else {
+        ProxyBody::Stream { inner: body, left: cx.settings.limits.body_bytes }
+    };
+    let mut inner = Request::new(body);
+    *inner.method_mut() = parts.method;
+    *inner.uri_mut() = uri;
+    *inner.headers_mut() = parts.headers;
+    inner.headers_mut().remove(headers::CALL);
+    inner.headers_mut().remove(headers::TOKEN);
+    headers::write_trace(inner.headers_mut(), span);
+    let admitted = run(cx, head, inner).await?;
+    let (mut parts, body) = admitted.response.into_parts();
+    headers::remove_hop_by_hop(&mut parts.headers);
+    let body = tracked(cx, body, admitted.deadline, Guard::Host(admitted.guard));
+    parts.version = Version::HTTP_2;
+    Ok(Response::from_parts(parts, body))
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/mod.rs
@@ -0,0 +1,21 @@
+//! Data path.
+//!
+//! A request of a caller enters at any daemon, which matches a route, chooses a backend server and
+//! hands the request to the daemon beside it. That daemon admits it and passes it to the backend
+//! server. When the entry daemon is the one beside the chosen backend server, there is one hop less.
+
+mod answer;
+mod balance;
+mod body;
+mod entry;
+mod headers;
+mod host;
+mod pool;
+mod replay;
+
+pub use answer::CallError;
+pub use balance::Balance;
+pub use body::{BodyError, ProxyBody};
+pub use entry::serve_caller;
+pub use host::{BackendInfo, Host, serve_peer_call};
+pub use pool::{PeerError, PeerPool, peer_uri};
--- /dev/null
+++ b/crates/daemon/src/proxy/pool/backend.rs
@@ -0,0 +1,149 @@
+//! Pool of HTTP/1.1 connections to the backend server beside the daemon.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::proxy::body::ProxyBody;
+
+/// Time for a connection to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The request may have been received.
+    Lost(String),
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<ProxyBody>,
+    permit: OwnedSemaphorePermit,
+    since: Instant,
+}
+
+/// Pool of connections to one backend server.
+#[derive(Debug)]
+pub struct BackendPool {
+    addr: SocketAddr,
+    idle: Mutex<Vec<Idle>>,
+    permits: Arc<Semaphore>,
+}
+
+/// Connection that is in use; goes back to its pool when the answer is whole.
+#[derive(Debug)]
+pub struct BackendConnection {
+    pool: Arc<BackendPool>,
+    sender: SendRequest<ProxyBody>,
+    permit: OwnedSemaphorePermit,
+}
+
+impl BackendConnection {
+    /// Gives the connection back.
+    pub fn release(self) {
+        if self.sender.is_closed() {
+            return;
+        }
+        let idle = Idle { sender: self.sender, permit: self.permit, since: Instant::now() };
+        self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner).push(idle);
+    }
+}
+
+impl BackendPool {
+    /// Makes a pool of at most `limit` connections.
+    #[must_use]
+    pub fn new(addr: SocketAddr, limit: usize) -> Self {
+        Self { addr, idle: Mutex::new(Vec::new()), permits: Arc::new(Semaphore::new(limit)) }
+    }
+
+    /// Address of the backend server.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Takes the connection that was used last, so that the others can become idle.
+    fn take_idle(&self) -> Option<(SendRequest<ProxyBody>, OwnedSemaphorePermit)> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|conn| !conn.sender.is_closed() && conn.since.elapsed() < IDLE_TIMEOUT);
+        let found = idle.iter().rposition(|conn| conn.sender.is_ready())?;
+        let conn = idle.swap_remove(found);
+        Some((conn.sender, conn.permit))
+    }
+
+    async fn connect(&self) -> Result<(SendRequest<ProxyBody>, OwnedSemaphorePermit), SendError> {
+        let not_sent = |what: &str| SendError::NotSent(what.to_owned());
+        let permit = Arc::clone(&self.permits)
+            .try_acquire_owned()
+            .map_err(|e| not_sent(&format!("no connection is free: {e}")))?;
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(not_sent(&format!("failed to connect: {e}"))),
+            Err(_) => return Err(not_sent("failed to connect in time")),
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            tracing::debug!(error = %e, "failed to set TCP_NODELAY");
+        }
+        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| not_sent(&format!("failed to start HTTP/1.1: {e}")))?;
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                tracing::debug!(error = %e, "connection to the backend server ended");
+            }
+        });
+        Ok((sender, permit))
+    }
+
+    /// Sends a request on an idle or a new connection.
+    ///
+    /// An idle connection that closed before the first byte was sent is replaced once.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] only when the backend server cannot have seen the request.
+    pub async fn send(
+        self: &Arc<Self>,
+        mut req: Request<ProxyBody>,
+    ) -> Result<(Response<Incoming>, BackendConnection), SendError> {
+        if let Some((mut sender, permit)) = self.take_idle() {
+            match sender.try_send_request(req).await {
+                Ok(res) => return Ok((res, self.connection(sender, permit))),
+                Err(mut e) => match e.take_message() {
+                    Some(unsent) => req = unsent,
+                    None => return Err(SendError::Lost(e.into_error().to_string())),
+                },
+            }
+        }
+        let (mut sender, permit) = self.connect().await?;
+        match sender.try_send_request(req).await {
+            Ok(res) => Ok((res, self.connection(sender, permit))),
+            Err(mut e) if e.take_message().is_some() => {
+                Err(SendError::NotSent(e.into_error().to_string()))
+            }
+            Err(e) => Err(SendError::Lost(e.into_error().to_string())),
+        }
+    }
+
+    fn connection(
+        self: &Arc<Self>,
+        sender: SendRequest<ProxyBody>,
+        permit: OwnedSemaphorePermit,
+    ) -> BackendConnection {
+        BackendConnection { pool: Arc::clone(self), sender, permit }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -0,0 +1,239 @@
+//! HTTP/2 connections to other daemons.
+//!
+//! One connection per pair of daemons carries calls and control messages. Each connection is pinged,
+//! so that one that went silent is found and replaced although no request on it is overdue yet.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use crate::proxy::body::ProxyBody;
+use crate::proxy::headers::TOKEN;
+
+/// Time for a connection to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between pings.
+pub const PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time in which a ping must be answered.
+pub const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Receive window of one stream; bounds what is buffered for a slow reader.
+const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Receive window of one connection.
+const CONNECTION_WINDOW: u32 = 1024 * 1024;
+
+/// Largest body of a control answer, in bytes.
+const MAX_CONTROL_BYTES: usize = 16 * 1024 * 1024;
+
+/// Why a request to a peer got no answer.
+#[derive(Debug)]
+pub enum PeerError {
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The request may have been received.
+    Lost(String),
+    /// The peer answered a control message with an error.
+    Refused(StatusCode),
+}
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(detail) => write!(f, "failed to send: {detail}"),
+            Self::Lost(detail) => write!(f, "failed to get an answer: {detail}"),
+            Self::Refused(status) => write!(f, "the peer answered {status}"),
+        }
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+#[derive(Debug, Default)]
+struct PeerSlot {
+    sender: Mutex<Option<SendRequest<ProxyBody>>>,
+    /// Holds the time of the last failure to connect.
+    connecting: tokio::sync::Mutex<Option<Instant>>,
+}
+
+impl PeerSlot {
+    fn current(&self) -> Option<SendRequest<ProxyBody>> {
+        let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
+        sender.as_ref().filter(|sender| !sender.is_closed()).cloned()
+    }
+
+    fn replace(&self, sender: SendRequest<ProxyBody>) {
+        *self.sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+    }
+}
+
+/// Connections to other daemons by address.
+#[derive(Debug)]
+pub struct PeerPool {
+    slots: RwLock<HashMap<SocketAddr, Arc<PeerSlot>>>,
+    token: Option<HeaderValue>,
+}
+
+impl PeerPool {
+    /// Makes a pool that authenticates with `token`.
+    #[must_use]
+    pub fn new(token: Option<String>) -> Self {
+        let token = token.and_then(|token| HeaderValue::from_str(&token).ok());
+        Self { slots: RwLock::default(), token }
+    }
+
+    fn slot(&self, addr: SocketAddr) -> Arc<PeerSlot> {
+        let slots = self.slots.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.get(&addr) {
+            return Arc::clone(slot);
+        }
+        drop(slots);
+        let mut slots = self.slots.write().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(addr).or_default())
+    }
+
+    /// Closes the connection to a peer that is gone.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.slots.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+    }
+
+    /// Number of peers with a connection or an attempt to make one.
+    pub fn len(&self) -> usize {
+        self.slots.read().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Whether there is no peer.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    async fn sender(&self, addr: SocketAddr) -> Result<SendRequest<ProxyBody>, PeerError> {
+        let slot = self.slot(addr);
+        if let Some(sender) = slot.current() {
+            return Ok(sender);
+        }
+        let asked = Instant::now();
+        let mut failed_at = slot.connecting.lock().await;
+        if let Some(sender) = slot.current() {
+            return Ok(sender);
+        }
+        // Requests that waited for the attempt of another one share its failure; otherwise each
+        // would wait for its own attempt in turn.
+        if failed_at.is_some_and(|at| at >= asked) {
+            return Err(PeerError::NotSent(format!("failed to connect to {addr}")));
+        }
+        match connect(addr).await {
+            Ok(sender) => {
+                slot.replace(sender.clone());
+                Ok(sender)
+            }
+            Err(detail) => {
+                *failed_at = Some(Instant::now());
+                Err(PeerError::NotSent(detail))
+            }
+        }
+    }
+
+    /// Sends a request to a peer and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NotSent`] only when the peer cannot have seen the request.
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        mut req: Request<ProxyBody>,
+    ) -> Result<Response<Incoming>, PeerError> {
+        if let Some(value) = &self.token {
+            req.headers_mut().insert(TOKEN, value.clone());
+        }
+        let mut sender = self.sender(addr).await?;
+        match sender.try_send_request(req).await {
+            Ok(res) => Ok(res),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(PeerError::NotSent(e.into_error().to_string())),
+                None => Err(PeerError::Lost(e.into_error().to_string())),
+            },
+        }
+    }
+
+    /// Sends a control message and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`]; an answer that does not come within `timeout` is lost.
+    pub async fn control(
+        &self,
+        addr: SocketAddr,
+        path: &'static str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, PeerError> {
+        let mut req = Request::new(ProxyBody::full(body));
+        *req.method_mut() = Method::POST;
+        *req.uri_mut() = peer_uri(addr, path);
+        let exchange = async {
+            let res = self.send(addr, req).await?;
+            if res.status() != StatusCode::OK {
+                return Err(PeerError::Refused(res.status()));
+            }
+            let body = Limited::new(res.into_body(), MAX_CONTROL_BYTES).collect().await;
+            body.map(|body| body.to_bytes()).map_err(|e| PeerError::Lost(e.to_string()))
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(PeerError::Lost("no answer in time".to_owned())),
+        }
+    }
+}
+
+/// URI of a path at a peer; HTTP/2 needs scheme and authority.
+pub fn peer_uri(addr: SocketAddr, path: &str) -> Uri {
+    Uri::builder()
+        .scheme("http")
+        .authority(addr.to_string())
+        .path_and_query(path)
+        .build()
+        .unwrap_or_default()
+}
+
+async fn connect(addr: SocketAddr) -> Result<SendRequest<ProxyBody>, String> {
+    let connecting = async {
+        let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(true)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| e.to_string())
+    };
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok((sender, conn))) => {
+            tokio::spawn(async move {
+                if let Err(e) = conn.await {
+                    tracing::debug!(%addr, error = %e, "connection to a peer ended");
+                }
+            });
+            Ok(sender)
+        }
+        Ok(Err(e)) => Err(format!("failed to connect to {addr}: {e}")),
+        Err(_) => Err(format!("failed to connect to {addr} in time")),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/replay.rs
@@ -0,0 +1,118 @@
+//! Requests that can be sent more than once.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+
+use baobabreel_core::error::ErrorKind;
+
+use super::answer::CallError;
+use super::body::ProxyBody;
+use super::headers;
+
+/// Largest body that is kept for a second try, in bytes.
+pub const MAX_REPLAY_BYTES: u64 = 64 * 1024;
+
+/// Body of a request of a caller.
+#[derive(Debug)]
+pub enum CallerBody {
+    /// In memory; can be sent again.
+    Kept(Bytes),
+    /// Passed on as it comes; can be sent once.
+    Stream(Incoming, u64),
+    /// Was passed on.
+    Spent,
+}
+
+/// Request of a caller, stripped of the headers of its connection.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: CallerBody,
+}
+
+impl CallerRequest {
+    /// Takes over a request; a small body of known length is read into memory.
+    ///
+    /// # Errors
+    ///
+    /// The body is larger than `max_body`, breaks off, or does not come within `timeout`.
+    pub async fn new(
+        mut parts: Parts,
+        body: Incoming,
+        max_body: u64,
+        keep: bool,
+        timeout: Duration,
+    ) -> Result<Self, CallError> {
+        headers::remove_hop_by_hop(&mut parts.headers);
+        headers::remove_internal(&mut parts.headers);
+        let size = body.size_hint();
+        if size.lower() > max_body {
+            return Err(CallError::new(
+                ErrorKind::BodyTooLarge,
+                format!("the body has more than {max_body} bytes"),
+            ));
+        }
+        let small = size.exact().is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES);
+        let body = if small || keep {
+            CallerBody::Kept(read_body(body, timeout).await?)
+        } else {
+            CallerBody::Stream(body, max_body)
+        };
+        Ok(Self { method: parts.method, uri: origin_form(&parts.uri), headers: parts.headers, body })
+    }
+
+    /// Whether the body can be sent again.
+    #[must_use]
+    pub fn can_repeat(&self) -> bool {
+        matches!(self.body, CallerBody::Kept(_))
+    }
+
+    /// Builds the request for one try.
+    pub fn attempt(&mut self) -> Request<ProxyBody> {
+        let body = match &mut self.body {
+            CallerBody::Kept(data) => ProxyBody::full(data.clone()),
+            spent => match std::mem::replace(spent, CallerBody::Spent) {
+                CallerBody::Stream(inner, left) => ProxyBody::Stream { inner, left },
+                _ => ProxyBody::Empty,
+            },
+        };
+        let mut req = Request::new(body);
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        req
+    }
+}
+
+async fn read_body(body: Incoming, timeout: Duration) -> Result<Bytes, CallError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
+    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(CallError::new(
+            ErrorKind::BodyTooLarge,
+            format!("the body of a request with a key has more than {MAX_REPLAY_BYTES} bytes"),
+        )),
+        Ok(Err(_)) => Err(CallError::new(ErrorKind::BadRequest, "the body broke off")),
+        Err(_) => Err(CallError::new(ErrorKind::BadRequest, "the body did not come in time")),
+    }
+}
+
+/// Path and query without scheme and authority.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
