Add the membership and relay state machines

The daemon needs to detect failures, spread member states and distribute log entries. Swim covers probing, suspicion, dissemination with a budget, digests with delta exchange, departure and eviction. The relay module covers relay choice, the push tree, stream windows, pulls, staleness and dated proofs of the log head.

--- /dev/null
+++ b/crates/core/src/membership/departed.rs
@@ -0,0 +1,108 @@
+//! Members that left or died, and what must be remembered so that no old rumour revives them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::member::Member;
+use crate::id::{DaemonId, Incarnation};
+
+/// Tombstones that are kept; at 290 replaced daemons a day this covers about two weeks.
+const MAX_TOMBSTONES: usize = 4_096;
+
+#[derive(Debug)]
+struct Entry {
+    forget_at: Duration,
+    propose_at: Duration,
+}
+
+#[derive(Debug)]
+struct Tombstone {
+    newest: (Incarnation, u64),
+    until: Duration,
+}
+
+/// Departed members, first as entries of the table, later as tombstones.
+#[derive(Debug, Default)]
+pub(super) struct Departed {
+    entries: BTreeMap<DaemonId, Entry>,
+    tombstones: BTreeMap<DaemonId, Tombstone>,
+    evicted: BTreeMap<DaemonId, Incarnation>,
+}
+
+impl Departed {
+    pub(super) fn insert(&mut self, id: &str, forget_at: Duration, propose_at: Duration) {
+        let entry = Entry {
+            forget_at,
+            propose_at,
+        };
+        self.entries.insert(id.to_owned(), entry);
+    }
+
+    /// The member is back with a newer statement.
+    pub(super) fn revive(&mut self, id: &str) {
+        self.entries.remove(id);
+        self.tombstones.remove(id);
+    }
+
+    /// Incarnation and sequence number up to which statements about a forgotten member are old.
+    pub(super) fn newest(&self, id: &str) -> Option<(Incarnation, u64)> {
+        self.tombstones.get(id).map(|tombstone| tombstone.newest)
+    }
+
+    /// Ids whose time in the table is over.
+    pub(super) fn expired(&self, now: Duration) -> Vec<DaemonId> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.forget_at <= now)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Turns an entry into a tombstone.
+    pub(super) fn forget(&mut self, member: &Member, until: Duration) {
+        self.entries.remove(&member.id);
+        self.evicted.remove(&member.id);
+        let newest = (member.incarnation, member.sequence);
+        let tombstone = Tombstone { newest, until };
+        self.tombstones.insert(member.id.clone(), tombstone);
+        if self.tombstones.len() > MAX_TOMBSTONES {
+            let first = self.tombstones.iter().min_by_key(|(_, t)| t.until);
+            if let Some(id) = first.map(|(id, _)| id.clone()) {
+                self.tombstones.remove(&id);
+            }
+        }
+    }
+
+    /// Drops tombstones whose time is over.
+    pub(super) fn drop_tombstones(&mut self, now: Duration) {
+        self.tombstones.retain(|_, tombstone| tombstone.until > now);
+    }
+
+    /// Ids whose eviction is due; the next proposal for each is due after `every`.
+    pub(super) fn due(&mut self, now: Duration, every: Duration) -> Vec<DaemonId> {
+        let due = self.entries.iter_mut().filter(|(_, e)| e.propose_at <= now);
+        due.map(|(id, entry)| {
+            entry.propose_at = now + every;
+            id.clone()
+        })
+        .collect()
+    }
+
+    /// Puts proposals off to `at` at the earliest.
+    pub(super) fn postpone(&mut self, at: Duration) {
+        for entry in self.entries.values_mut() {
+            entry.propose_at = entry.propose_at.max(at);
+        }
+    }
+
+    /// Notes that the log evicted the incarnation.
+    pub(super) fn note_evicted(&mut self, id: &str, incarnation: Incarnation) {
+        self.evicted.insert(id.to_owned(), incarnation);
+    }
+
+    pub(super) fn is_evicted(&self, id: &str, incarnation: Incarnation) -> bool {
+        self.evicted
+            .get(id)
+            .is_some_and(|seen| *seen >= incarnation)
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/handle.rs
@@ -0,0 +1,364 @@
+//! State machine of the membership: received messages and changes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::digest::Digest;
+use super::member::{Member, MemberState};
+use super::message::{
+    Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+};
+use super::probing::Phase;
+use super::swim::{JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim};
+use crate::id::Incarnation;
+
+/// Contacts in a row with a differing digest before a daemon asks for a delta; updates that are
+/// being spread make digests differ for a moment.
+const MISMATCHES_BEFORE_SYNC: u32 = 3;
+/// Part of the update budget that deltas leave to piggybacked updates.
+const PIGGYBACK_RESERVE: usize = 32;
+
+impl Swim {
+    /// Handles an event.
+    pub fn handle(&mut self, event: Event, now: Duration, random: u64) -> Vec<Action> {
+        let mut step = Step::new(now, random);
+        self.notice_pause(now);
+        match event {
+            Event::Probe(probe) => self.on_probe(probe, &mut step),
+            Event::Ack(ack) => self.on_ack(ack, &mut step),
+            Event::ProbeFailed { number } => self.on_probe_failed(number, &mut step),
+            Event::ProbeRequest(request) => self.on_probe_request(request, &mut step),
+            Event::ProbeAnswer(answer) => self.on_probe_answer(answer, &mut step),
+            Event::Pushed(updates) => {
+                self.last_heard = now;
+                self.learn_all(updates, &mut step);
+            }
+            Event::SyncRequest(request) => self.on_sync_request(request, &mut step),
+            Event::Delta(delta) => self.on_delta(delta, &mut step),
+            Event::Local(local) => self.on_local(local, &mut step),
+            Event::Learnt(member) => self.learn(member, &mut step),
+            Event::Evicted { id, incarnation } => self.on_evicted(&id, incarnation, &mut step),
+        }
+        step.actions
+    }
+
+    fn on_probe(&mut self, probe: Probe, step: &mut Step) {
+        self.last_heard = step.now;
+        self.learn(probe.from.clone(), step);
+        self.learn_all(probe.updates, step);
+        let mut updates: Vec<Member> = self.objection(&probe.from).into_iter().collect();
+        updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
+        let ack = Ack {
+            number: probe.number,
+            from: self.own().clone(),
+            digest: self.members().digest().total(),
+            updates,
+        };
+        let to = probe.from.peer_addr;
+        step.actions.push(Action::SendAck { to, ack });
+        self.compare(probe.digest, &probe.from, step);
+    }
+
+    /// What is known to contradict a daemon's statement about itself, so that it can refute it.
+    fn objection(&self, from: &Member) -> Option<Member> {
+        let known = self.members.get(&from.id)?;
+        known.supersedes(from).then(|| known.clone())
+    }
+
+    fn on_ack(&mut self, ack: Ack, step: &mut Step) {
+        self.last_heard = step.now;
+        self.learn(ack.from.clone(), step);
+        self.learn_all(ack.updates, step);
+        self.object(&ack.from, step);
+        let waiting = self.outstanding.get(&ack.number);
+        let expected = |target: &Option<_>| target.as_ref().is_none_or(|id| *id == ack.from.id);
+        if waiting.is_some_and(|o| expected(&o.target)) {
+            let done = self.outstanding.remove(&ack.number);
+            if let Some(Phase::OnBehalf { of, number }) = done.map(|o| o.phase) {
+                let target = Some(ack.from.clone());
+                let answer = ProbeAnswer { number, target };
+                step.actions
+                    .push(Action::SendProbeAnswer { to: of, answer });
+            }
+        }
+        self.compare(ack.digest, &ack.from, step);
+    }
+
+    fn object(&mut self, from: &Member, step: &mut Step) {
+        if let Some(objection) = self.objection(from) {
+            self.push_to(from.peer_addr, objection, step);
+        }
+    }
+
+    fn on_probe_failed(&mut self, number: u64, step: &mut Step) {
+        let waits = |phase: &Phase| !matches!(phase, Phase::Indirect { .. });
+        if self
+            .outstanding
+            .get(&number)
+            .is_some_and(|o| waits(&o.phase))
+        {
+            self.probe_failed(number, step);
+        }
+    }
+
+    fn on_probe_request(&mut self, request: ProbeRequest, step: &mut Step) {
+        self.last_heard = step.now;
+        let of = request.from.peer_addr;
+        let number = request.number;
+        self.learn(request.from, step);
+        if self.relayed.take_one(step.now) {
+            let phase = Phase::OnBehalf { of, number };
+            self.send_probe(request.target_addr, Some(request.target), phase, step);
+        } else {
+            let target = None;
+            let answer = ProbeAnswer { number, target };
+            step.actions
+                .push(Action::SendProbeAnswer { to: of, answer });
+        }
+    }
+
+    fn on_probe_answer(&mut self, answer: ProbeAnswer, step: &mut Step) {
+        self.last_heard = step.now;
+        let number = answer.number;
+        let reached = answer.target.as_ref().map(|target| target.id.clone());
+        if let Some(target) = answer.target {
+            self.learn(target.clone(), step);
+            self.object(&target, step);
+        }
+        let Some(waiting) = self.outstanding.get_mut(&number) else {
+            return;
+        };
+        if reached.is_some() && reached == waiting.target {
+            self.outstanding.remove(&number);
+        } else if let Phase::Indirect { open } = &mut waiting.phase {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                self.probe_failed(number, step);
+            }
+        }
+    }
+
+    /// Asks for a delta when the tables have differed for longer than updates take to spread.
+    fn compare(&mut self, digest: u64, from: &Member, step: &mut Step) {
+        if digest == self.members.digest().total() {
+            self.mismatches = 0;
+            return;
+        }
+        self.mismatches = self.mismatches.saturating_add(1);
+        let joining = self.is_joining(step.now);
+        if !joining && self.mismatches < MISMATCHES_BEFORE_SYNC {
+            return;
+        }
+        self.request_sync(from.peer_addr, step);
+    }
+
+    fn is_joining(&self, now: Duration) -> bool {
+        self.started
+            .is_some_and(|at| now.saturating_sub(at) < JOINING_FOR)
+    }
+
+    fn request_sync(&mut self, to: SocketAddr, step: &mut Step) {
+        let joining = self.is_joining(step.now);
+        let budget = if joining {
+            &mut self.joining_syncs
+        } else {
+            &mut self.syncs
+        };
+        if budget.take_one(step.now) {
+            let request = SyncRequest {
+                from: self.own().clone(),
+                digest: self.members.digest().clone(),
+            };
+            step.actions.push(Action::SendSyncRequest { to, request });
+        }
+    }
+
+    fn on_sync_request(&mut self, request: SyncRequest, step: &mut Step) {
+        self.last_heard = step.now;
+        let to = request.from.peer_addr;
+        self.learn(request.from, step);
+        if self.deltas.take_one(step.now) {
+            let digest = Some(self.members.digest().clone());
+            self.send_delta(to, &request.digest, digest, step);
+        }
+    }
+
+    fn send_delta(
+        &mut self,
+        to: SocketAddr,
+        theirs: &Digest,
+        digest: Option<Digest>,
+        step: &mut Step,
+    ) {
+        let own = self.members.digest();
+        let differs = |m: &&Member| own.differs_in(theirs, Digest::bucket_of(&m.id));
+        let mut candidates: Vec<&Member> = self.members.iter().filter(differs).collect();
+        let wanted = candidates.len().min(MAX_DELTA);
+        let count = self.updates.take(wanted, PIGGYBACK_RESERVE, step.now);
+        step.draw.shuffle(&mut candidates, count);
+        let updates: Vec<Member> = candidates.into_iter().take(count).cloned().collect();
+        if updates.is_empty() && digest.is_none() {
+            return;
+        }
+        let delta = Delta {
+            from: self.own().clone(),
+            updates,
+            digest,
+        };
+        step.actions.push(Action::SendDelta { to, delta });
+    }
+
+    fn on_delta(&mut self, delta: Delta, step: &mut Step) {
+        self.last_heard = step.now;
+        let to = delta.from.peer_addr;
+        self.learn(delta.from, step);
+        self.learn_all(delta.updates, step);
+        let Some(theirs) = delta.digest else {
+            return;
+        };
+        if theirs == *self.members.digest() {
+            return;
+        }
+        self.send_delta(to, &theirs, None, step);
+        if self.is_joining(step.now) {
+            let mut others = self.others("");
+            step.draw.shuffle(&mut others, 1);
+            let next = others.first().map_or(to, |member| member.peer_addr);
+            self.request_sync(next, step);
+        }
+    }
+
+    fn on_local(&mut self, local: LocalState, step: &mut Step) {
+        let mut own = self.own().clone();
+        let same =
+            (own.state, &own.service, own.slots) == (local.state, &local.service, local.slots);
+        let allowed = local.state < MemberState::Suspect || local.state == MemberState::Left;
+        if same || !allowed || own.state == MemberState::Left {
+            return;
+        }
+        own.state = local.state;
+        own.service = local.service;
+        own.slots = local.slots;
+        own.sequence += 1;
+        self.accept(own, step);
+    }
+
+    fn on_evicted(&mut self, id: &str, incarnation: Incarnation, step: &mut Step) {
+        let Some(known) = self.members.get(id) else {
+            return;
+        };
+        if known.incarnation > incarnation {
+            return;
+        }
+        if id == self.id {
+            return step.actions.push(Action::SelfEvicted);
+        }
+        let mut dead = known.clone();
+        dead.state = MemberState::Dead;
+        self.departed.note_evicted(id, incarnation);
+        self.learn(dead, step);
+    }
+
+    fn learn_all(&mut self, updates: Vec<Member>, step: &mut Step) {
+        for update in updates {
+            self.learn(update, step);
+        }
+    }
+
+    /// Judges a statement by whomever. Death is only ever concluded from the own suspicion timer: a
+    /// statement that a member is dead counts as a suspicion, so that the rumours of a healed
+    /// partition leave each member time to refute them.
+    fn learn(&mut self, mut member: Member, step: &mut Step) {
+        if member.id == self.id {
+            return self.learn_about_self(&member, step);
+        }
+        let Some(known) = self.members.get(&member.id) else {
+            return self.learn_new(member, step);
+        };
+        if member.supersedes(known) {
+            if member.state == MemberState::Dead {
+                member.state = MemberState::Suspect;
+            }
+            if member.supersedes(known) {
+                self.accept(member, step);
+            }
+        }
+    }
+
+    /// Departed members that are not known need no entry; a forgotten member that an old rumour
+    /// calls alive gets its entry back as dead, which also contradicts the rumour.
+    fn learn_new(&mut self, mut member: Member, step: &mut Step) {
+        if member.is_departed() {
+            return;
+        }
+        if let Some(newest) = self.departed.newest(&member.id)
+            && (member.incarnation, member.sequence) <= newest
+        {
+            (member.incarnation, member.sequence) = newest;
+            member.state = MemberState::Dead;
+        }
+        self.accept(member, step);
+    }
+
+    fn learn_about_self(&mut self, rumour: &Member, step: &mut Step) {
+        let own = self.own();
+        if rumour.incarnation > own.incarnation {
+            let incarnation = rumour.incarnation;
+            return step.actions.push(Action::Superseded { incarnation });
+        }
+        if own.state != MemberState::Left && rumour.supersedes(own) {
+            let mut refuted = own.clone();
+            refuted.sequence = rumour.sequence.saturating_add(1);
+            self.accept(refuted.clone(), step);
+            self.push(&refuted, step);
+        }
+    }
+
+    /// Takes a newer statement into the table and spreads it.
+    pub(super) fn accept(&mut self, member: Member, step: &mut Step) {
+        let before = self.members.get(&member.id).map(|m| m.state);
+        if !self.members.merge(member.clone()) {
+            return;
+        }
+        let now = step.now;
+        let id = member.id.as_str();
+        if member.state == MemberState::Suspect {
+            self.suspects
+                .insert(id.to_owned(), now + self.settings.suspicion);
+        } else {
+            self.suspects.remove(id);
+        }
+        if id != self.id && member.is_departed() {
+            let forget_at = now + self.settings.forget_after;
+            let propose_at = now + self.settings.evict_after;
+            self.departed.insert(id, forget_at, propose_at);
+        } else {
+            self.departed.revive(id);
+        }
+        self.queue.add(id, self.members.len());
+        let urgent = matches!(member.state, MemberState::Draining | MemberState::Left);
+        if urgent && before != Some(member.state) {
+            self.push(&member, step);
+        }
+        step.actions.push(Action::StateChanged { member });
+    }
+
+    /// Pushes a statement to a few members at once.
+    fn push(&mut self, member: &Member, step: &mut Step) {
+        let mut others = self.others(&member.id);
+        step.draw.shuffle(&mut others, PUSH_FANOUT);
+        others.truncate(PUSH_FANOUT);
+        let targets: Vec<_> = others.iter().map(|other| other.peer_addr).collect();
+        for to in targets {
+            self.push_to(to, member.clone(), step);
+        }
+    }
+
+    /// Pushes a statement to one member, within the budget.
+    pub(super) fn push_to(&mut self, to: SocketAddr, member: Member, step: &mut Step) {
+        if self.pushes.take_one(step.now) && self.updates.take_one(step.now) {
+            let updates = vec![member];
+            step.actions.push(Action::Push { to, updates });
+        }
+    }
+}
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::digest::Digest;
 use crate::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 
 /// State of a daemon together with its backend server.
@@ -54,6 +55,18 @@
             > (other.incarnation, other.sequence, other.state)
     }
 
+    /// Whether the daemon runs as far as is known: cold, ready or draining.
+    #[must_use]
+    pub fn is_live(&self) -> bool {
+        self.state < MemberState::Suspect
+    }
+
+    /// Whether the daemon has left or is dead.
+    #[must_use]
+    pub fn is_departed(&self) -> bool {
+        self.state > MemberState::Suspect
+    }
+
     /// Whether new work may be sent to this member.
     #[must_use]
     pub fn is_able(&self) -> bool {
@@ -61,22 +74,38 @@
     }
 }
 
-/// Table of all known members.
+/// Table of all known members, with a digest that is kept up to date by each change.
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     by_id: BTreeMap<DaemonId, Member>,
+    digest: Digest,
 }
 
 impl Members {
     /// Takes over a statement if it is newer than what is known; returns whether it was.
     pub fn merge(&mut self, member: Member) -> bool {
-        match self.by_id.get(&member.id) {
-            Some(known) if !member.supersedes(known) => false,
-            _ => {
-                self.by_id.insert(member.id.clone(), member);
-                true
+        if let Some(known) = self.by_id.get(&member.id) {
+            if !member.supersedes(known) {
+                return false;
             }
+            self.digest.toggle(known);
         }
+        self.digest.toggle(&member);
+        self.by_id.insert(member.id.clone(), member);
+        true
+    }
+
+    /// Forgets a member; returns what was known about it.
+    pub fn remove(&mut self, id: &str) -> Option<Member> {
+        let member = self.by_id.remove(id)?;
+        self.digest.toggle(&member);
+        Some(member)
+    }
+
+    /// Digest of the members that have not departed.
+    #[must_use]
+    pub fn digest(&self) -> &Digest {
+        &self.digest
     }
 
     /// The member with this id.
@@ -85,11 +114,28 @@
         self.by_id.get(id)
     }
 
+    /// Number of known members, departed ones included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether no member is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
     /// All members, ordered by id.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.by_id.values()
     }
 
+    /// Members that are cold, ready or draining.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.iter().filter(|member| member.is_live())
+    }
+
     /// Members whose backend server belongs to `service`.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
         self.iter()
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,8 +1,33 @@
 //! Members of the mesh and their states.
 //!
 //! There is no list of backend servers: each announces itself to the daemon beside it, and daemons
-//! tell each other about themselves.
+//! tell each other about themselves. [`Swim`] probes members in random order, spreads statements
+//! about them on probes and acks, and gives each suspect time to refute the suspicion. Three rules go
+//! beyond that:
+//! - Each daemon concludes a death only from its own suspicion timer. A pause of the daemon itself
+//!   re-arms its timers, and a daemon that hears from nobody suspects nobody for 30 s.
+//! - All updates together are limited to [`UPDATES_PER_SECOND`], and each kind of message has its own
+//!   limit, so no failure can raise the traffic of a daemon above its budget.
+//! - Probes carry a digest of the table. When tables differ for longer than updates take to spread,
+//!   the daemons exchange the members of the buckets that differ, so lost updates do no lasting harm.
 
+mod departed;
+mod digest;
+mod handle;
 mod member;
+mod message;
+mod probing;
+mod queue;
+mod settings;
+mod swim;
 
+pub use digest::{DIGEST_BUCKETS, Digest};
 pub use member::{Member, MemberState, Members};
+pub use message::{
+    Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+};
+pub use settings::SwimSettings;
+pub use swim::{
+    INDIRECT_PROBES, MAX_DELTA, MAX_MESSAGES_PER_SECOND, MAX_UPDATES, PUSH_FANOUT, Swim,
+    UPDATES_PER_SECOND,
+};
--- /dev/null
+++ b/crates/core/src/membership/queue.rs
@@ -0,0 +1,109 @@
+//! Updates that wait to be piggybacked, and the limits on what is sent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::id::DaemonId;
+
+/// Ids whose statements are to be sent, newest first, each a limited number of times.
+#[derive(Debug, Default)]
+pub(super) struct UpdateQueue {
+    next: u64,
+    by_order: BTreeMap<u64, (DaemonId, u32)>,
+    order_of: BTreeMap<DaemonId, u64>,
+}
+
+impl UpdateQueue {
+    /// Puts the id first, to be sent `3 * log2(n)` times for `n` members.
+    pub(super) fn add(&mut self, id: &str, n: usize) {
+        self.remove(id);
+        let sends = 3 * (usize::BITS - n.max(2).saturating_sub(1).leading_zeros());
+        self.by_order.insert(self.next, (id.to_owned(), sends));
+        self.order_of.insert(id.to_owned(), self.next);
+        self.next += 1;
+    }
+
+    /// Takes no further part in sending the id.
+    pub(super) fn remove(&mut self, id: &str) {
+        if let Some(order) = self.order_of.remove(id) {
+            self.by_order.remove(&order);
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.by_order.len()
+    }
+
+    /// The newest `limit` ids; each counts as sent once.
+    pub(super) fn take(&mut self, limit: usize) -> Vec<DaemonId> {
+        let mut taken = Vec::with_capacity(limit.min(self.by_order.len()));
+        for (id, left) in self.by_order.values_mut().rev().take(limit) {
+            *left -= 1;
+            taken.push(id.clone());
+        }
+        for id in &taken {
+            let order = self.order_of[id];
+            if self.by_order[&order].1 == 0 {
+                self.remove(id);
+            }
+        }
+        taken
+    }
+}
+
+/// Token bucket: `rate` units a second, at most `rate` saved up.
+#[derive(Debug)]
+pub(super) struct Budget {
+    rate: u32,
+    available: f64,
+    at: Duration,
+}
+
+impl Budget {
+    pub(super) fn new(rate: u32) -> Self {
+        Self {
+            rate,
+            available: f64::from(rate),
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Takes up to `wanted` units and leaves `reserve` for others; returns how many it took.
+    pub(super) fn take(&mut self, wanted: usize, reserve: usize, now: Duration) -> usize {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        let rate = f64::from(self.rate);
+        self.available = (self.available + passed * rate).min(rate);
+        let taken = wanted.min((self.available as usize).saturating_sub(reserve));
+        self.available -= taken as f64;
+        taken
+    }
+
+    /// Takes one unit if there is one.
+    pub(super) fn take_one(&mut self, now: Duration) -> bool {
+        self.take(1, 0, now) == 1
+    }
+}
+
+/// Sequence of random numbers grown from the caller's one (SplitMix64).
+#[derive(Debug)]
+pub(super) struct Draw(pub(super) u64);
+
+impl Draw {
+    /// A number below `n`; `n` must not be zero.
+    pub(super) fn below(&mut self, n: usize) -> usize {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) % n as u64) as usize
+    }
+
+    /// Brings the first `count` places of `items` into random order.
+    pub(super) fn shuffle<T>(&mut self, items: &mut [T], count: usize) {
+        for i in 0..count.min(items.len()) {
+            let other = i + self.below(items.len() - i);
+            items.swap(i, other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/membership/swim.rs
@@ -0,0 +1,412 @@
+//! State machine of the membership: timers and probing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::departed::Departed;
+use super::member::{Member, MemberState, Members};
+use super::message::{Action, Probe, ProbeAnswer, ProbeRequest};
+use super::probing::{Outstanding, Phase, Ring};
+use super::queue::{Budget, Draw, UpdateQueue};
+use super::settings::SwimSettings;
+use crate::id::DaemonId;
+use crate::rendezvous;
+
+/// Updates on one probe or ack.
+pub const MAX_UPDATES: usize = 16;
+/// Members in one delta.
+pub const MAX_DELTA: usize = 32;
+/// Updates that a daemon sends in a second, in all messages together; at about 85 bytes each they use
+/// 5.4 KB of the budget of 9 KB, and the messages around them have the rest.
+pub const UPDATES_PER_SECOND: u32 = 64;
+/// Third daemons that are asked to probe a member that did not answer.
+pub const INDIRECT_PROBES: usize = 3;
+/// Members to which an urgent update is pushed.
+pub const PUSH_FANOUT: usize = 4;
+/// Messages that a daemon sends of its own accord in a second, at most, averaged over bursts of one
+/// second: 1 probe, 3 requests for indirect probes, 4 indirect probes for others, 8 pushes and 4
+/// requests for a delta (1 in steady state). Each received message causes at most one answer.
+pub const MAX_MESSAGES_PER_SECOND: u32 = 20;
+
+const PUSHES_PER_SECOND: u32 = 8;
+const RELAYED_PROBES_PER_SECOND: u32 = 4;
+pub(super) const SYNCS_PER_SECOND: u32 = 1;
+pub(super) const JOINING_SYNCS_PER_SECOND: u32 = 4;
+const DELTAS_PER_SECOND: u32 = 4;
+/// One probe of this many goes to another data centre.
+const ELSEWHERE_EVERY: u64 = 10;
+/// One probe of this many goes to a seed or a dead member, so that healed partitions are noticed.
+const CONTACT_EVERY: u64 = 30;
+/// Time after its start in which a daemon fetches the table at the higher rate.
+pub(super) const JOINING_FOR: Duration = Duration::from_secs(60);
+/// Silence of all members after which a daemon takes itself to be cut off.
+const ISOLATED_AFTER: Duration = Duration::from_secs(2);
+/// Silence after which it concludes that the others are dead all the same.
+const ISOLATED_UNTIL: Duration = Duration::from_secs(30);
+
+/// Time, random numbers and actions of one step.
+#[derive(Debug)]
+pub(super) struct Step {
+    pub(super) now: Duration,
+    pub(super) draw: Draw,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Step {
+    pub(super) fn new(now: Duration, random: u64) -> Self {
+        Self {
+            now,
+            draw: Draw(random),
+            actions: Vec::new(),
+        }
+    }
+}
+
+/// Membership as seen by one daemon.
+#[derive(Debug)]
+pub struct Swim {
+    pub(super) settings: SwimSettings,
+    pub(super) id: DaemonId,
+    pub(super) members: Members,
+    pub(super) queue: UpdateQueue,
+    pub(super) outstanding: BTreeMap<u64, Outstanding>,
+    pub(super) suspects: BTreeMap<DaemonId, Duration>,
+    pub(super) departed: Departed,
+    pub(super) updates: Budget,
+    pub(super) pushes: Budget,
+    pub(super) relayed: Budget,
+    pub(super) syncs: Budget,
+    pub(super) joining_syncs: Budget,
+    pub(super) deltas: Budget,
+    pub(super) mismatches: u32,
+    pub(super) last_heard: Duration,
+    pub(super) started: Option<Duration>,
+    near: Ring,
+    far: Ring,
+    next_number: u64,
+    next_probe: Duration,
+    rounds: u64,
+    last_tick: Duration,
+    forget_check: Duration,
+}
+
+impl Swim {
+    /// Starts with this daemon as the only member.
+    #[must_use]
+    pub fn new(own: Member, settings: SwimSettings) -> Self {
+        let id = own.id.clone();
+        let mut members = Members::default();
+        members.merge(own);
+        let mut queue = UpdateQueue::default();
+        queue.add(&id, 2);
+        Self {
+            settings,
+            id,
+            members,
+            queue,
+            outstanding: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            departed: Departed::default(),
+            updates: Budget::new(UPDATES_PER_SECOND),
+            pushes: Budget::new(PUSHES_PER_SECOND),
+            relayed: Budget::new(RELAYED_PROBES_PER_SECOND),
+            syncs: Budget::new(SYNCS_PER_SECOND),
+            joining_syncs: Budget::new(JOINING_SYNCS_PER_SECOND),
+            deltas: Budget::new(DELTAS_PER_SECOND),
+            mismatches: 0,
+            last_heard: Duration::ZERO,
+            started: None,
+            near: Ring::default(),
+            far: Ring::default(),
+            next_number: 0,
+            next_probe: Duration::ZERO,
+            rounds: 0,
+            last_tick: Duration::ZERO,
+            forget_check: Duration::ZERO,
+        }
+    }
+
+    /// All members as this daemon sees them.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// This daemon's statement about itself.
+    #[must_use]
+    pub fn own(&self) -> &Member {
+        self.members
+            .get(&self.id)
+            .expect("the own member is never removed")
+    }
+
+    /// Lets time pass; to be called every 100 to 250 ms. A gap of more than 2 s counts as a pause of
+    /// this daemon.
+    pub fn tick(&mut self, now: Duration, random: u64) -> Vec<Action> {
+        let mut step = Step::new(now, random);
+        self.notice_pause(now);
+        self.last_tick = now;
+        self.expire_probes(&mut step);
+        self.expire_suspects(&mut step);
+        self.propose_evictions(&mut step);
+        self.forget(now);
+        if now >= self.next_probe {
+            self.next_probe = now + self.settings.probe_interval;
+            self.probe_next(&mut step);
+        }
+        step.actions
+    }
+
+    /// After a pause, nothing that did not happen in the meantime counts against the others.
+    pub(super) fn notice_pause(&mut self, now: Duration) {
+        if self.started.is_none() {
+            self.started = Some(now);
+            self.last_heard = now;
+        } else if now.saturating_sub(self.last_tick) > self.settings.pause_gap {
+            self.outstanding.clear();
+            for deadline in self.suspects.values_mut() {
+                *deadline = now + self.settings.suspicion;
+            }
+            self.departed.postpone(now + self.settings.evict_after);
+            self.last_heard = now;
+        } else {
+            return;
+        }
+        self.last_tick = now;
+    }
+
+    /// Whether this daemon rather than the others seems to be cut off.
+    fn is_isolated(&self, now: Duration) -> bool {
+        let silence = now.saturating_sub(self.last_heard);
+        let others = self.members.live().filter(|member| member.id != self.id);
+        silence > ISOLATED_AFTER && silence < ISOLATED_UNTIL && others.take(2).count() == 2
+    }
+
+    fn expire_probes(&mut self, step: &mut Step) {
+        let due = self
+            .outstanding
+            .iter()
+            .filter(|(_, o)| o.deadline <= step.now);
+        for number in due.map(|(number, _)| *number).collect::<Vec<_>>() {
+            self.probe_failed(number, step);
+        }
+    }
+
+    /// Takes the next step after a probe or its indirect probes failed.
+    pub(super) fn probe_failed(&mut self, number: u64, step: &mut Step) {
+        let Some(failed) = self.outstanding.remove(&number) else {
+            return;
+        };
+        match (failed.phase, failed.target) {
+            (Phase::OnBehalf { of, number }, _) => {
+                let answer = ProbeAnswer {
+                    number,
+                    target: None,
+                };
+                step.actions
+                    .push(Action::SendProbeAnswer { to: of, answer });
+            }
+            (Phase::Direct, Some(target)) => self.ask_others(number, &target, step),
+            (Phase::Indirect { .. }, Some(target)) => self.suspect(&target, step),
+            _ => {}
+        }
+    }
+
+    fn ask_others(&mut self, number: u64, target: &str, step: &mut Step) {
+        let Some(subject) = self.members.get(target).filter(|m| !m.is_departed()) else {
+            return;
+        };
+        let target_addr = subject.peer_addr;
+        let vias = self.helpers(subject, step);
+        if vias.is_empty() {
+            return self.suspect(target, step);
+        }
+        self.outstanding.insert(
+            number,
+            Outstanding {
+                target: Some(target.to_owned()),
+                phase: Phase::Indirect { open: vias.len() },
+                deadline: step.now + self.settings.indirect_timeout,
+            },
+        );
+        for via in vias {
+            let request = ProbeRequest {
+                number,
+                from: self.own().clone(),
+                target: target.to_owned(),
+                target_addr,
+            };
+            step.actions.push(Action::SendProbeRequest { via, request });
+        }
+    }
+
+    /// Third daemons: one of the subject's data centre if there is one, the rest at random.
+    fn helpers(&self, subject: &Member, step: &mut Step) -> Vec<SocketAddr> {
+        let mut others = self.others(&subject.id);
+        let count = others.len();
+        step.draw.shuffle(&mut others, count);
+        let beside = |member: &&Member| member.data_centre == subject.data_centre;
+        if let Some(index) = others.iter().position(beside) {
+            others.swap(0, index);
+        }
+        others.truncate(INDIRECT_PROBES);
+        others.iter().map(|member| member.peer_addr).collect()
+    }
+
+    /// Live members except this daemon and `id`.
+    pub(super) fn others(&self, id: &str) -> Vec<&Member> {
+        let live = self.members.live();
+        live.filter(|m| m.id != self.id && m.id != id).collect()
+    }
+
+    fn suspect(&mut self, target: &str, step: &mut Step) {
+        if self.is_isolated(step.now) {
+            return;
+        }
+        let Some(member) = self.members.get(target).filter(|m| m.is_live()) else {
+            return;
+        };
+        let mut suspect = member.clone();
+        suspect.state = MemberState::Suspect;
+        self.accept(suspect.clone(), step);
+        self.push_to(suspect.peer_addr, suspect, step);
+    }
+
+    fn expire_suspects(&mut self, step: &mut Step) {
+        if self.is_isolated(step.now) {
+            return;
+        }
+        let due = self.suspects.iter().filter(|(_, at)| **at <= step.now);
+        for id in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let mut dead = self
+                .members
+                .get(&id)
+                .cloned()
+                .expect("suspects are members");
+            dead.state = MemberState::Dead;
+            self.accept(dead, step);
+        }
+    }
+
+    /// The first of the dead member's data centre in rank order for its id proposes; a data centre
+    /// that is gone as a whole is not evicted by others, which may merely be cut off from it.
+    fn propose_evictions(&mut self, step: &mut Step) {
+        for id in self.departed.due(step.now, self.settings.evict_after) {
+            let Some(dead) = self.members.get(&id) else {
+                continue;
+            };
+            let beside = self
+                .members
+                .live()
+                .filter(|m| m.data_centre == dead.data_centre);
+            let first = rendezvous::first(id.as_bytes(), beside.map(|m| m.id.as_str()));
+            let incarnation = dead.incarnation;
+            let wanted = dead.state == MemberState::Dead
+                && !self.departed.is_evicted(&id, incarnation)
+                && first == Some(self.id.as_str());
+            if wanted {
+                step.actions.push(Action::ProposeEvict { id, incarnation });
+            }
+        }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        if now < self.forget_check {
+            return;
+        }
+        self.forget_check = now + Duration::from_secs(1);
+        for id in self.departed.expired(now) {
+            if let Some(member) = self.members.remove(&id) {
+                self.queue.remove(&id);
+                let until = now + self.settings.tombstone_for;
+                self.departed.forget(&member, until);
+            }
+        }
+        self.departed.drop_tombstones(now);
+    }
+
+    fn probe_next(&mut self, step: &mut Step) {
+        self.rounds += 1;
+        let contact_due = self.rounds.is_multiple_of(CONTACT_EVERY);
+        if contact_due && self.probe_contact(step) {
+            return;
+        }
+        let elsewhere_first = self.rounds.is_multiple_of(ELSEWHERE_EVERY);
+        let target = self
+            .next_target(elsewhere_first, step)
+            .or_else(|| self.next_target(!elsewhere_first, step));
+        match target {
+            Some((id, to)) => self.send_probe(to, Some(id), Phase::Direct, step),
+            None => {
+                self.probe_contact(step);
+            }
+        }
+    }
+
+    fn next_target(&mut self, elsewhere: bool, step: &mut Step) -> Option<(DaemonId, SocketAddr)> {
+        let id = &self.id;
+        let own = self.members.get(id)?;
+        let belongs = |m: &Member| m.id != *id && (m.data_centre != own.data_centre) == elsewhere;
+        let ring = if elsewhere {
+            &mut self.far
+        } else {
+            &mut self.near
+        };
+        let next = ring.next(&self.members, belongs, &mut step.draw)?;
+        Some((next.id.clone(), next.peer_addr))
+    }
+
+    /// Probes a seed that no live member uses or a dead member; returns whether there was one.
+    fn probe_contact(&mut self, step: &mut Step) -> bool {
+        let dead = self.members.iter().filter(|m| m.state == MemberState::Dead);
+        let mut candidates: Vec<SocketAddr> = dead.map(|member| member.peer_addr).collect();
+        for seed in &self.settings.seeds {
+            if !self.members.live().any(|member| member.peer_addr == *seed) {
+                candidates.push(*seed);
+            }
+        }
+        if candidates.is_empty() {
+            return false;
+        }
+        let to = candidates[step.draw.below(candidates.len())];
+        self.send_probe(to, None, Phase::Contact, step);
+        true
+    }
+
+    pub(super) fn send_probe(
+        &mut self,
+        to: SocketAddr,
+        target: Option<DaemonId>,
+        phase: Phase,
+        step: &mut Step,
+    ) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let subject = target.as_ref().and_then(|id| self.members.get(id));
+        let suspicion = subject.filter(|member| member.state == MemberState::Suspect);
+        let mut updates: Vec<Member> = suspicion.cloned().into_iter().collect();
+        updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
+        let probe = Probe {
+            number,
+            from: self.own().clone(),
+            digest: self.members.digest().total(),
+            updates,
+        };
+        let outstanding = Outstanding {
+            target,
+            phase,
+            deadline: step.now + self.settings.probe_timeout,
+        };
+        self.outstanding.insert(number, outstanding);
+        step.actions.push(Action::SendProbe { to, probe });
+    }
+
+    /// Updates to piggyback, within the budget.
+    pub(super) fn take_updates(&mut self, limit: usize, now: Duration) -> Vec<Member> {
+        let limit = limit.min(self.queue.len());
+        let ids = self.queue.take(self.updates.take(limit, 0, now));
+        let members = ids.iter().filter_map(|id| self.members.get(id));
+        members.cloned().collect()
+    }
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,1 +1,20 @@
 //! Distribution of log entries between daemons.
+//!
+//! Two relays in each data centre read the log and push new entries along a tree. Everything else
+//! repairs what the tree misses: each daemon keeps the newest entries for peers ([`StreamWindow`]),
+//! pulls when it is behind or hears nothing ([`Staleness`]), and limits the pulls that it answers
+//! ([`PullLimiter`]). [`Confirmation`] carries the proof of how far the log had got.
+
+mod confirmation;
+mod pull;
+mod tree;
+mod window;
+
+pub use confirmation::{
+    Attestation, CHALLENGE_LIFE, Challenges, Confirmation, DRIFT, LEASE, ReceivedChallenge,
+};
+pub use pull::{Ask, PULLS_AT_ONCE, PullAdmission, PullLimiter, STALE_AFTER, Staleness};
+pub use tree::{FAN_OUT, RELAYS, children, push_order, relays};
+pub use window::{
+    Batch, PULL_BYTES, Pull, PullAnswer, Received, StreamWindow, WINDOW_BYTES, WINDOW_ENTRIES,
+};
