--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,1 +1,11 @@
-//! Work in progress.
+//! Stand-ins for the systems around baobabreel, for tests and measurements.
+//!
+//! All of them listen on loopback inside the test process and speak real HTTP/1.1 over real sockets,
+//! so that the code under test needs no hooks of its own. Faults are set at run time through the
+//! handle of each stand-in.
+
+pub mod backend;
+pub mod log;
+mod serve;
+
+pub use serve::checksum;
