--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -1,14 +1,15 @@
 //! Messages of the control plane between daemons; rmp-serde bodies.
 
 use std::fmt;
-use std::net::SocketAddr;
 
 use baobabreel_core::config::Version;
-use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, Offset, ServiceName};
-use baobabreel_core::membership::{Member, MemberState};
+use baobabreel_core::id::{DaemonId, Offset};
+use baobabreel_core::relay::{Attestation, Batch};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::gossip::GossipWire;
+
 /// A message cannot be encoded or decoded.
 #[derive(Debug)]
 pub struct CodecError(String);
@@ -39,155 +40,142 @@
     rmp_serde::from_slice(data).map_err(|e| CodecError(format!("failed to decode: {e}")))
 }
 
-/// A member on the wire.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberWire {
-    /// Identifier of the daemon.
-    pub id: DaemonId,
-    /// Start time of the daemon in milliseconds since the Unix epoch.
-    pub incarnation: Incarnation,
-    /// Counts the updates within one incarnation.
-    pub sequence: u64,
-    /// Data centre of the daemon.
-    pub data_centre: DataCentre,
-    /// Service of the backend server.
-    pub service: Option<ServiceName>,
-    /// Address of the listener for peers.
-    pub peer_addr: SocketAddr,
-    /// State of the daemon and its backend server.
-    pub state: MemberState,
-    /// Slots of the backend server.
-    pub slots: u32,
+/// Streams that daemons fold and pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Stream {
+    /// Configuration.
+    Config,
+    /// Registrations of daemons.
+    Members,
 }
 
-impl From<Member> for MemberWire {
-    fn from(member: Member) -> Self {
-        Self {
-            id: member.id,
-            incarnation: member.incarnation,
-            sequence: member.sequence,
-            data_centre: member.data_centre,
-            service: member.service,
-            peer_addr: member.peer_addr,
-            state: member.state,
-            slots: member.slots,
+impl Stream {
+    /// Name of the stream in the log.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Members => "members",
         }
     }
 }
 
-impl From<MemberWire> for Member {
-    fn from(member: MemberWire) -> Self {
-        Self {
-            id: member.id,
-            incarnation: member.incarnation,
-            sequence: member.sequence,
-            data_centre: member.data_centre,
-            service: member.service,
-            peer_addr: member.peer_addr,
-            state: member.state,
-            slots: member.slots,
-        }
-    }
+/// Where a daemon stands in the streams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// Version of the configuration.
+    pub config: Version,
+    /// Digest of the configuration, its first 8 bytes.
+    pub config_digest: u64,
+    /// Version of the registry.
+    pub members: Version,
 }
 
-/// Probe of a member and also the answer to one.
+/// A membership message with the position of its sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ProbeWire {
-    /// The sender about itself.
-    pub from: MemberWire,
-    /// Version of the sender's configuration.
-    pub version: Version,
-    /// Digest of the sender's configuration.
-    pub config_digest: u64,
-    /// Offset of the sender's fold of stream `members`.
-    pub members_offset: Offset,
-    /// Digest of the sender's table of members.
-    pub members_digest: u64,
-    /// Digests of the parts of that table, when the whole ones differ.
-    pub buckets: Vec<u64>,
-    /// State changes of members.
-    pub updates: Vec<MemberWire>,
+pub struct Envelope {
+    /// Where the sender stands.
+    pub position: Position,
+    /// Message; absent when there is nothing to answer.
+    pub message: Option<GossipWire>,
 }
 
-/// Request to probe another member.
+/// Entries of one stream that follow each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ProbeRequestWire {
-    /// Daemon to probe.
-    pub target: DaemonId,
-    /// Its listener for peers.
-    pub target_addr: SocketAddr,
+pub struct BatchWire {
+    /// Generation of the log.
+    pub generation: u64,
+    /// Offset of the first entry or, without entries, of the next one.
+    pub first: Offset,
+    /// Texts of the entries.
+    pub entries: Vec<String>,
 }
 
-/// An entry of a stream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StreamEntry {
-    /// Offset in the stream.
-    pub offset: Offset,
-    /// Text of the entry.
-    pub data: String,
+impl From<&Batch> for BatchWire {
+    fn from(batch: &Batch) -> Self {
+        Self {
+            generation: batch.generation,
+            first: batch.first,
+            entries: batch
+                .entries
+                .iter()
+                .map(|entry| String::from(&**entry))
+                .collect(),
+        }
+    }
 }
 
-/// Statement about the head of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeadProof {
-    /// Generation of the log.
-    pub generation: u64,
-    /// Offset that the next append would have got.
-    pub next: Offset,
-    /// Upper bound of the age of the statement, in milliseconds.
-    pub age_ms: u64,
+impl From<BatchWire> for Batch {
+    fn from(batch: BatchWire) -> Self {
+        Self {
+            generation: batch.generation,
+            first: batch.first,
+            entries: batch.entries.into_iter().map(Into::into).collect(),
+        }
+    }
 }
 
-/// Entries pushed along the tree.
+/// New entries and statements about the heads, passed along a tree.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PushWire {
-    /// Stream of the entries.
-    pub stream: String,
-    /// Generation of the log.
-    pub generation: u64,
+    /// Daemon that sends this copy.
+    pub from: DaemonId,
     /// Daemon at the root of the tree.
     pub root: DaemonId,
-    /// Entries in order of their offsets.
-    pub entries: Vec<StreamEntry>,
+    /// Number of the push at its root; a daemon passes each number on once.
+    pub round: u64,
+    /// Entries of stream `config`.
+    pub config: BatchWire,
+    /// Entries of stream `members`.
+    pub members: BatchWire,
+    /// Proof of the head of stream `config`.
+    pub config_proof: Option<Attestation>,
+    /// Proof of the head of stream `members`.
+    pub members_proof: Option<Attestation>,
 }
 
 /// Answer to a push.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PushAnswer {
-    /// Next offset that the receiver needs.
-    pub next: Offset,
+    /// Challenge for the next proof.
+    pub nonce: u64,
 }
 
 /// Request for entries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PullWire {
     /// Stream of the entries.
-    pub stream: String,
-    /// Generation of the log that the sender follows.
+    pub stream: Stream,
+    /// Generation of the log that the sender follows; 0: none yet.
     pub generation: u64,
-    /// First offset that the sender needs.
+    /// First offset that the sender lacks.
     pub from: Offset,
+    /// Challenge for a proof of the head.
+    pub nonce: u64,
 }
 
 /// Answer to a request for entries.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PullAnswer {
-    /// Entries, and what is known about the head.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PullAnswerWire {
+    /// Entries, possibly none, and a proof of the head.
     Entries {
-        /// Generation of the log.
-        generation: u64,
-        /// Entries in order of their offsets.
-        entries: Vec<StreamEntry>,
-        /// Newest statement about the head of the stream.
-        proof: Option<HeadProof>,
+        /// Entries.
+        batch: BatchWire,
+        /// Proof of the head of the stream.
+        proof: Option<Attestation>,
     },
-    /// The entries are no longer kept; a snapshot in place of them, as canonical JSON.
+    /// The entries are no longer kept; a snapshot in their place.
     Snapshot {
         /// Text of the snapshot.
         data: String,
     },
-    /// The peer has nothing to offer.
-    Nothing,
+    /// The entries are no longer kept; the stream starts here.
+    Start {
+        /// Generation of the log.
+        generation: u64,
+        /// First kept offset.
+        first: Offset,
+    },
     /// The peer is busy; ask again later.
     Busy {
         /// When to ask again, in milliseconds.
--- /dev/null
+++ b/crates/client/src/wire/gossip.rs
@@ -0,0 +1,288 @@
+//! Membership messages on the wire.
+
+use std::net::SocketAddr;
+
+use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
+use baobabreel_core::membership::{
+    Ack, Delta, Digest, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+};
+use serde::{Deserialize, Serialize};
+
+/// A member on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberWire {
+    /// Identifier of the daemon.
+    pub id: DaemonId,
+    /// Start time of the daemon in milliseconds since the Unix epoch.
+    pub incarnation: Incarnation,
+    /// Counts the updates within one incarnation.
+    pub sequence: u64,
+    /// Data centre of the daemon.
+    pub data_centre: DataCentre,
+    /// Service of the backend server.
+    pub service: Option<ServiceName>,
+    /// Address of the listener for peers.
+    pub peer_addr: SocketAddr,
+    /// State of the daemon and its backend server.
+    pub state: MemberState,
+    /// Slots of the backend server.
+    pub slots: u32,
+}
+
+impl From<Member> for MemberWire {
+    fn from(member: Member) -> Self {
+        Self {
+            id: member.id,
+            incarnation: member.incarnation,
+            sequence: member.sequence,
+            data_centre: member.data_centre,
+            service: member.service,
+            peer_addr: member.peer_addr,
+            state: member.state,
+            slots: member.slots,
+        }
+    }
+}
+
+impl From<MemberWire> for Member {
+    fn from(member: MemberWire) -> Self {
+        Self {
+            id: member.id,
+            incarnation: member.incarnation,
+            sequence: member.sequence,
+            data_centre: member.data_centre,
+            service: member.service,
+            peer_addr: member.peer_addr,
+            state: member.state,
+            slots: member.slots,
+        }
+    }
+}
+
+fn to_wire(members: Vec<Member>) -> Vec<MemberWire> {
+    members.into_iter().map(Into::into).collect()
+}
+
+fn from_wire(members: Vec<MemberWire>) -> Vec<Member> {
+    members.into_iter().map(Into::into).collect()
+}
+
+/// Probe or ack on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeWire {
+    /// Number of the probe at its sender.
+    pub number: u64,
+    /// The sender about itself.
+    pub from: MemberWire,
+    /// Total of the sender's digest.
+    pub digest: u64,
+    /// News about members.
+    pub updates: Vec<MemberWire>,
+}
+
+impl From<Probe> for ProbeWire {
+    fn from(probe: Probe) -> Self {
+        let Probe {
+            number,
+            from,
+            digest,
+            updates,
+        } = probe;
+        Self {
+            number,
+            from: from.into(),
+            digest,
+            updates: to_wire(updates),
+        }
+    }
+}
+
+impl From<ProbeWire> for Probe {
+    fn from(probe: ProbeWire) -> Self {
+        let ProbeWire {
+            number,
+            from,
+            digest,
+            updates,
+        } = probe;
+        Self {
+            number,
+            from: from.into(),
+            digest,
+            updates: from_wire(updates),
+        }
+    }
+}
+
+impl From<Ack> for ProbeWire {
+    fn from(ack: Ack) -> Self {
+        let Ack {
+            number,
+            from,
+            digest,
+            updates,
+        } = ack;
+        Self {
+            number,
+            from: from.into(),
+            digest,
+            updates: to_wire(updates),
+        }
+    }
+}
+
+impl From<ProbeWire> for Ack {
+    fn from(ack: ProbeWire) -> Self {
+        let ProbeWire {
+            number,
+            from,
+            digest,
+            updates,
+        } = ack;
+        Self {
+            number,
+            from: from.into(),
+            digest,
+            updates: from_wire(updates),
+        }
+    }
+}
+
+/// A membership message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum GossipWire {
+    /// Asks a daemon whether it runs.
+    Probe(ProbeWire),
+    /// Answers a probe.
+    Ack(ProbeWire),
+    /// Asks for an indirect probe.
+    ProbeRequest {
+        /// Number of the probe that failed.
+        number: u64,
+        /// The sender about itself.
+        from: MemberWire,
+        /// Daemon to probe.
+        target: DaemonId,
+        /// Its listener for peers.
+        target_addr: SocketAddr,
+    },
+    /// Answers a request for an indirect probe.
+    ProbeAnswer {
+        /// Number of the request.
+        number: u64,
+        /// The target about itself, when it answered.
+        target: Option<MemberWire>,
+    },
+    /// News that do not wait for a probe.
+    Push(Vec<MemberWire>),
+    /// Asks for the members of buckets that differ.
+    SyncRequest {
+        /// The sender about itself.
+        from: MemberWire,
+        /// The sender's digest.
+        digest: Digest,
+    },
+    /// Members of buckets that differ.
+    Delta {
+        /// The sender about itself.
+        from: MemberWire,
+        /// Members.
+        updates: Vec<MemberWire>,
+        /// The sender's digest when it wants a delta in return.
+        digest: Option<Digest>,
+    },
+}
+
+impl From<ProbeRequest> for GossipWire {
+    fn from(request: ProbeRequest) -> Self {
+        let ProbeRequest {
+            number,
+            from,
+            target,
+            target_addr,
+        } = request;
+        Self::ProbeRequest {
+            number,
+            from: from.into(),
+            target,
+            target_addr,
+        }
+    }
+}
+
+impl From<ProbeAnswer> for GossipWire {
+    fn from(answer: ProbeAnswer) -> Self {
+        Self::ProbeAnswer {
+            number: answer.number,
+            target: answer.target.map(Into::into),
+        }
+    }
+}
+
+impl From<SyncRequest> for GossipWire {
+    fn from(request: SyncRequest) -> Self {
+        Self::SyncRequest {
+            from: request.from.into(),
+            digest: request.digest,
+        }
+    }
+}
+
+impl From<Delta> for GossipWire {
+    fn from(delta: Delta) -> Self {
+        let Delta {
+            from,
+            updates,
+            digest,
+        } = delta;
+        Self::Delta {
+            from: from.into(),
+            updates: to_wire(updates),
+            digest,
+        }
+    }
+}
+
+impl From<Vec<Member>> for GossipWire {
+    fn from(updates: Vec<Member>) -> Self {
+        Self::Push(to_wire(updates))
+    }
+}
+
+impl From<GossipWire> for baobabreel_core::membership::Event {
+    fn from(message: GossipWire) -> Self {
+        match message {
+            GossipWire::Probe(probe) => Self::Probe(probe.into()),
+            GossipWire::Ack(ack) => Self::Ack(ack.into()),
+            GossipWire::ProbeRequest {
+                number,
+                from,
+                target,
+                target_addr,
+            } => Self::ProbeRequest(ProbeRequest {
+                number,
+                from: from.into(),
+                target,
+                target_addr,
+            }),
+            GossipWire::ProbeAnswer { number, target } => Self::ProbeAnswer(ProbeAnswer {
+                number,
+                target: target.map(Into::into),
+            }),
+            GossipWire::Push(updates) => Self::Pushed(from_wire(updates)),
+            GossipWire::SyncRequest { from, digest } => Self::SyncRequest(SyncRequest {
+                from: from.into(),
+                digest,
+            }),
+            GossipWire::Delta {
+                from,
+                updates,
+                digest,
+            } => Self::Delta(Delta {
+                from: from.into(),
+                updates: from_wire(updates),
+                digest,
+            }),
+        }
+    }
+}
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -2,14 +2,16 @@
 
 mod call;
 mod control;
+mod gossip;
 mod log;
 mod operator;
 
 pub use call::{AnswerHead, CallHead, DecodeHeadError, KeyHead, LoadWire};
 pub use control::{
-    CodecError, HeadProof, MemberWire, ProbeRequestWire, ProbeWire, PullAnswer, PullWire,
-    PushAnswer, PushWire, StreamEntry, decode, encode,
+    BatchWire, CodecError, Envelope, Position, PullAnswerWire, PullWire, PushAnswer, PushWire,
+    Stream, decode, encode,
 };
+pub use gossip::{GossipWire, MemberWire, ProbeWire};
 pub use log::{Appended, LogRecord, ReadPage, Retained};
 pub use operator::{
     BackendServerDoc, CandidateDoc, ExplainDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
