--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
+use super::limits::Bound;
 use super::record::{Form, RecordKey, Version};
 use crate::id::{ChangeId, SchemaVersion};
 
@@ -15,9 +16,28 @@
     /// Record that is written.
     pub key: RecordKey,
     /// Forms by schema version.
+    #[serde(deserialize_with = "read_forms")]
     pub forms: BTreeMap<SchemaVersion, Form>,
 }
 
+/// Reads forms by schema version.
+///
+/// Inside a tagged enum serde does not turn object keys into numbers, so they are read as text.
+fn read_forms<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<BTreeMap<SchemaVersion, Form>, D::Error> {
+    let forms: BTreeMap<String, Form> = BTreeMap::deserialize(deserializer)?;
+    let read = |(key, form): (String, Form)| {
+        let schema = key.parse::<SchemaVersion>().ok();
+        let schema = schema.filter(|schema| schema.to_string() == key);
+        let schema = schema.ok_or_else(|| {
+            serde::de::Error::custom(format!("`{key}` in `forms` is not a schema version"))
+        })?;
+        Ok((schema, form))
+    };
+    forms.into_iter().map(read).collect()
+}
+
 /// Changes that are accepted or rejected together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -48,8 +68,11 @@
 }
 
 /// One entry of the configuration stream.
+///
+/// The fields of a type never change, because releases that know fewer fields would reach another
+/// verdict. A new field needs a new type, on which older releases hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(tag = "type", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Entry {
     /// Changes of records.
     ChangeSet(ChangeSet),
@@ -64,7 +87,64 @@
     },
 }
 
+/// A text is not an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ParseEntryError {
+    /// No release can read the text.
+    Malformed {
+        /// What is wrong, with line and column of the text.
+        detail: String,
+    },
+    /// A later release may be able to read the text.
+    UnknownType {
+        /// Type of the entry.
+        name: String,
+    },
+}
+
+impl fmt::Display for ParseEntryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed { detail } => write!(f, "failed to parse the entry: {detail}"),
+            Self::UnknownType { name } => {
+                write!(f, "failed to parse the entry: type `{name}` is unknown")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ParseEntryError {}
+
 impl Entry {
+    /// Reads the JSON text of an entry.
+    ///
+    /// # Errors
+    ///
+    /// [`ParseEntryError`] when the text is not an entry of a known type.
+    pub fn parse(data: &str) -> Result<Self, ParseEntryError> {
+        #[derive(Deserialize)]
+        struct Tag {
+            r#type: String,
+        }
+        let malformed = |e: serde_json::Error| ParseEntryError::Malformed {
+            detail: e.to_string(),
+        };
+        let tag: Tag = serde_json::from_str(data).map_err(malformed)?;
+        match tag.r#type.as_str() {
+            "change_set" | "raise_level" => serde_json::from_str(data).map_err(malformed),
+            _ => Err(ParseEntryError::UnknownType { name: tag.r#type }),
+        }
+    }
+
+    /// Who made the change.
+    #[must_use]
+    pub fn author(&self) -> &str {
+        match self {
+            Self::ChangeSet(change) => &change.author,
+            Self::RaiseLevel { author, .. } => author,
+        }
+    }
+
     /// Identifier given by the author.
     #[must_use]
     pub fn change_id(&self) -> &ChangeId {
@@ -84,10 +164,14 @@
         /// What is wrong.
         detail: String,
     },
-    /// The entry is larger than allowed.
+    /// Something is larger than allowed.
     TooLarge {
-        /// Size in bytes.
-        bytes: usize,
+        /// What is too large.
+        what: Bound,
+        /// Its size.
+        found: usize,
+        /// Largest allowed size.
+        limit: usize,
     },
     /// The name of a record breaks the rules.
     BadName {
@@ -128,7 +212,7 @@
         /// Judged level.
         level: SchemaVersion,
     },
-    /// The judged level cannot be lowered.
+    /// The judged level can only be raised to the next one.
     Level {
         /// Level asked for.
         asked: SchemaVersion,
@@ -142,7 +226,9 @@
         let revision = |v: &Option<Version>| v.map_or("absent".to_owned(), |v| v.to_string());
         match self {
             Self::Malformed { detail } => write!(f, "malformed: {detail}"),
-            Self::TooLarge { bytes } => write!(f, "too large: {bytes} bytes"),
+            Self::TooLarge { what, found, limit } => {
+                write!(f, "too large: {found} {what}, at most {limit}")
+            }
             Self::BadName { key } => write!(f, "bad name: {key}"),
             Self::Conflict {
                 key,
@@ -174,7 +260,10 @@
                 )
             }
             Self::Level { asked, current } => {
-                write!(f, "level: {asked} is not above the current level {current}")
+                write!(
+                    f,
+                    "level: {asked} does not follow the current level {current}"
+                )
             }
         }
     }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -4,19 +4,31 @@
 //! The log is the only arbiter. Every daemon and the command line apply the same pure fold to the
 //! same entries and so reach the same verdicts without any further agreement.
 
+mod canonical;
 mod change;
 mod compiled;
+mod limits;
+mod recent;
 mod record;
+mod references;
+mod snapshot;
 mod spec;
 mod state;
 
-pub use change::{ChangeSet, Entry, Rejection, Upsert, Verdict};
+pub use canonical::{Digest, ParseDigestError};
+pub use change::{ChangeSet, Entry, ParseEntryError, Rejection, Upsert, Verdict};
 pub use compiled::{CompiledConfig, Route, ServicePolicy};
+pub use limits::{
+    Bound, MAX_AUTHOR_BYTES, MAX_CHANGE_ID_BYTES, MAX_ENTRY_BYTES, MAX_FORMS, MAX_RECORDS,
+    MAX_REFS, MAX_STATE_BYTES,
+};
+pub use recent::RECENT_CHANGES;
 pub use record::{Form, Kind, Record, RecordKey, Version};
+pub use snapshot::{Adoption, Snapshot, SnapshotError};
 pub use spec::{
     BackendServerPolicy, BackendServerState, Class, RouteSpec, ServiceSpec, Spec, SpecError,
 };
-pub use state::{ConfigState, FoldError, MAX_ENTRY_BYTES, RECENT_CHANGES};
+pub use state::{ConfigState, FoldError, Hold};
 
 use crate::id::SchemaVersion;
 
--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::canonical::read_body;
 use crate::id::{Offset, SchemaVersion};
 
 /// Longest name of a record, in bytes.
@@ -54,6 +55,12 @@
         }
     }
 
+    /// The key with at most the longest allowed name, for reports on names that break the rules.
+    pub(super) fn cut(&self) -> Self {
+        let name: String = self.name.chars().take(MAX_NAME_BYTES).collect();
+        Self::new(self.kind, name)
+    }
+
     /// Whether the name has 1 to 128 characters of `a-z 0-9 . _ -`, the first a letter or digit.
     #[must_use]
     pub fn is_valid(&self) -> bool {
@@ -158,12 +165,14 @@
     /// Records that the body points at.
     #[serde(default)]
     pub refs: Vec<RecordKey>,
-    /// Body in the schema of this form.
+    /// Body in the schema of this form; floats keep 14 significant digits.
+    #[serde(deserialize_with = "read_body")]
     pub body: serde_json::Value,
 }
 
 /// A record as it stands after the fold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Record {
     /// Version of the change set that last wrote the record.
     pub revision: Version,
--- a/crates/core/src/config/spec.rs
+++ b/crates/core/src/config/spec.rs
@@ -1,4 +1,7 @@
 //! Typed bodies of the forms, per kind and schema version.
+//!
+//! Whether a form can be read is part of the verdict, so the rules of a schema version stay the same
+//! in all releases. A new rule needs a new schema version.
 
 use std::fmt;
 
@@ -104,6 +107,12 @@
 
 /// Longest accepted route timeout, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 600_000;
+/// Most further tries of one request. More would only multiply load under failure.
+const MAX_RETRIES: u32 = 10;
+/// Most places in a queue. A longer queue cannot be worked off within a route's timeout.
+const MAX_QUEUE: u32 = 10_000;
+/// Longest slow start, in milliseconds.
+const MAX_SLOW_START_MS: u64 = 600_000;
 const DEFAULT_QUEUE: u32 = 32;
 const DEFAULT_BULK_SHARE: f64 = 0.5;
 const DEFAULT_SLOW_START_MS: u64 = 5_000;
@@ -276,6 +285,56 @@
     pub fn is_idempotent(&self) -> bool {
         matches!(self.class, Class::Lookup | Class::Check)
     }
+
+    fn check(&self) -> Result<(), SpecError> {
+        let visible = |text: &str| text.bytes().all(|b| b.is_ascii_graphic());
+        let path = &self.path_prefix;
+        require(path.starts_with('/'), || {
+            "`path_prefix` does not start with `/`".to_owned()
+        })?;
+        require(visible(path) && !path.contains(['?', '#']), || {
+            "`path_prefix` has characters that a path cannot have".to_owned()
+        })?;
+        let host = self.host.as_deref();
+        require(host.is_none_or(|h| !h.is_empty() && visible(h)), || {
+            "`host` is empty or has characters that a host cannot have".to_owned()
+        })?;
+        let upper = |m: &str| !m.is_empty() && m.bytes().all(|b| b.is_ascii_uppercase());
+        require(self.method.as_deref().is_none_or(upper), || {
+            "`method` is not in capital letters".to_owned()
+        })?;
+        require((1..=MAX_TIMEOUT_MS).contains(&self.timeout_ms), || {
+            format!("`timeout_ms` is not between 1 and {MAX_TIMEOUT_MS}")
+        })?;
+        require(self.retries <= MAX_RETRIES, || {
+            format!("`retries` is above {MAX_RETRIES}")
+        })?;
+        require(!self.hedge || self.is_idempotent(), || {
+            "`hedge` needs class `lookup` or `check`".to_owned()
+        })
+    }
+}
+
+impl ServiceSpec {
+    fn check(&self) -> Result<(), SpecError> {
+        require(self.queue <= MAX_QUEUE, || {
+            format!("`queue` is above {MAX_QUEUE}")
+        })?;
+        require(self.bulk_share > 0.0 && self.bulk_share <= 1.0, || {
+            "`bulk_share` is not above 0 and at most 1".to_owned()
+        })?;
+        require(self.slow_start_ms <= MAX_SLOW_START_MS, || {
+            format!("`slow_start_ms` is above {MAX_SLOW_START_MS}")
+        })
+    }
+}
+
+fn require(holds: bool, fault: impl FnOnce() -> String) -> Result<(), SpecError> {
+    if holds {
+        Ok(())
+    } else {
+        Err(SpecError(fault()))
+    }
 }
 
 impl Spec {
@@ -319,37 +378,12 @@
 
     fn check_values(&self) -> Result<(), SpecError> {
         match self {
-            Self::Route(route) => {
-                if !route.path_prefix.starts_with('/') {
-                    return Err(SpecError(
-                        "`path_prefix` does not start with `/`".to_owned(),
-                    ));
-                }
-                if route.timeout_ms == 0 || route.timeout_ms > MAX_TIMEOUT_MS {
-                    return Err(SpecError(format!(
-                        "`timeout_ms` is not between 1 and {MAX_TIMEOUT_MS}"
-                    )));
-                }
-                if route.hedge && !route.is_idempotent() {
-                    return Err(SpecError(
-                        "`hedge` needs class `lookup` or `check`".to_owned(),
-                    ));
-                }
-            }
-            Self::Service(service) => {
-                if !(service.bulk_share > 0.0 && service.bulk_share <= 1.0) {
-                    return Err(SpecError(
-                        "`bulk_share` is not above 0 and at most 1".to_owned(),
-                    ));
-                }
-            }
-            Self::BackendServer(server) => {
-                if server.max_slots == Some(0) {
-                    return Err(SpecError("`max_slots` is 0".to_owned()));
-                }
-            }
+            Self::Route(route) => route.check(),
+            Self::Service(service) => service.check(),
+            Self::BackendServer(server) => require(server.max_slots != Some(0), || {
+                "`max_slots` is 0".to_owned()
+            }),
         }
-        Ok(())
     }
 
     /// Records that the body points at.
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -1,21 +1,21 @@
 //! The fold over the configuration stream.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::OnceLock;
 
 use serde::{Deserialize, Serialize};
 
-use super::change::{ChangeSet, Entry, Rejection, Verdict};
+use super::canonical::Digest;
+use super::change::{ChangeSet, Entry, ParseEntryError, Rejection, Verdict};
+use super::limits::Bound;
+use super::recent::{RECENT_CHANGES, Recent};
 use super::record::{Record, RecordKey, Version};
+use super::references::{Forms, Overlay, Referrers, check_all};
+use super::snapshot::{MAX_LINEAGE, Snapshot, SnapshotError, SnapshotRef};
 use super::spec::Spec;
 use super::{INITIAL_LEVEL, MAX_SCHEMA};
-use crate::id::{ChangeId, Offset, SchemaVersion};
-
-/// Change ids whose verdicts are remembered.
-pub const RECENT_CHANGES: usize = 4_096;
-
-/// Largest entry, in bytes.
-pub const MAX_ENTRY_BYTES: usize = 256 * 1024;
+use crate::id::{Offset, SchemaVersion};
 
 /// The fold cannot go on; the state stays at its last whole version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +33,11 @@
         /// What is not understood.
         detail: String,
     },
+    /// The log was replaced and no snapshot that continues this state was seen.
+    NewGeneration {
+        /// Generation of the log.
+        generation: u64,
+    },
 }
 
 impl fmt::Display for FoldError {
@@ -45,25 +50,55 @@
                 )
             }
             Self::Beyond { detail } => write!(f, "failed to judge an entry: {detail}"),
+            Self::NewGeneration { generation } => write!(
+                f,
+                "failed to follow log generation {generation}: no snapshot continues this state"
+            ),
         }
     }
 }
 
 impl std::error::Error for FoldError {}
 
+/// Why a state stays at its last whole version; reported as `held`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// Version of the first entry that is not folded.
+    pub at: Version,
+    /// Why it is not folded.
+    pub cause: FoldError,
+}
+
 /// Configuration as it stands after the entries that were folded.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+///
+/// The cost of a fold depends on the size of the entry and on the number of records that point at
+/// removed records, not on the number of all records; raising the level reads every record.
+#[derive(Debug, Clone)]
 pub struct ConfigState {
     version: Version,
     level: SchemaVersion,
+    lineage: Vec<Version>,
     records: BTreeMap<RecordKey, Record>,
-    recent: VecDeque<(ChangeId, Verdict)>,
-    #[serde(skip, default = "default_max_schema")]
+    recent: Recent,
     max_schema: SchemaVersion,
+    hold: Option<Hold>,
+    /// Follows from `records`.
+    referrers: Referrers,
+    /// Follows from `records`.
+    bytes: usize,
+    /// Made on demand for the present version.
+    digest: OnceLock<Digest>,
 }
 
-fn default_max_schema() -> SchemaVersion {
-    MAX_SCHEMA
+impl PartialEq for ConfigState {
+    /// Compares the content; the hold and what follows from the content are left out.
+    fn eq(&self, other: &Self) -> bool {
+        self.version == other.version
+            && self.level == other.level
+            && self.lineage == other.lineage
+            && self.records == other.records
+            && self.recent == other.recent
+    }
 }
 
 impl ConfigState {
@@ -76,12 +111,46 @@
                 offset: 0,
             },
             level: INITIAL_LEVEL,
+            lineage: Vec::new(),
             records: BTreeMap::new(),
-            recent: VecDeque::new(),
+            recent: Recent::default(),
             max_schema: MAX_SCHEMA,
+            hold: None,
+            referrers: Referrers::default(),
+            bytes: 0,
+            digest: OnceLock::new(),
         }
     }
 
+    /// State of a reader that starts from a snapshot and understands schema versions up to
+    /// `max_schema`.
+    ///
+    /// # Errors
+    ///
+    /// [`SnapshotError`] when the level is above `max_schema` or the content breaks the rules of
+    /// the fold.
+    pub fn restore(snapshot: Snapshot, max_schema: SchemaVersion) -> Result<Self, SnapshotError> {
+        let level = snapshot.level;
+        if level > max_schema {
+            return Err(SnapshotError::Beyond { level, max_schema });
+        }
+        check_snapshot(&snapshot)?;
+        let mut state = Self {
+            level,
+            lineage: snapshot.lineage,
+            max_schema,
+            ..Self::new(snapshot.version.generation)
+        };
+        state.version = snapshot.version;
+        for (change_id, verdict) in snapshot.recent {
+            state.recent.push(change_id, &verdict);
+        }
+        for (key, record) in snapshot.records {
+            state.insert(key, record);
+        }
+        Ok(state)
+    }
+
     /// Makes the state behave like a release that understands schema versions up to `max_schema`.
     #[must_use]
     pub fn with_max_schema(mut self, max_schema: SchemaVersion) -> Self {
@@ -101,28 +170,94 @@
         self.level
     }
 
+    /// Newest schema version that this reader understands.
+    #[must_use]
+    pub fn max_schema(&self) -> SchemaVersion {
+        self.max_schema
+    }
+
+    /// Last version of each earlier log generation that this state continues, the oldest first.
+    #[must_use]
+    pub fn lineage(&self) -> &[Version] {
+        &self.lineage
+    }
+
     /// Records by key.
     #[must_use]
     pub fn records(&self) -> &BTreeMap<RecordKey, Record> {
         &self.records
     }
 
-    /// First verdict on a change id, while it is remembered.
+    /// First verdict on a change id, while it is remembered; free texts in it are empty.
     #[must_use]
     pub fn verdict_of(&self, change_id: &str) -> Option<&Verdict> {
-        self.recent
-            .iter()
-            .find(|(id, _)| id == change_id)
-            .map(|(_, verdict)| verdict)
+        self.recent.get(change_id)
+    }
+
+    /// Why the state stays at its version, when it does.
+    #[must_use]
+    pub fn hold(&self) -> Option<&Hold> {
+        self.hold.as_ref()
+    }
+
+    /// Whole content at the present version.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let owned = |(id, verdict): (&String, &Verdict)| (id.clone(), verdict.clone());
+        Snapshot {
+            version: self.version,
+            level: self.level,
+            lineage: self.lineage.clone(),
+            records: self.records.clone(),
+            recent: self.recent.iter().map(owned).collect(),
+        }
+    }
+
+    /// Digest of [`ConfigState::snapshot`].
+    ///
+    /// It is computed once per version, on the first call, in time proportional to the size of the
+    /// content; further calls are free, so it can be carried in every probe.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| {
+            Digest::of(&SnapshotRef {
+                version: self.version,
+                level: self.level,
+                lineage: &self.lineage,
+                records: &self.records,
+                recent: self.recent.iter().collect(),
+            })
+        })
+    }
+
+    /// Holds when the log has a later generation, until [`ConfigState::adopt`] takes a snapshot
+    /// that continues this state.
+    pub fn notice_generation(&mut self, generation: u64) {
+        if generation > self.version.generation {
+            self.hold = Some(Hold {
+                at: Version {
+                    generation,
+                    offset: 0,
+                },
+                cause: FoldError::NewGeneration { generation },
+            });
+        }
     }
 
-    /// Applies the entry at `offset`; a rejected entry changes nothing but the version.
+    /// Applies the entry at `offset`; a rejected entry changes nothing but the version and the
+    /// recent change ids.
     ///
     /// # Errors
     ///
-    /// [`FoldError`] when the entry cannot be judged; the state is unchanged.
+    /// [`FoldError`] when the entry cannot be judged; the content is unchanged, and unless the
+    /// error is a gap, [`ConfigState::hold`] gives the reason from then on.
     pub fn fold(&mut self, offset: Offset, data: &str) -> Result<Verdict, FoldError> {
         let expected = self.version.offset + 1;
+        if let Some(hold) = &self.hold
+            && (matches!(hold.cause, FoldError::NewGeneration { .. }) || offset > expected)
+        {
+            return Err(hold.cause.clone());
+        }
         if offset != expected {
             return Err(FoldError::Gap {
                 expected,
@@ -133,20 +268,38 @@
             offset,
             ..self.version
         };
-        let verdict = self.judge(version, data)?;
-        self.version = version;
-        Ok(verdict)
+        match self.judge(version, data) {
+            Ok(verdict) => {
+                self.version = version;
+                self.hold = None;
+                self.digest = OnceLock::new();
+                Ok(verdict)
+            }
+            Err(cause) => {
+                let hold = Hold { at: version, cause };
+                Err(self.hold.insert(hold).cause.clone())
+            }
+        }
     }
 
     fn judge(&mut self, version: Version, data: &str) -> Result<Verdict, FoldError> {
         let rejected = |reason| Verdict::Rejected { version, reason };
-        if data.len() > MAX_ENTRY_BYTES {
-            return Ok(rejected(Rejection::TooLarge { bytes: data.len() }));
+        if let Err(reason) = Bound::EntryBytes.check(data.len()) {
+            return Ok(rejected(reason));
         }
-        let entry = match parse_entry(data)? {
+        let entry = match Entry::parse(data) {
             Ok(entry) => entry,
-            Err(detail) => return Ok(rejected(Rejection::Malformed { detail })),
+            Err(ParseEntryError::Malformed { detail }) => {
+                return Ok(rejected(Rejection::Malformed { detail }));
+            }
+            Err(ParseEntryError::UnknownType { name }) => {
+                let detail = format!("entry type `{name}` is unknown");
+                return Err(FoldError::Beyond { detail });
+            }
         };
+        if let Err(reason) = check_change_id(entry.change_id()) {
+            return Ok(rejected(reason));
+        }
         if let Some(first) = self.verdict_of(entry.change_id()) {
             return Ok(Verdict::Duplicate {
                 first: Box::new(first.clone()),
@@ -157,10 +310,7 @@
             Ok(()) => Verdict::Accepted { version },
             Err(reason) => rejected(reason),
         };
-        self.recent.push_back((change_id, verdict.clone()));
-        while self.recent.len() > RECENT_CHANGES {
-            self.recent.pop_front();
-        }
+        self.recent.push(change_id, &verdict);
         Ok(verdict)
     }
 
@@ -169,52 +319,50 @@
         version: Version,
         entry: Entry,
     ) -> Result<Result<(), Rejection>, FoldError> {
+        if let Err(reason) = Bound::AuthorBytes.check(entry.author().len()) {
+            return Ok(Err(reason));
+        }
         match entry {
             Entry::ChangeSet(change) => Ok(self.apply_change(version, change)),
             Entry::RaiseLevel { level, .. } => self.apply_level(level),
         }
     }
 
+    /// Checks the whole change before the first write, so that a rejected one leaves no trace.
     fn apply_change(&mut self, version: Version, change: ChangeSet) -> Result<(), Rejection> {
-        self.check_names(&change)?;
+        check_names(&change)?;
         self.check_expected(&change)?;
-        let mut records = self.records.clone();
+        for upsert in &change.upserts {
+            check_form_bounds(&upsert.forms)?;
+            check_forms(&upsert.key, &upsert.forms, self.level)?;
+        }
+        self.check_size(&change)?;
+        Overlay::new(&self.records, &change).check(&self.referrers)?;
         for key in &change.deletes {
-            records.remove(key);
+            self.remove(key);
         }
         for upsert in change.upserts {
-            check_forms(&upsert.key, &upsert.forms, self.level)?;
-            records.insert(
-                upsert.key,
-                Record {
-                    revision: version,
-                    forms: upsert.forms,
-                },
-            );
+            self.remove(&upsert.key);
+            let record = Record {
+                revision: version,
+                forms: upsert.forms,
+            };
+            self.insert(upsert.key, record);
         }
-        check_references(&records)?;
-        self.records = records;
         Ok(())
     }
 
-    fn check_names(&self, change: &ChangeSet) -> Result<(), Rejection> {
-        let mut seen = BTreeSet::new();
-        for key in change.touched() {
-            if !key.is_valid() {
-                return Err(Rejection::BadName { key: key.clone() });
-            }
-            if !seen.insert(key) {
-                return Err(Rejection::Malformed {
-                    detail: format!("{key} is touched twice"),
-                });
-            }
-        }
-        if seen.is_empty() {
-            return Err(Rejection::Malformed {
-                detail: "no record is touched".to_owned(),
-            });
+    fn insert(&mut self, key: RecordKey, record: Record) {
+        self.referrers.add(&key, &record.forms);
+        self.bytes += forms_bytes(&record.forms);
+        self.records.insert(key, record);
+    }
+
+    fn remove(&mut self, key: &RecordKey) {
+        if let Some(record) = self.records.remove(key) {
+            self.referrers.remove(key, &record.forms);
+            self.bytes -= forms_bytes(&record.forms);
         }
-        Ok(())
     }
 
     fn check_expected(&self, change: &ChangeSet) -> Result<(), Rejection> {
@@ -236,8 +384,27 @@
         Ok(())
     }
 
+    fn check_size(&self, change: &ChangeSet) -> Result<(), Rejection> {
+        let present: Vec<&Record> = change
+            .touched()
+            .filter_map(|key| self.records.get(key))
+            .collect();
+        let freed: usize = present.iter().map(|r| forms_bytes(&r.forms)).sum();
+        let added: usize = change.upserts.iter().map(|u| forms_bytes(&u.forms)).sum();
+        // A change that makes the state no larger is always allowed.
+        if change.upserts.len() > present.len() {
+            Bound::Records.check(self.records.len() - present.len() + change.upserts.len())?;
+        }
+        if added > freed {
+            Bound::StateBytes.check(self.bytes - freed + added)?;
+        }
+        Ok(())
+    }
+
     fn apply_level(&mut self, level: SchemaVersion) -> Result<Result<(), Rejection>, FoldError> {
-        if level <= self.level {
+        // Only the next level is possible: a release that does not know the level cannot judge the
+        // entry and holds, so a mistyped level would otherwise hold every daemon for good.
+        if level != self.level + 1 {
             return Ok(Err(Rejection::Level {
                 asked: level,
                 current: self.level,
@@ -257,29 +424,44 @@
     }
 }
 
-/// Parses an entry; the inner error means that no release can read it.
-fn parse_entry(data: &str) -> Result<Result<Entry, String>, FoldError> {
-    #[derive(Deserialize)]
-    struct Tag {
-        r#type: String,
+fn check_change_id(change_id: &str) -> Result<(), Rejection> {
+    if change_id.is_empty() {
+        return Err(Rejection::Malformed {
+            detail: "`change_id` is empty".to_owned(),
+        });
     }
-    let tag: Tag = match serde_json::from_str(data) {
-        Ok(tag) => tag,
-        Err(e) => return Ok(Err(e.to_string())),
-    };
-    match tag.r#type.as_str() {
-        "change_set" | "raise_level" => Ok(serde_json::from_str(data).map_err(|e| e.to_string())),
-        other => Err(FoldError::Beyond {
-            detail: format!("entry type `{other}` is unknown"),
-        }),
+    Bound::ChangeIdBytes.check(change_id.len())
+}
+
+fn check_names(change: &ChangeSet) -> Result<(), Rejection> {
+    let malformed = |detail| Err(Rejection::Malformed { detail });
+    let forms = change.upserts.iter().flat_map(|u| u.forms.values());
+    let refs = forms.flat_map(|form| &form.refs);
+    if let Some(key) = change.touched().chain(refs).find(|key| !key.is_valid()) {
+        return Err(Rejection::BadName { key: key.cut() });
     }
+    let mut seen = BTreeSet::new();
+    if let Some(key) = change.touched().find(|key| !seen.insert(*key)) {
+        return malformed(format!("{key} is touched twice"));
+    }
+    if seen.is_empty() {
+        return malformed("no record is touched".to_owned());
+    }
+    if let Some(key) = change.expected.keys().find(|key| !seen.contains(key)) {
+        let key = key.cut();
+        return malformed(format!("`expected` names {key}, which is not touched"));
+    }
+    Ok(())
 }
 
-fn check_forms(
-    key: &RecordKey,
-    forms: &BTreeMap<SchemaVersion, super::Form>,
-    level: SchemaVersion,
-) -> Result<(), Rejection> {
+fn check_form_bounds(forms: &Forms) -> Result<(), Rejection> {
+    Bound::Forms.check(forms.len())?;
+    forms
+        .values()
+        .try_for_each(|form| Bound::Refs.check(form.refs.len()))
+}
+
+fn check_forms(key: &RecordKey, forms: &Forms, level: SchemaVersion) -> Result<(), Rejection> {
     if forms.range(..=level).next().is_none() {
         return Err(Rejection::NoBaseForm {
             key: key.clone(),
@@ -299,20 +481,33 @@
     Ok(())
 }
 
-/// Checks that references are closed in the view of every schema level that occurs.
-///
-/// Every record has a form at or below the judged level, so a record is absent from a view only when
-/// it is absent altogether, and it is enough to check each form once.
-fn check_references(records: &BTreeMap<RecordKey, Record>) -> Result<(), Rejection> {
-    for (from, record) in records {
-        for (level, form) in &record.forms {
-            for to in &form.refs {
-                if !records.contains_key(to) {
-                    let (from, to, level) = (from.clone(), to.clone(), *level);
-                    return Err(Rejection::DanglingReference { from, to, level });
-                }
+/// Checks that a snapshot could have come from the fold, so that a damaged one is never in force.
+fn check_snapshot(snapshot: &Snapshot) -> Result<(), SnapshotError> {
+    let invalid = |detail: String| SnapshotError::Invalid { detail };
+    let ids: BTreeSet<_> = snapshot.recent.iter().map(|(id, _)| id).collect();
+    if ids.len() != snapshot.recent.len() || ids.len() > RECENT_CHANGES {
+        return Err(invalid("the recent change ids are not a window".to_owned()));
+    }
+    if snapshot.lineage.len() > MAX_LINEAGE {
+        return Err(invalid("the lineage is too long".to_owned()));
+    }
+    let check = || {
+        Bound::Records.check(snapshot.records.len())?;
+        let bytes = snapshot.records.values().map(|r| forms_bytes(&r.forms));
+        Bound::StateBytes.check(bytes.sum())?;
+        for (key, record) in &snapshot.records {
+            if !key.is_valid() {
+                return Err(Rejection::BadName { key: key.cut() });
             }
+            check_form_bounds(&record.forms)?;
+            check_forms(key, &record.forms, snapshot.level)?;
         }
-    }
-    Ok(())
+        check_all(&snapshot.records)
+    };
+    check().map_err(|reason| invalid(reason.to_string()))
+}
+
+fn forms_bytes(forms: &Forms) -> usize {
+    let text = serde_json::to_string(forms).expect("forms have only text keys");
+    text.len()
 }
