--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -7,20 +7,24 @@
 
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
-use baobabreel_core::id::{RouteName, ServiceName};
+use baobabreel_core::id::{DaemonId, Incarnation, RouteName, ServiceName};
 use http::HeaderValue;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::keys::Fingerprint;
+
 /// Idempotency key of a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyHead {
     /// The key as the caller sent it.
     pub key: String,
     /// Hash of method, path and body.
-    pub fingerprint: u64,
-    /// Whether the owner has decided that this call runs.
-    pub decided: bool,
+    pub fingerprint: Fingerprint,
+    /// Whether the caller says that it never sent the key before.
+    pub first: bool,
+    /// Daemon that is to decide as the owner; absent once it has decided that the call runs.
+    pub owner: Option<(DaemonId, Incarnation)>,
 }
 
 /// Head of a call between two daemons.
--- /dev/null
+++ b/crates/client/src/wire/keys.rs
@@ -0,0 +1,89 @@
+//! Questions about idempotency keys between owners.
+
+use baobabreel_core::id::{DaemonId, Incarnation, ServiceName};
+use baobabreel_core::idempotency::{Begin, PriorAnswer};
+use serde::{Deserialize, Serialize};
+
+/// Hash of what makes it the same request; rmp has no integers of 128 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint(u64, u64);
+
+impl From<u128> for Fingerprint {
+    fn from(hash: u128) -> Self {
+        Self((hash >> 64) as u64, hash as u64)
+    }
+}
+
+impl From<Fingerprint> for u128 {
+    fn from(hash: Fingerprint) -> Self {
+        (Self::from(hash.0) << 64) | Self::from(hash.1)
+    }
+}
+
+/// Question of a later owner about a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueryWire {
+    /// Daemon that is asked.
+    pub daemon: DaemonId,
+    /// Incarnation that is asked.
+    pub incarnation: Incarnation,
+    /// Service of the request.
+    pub service: ServiceName,
+    /// The key.
+    pub key: String,
+    /// Hash of method, path and body.
+    pub fingerprint: Fingerprint,
+}
+
+/// Answer of a previous owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PriorWire {
+    /// It has no record and will never run the key.
+    NoRecord,
+    /// The request is running.
+    InProgress,
+    /// It ran, with this answer.
+    Done(Vec<u8>),
+    /// It ran, and its answer is not kept.
+    AnswerNotKept,
+    /// It may have run.
+    OutcomeUnknown,
+    /// The key was used for another request.
+    KeyReused,
+    /// The key was given up to a later owner.
+    Ceded,
+    /// It cannot tell.
+    Unreachable,
+}
+
+impl From<PriorAnswer> for PriorWire {
+    fn from(answer: PriorAnswer) -> Self {
+        match answer {
+            PriorAnswer::NoRecord => Self::NoRecord,
+            PriorAnswer::Unreachable | PriorAnswer::Known(Begin::Run | Begin::Overloaded) => {
+                Self::Unreachable
+            }
+            PriorAnswer::Known(Begin::InProgress) => Self::InProgress,
+            PriorAnswer::Known(Begin::Done(answer)) => Self::Done(answer.to_vec()),
+            PriorAnswer::Known(Begin::AnswerNotKept) => Self::AnswerNotKept,
+            PriorAnswer::Known(Begin::OutcomeUnknown) => Self::OutcomeUnknown,
+            PriorAnswer::Known(Begin::KeyReused) => Self::KeyReused,
+            PriorAnswer::Known(Begin::Ceded) => Self::Ceded,
+        }
+    }
+}
+
+impl From<PriorWire> for PriorAnswer {
+    fn from(answer: PriorWire) -> Self {
+        Self::Known(match answer {
+            PriorWire::NoRecord => return Self::NoRecord,
+            PriorWire::Unreachable => return Self::Unreachable,
+            PriorWire::InProgress => Begin::InProgress,
+            PriorWire::Done(answer) => Begin::Done(answer.into()),
+            PriorWire::AnswerNotKept => Begin::AnswerNotKept,
+            PriorWire::OutcomeUnknown => Begin::OutcomeUnknown,
+            PriorWire::KeyReused => Begin::KeyReused,
+            PriorWire::Ceded => Begin::Ceded,
+        })
+    }
+}
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod control;
 mod gossip;
+mod keys;
 mod log;
 mod operator;
 
@@ -12,6 +13,7 @@
     Stream, decode, encode,
 };
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
+pub use keys::{Fingerprint, PriorWire, QueryWire};
 pub use log::{Appended, LogRecord, ReadPage, Retained};
 pub use operator::{
     BackendServerDoc, CandidateDoc, ExplainDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -7,16 +7,28 @@
 mod view;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use baobabreel_client::log::{AppendError, LogClient};
+use baobabreel_client::transport::HttpClient;
+use baobabreel_client::wire::{Position, Stream, decode};
 use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation};
+use baobabreel_core::membership::{Member, Members};
+use baobabreel_core::registry::MemberEntry;
+use baobabreel_core::relay::relays;
+use kameo::actor::{ActorRef, WeakActorRef};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 pub use clock::Clock;
 pub use view::{MeshView, is_able};
 
+use crate::control::{Distribution, Follower, encoded};
+use crate::keys::Keys;
 use crate::proxy::{Balance, Host, PeerPool};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
@@ -69,7 +81,20 @@
     pub balance: Balance,
     /// Instruments.
     pub metrics: Metrics,
+    /// All members.
+    pub members: ArcSwap<Members>,
+    /// Idempotency keys.
+    pub keys: Keys,
+    /// Wishes of the control plane to read the log.
+    pub follower: Follower,
+    /// Client of the log.
+    pub log: LogClient,
+    /// Client for short requests.
+    pub http: HttpClient,
+    position: Mutex<Position>,
+    distribution: OnceLock<WeakActorRef<Distribution>>,
     phase: AtomicU8,
+    requests: AtomicUsize,
 }
 
 /// Shared handle to the state of a daemon.
@@ -80,6 +105,7 @@
     #[must_use]
     pub fn new(settings: Settings, identity: Identity, metrics: Metrics) -> Self {
         let clock = Clock::new();
+        let http = HttpClient::new().with_name(identity.id.clone());
         Self {
             config: ArcSwap::from_pointee(CompiledConfig::default()),
             view: ArcSwap::from_pointee(MeshView::default()),
@@ -87,7 +113,15 @@
             peers: PeerPool::new(settings.token.clone()),
             balance: Balance::new(&identity),
             metrics,
+            members: ArcSwap::from_pointee(Members::default()),
+            keys: Keys::new(&identity, settings.log_retention),
+            follower: Follower::default(),
+            log: LogClient::new(http.clone(), settings.log.clone()),
+            http,
+            position: Mutex::default(),
+            distribution: OnceLock::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
+            requests: AtomicUsize::new(0),
             settings,
             identity,
             clock,
@@ -109,3 +143,147 @@
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 }
+
+impl Context {
+    /// Puts a version of the configuration in force.
+    pub fn set_config(&self, config: CompiledConfig, now: Duration) {
+        self.apply_policies(&config);
+        self.balance.update(&config, &self.view.load(), now);
+        self.config.store(Arc::new(config));
+    }
+
+    /// Requests, calls and slots that have not ended.
+    pub fn in_flight(&self) -> usize {
+        let held = usize::try_from(self.host.in_flight()).unwrap_or(usize::MAX);
+        self.requests.load(Ordering::Acquire) + self.balance.outstanding() + held
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn count_request(&self) -> RequestCount<'_> {
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        RequestCount(&self.requests)
+    }
+
+    /// Settings of the own backend server that come from the configuration.
+    pub fn apply_policies(&self, config: &CompiledConfig) {
+        let Some(info) = self.host.info() else { return };
+        if let Some(service) = config.services.get(&info.service) {
+            let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
+            self.host.configure(queue, service.bulk_share);
+        }
+    }
+
+    /// Takes over a new table of members.
+    pub fn set_members(&self, members: &Members) {
+        let view = MeshView::new(members.iter());
+        self.balance
+            .update(&self.config.load(), &view, self.clock.now());
+        self.view.store(Arc::new(view));
+        self.members.store(Arc::new(members.clone()));
+    }
+
+    /// Where this daemon stands in the streams.
+    pub fn position(&self) -> Position {
+        *self.position.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Publishes where this daemon stands.
+    pub fn set_position(&self, position: Position) {
+        *self.position.lock().unwrap_or_else(PoisonError::into_inner) = position;
+    }
+
+    /// Whether this daemon tails the log for its data centre.
+    pub fn is_relay(&self) -> bool {
+        let members = self.members.load();
+        let Some(own) = members.get(&self.identity.id) else {
+            return false;
+        };
+        relays(members.live(), own).contains(&self.identity.id.as_str())
+    }
+
+    /// Address of some live member, of the own data centre when there is one.
+    pub fn random_peer(&self) -> Option<SocketAddr> {
+        let members = self.members.load();
+        let others: Vec<&Member> = members
+            .live()
+            .filter(|member| member.id != self.identity.id)
+            .collect();
+        let near: Vec<&&Member> = others
+            .iter()
+            .filter(|member| member.data_centre == self.identity.data_centre)
+            .collect();
+        let pick = |len: usize| rand::random_range(0..len);
+        // A peer of another data centre can have what the whole own data centre lacks.
+        let far = rand::random_range(0..4) == 0;
+        if near.is_empty() || far {
+            return (!others.is_empty()).then(|| others[pick(others.len())].peer_addr);
+        }
+        Some(near[pick(near.len())].peer_addr)
+    }
+
+    /// Actor that owns the folds; absent before the start and after the end of the control plane.
+    pub fn distribution(&self) -> Option<ActorRef<Distribution>> {
+        self.distribution.get()?.upgrade()
+    }
+
+    /// Makes the actor known to the tasks that send for it.
+    pub fn set_distribution(&self, distribution: &ActorRef<Distribution>) {
+        if self.distribution.set(distribution.downgrade()).is_err() {
+            tracing::error!("the control plane was started twice");
+        }
+    }
+
+    /// Sends a control message to a daemon and reads its answer; errors are logged.
+    pub async fn ask_peer<M: Serialize, A: DeserializeOwned>(
+        &self,
+        to: SocketAddr,
+        path: &'static str,
+        message: &M,
+        timeout: Duration,
+    ) -> Option<A> {
+        let data = encoded(message)?;
+        self.metrics.control("out", data.len());
+        let answer = self
+            .peers
+            .control(to, path, data, timeout)
+            .await
+            .inspect_err(|e| tracing::debug!(%to, path, error = %e, "a peer did not answer"))
+            .ok()?;
+        self.metrics.control("in", answer.len());
+        decode(&answer)
+            .inspect_err(|e| tracing::warn!(%to, path, error = %e, "a peer answered wrongly"))
+            .ok()
+    }
+
+    /// Appends an entry to stream `members` in a task of its own.
+    pub fn append_member_entry(&self, entry: MemberEntry) {
+        let log = self.log.clone();
+        tokio::spawn(async move { append_entry(&log, &entry).await });
+    }
+}
+
+/// Appends an entry to stream `members`; returns whether it is certain that it was appended.
+pub async fn append_entry(log: &LogClient, entry: &MemberEntry) -> bool {
+    let data = match serde_json::to_string(entry) {
+        Ok(data) => data,
+        Err(e) => {
+            tracing::error!(error = %e, "a member entry cannot be encoded");
+            return false;
+        }
+    };
+    let appended = log.append(Stream::Members.name(), &data).await;
+    if let Err(e @ (AppendError::Refused(_) | AppendError::Unknown(_))) = &appended {
+        tracing::warn!(error = %e, "a member entry was not appended");
+    }
+    appended.is_ok()
+}
+
+/// Request that counts as in flight.
+#[derive(Debug)]
+pub struct RequestCount<'a>(&'a AtomicUsize);
+
+impl Drop for RequestCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -7,7 +7,9 @@
 
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::wire::{Position, PullAnswerWire, PullWire, PushAnswer, PushWire, Stream};
-use baobabreel_core::config::{CompiledConfig, ConfigState, FoldError, Version};
+use baobabreel_core::config::{
+    Adoption, CompiledConfig, ConfigState, FoldError, Snapshot, Version,
+};
 use baobabreel_core::id::DaemonId;
 use baobabreel_core::relay::{
     Ask, Attestation, Batch, Challenges, Pull, PullAdmission, PullAnswer, PullLimiter, Received,
@@ -45,7 +47,6 @@
     pub(super) children: HashMap<DaemonId, ReceivedChallenge>,
     pub(super) rounds: HashMap<DaemonId, u64>,
     pub(super) round: u64,
-    held: Option<String>,
     newest_seen: Version,
     peer_answered: bool,
     last_heartbeat: Duration,
@@ -68,7 +69,6 @@
             rounds: HashMap::new(),
             // Restarts of this daemon must not repeat numbers that others have passed on.
             round: cx.identity.incarnation << 20,
-            held: None,
             newest_seen: Version::default(),
             peer_answered: false,
             last_heartbeat: Duration::ZERO,
@@ -131,8 +131,9 @@
     fn log_was_replaced(&mut self, stream: Stream, batch: &Batch, generation: u64) {
         match stream {
             Stream::Config => {
-                let detail = format!("the log was replaced by generation {generation}");
-                self.hold(detail);
+                self.state.notice_generation(generation);
+                self.report_hold();
+                self.cx.follower.need_snapshot();
             }
             Stream::Members => {
                 self.members.window.restart(generation, batch.first);
@@ -140,18 +141,15 @@
         }
     }
 
-    fn hold(&mut self, detail: String) {
-        if self.held.as_ref() != Some(&detail) {
-            tracing::error!(version = %self.state.version(), detail, "configuration is held");
+    fn report_hold(&self) {
+        if let Some(hold) = self.state.hold() {
+            let version = self.state.version();
+            tracing::error!(%version, at = %hold.at, cause = %hold.cause, "configuration is held");
+            self.cx.metrics.config(version.offset, true);
         }
-        self.held = Some(detail);
-        self.cx.metrics.config(self.state.version().offset, true);
     }
 
     fn fold_config(&mut self, first: u64, entries: &[Arc<str>]) {
-        if self.held.is_some() {
-            return;
-        }
         for (offset, entry) in (first..).zip(entries) {
             match self.state.fold(offset, entry) {
                 Ok(verdict) => {
@@ -162,8 +160,8 @@
                     tracing::error!(error = %e, "configuration entries are out of order");
                     return;
                 }
-                Err(e) => {
-                    self.hold(e.to_string());
+                Err(_) => {
+                    self.report_hold();
                     break;
                 }
             }
@@ -171,10 +169,35 @@
         self.publish_config();
     }
 
+    /// Takes over a snapshot that is newer than the own state.
+    fn restore(&mut self, text: &str) {
+        let adopted = Snapshot::open(text).and_then(|snapshot| {
+            if self.config.is_blank() {
+                self.state = ConfigState::new(snapshot.version.generation)
+                    .with_max_schema(self.cx.settings.max_schema);
+            }
+            self.state.adopt(snapshot)
+        });
+        match adopted {
+            Ok(Adoption::Replaced) => {
+                let version = self.state.version();
+                tracing::info!(%version, "continued from a snapshot");
+                self.config
+                    .window
+                    .restart(version.generation, version.offset + 1);
+                self.publish_config();
+            }
+            Ok(Adoption::Same | Adoption::Older) => {}
+            Err(e) => tracing::error!(error = %e, "a snapshot was refused"),
+        }
+    }
+
     fn publish_config(&mut self) {
         let view = CompiledConfig::new(&self.state, self.cx.settings.max_schema);
         let now = self.cx.clock.now();
-        self.cx.metrics.config(view.version.offset, self.held.is_some());
+        self.cx
+            .metrics
+            .config(view.version.offset, self.state.hold().is_some());
         self.cx.set_config(view, now);
     }
 
@@ -227,7 +250,9 @@
             let (version, age) = (self.members.version(), self.members.confirmation.age(now));
             let next = self.members.window.next();
             let complete =
-                self.members.confirmation.covers(version.generation, next, Duration::MAX, now);
+                self.members
+                    .confirmation
+                    .covers(version.generation, next, Duration::MAX, now);
             if let (Some(age), true) = (age, complete) {
                 self.cx.keys.confirm(now, age, version);
             }
@@ -243,7 +268,9 @@
         let version = self.state.version();
         let next = self.config.window.next();
         let confirmed =
-            self.config.confirmation.covers(version.generation, next, Duration::MAX, now);
+            self.config
+                .confirmation
+                .covers(version.generation, next, Duration::MAX, now);
         let by_peers = self.peer_answered && now >= PEERS_SUFFICE_AFTER;
         if version >= self.newest_seen && (confirmed || by_peers) {
             tracing::info!(%version, "serving");
@@ -255,7 +282,7 @@
     fn publish_position(&self) {
         self.cx.set_position(Position {
             config: self.state.version(),
-            config_digest: self.state.digest(),
+            config_digest: short_digest(&self.state),
             members: self.members.version(),
         });
     }
@@ -269,6 +296,15 @@
     }
 }
 
+fn short_digest(state: &ConfigState) -> u64 {
+    let digest = state.digest();
+    digest
+        .as_bytes()
+        .iter()
+        .take(8)
+        .fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
+}
+
 /// Result of a read of the log.
 pub(super) struct FromLog {
     pub stream: Stream,
@@ -287,29 +323,42 @@
             ReadAnswer::Expired(retained) => {
                 match msg.stream {
                     Stream::Members => {
-                        self.members.window.restart(retained.generation, retained.first);
+                        self.members
+                            .window
+                            .restart(retained.generation, retained.first);
                     }
                     Stream::Config => self.cx.follower.need_snapshot(),
                 }
                 return;
             }
         };
-        let first = page.records.first().map_or(page.next, |record| record.offset);
+        let first = page
+            .records
+            .first()
+            .map_or(page.next, |record| record.offset);
         let batch = Batch {
             generation: page.generation,
             first,
-            entries: page.records.into_iter().map(|record| record.data.into()).collect(),
+            entries: page
+                .records
+                .into_iter()
+                .map(|record| record.data.into())
+                .collect(),
         };
         let new = self.take(msg.stream, &batch, None);
-        self.stream(msg.stream).confirmation.confirm(
-            page.generation,
-            page.next,
-            msg.requested_at,
-        );
+        self.stream(msg.stream)
+            .confirmation
+            .confirm(page.generation, page.next, msg.requested_at);
         self.after_confirmation(msg.stream);
         let news = match msg.stream {
-            Stream::Config => News { config: new, members: None },
-            Stream::Members => News { config: None, members: new },
+            Stream::Config => News {
+                config: new,
+                members: None,
+            },
+            Stream::Members => News {
+                config: None,
+                members: new,
+            },
         };
         self.after_news(news);
     }
@@ -326,20 +375,33 @@
     }
 }
 
+/// Answer to a push.
+#[derive(Debug, kameo::Reply)]
+pub(super) struct PushReply(pub PushAnswer);
+
+/// Answer to a pull.
+#[derive(Debug, kameo::Reply)]
+pub(super) struct PullReply(pub PullAnswerWire);
+
 /// Push of another daemon.
 pub(super) struct Pushed(pub PushWire);
 
 impl Message<Pushed> for Distribution {
-    type Reply = PushAnswer;
+    type Reply = PushReply;
 
     async fn handle(
         &mut self,
         msg: Pushed,
         _: &mut MessageContext<Self, Self::Reply>,
-    ) -> PushAnswer {
+    ) -> PushReply {
         let push = msg.0;
         let now = self.cx.clock.now();
-        let from = self.cx.members.load().get(&push.from).map(|member| member.peer_addr);
+        let from = self
+            .cx
+            .members
+            .load()
+            .get(&push.from)
+            .map(|member| member.peer_addr);
         self.peer_answered = true;
         for followed in [&mut self.config, &mut self.members] {
             followed.staleness.heard(now);
@@ -351,7 +413,8 @@
         self.publish_position();
         self.check_ready();
         push::pass_on(self, &push.root, push.round, &News { config, members });
-        PushAnswer { nonce: self.challenges.issue(self.cx.clock.now(), rand::random()) }
+        let nonce = self.challenges.issue(self.cx.clock.now(), rand::random());
+        PushReply(PushAnswer { nonce })
     }
 }
 
@@ -366,7 +429,10 @@
 
     async fn handle(&mut self, msg: PushAnswered, _: &mut MessageContext<Self, Self::Reply>) {
         let received_at = self.cx.clock.now();
-        let challenge = ReceivedChallenge { nonce: msg.answer.nonce, received_at };
+        let challenge = ReceivedChallenge {
+            nonce: msg.answer.nonce,
+            received_at,
+        };
         self.children.insert(msg.child, challenge);
     }
 }
@@ -375,33 +441,45 @@
 pub(super) struct PullAsked(pub PullWire);
 
 impl Message<PullAsked> for Distribution {
-    type Reply = PullAnswerWire;
+    type Reply = PullReply;
 
     async fn handle(
         &mut self,
         msg: PullAsked,
         _: &mut MessageContext<Self, Self::Reply>,
-    ) -> PullAnswerWire {
+    ) -> PullReply {
         let now = self.cx.clock.now();
         let asked = msg.0;
-        let challenge = ReceivedChallenge { nonce: asked.nonce, received_at: now };
+        let challenge = ReceivedChallenge {
+            nonce: asked.nonce,
+            received_at: now,
+        };
         let followed = self.stream(asked.stream);
         let proof = followed.confirmation.attest(challenge);
         let generation = followed.window.generation();
         // A daemon that has just started follows no generation yet.
-        let wanted = if asked.generation == 0 { generation } else { asked.generation };
-        let pull = Pull { generation: wanted, from: asked.from };
-        match followed.window.answer(pull) {
-            PullAnswer::Entries(batch) => {
-                PullAnswerWire::Entries { batch: (&batch).into(), proof }
-            }
-            PullAnswer::UpToDate { .. } => {
-                PullAnswerWire::Entries { batch: (&followed.heartbeat()).into(), proof }
-            }
+        let wanted = if asked.generation == 0 {
+            generation
+        } else {
+            asked.generation
+        };
+        let pull = Pull {
+            generation: wanted,
+            from: asked.from,
+        };
+        PullReply(match followed.window.answer(pull) {
+            PullAnswer::Entries(batch) => PullAnswerWire::Entries {
+                batch: (&batch).into(),
+                proof,
+            },
+            PullAnswer::UpToDate { .. } => PullAnswerWire::Entries {
+                batch: (&followed.heartbeat()).into(),
+                proof,
+            },
             PullAnswer::TooOld { .. } | PullAnswer::OtherGeneration { .. } => {
                 self.answer_with_start(asked.stream, now)
             }
-        }
+        })
     }
 }
 
@@ -409,11 +487,14 @@
     fn answer_with_start(&mut self, stream: Stream, now: Duration) -> PullAnswerWire {
         if stream == Stream::Members {
             let window = &self.members.window;
-            return PullAnswerWire::Start { generation: window.generation(), first: window.first() };
+            return PullAnswerWire::Start {
+                generation: window.generation(),
+                first: window.first(),
+            };
         }
         match self.pulls.begin(now, rand::random()) {
             PullAdmission::Granted { ticket } => {
-                let data = self.state.snapshot_text();
+                let data = self.state.snapshot().seal();
                 self.pulls.end(ticket);
                 PullAnswerWire::Snapshot { data }
             }
@@ -538,8 +619,6 @@
 pub struct DistributionStatus {
     /// Folded configuration.
     pub state: ConfigState,
-    /// Why the last whole version is held.
-    pub held: Option<String>,
     /// Age of the newest proof of the head of `config`.
     pub config_age: Option<Duration>,
     /// Age of the newest proof of the head of `members`.
@@ -561,7 +640,6 @@
         let now = self.cx.clock.now();
         DistributionStatus {
             state: self.state.clone(),
-            held: self.held.clone(),
             config_age: self.config.confirmation.age(now),
             members_age: self.members.confirmation.age(now),
         }
--- /dev/null
+++ b/crates/daemon/src/control/follower.rs
@@ -0,0 +1,189 @@
+//! Reads of the log.
+//!
+//! Only relays tail the log. Another daemon reads it once when the distribution actor asks for it,
+//! and for snapshots when neither entries nor peers can help.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use baobabreel_client::log::ReadAnswer;
+use baobabreel_client::wire::Stream;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::Control;
+use super::distribution::{FromLog, NextOffset, SnapshotRead};
+use crate::context::Cx;
+
+/// Time that a long poll waits for a record; the age of the proof of the head follows from it.
+const POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Records per read.
+const READ_LIMIT: usize = 256;
+
+/// Pause after a failed read, before jitter.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause between failed reads, before jitter.
+const RETRY_PAUSE_MAX: Duration = Duration::from_secs(5);
+
+/// Time in which a starting daemon with seeds waits for peers before it reads the log.
+const PEERS_FIRST: Duration = Duration::from_millis(1_500);
+
+/// Time between two looks at whether this daemon is a relay.
+const IDLE_CHECK: Duration = Duration::from_millis(200);
+
+/// Stream of snapshots.
+pub const SNAPSHOTS: &str = "snapshots";
+
+/// Wish of the distribution actor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FollowerHint {
+    /// Read what is new in a stream, without waiting.
+    ReadOnce(Stream),
+}
+
+/// Wishes of the distribution actor, and the last error of the log.
+#[derive(Debug, Default)]
+pub struct Follower {
+    config: Notify,
+    members: Notify,
+    snapshot: AtomicBool,
+    error: Mutex<Option<String>>,
+}
+
+impl Follower {
+    /// Passes a wish on.
+    pub fn hint(&self, hint: FollowerHint) {
+        match hint {
+            FollowerHint::ReadOnce(Stream::Config) => self.config.notify_one(),
+            FollowerHint::ReadOnce(Stream::Members) => self.members.notify_one(),
+        }
+    }
+
+    /// Asks for the newest snapshot in the log.
+    pub fn need_snapshot(&self) {
+        self.snapshot.store(true, Ordering::Release);
+        self.config.notify_one();
+    }
+
+    /// Last error of the log, if the last read failed.
+    pub fn error(&self) -> Option<String> {
+        self.error
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn set_error(&self, error: Option<String>) {
+        *self.error.lock().unwrap_or_else(PoisonError::into_inner) = error;
+    }
+
+    fn hints(&self, stream: Stream) -> &Notify {
+        match stream {
+            Stream::Config => &self.config,
+            Stream::Members => &self.members,
+        }
+    }
+}
+
+/// Follows both streams until `stop`.
+pub async fn run(cx: Cx, control: Control, stop: CancellationToken) {
+    if !cx.settings.seeds.is_empty() {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(PEERS_FIRST) => {}
+        }
+    }
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = follow(&cx, &control, Stream::Config) => {}
+        () = follow(&cx, &control, Stream::Members) => {}
+    }
+}
+
+async fn follow(cx: &Cx, control: &Control, stream: Stream) {
+    let mut pause = RETRY_PAUSE;
+    loop {
+        let wait = if cx.is_relay() {
+            POLL_WAIT
+        } else {
+            let hinted = tokio::time::timeout(IDLE_CHECK, cx.follower.hints(stream).notified());
+            if hinted.await.is_err() {
+                continue;
+            }
+            Duration::ZERO
+        };
+        if stream == Stream::Config && cx.follower.snapshot.swap(false, Ordering::AcqRel) {
+            read_snapshot(cx, control).await;
+        }
+        match read(cx, control, stream, wait).await {
+            Ok(()) => {
+                cx.follower.set_error(None);
+                pause = RETRY_PAUSE;
+            }
+            Err(e) => {
+                tracing::warn!(
+                    stream = stream.name(),
+                    error = format!("{e:#}"),
+                    "failed to read"
+                );
+                cx.follower.set_error(Some(format!("{e:#}")));
+                // Full jitter keeps the relays from returning together after an outage.
+                tokio::time::sleep(pause.mul_f64(rand::random())).await;
+                pause = (pause * 2).min(RETRY_PAUSE_MAX);
+            }
+        }
+    }
+}
+
+async fn read(cx: &Cx, control: &Control, stream: Stream, wait: Duration) -> eyre::Result<()> {
+    let from = control.distribution.ask(NextOffset(stream)).await?;
+    let requested_at = cx.clock.now();
+    let answer = cx.log.read(stream.name(), from, READ_LIMIT, wait).await?;
+    control
+        .distribution
+        .ask(FromLog {
+            stream,
+            requested_at,
+            answer,
+        })
+        .await?;
+    Ok(())
+}
+
+/// Reads the last snapshot of the log.
+async fn read_snapshot(cx: &Cx, control: &Control) {
+    let text = match newest_snapshot(cx).await {
+        Ok(Some(text)) => text,
+        Ok(None) => {
+            tracing::warn!("the log has no snapshot");
+            return;
+        }
+        Err(e) => {
+            tracing::warn!(error = format!("{e:#}"), "failed to read a snapshot");
+            return;
+        }
+    };
+    if control.distribution.ask(SnapshotRead(text)).await.is_err() {
+        tracing::debug!("the distribution actor has stopped");
+    }
+}
+
+async fn newest_snapshot(cx: &Cx) -> eyre::Result<Option<String>> {
+    let read = |from| cx.log.read(SNAPSHOTS, from, 1, Duration::ZERO);
+    // The first read tells where the stream ends.
+    let next = match read(1).await? {
+        ReadAnswer::Page(page) => page.next,
+        ReadAnswer::Expired(retained) => retained.next,
+    };
+    if next <= 1 {
+        return Ok(None);
+    }
+    match read(next - 1).await? {
+        ReadAnswer::Page(mut page) => Ok(page.records.pop().map(|record| record.data)),
+        ReadAnswer::Expired(_) => Ok(None),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/membership.rs
@@ -0,0 +1,308 @@
+//! Actor that tracks the other daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use baobabreel_client::wire::{Envelope, GossipWire};
+use baobabreel_core::id::{DaemonId, Incarnation};
+use baobabreel_core::membership::{
+    Action, Event, LocalState, Member, MemberState, Swim, SwimSettings,
+};
+use baobabreel_core::registry::MemberEntry;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::message::{Context as MessageContext, Message};
+
+use super::distribution::{Distribution, PeerPosition};
+use super::gossip;
+use crate::context::{Cx, Phase};
+
+/// Time between two attempts to register.
+const JOIN_PAUSE: Duration = Duration::from_secs(1);
+
+/// Actor that tracks the other daemons.
+#[derive(Debug, Actor)]
+pub struct Membership {
+    cx: Cx,
+    swim: Swim,
+    distribution: ActorRef<Distribution>,
+    local: LocalState,
+    next_join: Duration,
+}
+
+impl Membership {
+    /// Starts with this daemon as the only member.
+    #[must_use]
+    pub fn new(cx: &Cx, distribution: ActorRef<Distribution>) -> Self {
+        let identity = &cx.identity;
+        let own = Member {
+            id: identity.id.clone(),
+            incarnation: identity.incarnation,
+            sequence: 1,
+            data_centre: identity.data_centre.clone(),
+            service: None,
+            peer_addr: identity.peer_addr,
+            state: MemberState::Cold,
+            slots: 0,
+        };
+        let settings = SwimSettings::new().seeds(cx.settings.seeds.clone());
+        let swim = Swim::new(own, settings);
+        let local = LocalState {
+            state: MemberState::Cold,
+            service: None,
+            slots: 0,
+        };
+        let membership = Self {
+            cx: Arc::clone(cx),
+            swim,
+            distribution,
+            local,
+            next_join: Duration::ZERO,
+        };
+        membership.publish();
+        membership
+    }
+
+    fn publish(&self) {
+        self.cx.set_members(self.swim.members());
+    }
+
+    fn handle(&mut self, event: Event, own: &ActorRef<Self>) -> Vec<Action> {
+        let now = self.cx.clock.now();
+        let actions = self.swim.handle(event, now, rand::random());
+        self.carry_out(actions, own)
+    }
+
+    /// Carries out what needs no answer; returns the messages for the daemon that just sent one.
+    fn carry_out(&mut self, mut actions: Vec<Action>, own: &ActorRef<Self>) -> Vec<Action> {
+        let changed = actions
+            .iter()
+            .any(|action| matches!(action, Action::StateChanged { .. }));
+        if changed {
+            self.publish();
+        }
+        let mut answers = Vec::new();
+        actions.retain(|action| {
+            let answer = matches!(action, Action::SendAck { .. } | Action::SendDelta { .. });
+            if answer {
+                answers.push(action.clone());
+            }
+            !answer
+        });
+        gossip::send_all(&self.cx, own, &mut actions);
+        for action in actions {
+            self.carry_out_own(action);
+        }
+        answers
+    }
+
+    fn carry_out_own(&mut self, action: Action) {
+        match action {
+            Action::StateChanged { member } => {
+                tracing::info!(
+                    member = member.id,
+                    state = ?member.state,
+                    incarnation = member.incarnation,
+                    "member changed"
+                );
+                if member.is_departed() {
+                    self.cx.peers.forget(member.peer_addr);
+                }
+            }
+            Action::ProposeEvict { id, incarnation } => self.append_evict(id, incarnation),
+            Action::SelfEvicted => {
+                tracing::warn!("this incarnation was evicted; it registers again");
+                self.cx.keys.evicted();
+                self.next_join = self.cx.clock.now();
+            }
+            Action::Superseded { incarnation } => {
+                tracing::error!(
+                    incarnation,
+                    "a newer incarnation of this daemon runs elsewhere"
+                );
+                self.cx.advance(Phase::Draining);
+            }
+            _ => {}
+        }
+    }
+
+    fn append_evict(&self, id: DaemonId, incarnation: Incarnation) {
+        let entry = MemberEntry::Evict { id, incarnation };
+        self.cx.append_member_entry(entry);
+    }
+
+    /// State of this daemon as others should see it.
+    fn current(&self) -> LocalState {
+        let info = self.cx.host.info();
+        let state = match (self.cx.phase(), info.as_ref().map(|info| info.state)) {
+            (Phase::Leaving | Phase::Draining, _) => MemberState::Draining,
+            (Phase::Starting, _) | (_, None) => MemberState::Cold,
+            (Phase::Serving, Some(state)) => state,
+        };
+        LocalState {
+            state,
+            service: info
+                .as_ref()
+                .map(|info| info.service.clone())
+                .or(self.local.service.clone()),
+            slots: info.map_or(0, |info| info.slots),
+        }
+    }
+
+    fn update_local(&mut self, own: &ActorRef<Self>) {
+        let current = self.current();
+        if current != self.local {
+            self.local = current.clone();
+            self.handle(Event::Local(current), own);
+        }
+    }
+
+    /// Registers as an owner of keys once the backend server is ready, and again in time.
+    fn register(&mut self) {
+        let now = self.cx.clock.now();
+        let ready = self.local.state == MemberState::Ready;
+        if !ready || now < self.next_join || !self.cx.keys.wants_join(now) {
+            return;
+        }
+        let Some(service) = self.local.service.clone() else {
+            return;
+        };
+        self.next_join = now + JOIN_PAUSE;
+        let identity = &self.cx.identity;
+        self.cx.append_member_entry(MemberEntry::Join {
+            id: identity.id.clone(),
+            incarnation: identity.incarnation,
+            data_centre: identity.data_centre.clone(),
+            service,
+            peer_addr: identity.peer_addr,
+        });
+    }
+}
+
+/// Something happened that concerns the members.
+pub(super) struct Happened(pub Event);
+
+impl Message<Happened> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Happened, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        let mut answers = self.handle(msg.0, &own);
+        gossip::send_all(&self.cx, &own, &mut answers);
+    }
+}
+
+/// A message of another daemon.
+pub(super) struct Received {
+    pub from: SocketAddr,
+    pub envelope: Envelope,
+}
+
+impl Message<Received> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Received, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        self.note_position(msg.from, &msg.envelope).await;
+        if let Some(message) = msg.envelope.message {
+            let mut answers = self.handle(message.into(), &own);
+            gossip::send_all(&self.cx, &own, &mut answers);
+        }
+    }
+}
+
+/// A message of another daemon that waits for an answer.
+pub(super) struct Asked(pub Envelope);
+
+impl Message<Asked> for Membership {
+    type Reply = Option<GossipWire>;
+
+    async fn handle(
+        &mut self,
+        msg: Asked,
+        ctx: &mut MessageContext<Self, Self::Reply>,
+    ) -> Option<GossipWire> {
+        let own = ctx.actor_ref().clone();
+        if let Some(from) = sender_of(msg.0.message.as_ref()) {
+            self.note_position(from, &msg.0).await;
+        }
+        let mut answers = self.handle(msg.0.message?.into(), &own);
+        let answer = answers.pop().and_then(|action| match action {
+            Action::SendAck { ack, .. } => Some(GossipWire::Ack(ack.into())),
+            Action::SendDelta { delta, .. } => Some(delta.into()),
+            _ => None,
+        });
+        gossip::send_all(&self.cx, &own, &mut answers);
+        answer
+    }
+}
+
+fn sender_of(message: Option<&GossipWire>) -> Option<SocketAddr> {
+    match message? {
+        GossipWire::Probe(probe) | GossipWire::Ack(probe) => Some(probe.from.peer_addr),
+        GossipWire::ProbeRequest { from, .. }
+        | GossipWire::SyncRequest { from, .. }
+        | GossipWire::Delta { from, .. } => Some(from.peer_addr),
+        GossipWire::ProbeAnswer { .. } | GossipWire::Push(_) => None,
+    }
+}
+
+impl Membership {
+    async fn note_position(&self, from: SocketAddr, envelope: &Envelope) {
+        let position = envelope.position;
+        if self
+            .distribution
+            .tell(PeerPosition { from, position })
+            .await
+            .is_err()
+        {
+            tracing::debug!("the distribution actor has stopped");
+        }
+    }
+}
+
+/// Lets time pass.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Tick;
+
+impl Message<Tick> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        self.update_local(&own);
+        self.register();
+        let actions = self.swim.tick(self.cx.clock.now(), rand::random());
+        let mut answers = self.carry_out(actions, &own);
+        gossip::send_all(&self.cx, &own, &mut answers);
+    }
+}
+
+/// The state of this daemon or its backend server may have changed.
+#[derive(Debug, Clone, Copy)]
+pub struct LocalChanged;
+
+impl Message<LocalChanged> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, _: LocalChanged, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        self.update_local(&own);
+    }
+}
+
+/// This daemon ends now.
+#[derive(Debug, Clone, Copy)]
+pub struct Leave;
+
+impl Message<Leave> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Leave, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        self.local.state = MemberState::Left;
+        let local = self.local.clone();
+        self.handle(Event::Local(local), &own);
+    }
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -14,10 +14,13 @@
 mod stream;
 
 pub use announce::{Announcement, BackendTracker};
-pub use distribution::{Distribution, DistributionStatus};
-pub use membership::Membership;
+pub use distribution::{Distribution, DistributionStatus, GetStatus};
+pub use follower::{Follower, SNAPSHOTS};
+pub use membership::{Leave, LocalChanged, Membership};
+pub use push::encoded;
 pub use serve::serve_control;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::actor::{ActorRef, Spawn};
@@ -43,9 +46,13 @@
     #[must_use]
     pub fn start(cx: &Cx, tasks: &TaskTracker, stop: &CancellationToken) -> Self {
         let distribution = Distribution::spawn(Distribution::new(cx));
+        cx.set_distribution(&distribution);
         let membership = Membership::spawn(Membership::new(cx, distribution.clone()));
-        let control = Self { distribution, membership };
-        tasks.spawn(follower::run(cx.clone(), control.clone(), stop.clone()));
+        let control = Self {
+            distribution,
+            membership,
+        };
+        tasks.spawn(follower::run(Arc::clone(cx), control.clone(), stop.clone()));
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
     }
--- /dev/null
+++ b/crates/daemon/src/control/serve.rs
@@ -0,0 +1,110 @@
+//! Control messages of other daemons over HTTP.
+
+use baobabreel_client::wire::{Envelope, PullWire, PushWire, QueryWire, decode};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use super::Control;
+use super::distribution::{PullAsked, Pushed};
+use super::membership::Asked;
+use super::push::encoded;
+use crate::context::Cx;
+use crate::proxy::ProxyBody;
+
+/// Largest control message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Serves a control message.
+pub async fn serve_control(
+    cx: &Cx,
+    control: &Control,
+    req: Request<Incoming>,
+) -> Response<ProxyBody> {
+    let (parts, body) = req.into_parts();
+    let Ok(body) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = body.to_bytes();
+    cx.metrics.control("in", body.len());
+    let answer = match parts.uri.path() {
+        "/peer/v1/probe" => probe(cx, control, &body).await,
+        "/peer/v1/entries" => entries(control, &body).await,
+        "/peer/v1/pull" => pull(control, &body).await,
+        "/peer/v1/outcome" => outcome(cx, &body),
+        _ => return status(StatusCode::NOT_FOUND),
+    };
+    match answer {
+        Ok(data) => {
+            cx.metrics.control("out", data.len());
+            Response::new(ProxyBody::full(data))
+        }
+        Err(code) => status(code),
+    }
+}
+
+fn status(code: StatusCode) -> Response<ProxyBody> {
+    let mut res = Response::new(ProxyBody::Empty);
+    *res.status_mut() = code;
+    res
+}
+
+fn answer<T: Serialize>(message: &T) -> Result<Vec<u8>, StatusCode> {
+    encoded(message).ok_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, StatusCode> {
+    decode(body).map_err(|e| {
+        tracing::warn!(error = %e, "a peer sent a malformed message");
+        StatusCode::BAD_REQUEST
+    })
+}
+
+fn stopped<E: std::fmt::Display>(e: E) -> StatusCode {
+    tracing::debug!(error = %e, "an actor did not answer");
+    StatusCode::SERVICE_UNAVAILABLE
+}
+
+async fn probe(cx: &Cx, control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let envelope: Envelope = read(body)?;
+    let message = control
+        .membership
+        .ask(Asked(envelope))
+        .await
+        .map_err(stopped)?;
+    answer(&Envelope {
+        position: cx.position(),
+        message,
+    })
+}
+
+async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let push: PushWire = read(body)?;
+    answer(
+        &control
+            .distribution
+            .ask(Pushed(push))
+            .await
+            .map_err(stopped)?
+            .0,
+    )
+}
+
+async fn pull(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let pull: PullWire = read(body)?;
+    answer(
+        &control
+            .distribution
+            .ask(PullAsked(pull))
+            .await
+            .map_err(stopped)?
+            .0,
+    )
+}
+
+fn outcome(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: QueryWire = read(body)?;
+    answer(&cx.keys.answer_prior(&query, cx.clock.now()))
+}
--- /dev/null
+++ b/crates/daemon/src/daemon/mod.rs
@@ -0,0 +1,278 @@
+//! Start and end of a daemon.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use baobabreel_core::registry::MemberEntry;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Method, Request, StatusCode};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::context::{Context, Cx, Identity, Phase, append_entry};
+use crate::control::{Announcement, BackendTracker, Control, Leave, LocalChanged};
+use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_small};
+use crate::operators::serve_operators;
+use crate::settings::Settings;
+use crate::telemetry::Metrics;
+
+/// Time in which the members learn that this daemon has left, and the log takes the entry.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between two looks at whether all requests have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// Addresses that a daemon listens on.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For announcements of the backend server.
+    pub backend: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// Running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    cx: Cx,
+    control: Control,
+    addresses: Addresses,
+    tasks: TaskTracker,
+    /// Ends the control plane and the small listeners.
+    stop: CancellationToken,
+    /// Ends the listeners for callers and peers.
+    stop_serving: CancellationToken,
+}
+
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    backend: TcpListener,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self> {
+        let listen = &settings.listen;
+        Ok(Self {
+            callers: bind("callers", listen.callers).await?,
+            peers: bind("peers", listen.peers).await?,
+            backend: bind("backend", listen.backend).await?,
+            operators: bind("operators", listen.operators).await?,
+        })
+    }
+
+    fn addresses(&self) -> Result<Addresses> {
+        let addr = |listener: &TcpListener| {
+            listener
+                .local_addr()
+                .wrap_err("failed to read the address of a listener")
+        };
+        Ok(Addresses {
+            callers: addr(&self.callers)?,
+            peers: addr(&self.peers)?,
+            backend: addr(&self.backend)?,
+            operators: addr(&self.operators)?,
+        })
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon with checked settings.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses()?;
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let identity = Identity {
+            id: settings.daemon.clone(),
+            incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+            data_centre: settings.data_centre.clone(),
+            peer_addr: settings.advertise_peers.unwrap_or(addresses.peers),
+        };
+        let cx: Cx = Arc::new(Context::new(settings, identity, Metrics::new()?));
+        let tasks = TaskTracker::new();
+        let stop = CancellationToken::new();
+        let stop_serving = CancellationToken::new();
+        let control = Control::start(&cx, &tasks, &stop);
+        let daemon = Self {
+            cx,
+            control,
+            addresses,
+            tasks,
+            stop,
+            stop_serving,
+        };
+        daemon.serve(listeners);
+        tracing::info!(
+            daemon = daemon.cx.identity.id,
+            data_centre = daemon.cx.identity.data_centre,
+            callers = %addresses.callers,
+            peers = %addresses.peers,
+            backend = %addresses.backend,
+            operators = %addresses.operators,
+            "listening"
+        );
+        Ok(daemon)
+    }
+
+    fn serve(&self, listeners: Listeners) {
+        let (cx, control) = (Arc::clone(&self.cx), self.control.clone());
+        let stop_serving = self.stop_serving.clone();
+        self.tasks.spawn(serve_callers(
+            Arc::clone(&cx),
+            listeners.callers,
+            stop_serving.clone(),
+        ));
+        let peers = serve_peers(
+            Arc::clone(&cx),
+            control.clone(),
+            listeners.peers,
+            stop_serving,
+        );
+        self.tasks.spawn(peers);
+        let operators = {
+            let (cx, control) = (Arc::clone(&cx), control.clone());
+            move |req| serve_operators(Arc::clone(&cx), control.clone(), req)
+        };
+        self.tasks.spawn(serve_small(
+            listeners.operators,
+            self.stop.clone(),
+            operators,
+        ));
+        let tracker = Arc::new(BackendTracker::default());
+        let backend = {
+            let (cx, control) = (Arc::clone(&cx), control.clone());
+            let tracker = Arc::clone(&tracker);
+            move |req| announce(Arc::clone(&cx), control.clone(), Arc::clone(&tracker), req)
+        };
+        self.tasks
+            .spawn(serve_small(listeners.backend, self.stop.clone(), backend));
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = tracker.watch(&cx, &control) => {}
+            }
+        });
+    }
+
+    /// Addresses that the daemon listens on.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Shared state.
+    #[must_use]
+    pub fn context(&self) -> &Cx {
+        &self.cx
+    }
+
+    /// Ends the daemon without cutting requests that run; returns whether all of them ended.
+    ///
+    /// Others learn first that it leaves; then new requests are refused as not run; then running
+    /// ones get up to the drain limit of the settings.
+    pub async fn shutdown(self) -> bool {
+        tracing::info!("draining");
+        self.cx.advance(Phase::Leaving);
+        self.tell_membership().await;
+        tokio::time::sleep(self.cx.settings.drain_notice).await;
+        self.cx.advance(Phase::Draining);
+        let whole = self.wait_until_idle().await;
+        self.stop_serving.cancel();
+        self.leave().await;
+        self.stop.cancel();
+        self.tasks.close();
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.tasks.wait())
+            .await
+            .is_err()
+        {
+            tracing::warn!("connections were still open at the end");
+        }
+        tracing::info!(whole, "stopped");
+        whole
+    }
+
+    async fn tell_membership(&self) {
+        if self.control.membership.tell(LocalChanged).await.is_err() {
+            tracing::debug!("the membership actor has stopped");
+        }
+    }
+
+    async fn wait_until_idle(&self) -> bool {
+        let idle = async {
+            while self.cx.in_flight() > 0 {
+                tokio::time::sleep(DRAIN_CHECK).await;
+            }
+        };
+        let limit = self.cx.settings.drain_limit;
+        let whole = tokio::time::timeout(limit, idle).await.is_ok();
+        if !whole {
+            tracing::warn!(
+                requests = self.cx.in_flight(),
+                "requests are cut at the drain limit"
+            );
+        }
+        whole
+    }
+
+    async fn leave(&self) {
+        let registered = self.cx.keys.retire();
+        if self.control.membership.tell(Leave).await.is_err() {
+            tracing::debug!("the membership actor has stopped");
+        }
+        if !registered {
+            return;
+        }
+        let identity = &self.cx.identity;
+        let entry = MemberEntry::Leave {
+            id: identity.id.clone(),
+            incarnation: identity.incarnation,
+        };
+        if tokio::time::timeout(LEAVE_TIMEOUT, append_entry(&self.cx.log, &entry))
+            .await
+            .is_err()
+        {
+            tracing::warn!("the log did not take the leave entry in time");
+        }
+    }
+
+    /// Ends the daemon at once, as a crash would.
+    pub fn abort(self) {
+        self.stop.cancel();
+        self.stop_serving.cancel();
+        self.control.distribution.kill();
+        self.control.membership.kill();
+    }
+}
+
+async fn announce(
+    cx: Cx,
+    control: Control,
+    tracker: Arc<BackendTracker>,
+    req: Request<Bytes>,
+) -> Reply {
+    if req.method() != Method::POST || req.uri().path() != "/announce" {
+        return Reply::error(StatusCode::NOT_FOUND, "the path is POST /announce");
+    }
+    let announcement: Announcement = match serde_json::from_slice(req.body()) {
+        Ok(announcement) => announcement,
+        Err(e) => return Reply::error(StatusCode::BAD_REQUEST, &e.to_string()),
+    };
+    tracker.announced(&cx, &control, announcement).await;
+    cx.apply_policies(&cx.config.load());
+    Reply::json(&serde_json::json!({}))
+}
--- /dev/null
+++ b/crates/daemon/src/listeners/peers.rs
@@ -0,0 +1,73 @@
+//! Listener for other daemons: HTTP/2 only.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::accept;
+use crate::context::Cx;
+use crate::control::{Control, serve_control};
+use crate::proxy::{
+    CALL_PREFIX, PING_INTERVAL, PING_TIMEOUT, ProxyBody, has_token, serve_peer_call,
+};
+
+/// Streams of one peer at once.
+const MAX_STREAMS: u32 = 1_024;
+
+/// Receive window of one stream; bounds what is buffered for a slow backend server.
+const STREAM_WINDOW: u32 = 256 * 1024;
+
+/// Receive window of one connection.
+const CONNECTION_WINDOW: u32 = 1024 * 1024;
+
+/// Serves other daemons until `stop`; then lets the open connections end.
+pub async fn serve_peers(cx: Cx, control: Control, listener: TcpListener, stop: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => break,
+            stream = accept(&listener) => stream,
+        };
+        let (cx, control) = (Arc::clone(&cx), control.clone());
+        let service = service_fn(move |req| answer(Arc::clone(&cx), control.clone(), req));
+        let conn = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .max_concurrent_streams(MAX_STREAMS)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .serve_connection(TokioIo::new(stream), service);
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                tracing::debug!(error = %e, "connection of a peer ended");
+            }
+        });
+    }
+    graceful.shutdown().await;
+}
+
+async fn answer(
+    cx: Cx,
+    control: Control,
+    req: Request<Incoming>,
+) -> Result<Response<ProxyBody>, Infallible> {
+    if !has_token(&cx.settings, req.headers()) {
+        let mut res = Response::new(ProxyBody::Empty);
+        *res.status_mut() = StatusCode::FORBIDDEN;
+        return Ok(res);
+    }
+    if req.uri().path().starts_with(CALL_PREFIX) {
+        return Ok(serve_peer_call(cx, req).await);
+    }
+    Ok(serve_control(&cx, &control, req).await)
+}
--- /dev/null
+++ b/crates/daemon/src/listeners/small.rs
@@ -0,0 +1,115 @@
+//! HTTP/1.1 listener for short documents: announcements and operators.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use super::accept;
+
+/// Time in which the head of a request must be whole.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Answer with a short document.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status code.
+    pub status: StatusCode,
+    /// Media type.
+    pub media_type: &'static str,
+    /// Document.
+    pub body: String,
+}
+
+impl Reply {
+    /// A JSON document.
+    #[must_use]
+    pub fn json<T: serde::Serialize>(document: &T) -> Self {
+        match serde_json::to_string(document) {
+            Ok(body) => Self {
+                status: StatusCode::OK,
+                media_type: "application/json",
+                body,
+            },
+            Err(e) => Self::error(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+        }
+    }
+
+    /// An error with its reason.
+    #[must_use]
+    pub fn error(status: StatusCode, detail: &str) -> Self {
+        let body = serde_json::json!({ "error": detail }).to_string();
+        Self {
+            status,
+            media_type: "application/json",
+            body,
+        }
+    }
+
+    fn into_response(self) -> Response<Full<Bytes>> {
+        let mut res = Response::new(Full::from(self.body));
+        *res.status_mut() = self.status;
+        let media_type = HeaderValue::from_static(self.media_type);
+        res.headers_mut()
+            .insert(http::header::CONTENT_TYPE, media_type);
+        res
+    }
+}
+
+/// Serves short documents until `stop`.
+pub async fn serve_small<F, Fut>(listener: TcpListener, stop: CancellationToken, handle: F)
+where
+    F: Fn(Request<Bytes>) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => return,
+            stream = accept(&listener) => stream,
+        };
+        let handle = handle.clone();
+        let service = service_fn(move |req| answer(handle.clone(), req));
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                ended = conn => {
+                    if let Err(e) = ended {
+                        tracing::debug!(error = %e, "connection ended");
+                    }
+                }
+            }
+        });
+    }
+}
+
+async fn answer<F, Fut>(
+    handle: F,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    F: Fn(Request<Bytes>) -> Fut,
+    Fut: Future<Output = Reply>,
+{
+    let (parts, body) = req.into_parts();
+    let reply = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => handle(Request::from_parts(parts, body.to_bytes())).await,
+        Err(_) => Reply::error(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+    };
+    Ok(reply.into_response())
+}
--- /dev/null
+++ b/crates/daemon/src/operators/mod.rs
@@ -0,0 +1,141 @@
+//! Endpoints for operators.
+
+mod explain;
+mod query;
+
+use baobabreel_client::wire::{
+    BackendServerDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
+};
+use baobabreel_core::config::CompiledConfig;
+use baobabreel_core::membership::MemberState;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+
+use crate::context::{Cx, Phase};
+use crate::control::{Control, DistributionStatus, GetStatus};
+use crate::listeners::Reply;
+use crate::proxy::has_token;
+
+/// Answers a request of an operator.
+pub async fn serve_operators(cx: Cx, control: Control, req: Request<Bytes>) -> Reply {
+    if !has_token(&cx.settings, req.headers()) {
+        return Reply::error(StatusCode::FORBIDDEN, "the token is missing or wrong");
+    }
+    if req.method() != Method::GET {
+        return Reply::error(StatusCode::METHOD_NOT_ALLOWED, "only GET is supported");
+    }
+    match req.uri().path() {
+        "/status" => match status(&cx, &control).await {
+            Some(doc) => Reply::json(&doc),
+            None => stopped(),
+        },
+        "/records" => match control.distribution.ask(GetStatus).await {
+            Ok(status) => Reply::json(&records(&cx, &status)),
+            Err(_) => stopped(),
+        },
+        "/members" => Reply::json(&members(&cx)),
+        "/explain" => match explain::explain(&cx, req.uri().query().unwrap_or_default()) {
+            Ok(doc) => Reply::json(&doc),
+            Err(detail) => Reply::error(StatusCode::BAD_REQUEST, &detail),
+        },
+        "/metrics" => match cx.metrics.render() {
+            Ok(body) => Reply {
+                status: StatusCode::OK,
+                media_type: "text/plain; version=0.0.4",
+                body,
+            },
+            Err(e) => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e:#}")),
+        },
+        _ => Reply::error(
+            StatusCode::NOT_FOUND,
+            "the paths are /status, /records, /members, /explain and /metrics",
+        ),
+    }
+}
+
+fn stopped() -> Reply {
+    Reply::error(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping")
+}
+
+async fn status(cx: &Cx, control: &Control) -> Option<StatusDoc> {
+    let status = control.distribution.ask(GetStatus).await.ok()?;
+    let config = cx.config.load();
+    let members = cx.members.load();
+    let own = members.get(&cx.identity.id);
+    let load = cx.host.load();
+    let millis = |age: std::time::Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    Some(StatusDoc {
+        daemon: cx.identity.id.clone(),
+        incarnation: cx.identity.incarnation,
+        data_centre: cx.identity.data_centre.clone(),
+        service: own.and_then(|own| own.service.clone()),
+        state: own.map_or(MemberState::Cold, |own| own.state),
+        serving: cx.phase() == Phase::Serving,
+        version: config.version,
+        digest: status.state.digest().to_string(),
+        level: status.state.level(),
+        max_schema: cx.settings.max_schema,
+        held: status.state.hold().map(|hold| hold.cause.to_string()),
+        passed_over: config.passed_over.clone(),
+        members: members.live().count(),
+        log: LogDoc {
+            relay: cx.is_relay(),
+            config_confirmed_ms: status.config_age.map(millis),
+            members_confirmed_ms: status.members_age.map(millis),
+            error: cx.follower.error(),
+        },
+        backend_server: cx.host.info().map(|info| BackendServerDoc {
+            address: info.address.to_string(),
+            slots: info.slots,
+            running: load.running,
+            queued: load.queued,
+        }),
+    })
+}
+
+fn records(cx: &Cx, status: &DistributionStatus) -> RecordsDoc {
+    let max_schema = cx.settings.max_schema;
+    let config = cx.config.load();
+    let in_use = |key: &baobabreel_core::config::RecordKey,
+                  record: &baobabreel_core::config::Record| {
+        let passed = |schema: &u32| config.passed_over.contains(&(key.clone(), *schema));
+        record
+            .forms
+            .range(..=max_schema)
+            .rev()
+            .map(|(schema, _)| *schema)
+            .find(|s| !passed(s))
+    };
+    let records = status
+        .state
+        .records()
+        .iter()
+        .map(|(key, record)| RecordDoc {
+            key: key.clone(),
+            record: record.clone(),
+            schema_in_use: in_use(key, record),
+        })
+        .collect();
+    RecordsDoc {
+        version: status.state.version(),
+        records,
+    }
+}
+
+fn members(cx: &Cx) -> Vec<MemberDoc> {
+    let config: &CompiledConfig = &cx.config.load();
+    let doc = |member: &baobabreel_core::membership::Member| MemberDoc {
+        id: member.id.clone(),
+        incarnation: member.incarnation,
+        data_centre: member.data_centre.clone(),
+        service: member.service.clone(),
+        peer_addr: member.peer_addr.to_string(),
+        state: member.state,
+        slots: member.slots,
+        policy: config
+            .backend_servers
+            .get(&member.id)
+            .map(|policy| policy.state),
+    };
+    cx.members.load().iter().map(doc).collect()
+}
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -21,6 +21,8 @@
     pub detail: String,
     /// Whether the caller's connection should be closed after the answer.
     pub close: bool,
+    /// Whether it was found here and not answered by another daemon.
+    pub is_local: bool,
     /// Route of the request, for metrics.
     pub route: Option<RouteName>,
 }
@@ -28,7 +30,14 @@
 impl CallError {
     /// Makes an error.
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self { kind, retry_after: None, detail: detail.into(), close: false, route: None }
+        Self {
+            kind,
+            retry_after: None,
+            detail: detail.into(),
+            close: false,
+            is_local: true,
+            route: None,
+        }
     }
 
     /// Sets when to ask again.
@@ -64,7 +73,10 @@
         if let Some(after) = retry_after.filter(|_| answer.retryable) {
             // The header has whole seconds; 0 would ask for an immediate repeat.
             let secs = after.as_millis().div_ceil(1_000).max(1);
-            headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(secs).unwrap_or(1)));
+            headers.insert(
+                RETRY_AFTER,
+                HeaderValue::from(u64::try_from(secs).unwrap_or(1)),
+            );
         }
         if self.close {
             headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -4,6 +4,7 @@
 //! hundred nanoseconds and never across an await.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -64,6 +65,7 @@
     services: RwLock<HashMap<ServiceName, ServiceBalancer>>,
     routes: RwLock<HashMap<RouteName, Arc<RouteState>>>,
     budget: Mutex<RetryBudget>,
+    outstanding: Arc<AtomicUsize>,
 }
 
 impl Balance {
@@ -76,9 +78,15 @@
             services: RwLock::default(),
             routes: RwLock::default(),
             budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
+            outstanding: Arc::default(),
         }
     }
 
+    /// Calls to backend servers whose answers have not ended.
+    pub fn outstanding(&self) -> usize {
+        self.outstanding.load(Ordering::Acquire)
+    }
+
     /// Takes over the members and the operators' wishes.
     pub fn update(&self, config: &CompiledConfig, view: &MeshView, now: Duration) {
         for (service, members) in view.services() {
@@ -102,14 +110,22 @@
         if let Some(found) = self.find(name) {
             return found;
         }
-        let slow_start_ms = config.services.get(name).map(|service| service.slow_start_ms);
+        let slow_start_ms = config
+            .services
+            .get(name)
+            .map(|service| service.slow_start_ms);
         let mut builder = Balancer::builder().data_centre(self.data_centre.clone());
         if let Some(millis) = slow_start_ms {
             builder = builder.slow_start(Duration::from_millis(millis));
         }
-        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        let mut services = self
+            .services
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         Arc::clone(
-            services.entry(name.to_owned()).or_insert_with(|| Arc::new(Mutex::new(builder.build()))),
+            services
+                .entry(name.to_owned())
+                .or_insert_with(|| Arc::new(Mutex::new(builder.build()))),
         )
     }
 
@@ -126,7 +142,9 @@
         }
         drop(routes);
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-        let state = routes.entry(name.to_owned()).or_insert_with(|| Arc::new(RouteState::new()));
+        let state = routes
+            .entry(name.to_owned())
+            .or_insert_with(|| Arc::new(RouteState::new()));
         Arc::clone(state)
     }
 
@@ -166,16 +184,15 @@
         };
         balancer.dispatched(&name, now);
         drop(balancer);
-        Some(EntryGuard { balancer: shared, name, clock, started: now, end: End::Cancelled })
-    }
-
-    /// Counts a call to a backend server that was chosen by other means.
-    pub fn dispatch_to(&self, service: &str, name: &str, clock: Clock) -> Option<EntryGuard> {
-        let shared = self.find(service)?;
-        let now = clock.now();
-        lock(&shared).dispatched(name, now);
-        let name = Arc::from(name);
-        Some(EntryGuard { balancer: shared, name, clock, started: now, end: End::Cancelled })
+        self.outstanding.fetch_add(1, Ordering::AcqRel);
+        Some(EntryGuard {
+            balancer: shared,
+            name,
+            clock,
+            started: now,
+            end: End::Cancelled,
+            outstanding: Arc::clone(&self.outstanding),
+        })
     }
 }
 
@@ -183,7 +200,10 @@
 enum End {
     Cancelled,
     Failed(Failure),
-    Answered { latency: Duration, report: Option<LoadReport> },
+    Answered {
+        latency: Duration,
+        report: Option<LoadReport>,
+    },
 }
 
 /// Call to a backend server that counts as outstanding until it is dropped.
@@ -194,6 +214,7 @@
     clock: Clock,
     started: Duration,
     end: End,
+    outstanding: Arc<AtomicUsize>,
 }
 
 impl EntryGuard {
@@ -204,10 +225,18 @@
     }
 
     /// Records the head of the answer.
-    pub fn answered(&mut self, report: Option<LoadReport>) -> Duration {
+    pub fn answered(&mut self, report: Option<LoadReport>) {
         let latency = self.clock.now().saturating_sub(self.started);
         self.end = End::Answered { latency, report };
-        latency
+    }
+
+    /// Time to the head of the answer, or since the dispatch.
+    #[must_use]
+    pub fn latency(&self) -> Duration {
+        match self.end {
+            End::Answered { latency, .. } => latency,
+            _ => self.clock.now().saturating_sub(self.started),
+        }
     }
 
     /// Records a failure.
@@ -218,6 +247,7 @@
 
 impl Drop for EntryGuard {
     fn drop(&mut self) {
+        self.outstanding.fetch_sub(1, Ordering::AcqRel);
         let now = self.clock.now();
         let mut balancer = lock(&self.balancer);
         match self.end {
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -49,6 +49,8 @@
 /// What is released at the end of an answer.
 #[derive(Debug)]
 pub enum Guard {
+    /// Nothing.
+    None,
     /// Slot at the host daemon.
     Host(HostGuard),
     /// Outstanding call at the entry daemon.
@@ -62,7 +64,7 @@
     pub fn finished(&mut self) {
         match self {
             Self::Host(host) | Self::Both(host, _) => host.finished(),
-            Self::Entry(_) => {}
+            Self::None | Self::Entry(_) => {}
         }
     }
 }
@@ -99,7 +101,11 @@
     #[must_use]
     pub fn full(data: impl Into<Bytes>) -> Self {
         let data = data.into();
-        if data.is_empty() { Self::Empty } else { Self::Full(data) }
+        if data.is_empty() {
+            Self::Empty
+        } else {
+            Self::Full(data)
+        }
     }
 }
 
@@ -107,7 +113,9 @@
     inner: &mut Incoming,
     cx: &mut Context<'_>,
 ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-    Pin::new(inner).poll_frame(cx).map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
+    Pin::new(inner)
+        .poll_frame(cx)
+        .map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
 }
 
 impl Body for ProxyBody {
@@ -135,7 +143,12 @@
                 }
                 polled
             }
-            Self::Tracked { inner, expected, deadline, guard } => {
+            Self::Tracked {
+                inner,
+                expected,
+                deadline,
+                guard,
+            } => {
                 if deadline.as_mut().poll(cx).is_ready() {
                     return Poll::Ready(Some(Err(BodyError::Late)));
                 }
--- /dev/null
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -0,0 +1,239 @@
+//! One attempt at one backend server, and the choice of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
+use baobabreel_core::balance::{Failure as EndpointFailure, LoadReport};
+use baobabreel_core::error::{ErrorKind, Outcome};
+use http::header::{HOST, RETRY_AFTER};
+use http::{HeaderValue, Request, Response, Version};
+use hyper::body::Incoming;
+
+use super::answer::CallError;
+use super::balance::EntryGuard;
+use super::body::{Guard, ProxyBody};
+use super::headers;
+use super::host::{self, CALL_PREFIX};
+use super::pool::{PeerError, peer_uri};
+use crate::context::{Cx, is_able};
+
+/// Attempts of a request whose earlier ones are proved not to have run.
+const MAX_SAFE_ATTEMPTS: usize = 3;
+
+/// Answer of a daemon to a call.
+#[derive(Debug)]
+pub struct PeerAnswer {
+    /// Answer, without its head.
+    pub response: Response<Incoming>,
+    /// Load at the daemon.
+    pub load: LoadWire,
+}
+
+/// Chooses a backend server of `service` and counts a call to it.
+#[must_use]
+pub fn choose(cx: &Cx, service: &str, tried: &[String]) -> Option<EntryGuard> {
+    let exclude: Vec<&str> = tried.iter().map(String::as_str).collect();
+    let own_is_free = cx.host.is_free(service) && own_is_able(cx, service);
+    cx.balance.choose(service, own_is_free, &exclude, cx.clock)
+}
+
+fn own_is_able(cx: &Cx, service: &str) -> bool {
+    let view = cx.view.load();
+    let own = view.find(service, &cx.identity.id);
+    own.is_some_and(|own| is_able(&cx.config.load(), service, own))
+}
+
+/// Makes one attempt at the chosen backend server.
+///
+/// # Errors
+///
+/// How the attempt failed; its kind tells whether the request may have run.
+pub async fn attempt(
+    cx: &Cx,
+    head: &CallHead,
+    req: Request<ProxyBody>,
+    mut guard: EntryGuard,
+    deadline: Duration,
+) -> Result<Response<ProxyBody>, CallError> {
+    let (mut res, host_guard) = if guard.name() == cx.identity.id {
+        match host::run(cx, head, req).await {
+            Ok(admitted) => {
+                guard.answered(Some(report(cx.host.load())));
+                (admitted.response, Some(admitted.guard))
+            }
+            Err(e) => return Err(failed(guard, e)),
+        }
+    } else {
+        match send_to_member(cx, head, req, guard.name(), deadline).await {
+            Ok(answer) => {
+                guard.answered(Some(report(answer.load)));
+                (answer.response, None)
+            }
+            Err(e) => return Err(failed(guard, e)),
+        }
+    };
+    cx.balance.route(&head.route).observe(guard.latency());
+    headers::remove_hop_by_hop(res.headers_mut());
+    res.headers_mut().insert(
+        headers::OUTCOME,
+        HeaderValue::from_static(Outcome::Ran.as_str()),
+    );
+    *res.version_mut() = Version::HTTP_11;
+    let (parts, body) = res.into_parts();
+    let guard = match host_guard {
+        Some(host) => Guard::Both(host, guard),
+        None => Guard::Entry(guard),
+    };
+    Ok(Response::from_parts(
+        parts,
+        host::tracked(cx, body, deadline, guard),
+    ))
+}
+
+fn report(load: LoadWire) -> LoadReport {
+    LoadReport {
+        running: load.running,
+        queued: load.queued,
+    }
+}
+
+fn failed(mut guard: EntryGuard, e: CallError) -> CallError {
+    guard.failed(match e.kind {
+        ErrorKind::NoBackendServer | ErrorKind::NotReady | ErrorKind::Draining => {
+            EndpointFailure::Refused
+        }
+        ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable => EndpointFailure::Overloaded,
+        _ => EndpointFailure::Lost,
+    });
+    e
+}
+
+async fn send_to_member(
+    cx: &Cx,
+    head: &CallHead,
+    req: Request<ProxyBody>,
+    name: &str,
+    deadline: Duration,
+) -> Result<PeerAnswer, CallError> {
+    let addr = cx
+        .view
+        .load()
+        .find(&head.service, name)
+        .map(|member| member.peer_addr);
+    let Some(addr) = addr else {
+        return Err(CallError::new(
+            ErrorKind::NoBackendServer,
+            "the member is gone",
+        ));
+    };
+    send_call(cx, addr, head, req, deadline).await
+}
+
+/// Sends a call to a daemon.
+///
+/// # Errors
+///
+/// [`ErrorKind::NoBackendServer`] when nothing was sent, the error that the daemon answered, or
+/// one that leaves open whether the request ran.
+pub async fn send_call(
+    cx: &Cx,
+    addr: SocketAddr,
+    head: &CallHead,
+    mut req: Request<ProxyBody>,
+    deadline: Duration,
+) -> Result<PeerAnswer, CallError> {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    *req.uri_mut() = peer_uri(addr, &format!("{CALL_PREFIX}{path}"));
+    *req.version_mut() = Version::HTTP_2;
+    if let Some(host) = req.headers_mut().remove(HOST) {
+        req.headers_mut().insert(headers::CALLER_HOST, host);
+    }
+    req.headers_mut()
+        .insert(headers::CALL, HeaderValue::from(head));
+    let remaining = deadline.saturating_sub(cx.clock.now());
+    let mut res = match tokio::time::timeout(remaining, cx.peers.send(addr, req)).await {
+        Ok(Ok(res)) => res,
+        Ok(Err(PeerError::NotSent(detail))) => {
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        Ok(Err(e)) => return Err(CallError::new(ErrorKind::UpstreamLost, e.to_string())),
+        Err(_) => {
+            return Err(CallError::new(
+                ErrorKind::DeadlineExceeded,
+                "the deadline passed",
+            ));
+        }
+    };
+    let answer = res
+        .headers_mut()
+        .remove(headers::ANSWER)
+        .ok_or_else(|| "the answer has no head".to_owned())
+        .and_then(|value| AnswerHead::try_from(&value).map_err(|e| e.to_string()))
+        .map_err(|detail| CallError::new(ErrorKind::UpstreamLost, detail))?;
+    if let Some(kind) = answer.error {
+        let mut e = CallError::new(kind, format!("refused by the daemon at {addr}"));
+        e.is_local = false;
+        return Err(match read_retry_after(&res) {
+            Some(after) => e.with_retry_after(after),
+            None => e,
+        });
+    }
+    Ok(PeerAnswer {
+        response: res,
+        load: answer.load,
+    })
+}
+
+fn read_retry_after(res: &Response<Incoming>) -> Option<Duration> {
+    let text = res.headers().get(RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+/// Makes attempts at different backend servers while the earlier ones are proved not to have run.
+///
+/// # Errors
+///
+/// The error of the last attempt.
+pub async fn dispatch_until(
+    cx: &Cx,
+    head: &CallHead,
+    deadline: Duration,
+    request: impl Fn() -> Request<ProxyBody>,
+) -> Result<Response<ProxyBody>, CallError> {
+    let mut tried = Vec::new();
+    let state = cx.balance.route(&head.route);
+    loop {
+        let Some(guard) = choose(cx, &head.service, &tried) else {
+            let detail = format!(
+                "no backend server of service {} is able to serve",
+                head.service
+            );
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        };
+        tried.push(guard.name().to_owned());
+        let mut head = head.clone();
+        let remaining = deadline.saturating_sub(cx.clock.now());
+        head.remaining_ms = u64::try_from(remaining.as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let e = match attempt(cx, &head, request(), guard, deadline).await {
+            Ok(res) => return Ok(res),
+            Err(e) => e,
+        };
+        let again = e.is_not_run()
+            && tried.len() < MAX_SAFE_ATTEMPTS
+            && !head.retry
+            && cx.balance.try_spend(&state, cx.clock.now());
+        if !again {
+            return Err(e);
+        }
+        cx.metrics.retry(&head.route);
+    }
+}
+
+/// Backend server that a request of `service` would go to now.
+#[must_use]
+pub fn candidate(cx: &Cx, service: &str) -> Option<String> {
+    choose(cx, service, &[]).map(|guard| guard.name().to_owned())
+}
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -7,6 +7,7 @@
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
+use crate::settings::Settings;
 use crate::telemetry::{Span, TRACEPARENT};
 
 /// Whether the request ran.
@@ -21,6 +22,12 @@
 pub const RETRY: HeaderName = HeaderName::from_static("baobabreel-retry");
 /// Shared secret of daemons.
 pub const TOKEN: HeaderName = HeaderName::from_static("baobabreel-token");
+/// Host of the caller's request between daemons, where the authority is that of the daemon.
+pub const CALLER_HOST: HeaderName = HeaderName::from_static("baobabreel-host");
+/// Whether a request with a key is its first attempt.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("baobabreel-attempt");
+/// Marks a recorded answer that is given again.
+pub const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 /// Idempotency key of a caller.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -56,18 +63,22 @@
 
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
-    for name in [OUTCOME, CALL, ANSWER, TOKEN] {
+    for name in [OUTCOME, CALL, ANSWER, TOKEN, CALLER_HOST] {
         headers.remove(name);
     }
 }
 
 /// Reads the remaining time; `None` when the header is absent.
 pub fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, String> {
-    let Some(value) = headers.get(TIMEOUT) else { return Ok(None) };
+    let Some(value) = headers.get(TIMEOUT) else {
+        return Ok(None);
+    };
     let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
     match millis {
         Some(millis) => Ok(Some(Duration::from_millis(millis))),
-        None => Err(format!("header `{TIMEOUT}` is not a number of milliseconds")),
+        None => Err(format!(
+            "header `{TIMEOUT}` is not a number of milliseconds"
+        )),
     }
 }
 
@@ -83,3 +94,21 @@
         headers.insert(TRACEPARENT, value);
     }
 }
+
+/// Whether a request of a daemon or an operator carries the shared secret, if there is one.
+#[must_use]
+pub fn has_token(settings: &Settings, headers: &HeaderMap) -> bool {
+    let Some(token) = &settings.token else {
+        return true;
+    };
+    let bearer = headers
+        .get(http::header::AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let given = bearer.or(headers.get(TOKEN).map(HeaderValue::as_bytes));
+    given.is_some_and(|given| is_equal(given, token.as_bytes()))
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+fn is_equal(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |diff, (a, b)| diff | (a ^ b)) == 0
+}
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -11,14 +11,19 @@
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::membership::MemberState;
-use http::{HeaderValue, Request, Response, StatusCode, Version};
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response, StatusCode, Uri, Version};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::sync::oneshot;
 
 use super::answer::CallError;
 use super::body::{Guard, ProxyBody};
 use super::headers;
+use super::keyed::{self, WholeRequest};
 use super::pool::{BackendConnection, BackendPool, SendError};
+use super::replay::MAX_REPLAY_BYTES;
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
@@ -59,7 +64,11 @@
         for action in actions {
             let (id, result) = match action {
                 Action::Start(id) => (id, Ok(())),
-                Action::Refuse { id, kind, retry_after } => {
+                Action::Refuse {
+                    id,
+                    kind,
+                    retry_after,
+                } => {
                     let e = CallError::new(kind, "the request left the queue");
                     (id, Err(e.with_retry_after(retry_after)))
                 }
@@ -94,7 +103,11 @@
             next_id: 0,
         };
         let gate = Arc::new(Mutex::new(gate));
-        Self { backend: ArcSwapOption::empty(), gate, connection_limit }
+        Self {
+            backend: ArcSwapOption::empty(),
+            gate,
+            connection_limit,
+        }
     }
 
     /// Takes over an announcement, or that there is no backend server any more.
@@ -124,7 +137,10 @@
 
     /// The backend server as it announced itself last.
     pub fn info(&self) -> Option<BackendInfo> {
-        self.backend.load().as_ref().map(|backend| backend.info.clone())
+        self.backend
+            .load()
+            .as_ref()
+            .map(|backend| backend.info.clone())
     }
 
     /// Load as admission sees it.
@@ -132,7 +148,11 @@
         let gate = lock(&self.gate);
         let load = gate.admission.load();
         let slots = gate.admission.slots();
-        LoadWire { running: load.running, queued: load.queued, slots }
+        LoadWire {
+            running: load.running,
+            queued: load.queued,
+            slots,
+        }
     }
 
     /// Whether a request for `service` would start at once.
@@ -147,8 +167,26 @@
     }
 
     /// Waits until the request may be dispatched.
-    async fn admit(&self, cx: &Cx, head: &CallHead, deadline: Duration) -> Result<HostGuard, CallError> {
+    async fn admit(
+        &self,
+        cx: &Cx,
+        head: &CallHead,
+        deadline: Duration,
+    ) -> Result<HostGuard, CallError> {
         let now = cx.clock.now();
+        match self.offer(cx, head, deadline, now)? {
+            Place::Slot(guard) => Ok(guard),
+            Place::Queue(guard, rx) => wait_for_slot(guard, rx, deadline.saturating_sub(now)).await,
+        }
+    }
+
+    fn offer(
+        &self,
+        cx: &Cx,
+        head: &CallHead,
+        deadline: Duration,
+        now: Duration,
+    ) -> Result<Place, CallError> {
         let mut gate = lock(&self.gate);
         gate.next_id += 1;
         let id = gate.next_id;
@@ -160,20 +198,21 @@
         };
         let offer = gate.admission.offer(ticket, now);
         gate.apply(offer.evicted);
-        let guard = HostGuard { cx: Arc::clone(cx), id: Some(id), connection: None };
+        let guard = || HostGuard {
+            cx: Arc::clone(cx),
+            id: Some(id),
+            connection: None,
+        };
         match offer.decision {
-            Decision::Start => Ok(guard),
-            Decision::Refuse { kind, retry_after } => {
-                drop(gate);
-                guard.forget();
-                let e = CallError::new(kind, "the backend server has no room");
-                Err(e.with_retry_after(retry_after))
-            }
+            Decision::Start => Ok(Place::Slot(guard())),
             Decision::Queued => {
                 let (tx, rx) = oneshot::channel();
                 gate.waiting.insert(id, tx);
-                drop(gate);
-                wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
+                Ok(Place::Queue(guard(), rx))
+            }
+            Decision::Refuse { kind, retry_after } => {
+                let e = CallError::new(kind, "the backend server has no room");
+                Err(e.with_retry_after(retry_after))
             }
         }
     }
@@ -196,6 +235,12 @@
     }
 }
 
+/// Place of a request that was not refused.
+enum Place {
+    Slot(HostGuard),
+    Queue(HostGuard, oneshot::Receiver<Result<(), CallError>>),
+}
+
 async fn wait_for_slot(
     guard: HostGuard,
     rx: oneshot::Receiver<Result<(), CallError>>,
@@ -207,10 +252,14 @@
             guard.forget();
             Err(e)
         }
-        Ok(Err(_)) => Err(CallError::new(ErrorKind::Overloaded, "the queue was closed")),
-        Err(_) => {
-            Err(CallError::new(ErrorKind::DeadlineUnreachable, "the deadline passed in the queue"))
-        }
+        Ok(Err(_)) => Err(CallError::new(
+            ErrorKind::Overloaded,
+            "the queue was closed",
+        )),
+        Err(_) => Err(CallError::new(
+            ErrorKind::DeadlineUnreachable,
+            "the deadline passed in the queue",
+        )),
     }
 }
 
@@ -223,7 +272,9 @@
 
 impl std::fmt::Debug for HostGuard {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("HostGuard").field("id", &self.id).finish_non_exhaustive()
+        f.debug_struct("HostGuard")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
     }
 }
 
@@ -275,9 +326,15 @@
     let remaining = deadline.saturating_sub(cx.clock.now());
     headers::write_timeout(req.headers_mut(), remaining);
     if head.retry {
-        req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
+        req.headers_mut()
+            .insert(headers::RETRY, HeaderValue::from_static("1"));
     }
     *req.version_mut() = Version::HTTP_11;
+    if !req.headers().contains_key(HOST)
+        && let Ok(host) = HeaderValue::from_str(&backend.info.address.to_string())
+    {
+        req.headers_mut().insert(HOST, host);
+    }
     let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
@@ -288,29 +345,48 @@
             return Err(CallError::new(ErrorKind::UpstreamLost, detail));
         }
         Err(_) => {
-            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
+            return Err(CallError::new(
+                ErrorKind::DeadlineExceeded,
+                "the deadline passed",
+            ));
         }
     };
     guard.connection = Some(connection);
     check_answer(&response)?;
-    Ok(Admitted { response, guard, deadline })
+    Ok(Admitted {
+        response,
+        guard,
+        deadline,
+    })
 }
 
 fn able_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
     if cx.phase() == Phase::Draining {
-        return Err(CallError::new(ErrorKind::Draining, "the daemon is draining"));
+        return Err(CallError::new(
+            ErrorKind::Draining,
+            "the daemon is draining",
+        ));
     }
-    let none = || CallError::new(ErrorKind::NoBackendServer, "no backend server is announced here");
+    let none = || {
+        CallError::new(
+            ErrorKind::NoBackendServer,
+            "no backend server is announced here",
+        )
+    };
     let backend = cx.host.backend.load_full().ok_or_else(none)?;
     if backend.info.service != head.service {
         return Err(none());
     }
     match backend.info.state {
         MemberState::Ready => Ok(backend),
-        MemberState::Draining | MemberState::Left => {
-            Err(CallError::new(ErrorKind::Draining, "the backend server is draining"))
-        }
-        _ => Err(CallError::new(ErrorKind::NotReady, "the backend server is not ready")),
+        MemberState::Draining | MemberState::Left => Err(CallError::new(
+            ErrorKind::Draining,
+            "the backend server is draining",
+        )),
+        _ => Err(CallError::new(
+            ErrorKind::NotReady,
+            "the backend server is not ready",
+        )),
     }
 }
 
@@ -318,9 +394,15 @@
 fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
     let not_run = Outcome::NotRun.as_str();
     let shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
-        && res.headers().get(headers::OUTCOME).is_some_and(|value| value == not_run);
+        && res
+            .headers()
+            .get(headers::OUTCOME)
+            .is_some_and(|value| value == not_run);
     if shed {
-        return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
+        return Err(CallError::new(
+            ErrorKind::Overloaded,
+            "the backend server shed the request",
+        ));
     }
     let body = res.body();
     let delimited = body.is_end_stream()
@@ -329,7 +411,10 @@
     if delimited {
         return Ok(());
     }
-    Err(CallError::new(ErrorKind::UpstreamLost, "the answer has neither a length nor chunks"))
+    Err(CallError::new(
+        ErrorKind::UpstreamLost,
+        "the answer has neither a length nor chunks",
+    ))
 }
 
 /// Body of an answer that gives back its guard at its end.
@@ -360,7 +445,10 @@
             let result = call(&cx, &head, req, &span).await;
             (head.route, result)
         }
-        Some(Err(e)) => (String::new(), Err(CallError::new(ErrorKind::BadRequest, e.to_string()))),
+        Some(Err(e)) => (
+            String::new(),
+            Err(CallError::new(ErrorKind::BadRequest, e.to_string())),
+        ),
         None => {
             let e = CallError::new(ErrorKind::BadRequest, "the call has no head");
             (String::new(), Err(e))
@@ -373,8 +461,13 @@
             (e.into_response(), kind.answer().outcome, Some(kind))
         }
     };
-    let answer = AnswerHead { outcome, error, load: cx.host.load() };
-    res.headers_mut().insert(headers::ANSWER, HeaderValue::from(&answer));
+    let answer = AnswerHead {
+        outcome,
+        error,
+        load: cx.host.load(),
+    };
+    res.headers_mut()
+        .insert(headers::ANSWER, HeaderValue::from(&answer));
     let result = error.map_or("ran", ErrorKind::name);
     span.finish(cx.clock.now(), &route, result);
     res
@@ -387,22 +480,37 @@
     span: &Span,
 ) -> Result<Response<ProxyBody>, CallError> {
     let (parts, body) = req.into_parts();
-    let path = parts.uri.path_and_query().and_then(|path| path.as_str().strip_prefix(CALL_PREFIX));
-    let uri = path
-        .and_then(|path| path.parse().ok())
+    let uri = inner_uri(&parts.uri)
         .ok_or_else(|| CallError::new(ErrorKind::BadRequest, "the call has no path"))?;
+    let mut headers = parts.headers;
+    headers.remove(headers::CALL);
+    headers.remove(headers::TOKEN);
+    if let Some(host) = headers.remove(headers::CALLER_HOST) {
+        headers.insert(HOST, host);
+    }
+    headers::write_trace(&mut headers, span);
+    if let Some(key) = &head.key {
+        let body = read_whole(body, head).await?;
+        let req = WholeRequest {
+            method: parts.method,
+            uri,
+            headers,
+            body,
+        };
+        return keyed::serve_as_owner(cx, head.clone(), key.clone(), req).await;
+    }
     let body = if body.is_end_stream() {
         ProxyBody::Empty
     } else {
-        ProxyBody::Stream { inner: body, left: cx.settings.limits.body_bytes }
+        ProxyBody::Stream {
+            inner: body,
+            left: cx.settings.limits.body_bytes,
+        }
     };
     let mut inner = Request::new(body);
     *inner.method_mut() = parts.method;
     *inner.uri_mut() = uri;
-    *inner.headers_mut() = parts.headers;
-    inner.headers_mut().remove(headers::CALL);
-    inner.headers_mut().remove(headers::TOKEN);
-    headers::write_trace(inner.headers_mut(), span);
+    *inner.headers_mut() = headers;
     let admitted = run(cx, head, inner).await?;
     let (mut parts, body) = admitted.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
@@ -410,3 +518,20 @@
     parts.version = Version::HTTP_2;
     Ok(Response::from_parts(parts, body))
 }
+
+/// URI of the request inside a call.
+fn inner_uri(uri: &Uri) -> Option<Uri> {
+    let path = uri.path_and_query()?.as_str().strip_prefix(CALL_PREFIX)?;
+    path.parse().ok()
+}
+
+async fn read_whole(body: Incoming, head: &CallHead) -> Result<Bytes, CallError> {
+    let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
+    let timeout = Duration::from_millis(head.remaining_ms);
+    let fault = |detail| CallError::new(ErrorKind::BadRequest, detail);
+    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(_)) => Err(fault("the body of a keyed call broke off or is too large")),
+        Err(_) => Err(fault("the body of a keyed call did not come in time")),
+    }
+}
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -7,15 +7,19 @@
 mod answer;
 mod balance;
 mod body;
+mod dispatch;
 mod entry;
 mod headers;
 mod host;
+mod keyed;
 mod pool;
 mod replay;
 
 pub use answer::CallError;
 pub use balance::Balance;
 pub use body::{BodyError, ProxyBody};
+pub use dispatch::candidate;
 pub use entry::serve_caller;
-pub use host::{BackendInfo, Host, serve_peer_call};
-pub use pool::{PeerError, PeerPool, peer_uri};
+pub use headers::has_token;
+pub use host::{BackendInfo, CALL_PREFIX, Host, serve_peer_call};
+pub use pool::{PING_INTERVAL, PING_TIMEOUT, PeerError, PeerPool};
--- a/crates/daemon/src/proxy/pool/backend.rs
+++ b/crates/daemon/src/proxy/pool/backend.rs
@@ -57,8 +57,16 @@
         if self.sender.is_closed() {
             return;
         }
-        let idle = Idle { sender: self.sender, permit: self.permit, since: Instant::now() };
-        self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner).push(idle);
+        let idle = Idle {
+            sender: self.sender,
+            permit: self.permit,
+            since: Instant::now(),
+        };
+        self.pool
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(idle);
     }
 }
 
@@ -66,13 +74,11 @@
     /// Makes a pool of at most `limit` connections.
     #[must_use]
     pub fn new(addr: SocketAddr, limit: usize) -> Self {
-        Self { addr, idle: Mutex::new(Vec::new()), permits: Arc::new(Semaphore::new(limit)) }
-    }
-
-    /// Address of the backend server.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.addr
+        Self {
+            addr,
+            idle: Mutex::new(Vec::new()),
+            permits: Arc::new(Semaphore::new(limit)),
+        }
     }
 
     /// Takes the connection that was used last, so that the others can become idle.
@@ -132,10 +138,10 @@
         let (mut sender, permit) = self.connect().await?;
         match sender.try_send_request(req).await {
             Ok(res) => Ok((res, self.connection(sender, permit))),
-            Err(mut e) if e.take_message().is_some() => {
-                Err(SendError::NotSent(e.into_error().to_string()))
-            }
-            Err(e) => Err(SendError::Lost(e.into_error().to_string())),
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
+                None => Err(SendError::Lost(e.into_error().to_string())),
+            },
         }
     }
 
@@ -144,6 +150,10 @@
         sender: SendRequest<ProxyBody>,
         permit: OwnedSemaphorePermit,
     ) -> BackendConnection {
-        BackendConnection { pool: Arc::clone(self), sender, permit }
+        BackendConnection {
+            pool: Arc::clone(self),
+            sender,
+            permit,
+        }
     }
 }
--- a/crates/daemon/src/proxy/replay.rs
+++ b/crates/daemon/src/proxy/replay.rs
@@ -69,7 +69,12 @@
         } else {
             CallerBody::Stream(body, max_body)
         };
-        Ok(Self { method: parts.method, uri: origin_form(&parts.uri), headers: parts.headers, body })
+        Ok(Self {
+            method: parts.method,
+            uri: origin_form(&parts.uri),
+            headers: parts.headers,
+            body,
+        })
     }
 
     /// Whether the body can be sent again.
@@ -107,7 +112,10 @@
             format!("the body of a request with a key has more than {MAX_REPLAY_BYTES} bytes"),
         )),
         Ok(Err(_)) => Err(CallError::new(ErrorKind::BadRequest, "the body broke off")),
-        Err(_) => Err(CallError::new(ErrorKind::BadRequest, "the body did not come in time")),
+        Err(_) => Err(CallError::new(
+            ErrorKind::BadRequest,
+            "the body did not come in time",
+        )),
     }
 }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub drain_limit: Duration,
     /// Time between the announcement of a drain and the refusal of new requests.
     pub drain_notice: Duration,
+    /// Time for which the log keeps records.
+    pub log_retention: Duration,
     /// Worker threads of the runtime.
     pub threads: usize,
     /// Newest schema version that the daemon uses.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -59,7 +59,10 @@
 ///
 /// All [`Faults`] of the text.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
-    let mut reader = Reader { text, faults: Vec::new() };
+    let mut reader = Reader {
+        text,
+        faults: Vec::new(),
+    };
     let settings = reader.settings();
     if reader.faults.is_empty()
         && let Some(settings) = settings
@@ -67,7 +70,10 @@
         return Ok(settings);
     }
     reader.faults.sort_by_key(|fault| fault.line);
-    Err(Faults { file: file.to_owned(), faults: reader.faults })
+    Err(Faults {
+        file: file.to_owned(),
+        faults: reader.faults,
+    })
 }
 
 /// Keys of one object that were not read yet.
@@ -115,10 +121,18 @@
         let limits = self.limits(top);
         let drain_limit = self.millis(top, "drain_limit_ms", 30_000, 0..=600_000);
         let drain_notice = self.millis(top, "drain_notice_ms", 1_000, 0..=60_000);
+        let log_retention = self.millis(top, "log_retention_ms", DAY_MS, 60_000..=366 * DAY_MS);
         let threads = self.integer(top, "threads", 2, 1..=64);
-        let max_schema = self.integer(top, "max_schema", u64::from(MAX_SCHEMA), 1..=u64::from(MAX_SCHEMA));
+        let max_schema = self.integer(
+            top,
+            "max_schema",
+            u64::from(MAX_SCHEMA),
+            1..=u64::from(MAX_SCHEMA),
+        );
         let trace_share = self.share(top, "trace_share", 0.0);
-        let log_filter = self.text(top, "log_filter").unwrap_or_else(|| "info".to_owned());
+        let log_filter = self
+            .text(top, "log_filter")
+            .unwrap_or_else(|| "info".to_owned());
         Some(Settings {
             daemon: daemon?,
             data_centre: data_centre?,
@@ -130,6 +144,7 @@
             limits: limits?,
             drain_limit,
             drain_notice,
+            log_retention,
             threads: usize::try_from(threads).ok()?,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
@@ -144,13 +159,25 @@
         let backend = self.address(&mut section, "backend");
         let operators = self.address(&mut section, "operators");
         self.finish(section);
-        Some(Listen { callers: callers?, peers: peers?, backend: backend?, operators: operators? })
+        Some(Listen {
+            callers: callers?,
+            peers: peers?,
+            backend: backend?,
+            operators: operators?,
+        })
     }
 
     fn limits(&mut self, top: &mut Section<'a>) -> Option<Limits> {
         let mut section = match self.take(top, "limits") {
-            None => Section { path: "limits".to_owned(), line: top.line, left: Vec::new() },
-            Some(ObjectProp { value: Value::Object(object), .. }) => self.section("limits", object),
+            None => Section {
+                path: "limits".to_owned(),
+                line: top.line,
+                left: Vec::new(),
+            },
+            Some(ObjectProp {
+                value: Value::Object(object),
+                ..
+            }) => self.section("limits", object),
             Some(prop) => {
                 self.bad_value(top, &prop, "an object");
                 return None;
@@ -171,12 +198,19 @@
 
     fn section(&mut self, path: &str, object: Object<'a>) -> Section<'a> {
         let line = self.line_at(object.range.start);
-        Section { path: path.to_owned(), line, left: object.properties }
+        Section {
+            path: path.to_owned(),
+            line,
+            left: object.properties,
+        }
     }
 
     fn required_section(&mut self, top: &mut Section<'a>, key: &str) -> Option<Section<'a>> {
         match self.take(top, key) {
-            Some(ObjectProp { value: Value::Object(object), .. }) => Some(self.section(key, object)),
+            Some(ObjectProp {
+                value: Value::Object(object),
+                ..
+            }) => Some(self.section(key, object)),
             Some(prop) => {
                 self.bad_value(top, &prop, "an object");
                 None
@@ -200,7 +234,12 @@
             let prop = section.left.remove(i);
             if found.is_some() {
                 let line = self.line_at(prop.range.start);
-                self.fault(line, &join(&section.path, key), "given twice", "each key once");
+                self.fault(
+                    line,
+                    &join(&section.path, key),
+                    "given twice",
+                    "each key once",
+                );
             } else {
                 found = Some(prop);
             }
@@ -213,7 +252,12 @@
         for prop in section.left {
             let line = self.line_at(prop.range.start);
             let key = join(&section.path, prop.name.as_str());
-            self.fault(line, &key, "an unknown key", "the keys of docs/operating.md");
+            self.fault(
+                line,
+                &key,
+                "an unknown key",
+                "the keys of docs/operating.md",
+            );
         }
     }
 
@@ -255,17 +299,20 @@
 
     fn name(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
         let allowed = "1 to 128 characters of a-z 0-9 . _ -, the first a letter or digit";
-        let accept =
-            |name: &String| RecordKey::new(Kind::BackendServer, name.clone()).is_valid();
+        let accept = |name: &String| RecordKey::new(Kind::BackendServer, name.clone()).is_valid();
         self.parsed(section, key, allowed, accept)
     }
 
     fn url(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
-        self.parsed(section, key, "an address like http://10.0.0.1:7000", |text: &String| {
-            text.strip_prefix("http://").is_some_and(|rest| {
-                rest.trim_end_matches('/').parse::<SocketAddr>().is_ok()
-            })
-        })
+        self.parsed(
+            section,
+            key,
+            "an address like http://10.0.0.1:7000",
+            |text: &String| {
+                text.strip_prefix("http://")
+                    .is_some_and(|rest| rest.trim_end_matches('/').parse::<SocketAddr>().is_ok())
+            },
+        )
     }
 
     fn address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
@@ -274,19 +321,27 @@
 
     fn optional_address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
         let present = section.left.iter().any(|prop| prop.name.as_str() == key);
-        if present { self.address(section, key) } else { None }
+        if present {
+            self.address(section, key)
+        } else {
+            None
+        }
     }
 
     fn addresses(&mut self, section: &mut Section<'a>, key: &str) -> Vec<SocketAddr> {
         let allowed = "a list of addresses like 10.0.0.1:7101";
-        let Some(prop) = self.take(section, key) else { return Vec::new() };
+        let Some(prop) = self.take(section, key) else {
+            return Vec::new();
+        };
         let Value::Array(array) = &prop.value else {
             self.bad_value(section, &prop, allowed);
             return Vec::new();
         };
         let mut found = Vec::new();
         for element in &array.elements {
-            let parsed = element.as_string_lit().and_then(|text| text.value.parse().ok());
+            let parsed = element
+                .as_string_lit()
+                .and_then(|text| text.value.parse().ok());
             match parsed {
                 Some(addr) => found.push(addr),
                 None => {
@@ -316,8 +371,13 @@
         default: u64,
         range: RangeInclusive<u64>,
     ) -> u64 {
-        let Some(prop) = self.take(section, key) else { return default };
-        let value = prop.value.as_number_lit().and_then(|number| number.value.parse().ok());
+        let Some(prop) = self.take(section, key) else {
+            return default;
+        };
+        let value = prop
+            .value
+            .as_number_lit()
+            .and_then(|number| number.value.parse().ok());
         if let Some(value) = value.filter(|value| range.contains(value)) {
             return value;
         }
@@ -337,8 +397,13 @@
     }
 
     fn share(&mut self, section: &mut Section<'a>, key: &str, default: f64) -> f64 {
-        let Some(prop) = self.take(section, key) else { return default };
-        let value = prop.value.as_number_lit().and_then(|number| number.value.parse().ok());
+        let Some(prop) = self.take(section, key) else {
+            return default;
+        };
+        let value = prop
+            .value
+            .as_number_lit()
+            .and_then(|number| number.value.parse().ok());
         if let Some(value) = value.filter(|value| (0.0..=1.0).contains(value)) {
             return value;
         }
@@ -369,12 +434,22 @@
     }
 
     fn line_at(&self, position: usize) -> usize {
-        self.text[..position.min(self.text.len())].matches('\n').count() + 1
+        self.text[..position.min(self.text.len())]
+            .matches('\n')
+            .count()
+            + 1
     }
 }
 
+/// Milliseconds in a day.
+const DAY_MS: u64 = 86_400_000;
+
 const ADDRESS: &str = "an address like 10.0.0.1:7101";
 
 fn join(path: &str, key: &str) -> String {
-    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
 }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -81,18 +81,22 @@
             Err(kind) => kind.name(),
         };
         let route = KeyValue::new("route", route.to_owned());
-        self.latency.record(latency.as_secs_f64(), std::slice::from_ref(&route));
-        self.requests.add(1, &[route, KeyValue::new("result", result)]);
+        self.latency
+            .record(latency.as_secs_f64(), std::slice::from_ref(&route));
+        self.requests
+            .add(1, &[route, KeyValue::new("result", result)]);
     }
 
     /// Counts a second try.
     pub fn retry(&self, route: &str) {
-        self.retries.add(1, &[KeyValue::new("route", route.to_owned())]);
+        self.retries
+            .add(1, &[KeyValue::new("route", route.to_owned())]);
     }
 
     /// Counts bytes of a control message.
     pub fn control(&self, direction: &'static str, bytes: usize) {
-        self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
+        self.control_bytes
+            .add(bytes as u64, &[KeyValue::new("direction", direction)]);
     }
 
     /// Records the configuration in force.
