Add the relay and the process fixtures

Tests of partitions and silent connections need a network between two ends that can be delayed, held, silenced, cut or refused, and process tests need children with settings, a ready line and signals. A thread waits for the last milliseconds of emulated delays, because tokio's timer rounds up to whole milliseconds and the emulated latencies are 1 to 3 ms.

Errors of a child show the first and the last lines of its output: with only the last lines a backtrace hid the message.

--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -19,6 +19,7 @@
 use super::settings::{BackendFaults, BackendSettings, SlowSpell, WorkTime};
 use super::{BackendCounters, DRAIN_GRACE, Phase};
 use crate::serve::{self, Body, CloseConnection, Handler, checksum, lock};
+use crate::timer;
 
 /// Largest body that `x-response-bytes` may ask for.
 const MAX_RESPONSE: usize = 64 * 1024 * 1024;
@@ -254,7 +255,7 @@
                 .await
                 .expect("the semaphore is never closed");
             job.start(slot);
-            tokio::time::sleep(self.run_time(&parts.headers)).await;
+            timer::sleep(self.run_time(&parts.headers)).await;
         });
         if ran.await.is_err() {
             return Ok(serve::error(
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -6,6 +6,9 @@
 
 pub mod backend;
 pub mod log;
+pub mod net;
+pub mod process;
 mod serve;
+mod timer;
 
 pub use serve::checksum;
--- a/crates/test-support/tests/log.rs
+++ b/crates/test-support/tests/log.rs
@@ -90,7 +90,8 @@
     let (log, url) = start().await;
     log.set_faults(|faults| faults.lose_answers = 1);
     let http = client();
-    assert!(send(&http, "POST", &url, &[], "a").await.is_err());
+    let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     assert_eq!(log.records("config")[0].data, "a");
     assert_eq!(
         send(&http, "POST", &url, &[], "b").await.unwrap().json()["offset"],
@@ -113,11 +114,10 @@
         faults.cut_clients.insert("d1".to_owned());
     });
     assert!(poll.await.unwrap());
-    assert!(
-        send(&client(), "POST", &url, &[("x-client", "d1")], "a")
-            .await
-            .is_err()
-    );
+    let failure = send(&client(), "POST", &url, &[("x-client", "d1")], "a")
+        .await
+        .unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     let other = send(&client(), "POST", &url, &[("x-client", "d2")], "a")
         .await
         .unwrap();
@@ -130,14 +130,13 @@
     let (log, url) = start().await;
     let http = client();
     log.set_faults(|faults| faults.outage = Outage::Close);
-    assert!(send(&http, "POST", &url, &[], "a").await.is_err());
+    let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     log.set_faults(|faults| faults.outage = Outage::Silent);
     let silent = send(&http, "POST", &url, &[], "a");
-    assert!(
-        tokio::time::timeout(Duration::from_millis(100), silent)
-            .await
-            .is_err()
-    );
+    tokio::time::timeout(Duration::from_millis(100), silent)
+        .await
+        .unwrap_err();
     log.set_faults(|faults| faults.outage = Outage::None);
     assert!(log.records("config").is_empty());
 
--- /dev/null
+++ b/crates/test-support/tests/process.rs
@@ -0,0 +1,87 @@
+//! Guards the process fixtures, and the journal that must survive a kill.
+
+mod support;
+
+use std::time::Duration;
+
+use baobabreel_test_support::backend::{WorkResult, parse_journal};
+use baobabreel_test_support::process::{
+    ChildProcess, ChildSettings, Signal, free_port, target_binary,
+};
+use support::{client, send};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+async fn start_backend(journal: &std::path::Path) -> ChildProcess {
+    let settings = ChildSettings::new(target_binary("backend").unwrap())
+        .arg("--service=bidding")
+        .arg(format!("--listen=127.0.0.1:{}", free_port()))
+        .arg("--journal")
+        .arg(journal);
+    ChildProcess::start(settings).await.unwrap()
+}
+
+/// Guards against a journal that is lost with the process, and against signals that are not sent.
+#[tokio::test]
+async fn stop_continue_and_kill_act_on_the_child_and_the_journal_survives() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("journal");
+    let mut child = start_backend(&path).await;
+    let url = format!("http://{}/w", child.ready_field("address").unwrap());
+    let http = client();
+    child.signal(Signal::Stop).unwrap();
+    let mut answer = Box::pin(send(&http, "GET", &url, &[], ""));
+    tokio::time::timeout(Duration::from_millis(200), &mut answer)
+        .await
+        .unwrap_err();
+    child.signal(Signal::Continue).unwrap();
+    assert_eq!((&mut answer).await.unwrap().status, 200);
+    drop(answer);
+
+    let call = tokio::spawn(async move {
+        send(&http, "GET", &url, &[("x-work-us", "60000000")], "")
+            .await
+            .is_err()
+    });
+    let journal = || parse_journal(&std::fs::read_to_string(&path).unwrap()).unwrap();
+    while journal().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    child.signal(Signal::Kill).unwrap();
+    assert!(!child.wait(LIMIT).await.unwrap().success());
+    assert!(call.await.unwrap());
+    let results: Vec<WorkResult> = journal().iter().map(|entry| entry.result).collect();
+    assert_eq!(results, [WorkResult::Finished, WorkResult::Open]);
+    let ended = child.signal(Signal::Kill).unwrap_err().to_string();
+    assert_eq!(ended, "failed to send Kill: the child has ended");
+}
+
+/// Guards against a SIGTERM that interrupts running work.
+#[tokio::test]
+async fn a_terminated_backend_finishes_its_work() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("journal");
+    let mut child = start_backend(&path).await;
+    let url = format!("http://{}/w", child.ready_field("address").unwrap());
+    let call = tokio::spawn(async move {
+        send(&client(), "GET", &url, &[("x-work-us", "300000")], "")
+            .await
+            .unwrap()
+            .status
+    });
+    while std::fs::read_to_string(&path).unwrap().is_empty() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    child.signal(Signal::Terminate).unwrap();
+    assert!(child.wait(LIMIT).await.unwrap().success());
+    assert_eq!(call.await.unwrap(), 200);
+}
+
+/// Guards against a start that hangs, or hides the output, when the child fails.
+#[tokio::test]
+async fn a_child_that_ends_before_it_is_ready_is_an_error_with_its_output() {
+    let settings = ChildSettings::new(target_binary("backend").unwrap());
+    let error = ChildProcess::start(settings).await.unwrap_err().to_string();
+    assert!(error.contains("the child closed its output"), "{error}");
+    assert!(error.contains("option --service is missing"), "{error}");
+}
