Add the load generator and make a freeze end

A frozen backend server answers again once the freeze ends, so that tests can produce late answers; slow spells can be ended. Waits in tests have a limit, so that a failing test ends.

--- a/crates/test-support/src/backend/mod.rs
+++ b/crates/test-support/src/backend/mod.rs
@@ -106,6 +106,11 @@
         });
     }
 
+    /// Ends all slow spells.
+    pub fn end_slow_spells(&self) {
+        self.backend.end_spells();
+    }
+
     /// Announces `draining`; running and arriving work is still finished.
     pub fn drain(&self) {
         self.backend.drain();
--- a/crates/test-support/src/backend/settings.rs
+++ b/crates/test-support/src/backend/settings.rs
@@ -36,7 +36,8 @@
 /// Faults that can be changed at run time, all off by default.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct BackendFaults {
-    /// Whether requests (also health checks) are accepted and never answered.
+    /// Whether requests (also health checks) are accepted and not answered while it is set.
+    /// Announcements go on; see `mute`.
     pub freeze: bool,
     /// Number of next answers to work that break off in the middle.
     pub cut_answers: u32,
--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -49,6 +49,7 @@
     slots: Semaphore,
     /// Counts changes of the phase; the announcer waits on it.
     phases: watch::Sender<u64>,
+    frozen: watch::Sender<bool>,
     /// Counts ended requests.
     ended: watch::Sender<u64>,
     announced: AtomicU64,
@@ -112,13 +113,14 @@
         };
         Ok(Backend {
             slots: Semaphore::new(settings.slots as usize),
-            settings,
             addr,
             state: Mutex::new(state),
             phases: watch::Sender::new(0),
+            frozen: watch::Sender::new(settings.faults.freeze),
             ended: watch::Sender::new(0),
             announced: AtomicU64::new(0),
             announce_failures: AtomicU64::new(0),
+            settings,
         })
     }
 
@@ -151,7 +153,21 @@
     }
 
     pub(super) fn set_faults(&self, change: impl FnOnce(&mut BackendFaults)) {
-        change(&mut lock(&self.state).faults);
+        let freeze = {
+            let faults = &mut lock(&self.state).faults;
+            change(faults);
+            faults.freeze
+        };
+        self.frozen.send_replace(freeze);
+    }
+
+    async fn wait_while_frozen(&self) {
+        // The sender lives in `self`, so the wait ends only with the freeze.
+        drop(self.frozen.subscribe().wait_for(|frozen| !frozen).await);
+    }
+
+    pub(super) fn end_spells(&self) {
+        lock(&self.state).spells.clear();
     }
 
     pub(super) fn add_spell(&self, spell: SlowSpell) {
@@ -333,13 +349,13 @@
             let lines = lock(&self.state).journal.lines();
             return Ok(Response::new(serve::full(lines)));
         }
-        if self.faults().freeze {
-            return std::future::pending().await;
-        }
-        match req.uri().path() {
-            "/health" => Ok(self.health()),
-            _ => self.work(req).await,
-        }
+        self.wait_while_frozen().await;
+        let answer = match req.uri().path() {
+            "/health" => self.health(),
+            _ => self.work(req).await?,
+        };
+        self.wait_while_frozen().await;
+        Ok(answer)
     }
 }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,6 +5,7 @@
 //! handle of each stand-in.
 
 pub mod backend;
+pub mod load;
 pub mod log;
 pub mod net;
 pub mod process;
--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -7,13 +7,7 @@
 use baobabreel_test_support::backend::{BackendServer, BackendSettings, Phase, WorkResult};
 use baobabreel_test_support::checksum;
 use serde_json::json;
-use support::{AnnouncementSink, client, send};
-
-async fn until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
+use support::{AnnouncementSink, client, send, until};
 
 /// Guards against answers whose length or checksum does not fit their body.
 #[tokio::test]
@@ -142,3 +136,27 @@
     ];
     assert_eq!(sink.received(), expected);
 }
+
+/// Guards against faults of the backend server that do not reach the caller or never end.
+#[tokio::test]
+async fn frozen_requests_wait_and_slow_spells_lengthen_the_work() {
+    let server = BackendServer::start(BackendSettings::new("b1", "bidding"))
+        .await
+        .unwrap();
+    server.set_faults(|faults| faults.freeze = true);
+    let (http, url) = (client(), format!("{}/health", server.url()));
+    let mut health = Box::pin(send(&http, "GET", &url, &[], ""));
+    tokio::time::timeout(Duration::from_millis(100), &mut health)
+        .await
+        .unwrap_err();
+    server.set_faults(|faults| faults.freeze = false);
+    assert_eq!(health.await.unwrap().json(), json!({"state": "ready"}));
+
+    server.slow_down(20.0, Duration::ZERO, Duration::from_secs(3_600));
+    let headers = [("x-work-us", "5000")];
+    send(&http, "GET", &format!("{}/w", server.url()), &headers, "")
+        .await
+        .unwrap();
+    let ran = &server.journal()[0];
+    assert!(ran.ended_us.unwrap() - ran.started_us.unwrap() >= 100_000);
+}
--- a/crates/test-support/tests/log.rs
+++ b/crates/test-support/tests/log.rs
@@ -6,7 +6,7 @@
 
 use baobabreel_test_support::log::{LogServer, LogSettings, Outage};
 use serde_json::json;
-use support::{client, send};
+use support::{client, send, until};
 
 async fn start() -> (LogServer, String) {
     let log = LogServer::start(LogSettings::new()).await.unwrap();
@@ -14,12 +14,6 @@
     (log, url)
 }
 
-async fn wait_for_poll(log: &LogServer) {
-    while log.counters().open_polls == 0 {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Guards against offsets that do not start at 1 and against a wrong end of a page.
 #[tokio::test]
 async fn appends_are_read_back_by_offset() {
@@ -78,7 +72,7 @@
         .await
         .unwrap()
     });
-    wait_for_poll(&log).await;
+    until(|| log.counters().open_polls == 1).await;
     log.append("config", "late");
     assert_eq!(poll.await.unwrap().json()["records"][0]["data"], "late");
     assert_eq!(log.counters().open_polls, 0);
@@ -109,7 +103,7 @@
             .await
             .is_err()
     });
-    wait_for_poll(&log).await;
+    until(|| log.counters().open_polls == 1).await;
     log.set_faults(|faults| {
         faults.cut_clients.insert("d1".to_owned());
     });
--- a/crates/test-support/tests/process.rs
+++ b/crates/test-support/tests/process.rs
@@ -8,7 +8,7 @@
 use baobabreel_test_support::process::{
     ChildProcess, ChildSettings, Signal, free_port, target_binary,
 };
-use support::{client, send};
+use support::{client, send, until};
 
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -44,9 +44,7 @@
             .is_err()
     });
     let journal = || parse_journal(&std::fs::read_to_string(&path).unwrap()).unwrap();
-    while journal().len() < 2 {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
+    until(|| journal().len() == 2).await;
     child.signal(Signal::Kill).unwrap();
     assert!(!child.wait(LIMIT).await.unwrap().success());
     assert!(call.await.unwrap());
@@ -69,9 +67,7 @@
             .unwrap()
             .status
     });
-    while std::fs::read_to_string(&path).unwrap().is_empty() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
+    until(|| !std::fs::read_to_string(&path).unwrap().is_empty()).await;
     child.signal(Signal::Terminate).unwrap();
     assert!(child.wait(LIMIT).await.unwrap().success());
     assert_eq!(call.await.unwrap(), 200);
--- a/crates/test-support/tests/support/mod.rs
+++ b/crates/test-support/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -32,6 +33,20 @@
     }
 }
 
+/// Longest wait for a condition; only a failing test takes that long.
+const LIMIT: Duration = Duration::from_secs(60);
+
+pub async fn until(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("the condition is met in time");
+}
+
 pub fn client() -> Http {
     Client::builder(TokioExecutor::new()).build_http()
 }
