--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -19,6 +19,7 @@
 use super::settings::{BackendFaults, BackendSettings, SlowSpell, WorkTime};
 use super::{BackendCounters, DRAIN_GRACE, Phase};
 use crate::serve::{self, Body, CloseConnection, Handler, checksum, lock};
+use crate::timer;
 
 /// Largest body that `x-response-bytes` may ask for.
 const MAX_RESPONSE: usize = 64 * 1024 * 1024;
@@ -48,6 +49,7 @@
     slots: Semaphore,
     /// Counts changes of the phase; the announcer waits on it.
     phases: watch::Sender<u64>,
+    frozen: watch::Sender<bool>,
     /// Counts ended requests.
     ended: watch::Sender<u64>,
     announced: AtomicU64,
@@ -111,13 +113,14 @@
         };
         Ok(Backend {
             slots: Semaphore::new(settings.slots as usize),
-            settings,
             addr,
             state: Mutex::new(state),
             phases: watch::Sender::new(0),
+            frozen: watch::Sender::new(settings.faults.freeze),
             ended: watch::Sender::new(0),
             announced: AtomicU64::new(0),
             announce_failures: AtomicU64::new(0),
+            settings,
         })
     }
 
@@ -150,7 +153,21 @@
     }
 
     pub(super) fn set_faults(&self, change: impl FnOnce(&mut BackendFaults)) {
-        change(&mut lock(&self.state).faults);
+        let freeze = {
+            let faults = &mut lock(&self.state).faults;
+            change(faults);
+            faults.freeze
+        };
+        self.frozen.send_replace(freeze);
+    }
+
+    async fn wait_while_frozen(&self) {
+        // The sender lives in `self`, so the wait ends only with the freeze.
+        drop(self.frozen.subscribe().wait_for(|frozen| !frozen).await);
+    }
+
+    pub(super) fn end_spells(&self) {
+        lock(&self.state).spells.clear();
     }
 
     pub(super) fn add_spell(&self, spell: SlowSpell) {
@@ -254,7 +271,7 @@
                 .await
                 .expect("the semaphore is never closed");
             job.start(slot);
-            tokio::time::sleep(self.run_time(&parts.headers)).await;
+            timer::sleep(self.run_time(&parts.headers)).await;
         });
         if ran.await.is_err() {
             return Ok(serve::error(
@@ -332,13 +349,13 @@
             let lines = lock(&self.state).journal.lines();
             return Ok(Response::new(serve::full(lines)));
         }
-        if self.faults().freeze {
-            return std::future::pending().await;
-        }
-        match req.uri().path() {
-            "/health" => Ok(self.health()),
-            _ => self.work(req).await,
-        }
+        self.wait_while_frozen().await;
+        let answer = match req.uri().path() {
+            "/health" => self.health(),
+            _ => self.work(req).await?,
+        };
+        self.wait_while_frozen().await;
+        Ok(answer)
     }
 }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,7 +5,11 @@
 //! handle of each stand-in.
 
 pub mod backend;
+pub mod load;
 pub mod log;
+pub mod net;
+pub mod process;
 mod serve;
+mod timer;
 
 pub use serve::checksum;
--- a/crates/test-support/tests/log.rs
+++ b/crates/test-support/tests/log.rs
@@ -6,7 +6,7 @@
 
 use baobabreel_test_support::log::{LogServer, LogSettings, Outage};
 use serde_json::json;
-use support::{client, send};
+use support::{client, send, until};
 
 async fn start() -> (LogServer, String) {
     let log = LogServer::start(LogSettings::new()).await.unwrap();
@@ -14,12 +14,6 @@
     (log, url)
 }
 
-async fn wait_for_poll(log: &LogServer) {
-    while log.counters().open_polls == 0 {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
-}
-
 /// Guards against offsets that do not start at 1 and against a wrong end of a page.
 #[tokio::test]
 async fn appends_are_read_back_by_offset() {
@@ -78,7 +72,7 @@
         .await
         .unwrap()
     });
-    wait_for_poll(&log).await;
+    until(|| log.counters().open_polls == 1).await;
     log.append("config", "late");
     assert_eq!(poll.await.unwrap().json()["records"][0]["data"], "late");
     assert_eq!(log.counters().open_polls, 0);
@@ -90,7 +84,8 @@
     let (log, url) = start().await;
     log.set_faults(|faults| faults.lose_answers = 1);
     let http = client();
-    assert!(send(&http, "POST", &url, &[], "a").await.is_err());
+    let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     assert_eq!(log.records("config")[0].data, "a");
     assert_eq!(
         send(&http, "POST", &url, &[], "b").await.unwrap().json()["offset"],
@@ -108,16 +103,15 @@
             .await
             .is_err()
     });
-    wait_for_poll(&log).await;
+    until(|| log.counters().open_polls == 1).await;
     log.set_faults(|faults| {
         faults.cut_clients.insert("d1".to_owned());
     });
     assert!(poll.await.unwrap());
-    assert!(
-        send(&client(), "POST", &url, &[("x-client", "d1")], "a")
-            .await
-            .is_err()
-    );
+    let failure = send(&client(), "POST", &url, &[("x-client", "d1")], "a")
+        .await
+        .unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     let other = send(&client(), "POST", &url, &[("x-client", "d2")], "a")
         .await
         .unwrap();
@@ -130,14 +124,13 @@
     let (log, url) = start().await;
     let http = client();
     log.set_faults(|faults| faults.outage = Outage::Close);
-    assert!(send(&http, "POST", &url, &[], "a").await.is_err());
+    let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     log.set_faults(|faults| faults.outage = Outage::Silent);
     let silent = send(&http, "POST", &url, &[], "a");
-    assert!(
-        tokio::time::timeout(Duration::from_millis(100), silent)
-            .await
-            .is_err()
-    );
+    tokio::time::timeout(Duration::from_millis(100), silent)
+        .await
+        .unwrap_err();
     log.set_faults(|faults| faults.outage = Outage::None);
     assert!(log.records("config").is_empty());
 
