--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,262 @@
+//! Guards the promises of admission: slots, bulk share, one outcome per request, order, deadlines.
+
+use std::time::Duration;
+
+use baobabreel_core::admission::{Action, Admission, Decision, Ticket};
+use baobabreel_core::config::Class;
+use baobabreel_core::error::ErrorKind;
+use quickcheck::{Gen, QuickCheck};
+
+const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fate {
+    Queued,
+    Running,
+    Ended,
+}
+
+/// Reference model that checks every action; the index of a ticket is its id.
+struct Model {
+    admission: Admission,
+    tickets: Vec<(Class, Duration, Fate)>,
+    now: Duration,
+    drained: bool,
+}
+
+impl Model {
+    fn with(&self, fate: Fate) -> impl Iterator<Item = &(Class, Duration, Fate)> {
+        self.tickets.iter().filter(move |t| t.2 == fate)
+    }
+
+    fn check_start(&self, class: Class, deadline: Duration) {
+        assert!(!self.drained && self.now < deadline, "started too late");
+        let running = |bulk: bool| {
+            let matching = self.with(Fate::Running);
+            matching.filter(|t| !bulk || t.0 == Class::Bulk).count() as u32
+        };
+        assert!(running(false) < self.admission.slots(), "over the slots");
+        let bulk_slot = running(true) < self.admission.bulk_slots();
+        assert!(class != Class::Bulk || bulk_slot, "over the bulk share");
+        let mut before = self.with(Fate::Queued).filter(|t| {
+            (t.0 > class || t.0 == class && t.1 < deadline) && (bulk_slot || t.0 != Class::Bulk)
+        });
+        assert_eq!(before.find(|t| self.now < t.1), None, "out of order");
+    }
+
+    fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (Action::Start(id) | Action::Refuse { id, .. }) = action;
+            let (class, deadline, fate) = self.tickets[id as usize];
+            assert_eq!(fate, Fate::Queued, "second outcome");
+            self.tickets[id as usize].2 = match action {
+                Action::Start(_) => {
+                    self.check_start(class, deadline);
+                    Fate::Running
+                }
+                Action::Refuse { kind, .. } => {
+                    let lower = self.with(Fate::Queued).any(|t| t.0 < class);
+                    assert!(kind != ErrorKind::Overloaded || !lower, "shed too early");
+                    let unreachable = kind == ErrorKind::DeadlineUnreachable;
+                    assert!(!unreachable || deadline <= self.now, "expired too early");
+                    Fate::Ended
+                }
+            };
+        }
+    }
+
+    fn offer(&mut self, class: Class, deadline: Duration) {
+        let (id, route) = (self.tickets.len() as u64, "r");
+        let ticket = Ticket {
+            id,
+            class,
+            route,
+            deadline,
+        };
+        let lowest = self.with(Fate::Queued).map(|t| t.0).min();
+        let offer = self.admission.offer(ticket, self.now);
+        let shed = |a: &Action| {
+            matches!(
+                a,
+                Action::Refuse {
+                    kind: ErrorKind::Overloaded,
+                    ..
+                }
+            )
+        };
+        assert!(
+            !offer.evicted.iter().any(shed) || lowest < Some(class),
+            "shed for its equal"
+        );
+        self.apply(offer.evicted);
+        let fate = match offer.decision {
+            Decision::Start => {
+                self.check_start(class, deadline);
+                Fate::Running
+            }
+            Decision::Queued => Fate::Queued,
+            Decision::Refuse { kind, .. } => {
+                let lower = self.with(Fate::Queued).any(|t| t.0 < class);
+                assert!(kind != ErrorKind::Overloaded || !lower, "refused too early");
+                Fate::Ended
+            }
+        };
+        self.tickets.push((class, deadline, fate));
+    }
+
+    fn end(&mut self, pick: usize, fate: Fate) {
+        let present = self.tickets.iter().enumerate().filter(|(_, t)| t.2 == fate);
+        let present: Vec<usize> = present.map(|(id, _)| id).collect();
+        let Some(&id) = present.get(pick % present.len().max(1)) else {
+            return;
+        };
+        self.tickets[id].2 = Fate::Ended;
+        let actions = if fate == Fate::Running && pick.is_multiple_of(2) {
+            self.admission.finish(id as u64, self.now)
+        } else {
+            self.admission.cancel(id as u64, self.now)
+        };
+        self.apply(actions);
+    }
+
+    fn step(&mut self, (op, a, b): (u8, u8, u16)) {
+        self.now += ms(u64::from(a % 8));
+        let wait = ms(u64::from(b / 4) % 300);
+        let actions = match op % 16 {
+            9..=11 => return self.end(b.into(), Fate::Running),
+            12 => return self.end(b.into(), Fate::Queued),
+            13 => self.admission.expire(self.now),
+            14 => self.admission.set_slots(u32::from(b % 7), self.now),
+            15 if b % 8 == 0 => {
+                self.drained = true;
+                self.admission.drain(self.now)
+            }
+            _ => return self.offer(CLASSES[usize::from(b) % 4], self.now + wait),
+        };
+        self.apply(actions);
+    }
+
+    fn check(&self) {
+        let load = self.admission.load();
+        let (running, queued) = (
+            self.with(Fate::Running).count(),
+            self.with(Fate::Queued).count(),
+        );
+        assert_eq!((load.running, load.queued), (running as u32, queued as u32));
+        assert!(
+            queued <= 3 && (queued == 0 || !self.drained),
+            "{queued} queued"
+        );
+        let mut short = self.with(Fate::Queued).filter(|t| t.0 != Class::Bulk);
+        let free = load.running < self.admission.slots();
+        assert!(!free || short.next().is_none(), "a slot is idle");
+    }
+}
+
+/// Guards against too many running, bulk over its share, a second or missing outcome, wrong order
+/// or shedding, a start after the deadline or after drain, and idle slots.
+#[test]
+fn holds_its_promises_over_any_events() {
+    fn property(events: Vec<(u8, u8, u16)>) -> bool {
+        let builder = Admission::builder().slots(4).queue_len(3);
+        let mut model = Model {
+            admission: builder.learn_bulk(false).build(),
+            tickets: Vec::new(),
+            now: ms(1_000),
+            drained: false,
+        };
+        for event in events {
+            model.step(event);
+            model.check();
+        }
+        while model.with(Fate::Running).count() > 0 {
+            model.end(0, Fate::Running);
+        }
+        // After `set_slots(0)` the rest ends by its deadline.
+        model.now += ms(1_000);
+        let actions = model.admission.expire(model.now);
+        model.apply(actions);
+        model.tickets.iter().all(|t| t.2 == Fate::Ended)
+    }
+    let seeded = QuickCheck::new().rng(Gen::from_size_and_seed(400, 1));
+    let mut check = seeded.tests(400);
+    check.quickcheck(property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+/// Offers a request that must start within `wait`.
+fn offer(a: &mut Admission, id: u64, class: Class, route: &str, at: (u64, u64)) -> Decision {
+    let deadline = ms(at.0 + at.1);
+    let ticket = Ticket {
+        id,
+        class,
+        route,
+        deadline,
+    };
+    a.offer(ticket, ms(at.0)).decision
+}
+
+/// Runs 32 requests of a route one after another, from 0 ms.
+fn run(a: &mut Admission, route: &str, time: u64) {
+    for _ in 0..32 {
+        let decision = offer(a, 99, Class::Lookup, route, (0, 1));
+        assert_eq!(decision, Decision::Start);
+        assert_eq!(a.finish(99, ms(time)), vec![]);
+    }
+}
+
+/// Guards against a wait that ends in a refusal at the deadline, when it was foreseeable.
+#[test]
+fn refuses_at_once_what_cannot_start_in_time() {
+    use Decision::{Queued, Start};
+    let mut a = Admission::builder().slots(2).build();
+    run(&mut a, "r", 100);
+    let refused = Decision::Refuse {
+        kind: ErrorKind::DeadlineUnreachable,
+        retry_after: Duration::from_secs(1),
+    };
+    // Two slots of 100 ms each: the first in the queue waits 50 ms, and each one ahead adds 50 ms.
+    // The fourth goes ahead of the third by its deadline; the last is behind both by its class.
+    let (lookup, bulk) = (Class::Lookup, Class::Bulk);
+    let offers = [
+        (lookup, 1, Start),
+        (lookup, 1, Start),
+        (lookup, 500, Queued),
+    ];
+    let late = [
+        (lookup, 51, Queued),
+        (lookup, 49, refused),
+        (bulk, 149, refused),
+    ];
+    for (id, (class, wait, expected)) in offers.into_iter().chain(late).enumerate() {
+        let decision = offer(&mut a, id as u64, class, "r", (0, wait));
+        assert_eq!(decision, expected, "ticket {id}");
+    }
+}
+
+/// Guards against long jobs of a route that is not configured as bulk holding all slots.
+#[test]
+fn learns_bulk_routes_from_run_times() {
+    use Decision::{Queued, Start};
+    let mut a = Admission::builder().slots(4).build();
+    for (route, time) in [("short", 10), ("middle", 70), ("proof", 900)] {
+        run(&mut a, route, time);
+    }
+    let offers = [
+        (Class::Lookup, "proof", Start),
+        (Class::Lookup, "proof", Start),
+        (Class::Lookup, "proof", Queued),
+        (Class::Command, "proof", Queued),
+        (Class::Lookup, "middle", Start),
+    ];
+    for (id, (class, route, expected)) in offers.into_iter().enumerate() {
+        let decision = offer(&mut a, id as u64, class, route, (0, 9_000));
+        assert_eq!(decision, expected, "ticket {id}");
+    }
+    assert_eq!(a.bulk_running(), 2);
+    // A command of a long route is within the share too, but goes before the lookup.
+    assert_eq!(a.finish(0, ms(900)), vec![Action::Start(3)]);
+}
--- /dev/null
+++ b/crates/core/tests/balance.rs
@@ -0,0 +1,256 @@
+//! Guards the choice of backend servers: who may be chosen, and how load moves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport};
+use quickcheck::{Gen, QuickCheck};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Endpoints `e0`, `e1`, ... with 10 slots; the last `remote` ones are in another data centre.
+fn endpoints(count: usize, remote: usize) -> Vec<Endpoint> {
+    let of = |n| Endpoint {
+        name: format!("e{n}"),
+        data_centre: if n + remote < count { "a" } else { "b" }.to_owned(),
+        slots: 10,
+        enabled: true,
+    };
+    (0..count).map(of).collect()
+}
+
+fn balancer(endpoints: &[Endpoint]) -> Balancer {
+    let mut balancer = Balancer::builder().data_centre("a").build();
+    balancer.update(endpoints, ms(0));
+    balancer
+}
+
+/// A fixed sequence of numbers that serve as random.
+fn random(n: u64) -> u64 {
+    n.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(23)
+}
+
+/// Sends a call every 2 ms; every response reports an idle backend server. Returns the names that
+/// were chosen, in order.
+fn drive(b: &mut Balancer, from: u64, to: u64, latency: &dyn Fn(&str) -> u64) -> Vec<String> {
+    let mut chosen: Vec<String> = Vec::new();
+    let mut pending: BTreeSet<(u64, usize)> = BTreeSet::new();
+    for now in (from..to).step_by(2) {
+        while pending.first().is_some_and(|&(at, _)| at <= now) {
+            let (at, call) = pending.pop_first().expect("one is pending");
+            let name = chosen[call].as_str();
+            b.answered(name, ms(at), ms(latency(name)), Some(LoadReport::default()));
+        }
+        let name = b.choose(ms(now), random(now), &[]).expect("one is able");
+        b.dispatched(&name, ms(now));
+        pending.insert((now + latency(&name), chosen.len()));
+        chosen.push(name.to_string());
+    }
+    let rest = pending.iter().map(|&(_, call)| chosen[call].as_str());
+    rest.for_each(|name| b.answered(name, ms(to), ms(latency(name)), None));
+    chosen
+}
+
+/// Calls to `name` relative to an even share among `count` endpoints.
+fn share(chosen: &[String], name: &str, count: usize) -> f64 {
+    let calls = chosen.iter().filter(|other| *other == name).count();
+    (calls * count) as f64 / chosen.len() as f64
+}
+
+/// What the property knows about the endpoints: the able ones and when they failed last.
+type Known = BTreeMap<String, Duration>;
+
+fn check_choice(
+    b: &mut Balancer,
+    known: &Known,
+    now: Duration,
+    seed: u64,
+    exclude: &str,
+) -> String {
+    let ejected = known.keys().filter(|name| b.ejected(name, now)).count();
+    assert!(ejected * 3 <= known.len(), "{ejected} of {}", known.len());
+    let choice = b.choose(now, seed, &[exclude]);
+    let choice = choice.map_or(String::new(), |name| name.to_string());
+    let ready = |name: &str| known[name] + ms(1_000) <= now && !b.ejected(name, now);
+    if choice.is_empty() || b.ejected(&choice, now) {
+        let mut others = known.keys().filter(|name| *name != exclude);
+        assert_eq!(others.find(|name| ready(name)), None, "instead of {choice}");
+    }
+    assert!(choice != exclude && (choice.is_empty() || known.contains_key(&choice)));
+    choice
+}
+
+/// Guards against calls to endpoints that must not get any, and against ejection of too many.
+#[test]
+fn chooses_only_able_endpoints_over_any_events() {
+    fn property(events: Vec<(u8, u8, u16)>) -> bool {
+        let all = endpoints(8, 1);
+        let mut b = balancer(&all);
+        let mut known: Known = all.iter().map(|e| (e.name.clone(), ms(0))).collect();
+        let mut now = ms(5_000);
+        for (op, a, seed) in events {
+            now += ms(u64::from(a % 16));
+            let exclude = format!("e{}", a % 10);
+            let name = check_choice(&mut b, &known, now, random(seed.into()), &exclude);
+            if op == 0 {
+                let present = (0..8).filter(|n| seed >> n & 1 == 1);
+                let mut present: Vec<Endpoint> = present.map(|n| all[n].clone()).collect();
+                present.iter_mut().skip(4).for_each(|e| e.enabled = false);
+                b.update(&present, now);
+                let able = present.into_iter().filter(|e| e.enabled);
+                known = able.map(|e| (e.name, now)).collect();
+                continue;
+            }
+            b.dispatched(&name, now);
+            let failure = match op % 32 {
+                0 => Failure::Refused,
+                1 => Failure::Lost,
+                2 => Failure::Overloaded,
+                _ => {
+                    let slow = name.as_str() < "e4";
+                    b.answered(&name, now, ms(if slow { 90 } else { 3 }), None);
+                    continue;
+                }
+            };
+            b.failed(&name, now, failure);
+            known.entry(name).and_modify(|at| *at = now);
+        }
+        true
+    }
+    let seeded = QuickCheck::new().rng(Gen::from_size_and_seed(1_500, 4));
+    let mut check = seeded.tests(200);
+    check.quickcheck(property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+/// Guards against a noisy neighbour whose load report stays at idle keeping its share of calls.
+#[test]
+fn slowed_endpoint_loses_its_share_and_regains_it() {
+    let mut b = balancer(&endpoints(6, 0));
+    let slowed = |name: &str| if name == "e3" { 100 } else { 10 };
+    drive(&mut b, 6_000, 8_000, &|_| 10);
+    let chosen = drive(&mut b, 8_000, 10_000, &slowed);
+    let early = chosen[..300].iter().filter(|name| *name == "e3").count();
+    assert!(early <= 16, "{early} calls before the slowness counted");
+    let late = share(&chosen[300..], "e3", 6);
+    assert!(late < 0.1, "share {late} after 300 answers of the service");
+    drive(&mut b, 10_000, 26_000, &|_| 10);
+    let back = share(&drive(&mut b, 26_000, 34_000, &|_| 10), "e3", 6);
+    assert!((0.8..1.2).contains(&back), "share {back} after recovery");
+}
+
+/// Guards against ejections that do not grow for an endpoint that stays slow.
+#[test]
+fn ejection_doubles() {
+    let mut b = balancer(&endpoints(3, 0));
+    let mut now = ms(6_000);
+    let mut times = Vec::new();
+    for _ in 0..7 {
+        while !b.ejected("e0", now) {
+            for (name, latency) in [("e0", 30), ("e1", 3), ("e2", 3)] {
+                b.answered(name, now, ms(latency), None);
+            }
+            now += ms(31);
+        }
+        let start = now - ms(31);
+        while b.ejected("e0", now) {
+            now += ms(1);
+        }
+        times.push((now - start).as_secs());
+    }
+    assert_eq!(times, [1, 2, 4, 8, 16, 30, 30]);
+}
+
+/// Guards against a cold backend server getting its full share at once, new or returned.
+#[test]
+fn slow_start_ramps() {
+    let all = endpoints(4, 0);
+    let mut b = balancer(&all[..3]);
+    let mut begin = 10_000;
+    for _ in 0..2 {
+        b.update(&all, ms(begin));
+        let mut shares = Vec::new();
+        for from in [begin, begin + 2_000, begin + 6_000] {
+            let chosen = drive(&mut b, from, from + 1_000, &|_| 1);
+            shares.push(share(&chosen, "e3", 4));
+        }
+        assert!(shares[0] < 0.3, "first second {shares:?}");
+        assert!((0.35..0.75).contains(&shares[1]), "third second {shares:?}");
+        assert!((0.85..1.15).contains(&shares[2]), "seventh {shares:?}");
+        begin += 10_000;
+        b.update(&all[..3], ms(begin));
+        begin += 1_000;
+    }
+}
+
+/// Guards against overload of the own data centre while others idle, and against staying away.
+#[test]
+fn spills_to_other_data_centres_and_returns() {
+    let all = endpoints(4, 2);
+    let mut b = balancer(&all);
+    let local = |b: &mut Balancer, now| {
+        let mut choices = (0..64).filter_map(|n| b.choose(now, random(n), &[]));
+        let choices: BTreeSet<_> = choices.by_ref().collect();
+        choices.iter().map(|name| b.local(name)).collect::<Vec<_>>()
+    };
+    let now = ms(6_000);
+    // At most 0.8; over it; other data centre over half of it; other at half of it.
+    let steps = [(8, 0, true), (12, 0, false), (12, 7, true), (12, 6, false)];
+    for (own, other, stays) in steps {
+        for (name, running) in [("e0", own), ("e1", own), ("e2", other), ("e3", other)] {
+            let report = LoadReport { running, queued: 0 };
+            b.answered(name, now, ms(2), Some(report));
+        }
+        assert_eq!(local(&mut b, now), [stays; 2], "loads {own} and {other}");
+    }
+    assert_eq!(local(&mut b, now + ms(1_000)), [true; 2], "reports are old");
+    b.update(&all[2..], now);
+    assert_eq!(local(&mut b, now), [false; 2], "no own candidate");
+    b.update(&all, now);
+    assert_eq!(local(&mut b, now + ms(1_000)), [true; 2], "they are back");
+}
+
+/// Guards against calls to an endpoint that refuses, in the gap before membership removes it.
+#[test]
+fn failures_lower_attraction_at_once() {
+    let mut b = balancer(&endpoints(2, 0));
+    let usable = |b: &mut Balancer, now| b.choose(now, 0, &["e1"]).is_some();
+    let mut now = ms(6_000);
+    for time in [50, 100, 200, 400, 800, 1_000, 1_000] {
+        b.failed("e0", now, Failure::Refused);
+        assert!(
+            !usable(&mut b, now + ms(time - 1)),
+            "unusable for {time} ms"
+        );
+        now += ms(time);
+        assert!(usable(&mut b, now), "usable after {time} ms");
+    }
+    b.answered("e0", now, ms(3), None);
+    b.failed("e0", now, Failure::Refused);
+    assert!(usable(&mut b, now + ms(50)), "an answer resets the time");
+    now += ms(5_000);
+    b.failed("e0", now, Failure::Overloaded);
+    let avoids = (0..64).all(|n| b.choose(now, random(n), &[]).as_deref() == Some("e1"));
+    assert!(avoids, "an overloaded endpoint loses to an idle one");
+}
+
+/// Guards against ejection of a distant endpoint for its distance, or none when it is slow.
+#[test]
+fn distance_is_not_slowness() {
+    let all = endpoints(6, 2);
+    let mut b = balancer(&all);
+    let mut now = ms(6_000);
+    for slow in [2, 20] {
+        for _ in 0..40 {
+            for (n, e) in all.iter().enumerate() {
+                let distance = if n < 4 { 0 } else { 30 };
+                let work = if n == 5 { slow } else { 2 };
+                b.answered(&e.name, now, ms(distance + work), None);
+            }
+            now += ms(5);
+        }
+        let ejected = ["e4", "e5"].map(|name| b.ejected(name, now));
+        assert_eq!(ejected, [false, slow == 20]);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/retry.rs
@@ -0,0 +1,144 @@
+//! Guards the bounds on second attempts.
+
+use std::time::Duration;
+
+use baobabreel_core::retry::{
+    Attempt, Failure, LatencyEstimate, RetryBudget, RetryDecision, StopReason, decide, hedge_after,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const FIRST: Attempt = Attempt {
+    idempotent: true,
+    number: 1,
+    marked_as_retry: false,
+    remaining: Duration::from_secs(1),
+    max_retries: 3,
+};
+
+/// Guards against retries that multiply load in an outage, and against a budget that gives none.
+#[test]
+fn budget_bounds_retries_over_any_sequence() {
+    fn property(events: Vec<(bool, u16)>) -> bool {
+        let start = Duration::from_secs(77);
+        let mut budget = RetryBudget::new(0.1, 5);
+        let (mut now, mut requests, mut retries) = (start, 0_u64, 0_u64);
+        for (is_request, gap) in events {
+            now += Duration::from_micros(u64::from(gap) * 4);
+            if is_request {
+                requests += 1;
+                budget.on_request(now);
+            } else {
+                retries += u64::from(budget.try_take(now));
+            }
+            let micros = (now - start).as_micros() as u64;
+            assert!(retries * 1_000_000 <= 5_000_000 + requests * 100_000 + micros);
+        }
+        budget.available() <= 5
+    }
+    let seeded = QuickCheck::new().rng(Gen::from_size_and_seed(1_000, 2));
+    let mut check = seeded.tests(200);
+    check.quickcheck(property as fn(Vec<(bool, u16)>) -> bool);
+    // The burst, one a second without requests, and a tenth of the requests.
+    let mut budget = RetryBudget::new(0.1, 5);
+    for (secs, requests, expected) in [(0, 0, 5), (2, 0, 2), (2, 30, 3)] {
+        let now = Duration::from_secs(secs);
+        (0..requests).for_each(|_| budget.on_request(now));
+        let taken = (0..100).filter(|_| budget.try_take(now)).count();
+        assert_eq!(taken, expected);
+    }
+}
+
+/// Guards against a request that runs twice, and against retries of retries.
+#[test]
+fn decides_by_proof_mark_count_and_time() {
+    use RetryDecision::{Retry, Stop};
+    let with = |idempotent, number, marked_as_retry, ms| Attempt {
+        idempotent,
+        number,
+        marked_as_retry,
+        remaining: Duration::from_millis(ms),
+        max_retries: 2,
+    };
+    for (attempt, after_proof, without_proof) in [
+        (with(true, 2, false, 2), Retry, Retry),
+        (
+            with(false, 2, false, 2),
+            Retry,
+            Stop(StopReason::NotIdempotent),
+        ),
+        (
+            with(true, 1, true, 9),
+            Stop(StopReason::MarkedAsRetry),
+            Stop(StopReason::MarkedAsRetry),
+        ),
+        (
+            with(true, 3, false, 9),
+            Stop(StopReason::AttemptsUsed),
+            Stop(StopReason::AttemptsUsed),
+        ),
+        (
+            with(true, 1, false, 1),
+            Stop(StopReason::NoTime),
+            Stop(StopReason::NoTime),
+        ),
+    ] {
+        assert_eq!(decide(&attempt, Failure::NotRun), after_proof);
+        assert_eq!(decide(&attempt, Failure::MayHaveRun), without_proof);
+    }
+}
+
+/// Calls hop `depth` of a chain whose last call always fails; counts the attempts at the end.
+fn call(budgets: &mut [RetryBudget], marked: bool, now: Duration, leaf: &mut u64) {
+    let Some((budget, rest)) = budgets.split_first_mut() else {
+        *leaf += 1;
+        return;
+    };
+    budget.on_request(now);
+    let mut attempt = FIRST;
+    attempt.marked_as_retry = marked;
+    call(rest, marked, now, leaf);
+    while decide(&attempt, Failure::NotRun) == RetryDecision::Retry && budget.try_take(now) {
+        attempt.number += 1;
+        call(rest, true, now, leaf);
+    }
+}
+
+/// Guards against retries at each of 7 hops multiplying to 4^7 attempts for one request.
+#[test]
+fn chain_of_seven_stays_within_the_budgets() {
+    let mut budgets = vec![RetryBudget::new(0.1, 5); 7];
+    let mut first = 0;
+    call(&mut budgets, false, Duration::ZERO, &mut first);
+    assert_eq!(first, 1 + 7 * 3, "retries add up, they do not multiply");
+    let (requests, secs, mut leaf) = (10_000, 10, 0);
+    for n in 0..requests {
+        call(&mut budgets, false, Duration::from_millis(n), &mut leaf);
+    }
+    let per_hop = 5 + (requests + leaf) / 10 + secs;
+    assert!(
+        leaf <= requests + 7 * per_hop && leaf < 3 * requests,
+        "{leaf}"
+    );
+}
+
+/// Guards against hedges of commands, of retries, before the 95th percentile or without data.
+#[test]
+fn hedges_after_the_95th_percentile() {
+    let ms = Duration::from_millis;
+    let mut estimate = LatencyEstimate::default();
+    for n in 0..20 {
+        assert_eq!(hedge_after(&FIRST, &estimate), None);
+        estimate.observe(ms(if n == 0 { 200 } else { 10 }));
+    }
+    let delay = hedge_after(&FIRST, &estimate).expect("20 latencies are known");
+    assert!((ms(10)..ms(12)).contains(&delay), "{delay:?}");
+    let mut others = [FIRST; 4];
+    others[0].marked_as_retry = true;
+    others[1].idempotent = false;
+    others[2].number = 2;
+    others[3].remaining = delay;
+    assert_eq!(others.map(|a| hedge_after(&a, &estimate)), [None; 4]);
+    (0..2_000).for_each(|_| estimate.observe(ms(100)));
+    let moved = estimate.p95().expect("latencies are known");
+    assert!((ms(100)..ms(120)).contains(&moved), "{moved:?}");
+}
