Test the registry and at-most-one execution of keyed requests

The property plays generated schedules of pauses, cuts, evictions, restarts and delayed messages on two or three daemons and one log, and looks for a second run and for a broken not_run promise. With a takeover wait of 0, or without the check of the lease, it finds a second run, which the test asserts. KeyOwner keeps the registry, the lease and the outcomes of one daemon together.

--- /dev/null
+++ b/crates/core/src/idempotency/owner.rs
@@ -0,0 +1,156 @@
+//! Everything that one daemon holds as an owner of keys.
+
+use std::time::Duration;
+
+use super::decide::{Decision, Owner, PriorAnswer, Request, answer_prior, decide};
+use super::lease::Lease;
+use super::table::{Finish, Limits, OutcomeTable};
+use super::{RETENTION, Reading};
+use crate::config::Version;
+use crate::registry::{Folded, HISTORY, Incarnate, MemberEntry, Registry, RegistryError};
+
+const _: () = assert!(HISTORY.as_millis() > RETENTION.as_millis());
+
+/// One incarnation of a daemon with its registry, lease and outcomes, kept consistent.
+#[derive(Debug)]
+pub struct KeyOwner {
+    me: Incarnate,
+    registry: Registry,
+    lease: Lease,
+    table: OutcomeTable,
+    join_sent_at: Option<Duration>,
+    lapsed: bool,
+}
+
+impl KeyOwner {
+    /// Owner that has folded nothing and has not joined.
+    #[must_use]
+    pub fn new(me: Incarnate, lease: Lease, limits: Limits) -> Self {
+        Self {
+            me,
+            registry: Registry::new(),
+            lease,
+            table: OutcomeTable::new(limits),
+            join_sent_at: None,
+            lapsed: false,
+        }
+    }
+
+    /// This daemon.
+    #[must_use]
+    pub fn me(&self) -> &Incarnate {
+        &self.me
+    }
+
+    /// Fold of the stream of members.
+    #[must_use]
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Lease of this daemon.
+    #[must_use]
+    pub fn lease(&self) -> &Lease {
+        &self.lease
+    }
+
+    /// Outcomes of this daemon.
+    #[must_use]
+    pub fn table(&self) -> &OutcomeTable {
+        &self.table
+    }
+
+    /// Whether the registration may have expired, so that a new incarnation has to join.
+    #[must_use]
+    pub fn has_lapsed(&self) -> bool {
+        self.lapsed
+    }
+
+    /// Takes note that an own `join` is about to be sent.
+    ///
+    /// Of several that were sent before one was folded, the first counts, as any of them may be
+    /// the one that took effect.
+    pub fn join_sent(&mut self, now: Duration) {
+        self.join_sent_at.get_or_insert(now);
+    }
+
+    /// Folds an entry; see [`Registry::fold`] about `seen_at`.
+    ///
+    /// # Errors
+    ///
+    /// [`RegistryError::Gap`] when entries are missing before this one.
+    pub fn fold(
+        &mut self,
+        version: Version,
+        data: &str,
+        seen_at: Duration,
+        now: Duration,
+    ) -> Result<Folded, RegistryError> {
+        let folded = self
+            .registry
+            .fold(version.generation, version.offset, data, seen_at)?;
+        self.lease.folded(self.registry.version());
+        if matches!(folded, Folded::Changed | Folded::Unchanged)
+            && self.is_own_join(data)
+            && let Some(sent_at) = self.join_sent_at.take()
+        {
+            self.lapsed |= !self.lease.joined(sent_at, now);
+        }
+        Ok(folded)
+    }
+
+    fn is_own_join(&self, data: &str) -> bool {
+        matches!(
+            MemberEntry::parse(data),
+            Some(MemberEntry::Join { id, incarnation, .. })
+                if id == self.me.id && incarnation == self.me.incarnation
+        )
+    }
+
+    /// Takes the answer to a question for the head of the log; see [`Lease::confirm`].
+    pub fn confirm(&mut self, asked_at: Duration, age: Duration, head: Version) {
+        let folded = self.registry.version();
+        self.lease.confirm(asked_at, age, head, folded);
+    }
+
+    /// Stops starting requests; to be called before `leave` is sent.
+    pub fn retire(&mut self) {
+        self.lease.retire();
+    }
+
+    /// Decides about a keyed request; see [`decide`].
+    #[must_use]
+    pub fn decide(
+        &mut self,
+        request: &Request<'_>,
+        reading: Reading,
+        answers: &[(Incarnate, PriorAnswer)],
+    ) -> Decision {
+        let owner = Owner {
+            me: &self.me,
+            registry: &self.registry,
+            lease: &self.lease,
+        };
+        decide(&owner, request, reading, &mut self.table, answers)
+    }
+
+    /// Records how a request ended that was to be run.
+    pub fn finish(&mut self, request: &Request<'_>, finish: Finish, now: Duration) {
+        self.table.finish(&request.table_key(), finish, now);
+    }
+
+    /// Answers a later owner that asks the incarnation `asked` about a key.
+    #[must_use]
+    pub fn answer_prior(
+        &mut self,
+        asked: &Incarnate,
+        request: &Request<'_>,
+        now: Duration,
+    ) -> PriorAnswer {
+        if *asked == self.me {
+            answer_prior(&mut self.table, request, now)
+        } else {
+            PriorAnswer::Unreachable
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/idempotency.rs
@@ -0,0 +1,271 @@
+//! At most one run over generated schedules, and the parts that this rests on.
+
+mod world;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use baobabreel_core::config::Version;
+use baobabreel_core::error::ErrorKind;
+use baobabreel_core::idempotency::*;
+use baobabreel_core::registry::Incarnate;
+use quickcheck::{Gen, QuickCheck};
+use world::{Call, Op, WALL, World, uuid, xorshift};
+
+/// Time after the step before, daemon, kind and duration.
+type Step = (u16, u8, u8, u16);
+
+fn op(index: u64, (_, _, kind, duration): Step, incarnation: u64) -> Op {
+    let duration = u64::from(duration) / 3;
+    match kind % 9 {
+        0 => Op::Pause(duration),
+        1 | 2 => Op::Cut(duration),
+        3 => Op::Leave,
+        4 => Op::Kill,
+        5 => Op::Rejoin,
+        6 => start(index, incarnation),
+        7 => Op::LogDown(duration / 2),
+        _ => Op::Evict,
+    }
+}
+
+fn start(index: u64, incarnation: u64) -> Op {
+    let (skew, rate) = [(-1_000, 990), (1_000, 1_010), (0, 1_000)][index as usize];
+    Op::Start(incarnation, skew, rate)
+}
+
+/// Sends the newest and an older key to every daemon, as a stubborn caller would.
+fn call_all(world: &mut World, daemons: u64, random: &mut u64) {
+    let newest = world.now / 1_000 * 1_000;
+    let older = newest.saturating_sub(xorshift(random) % 20 * 1_000);
+    let ahead = xorshift(random) % 4 * 1_000;
+    let opaque = format!("opaque-{}", older / 5_000);
+    for key in [uuid(newest + ahead, 1), uuid(older, 2), opaque] {
+        for index in 0..daemons {
+            let (key, id) = (key.clone(), world.replies.len());
+            let call = Call {
+                key,
+                body: 1,
+                first: false,
+                id,
+            };
+            let through = xorshift(random).is_multiple_of(4);
+            let op = if through {
+                Op::Call(call)
+            } else {
+                Op::CallOwner(call)
+            };
+            world.apply(&format!("d{index}"), op);
+        }
+    }
+}
+
+/// Plays the faults on two or three daemons, and calls all the time.
+fn play(seed: u64, steps: Vec<Step>, fencing: Fencing) -> World {
+    let mut world = World::default();
+    (world.seed, world.fencing) = (seed | 1, fencing);
+    let (mut random, daemons) = (seed | 1, 2 + seed % 2);
+    for index in 0..daemons {
+        world.apply(&format!("d{index}"), start(index, 1));
+    }
+    let mut due = 15_000;
+    let mut steps = (2..).zip(steps).peekable();
+    while steps.peek().is_some() || world.now < due + 20_000 {
+        let now = world.now + 250;
+        world.run_until(now);
+        while let Some((count, step)) = steps.next_if(|(_, step)| due + after(step) <= now) {
+            due += after(&step);
+            let index = u64::from(step.1) % daemons;
+            world.apply(&format!("d{index}"), op(index, step, count));
+        }
+        call_all(&mut world, daemons, &mut random);
+    }
+    world
+}
+
+fn after(step: &Step) -> u64 {
+    u64::from(step.0) % 6_000
+}
+
+fn runs_once(world: &World) -> bool {
+    world.runs.values().all(|runs| runs.len() == 1)
+}
+
+fn holds(prop: fn(u64, Vec<Step>) -> bool) -> bool {
+    let rng = Gen::from_size_and_seed(16, 20_261_204);
+    let mut checker = QuickCheck::new().rng(rng).tests(400).max_tests(400);
+    let result = checker.quicktest(prop);
+    println!("{result:?}");
+    result.is_ok()
+}
+
+// Guards against a second run, and against `not_run` for a key that ran.
+#[test]
+fn at_most_one_run_over_generated_schedules() {
+    assert!(holds(|seed, steps| {
+        let world = play(seed, steps, Fencing::default());
+        runs_once(&world) && world.broken_promises.is_empty() && !world.runs.is_empty()
+    }));
+}
+
+// Guards against a checker that cannot see a fault: no wait, or no lease, must give a second run.
+#[test]
+fn checker_finds_missing_wait_and_missing_lease() {
+    let without_wait: fn(_, _) -> _ = |seed, steps| {
+        let takeover_wait = Duration::ZERO;
+        runs_once(&play(
+            seed,
+            steps,
+            Fencing {
+                takeover_wait,
+                ..Fencing::default()
+            },
+        ))
+    };
+    let without_lease: fn(_, _) -> _ = |seed, steps| {
+        let lease = Duration::MAX;
+        runs_once(&play(
+            seed,
+            steps,
+            Fencing {
+                lease,
+                ..Fencing::default()
+            },
+        ))
+    };
+    assert!(!holds(without_wait), "no fault found without the wait");
+    assert!(!holds(without_lease), "no fault found without the lease");
+}
+
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn at(offset: u64) -> Version {
+    Version {
+        generation: 1,
+        offset,
+    }
+}
+
+// Guards against a lease on a pushed, late, foreign or unfolded proof, or on an expired join.
+#[test]
+fn lease_rests_on_the_time_of_the_question() {
+    let mut lease = Lease::new(Fencing::default(), secs(3_600));
+    assert!(lease.joined(secs(10), secs(12)));
+    lease.confirm(secs(20), secs(3), at(7), at(6));
+    assert!(!lease.is_valid(secs(20)), "entry 7 was not folded");
+    lease.folded(at(7));
+    assert!(lease.is_valid(Duration::from_millis(21_999)));
+    assert!(!lease.is_valid(secs(22)), "the relay's proof was 3 s old");
+    lease.confirm(secs(30), secs(31), at(7), at(7));
+    let replaced = Version {
+        generation: 2,
+        offset: 1,
+    };
+    lease.confirm(secs(30), secs(0), at(1), replaced);
+    assert!(!lease.is_valid(secs(30)), "a proof of a replaced log");
+
+    assert!(!lease.renewal_is_due(secs(909)) && lease.renewal_is_due(secs(911)));
+    lease.confirm(secs(1_809), secs(0), replaced, replaced);
+    assert!(lease.is_valid(secs(1_809)) && !lease.is_valid(secs(1_810)));
+    assert!(!lease.joined(secs(1_811), secs(1_812)), "it joins too late");
+    let mut leaving = lease.clone();
+    leaving.retire();
+    assert!(!leaving.is_valid(secs(1_809)));
+}
+
+// Guards against outcomes that are forgotten for room, and against unbounded answers.
+#[test]
+fn table_drops_answers_but_never_outcomes() {
+    let limits = Limits::default()
+        .with_answer_bytes(4)
+        .with_total_bytes(6)
+        .with_entries(3);
+    let mut table = OutcomeTable::new(limits);
+    let ran = |text: &[u8]| Finish::Ran(Some(Arc::from(text)));
+    for (key, answer) in [
+        ("a", ran(b"1234")),
+        ("b", ran(b"12345")),
+        ("c", ran(b"123")),
+    ] {
+        assert_eq!(table.begin(key, 1, secs(1)), Begin::Run);
+        assert_eq!(table.begin(key, 1, secs(1)), Begin::InProgress);
+        table.finish(key, answer, secs(2));
+    }
+    assert_eq!(table.kept_bytes(), 3);
+    assert_eq!(
+        table.begin("a", 1, secs(3)),
+        Begin::AnswerNotKept,
+        "dropped for c"
+    );
+    assert_eq!(
+        table.begin("b", 1, secs(3)),
+        Begin::AnswerNotKept,
+        "too large"
+    );
+    assert_eq!(
+        table.begin("c", 1, secs(3)),
+        Begin::Done(Arc::from(*b"123"))
+    );
+    assert_eq!(table.begin("c", 2, secs(3)), Begin::KeyReused);
+    assert_eq!(table.begin("d", 1, secs(602)), Begin::Overloaded);
+    assert_eq!(table.ask("d", 1, secs(602)), Some(Begin::Overloaded));
+    assert_eq!(table.begin("d", 1, secs(613)), Begin::Run);
+    assert_eq!((table.len(), table.kept_bytes()), (1, 0));
+    table.finish("d", Finish::NotRun, secs(613));
+    assert_eq!(
+        table.begin("d", 2, secs(613)),
+        Begin::Run,
+        "it was proved not to have run"
+    );
+    table.finish("d", Finish::Unknown, secs(614));
+    table.finish("d", ran(b"1"), secs(615));
+    assert_eq!(table.ask("d", 2, secs(616)), Some(Begin::OutcomeUnknown));
+    assert_eq!(table.ask("e", 1, secs(616)), None);
+    assert_eq!(table.ask("e", 1, secs(1_200)), None);
+    assert_eq!(
+        table.begin("e", 1, secs(1_800)),
+        Begin::Ceded,
+        "given up again at 1,200 s"
+    );
+}
+
+// Guards against keys whose owner or issue time is misread.
+#[test]
+fn keys_have_three_forms() {
+    let daemon = Incarnate {
+        id: "hobart-a.1".to_owned(),
+        incarnation: WALL,
+    };
+    let issued_at = Duration::from_millis(WALL + 5);
+    let key = issue(&daemon, issued_at, u64::MAX).expect("it fits");
+    assert_eq!(
+        key.as_str(),
+        "bk1.hobart-a.1.mywpiww0.mywpiww5.3w5e11264sgsf"
+    );
+    assert_eq!(key.form(), &KeyForm::Issued { daemon, issued_at });
+    let form = |text: &str| Key::parse(text).map(|key| key.form().clone());
+    assert_eq!(form(&uuid(5, 1)), Ok(KeyForm::Timed { issued_at }));
+    assert_eq!(form(&uuid(5, 1).replace("-7", "-4")), Ok(KeyForm::Opaque));
+    assert_eq!(form("a b"), Err(KeyError::Character));
+    assert_eq!(form(""), Err(KeyError::Length { bytes: 0 }));
+    assert_eq!(form(&"x".repeat(65)), Err(KeyError::Length { bytes: 65 }));
+    assert_eq!(form("bk1.a.+1.2.3"), Err(KeyError::Issued));
+}
+
+// Guards against refusals by the entry daemon that promise too much, and against torn clocks.
+#[test]
+fn only_a_first_attempt_is_refused_as_not_run() {
+    use Attempt::{First, MayRepeat};
+    assert_eq!(unreachable_owner(First, false), ErrorKind::NotOwner);
+    assert_eq!(unreachable_owner(MayRepeat, false), ErrorKind::InProgress);
+    assert_eq!(unreachable_owner(First, true), ErrorKind::UpstreamLost);
+    let overloaded = ErrorKind::Overloaded;
+    assert_eq!(refusal_before_owner(overloaded, First), overloaded);
+    assert_eq!(
+        refusal_before_owner(overloaded, MayRepeat),
+        ErrorKind::InProgress
+    );
+    assert_eq!(Reading::between(secs(1), secs(9), secs(2)), None);
+}
