--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -110,7 +110,7 @@
     let keys: Vec<String> = (0..200).map(|n| format!("key-{n}")).collect();
     let joins: Vec<String> = ids.iter().map(|id| join(id, 1)).collect();
     let (all, _) = folded(1, &joins);
-    let (mut ended, _) = folded(1, &[&joins[..], &[end("leave", "b", 1)]].concat());
+    let (mut ended, _) = folded(1, &[joins.as_slice(), &[end("leave", "b", 1)]].concat());
     for key in &keys {
         let ranked: Vec<&str> = all
             .owners("yard", key)
