Serve a published route end to end with three daemons in two data centres

A mesh of daemons, backend servers and a log in one process shows the whole thin path: a change set appended to the log is folded by every daemon and requests reach the backend servers through it.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod load;
 pub mod log;
+pub mod mesh;
 pub mod net;
 pub mod process;
 mod serve;
--- /dev/null
+++ b/crates/testsuite/tests/path.rs
@@ -0,0 +1,48 @@
+//! A request through daemons, backend servers and a log in one process.
+
+use std::time::Duration;
+
+use baobabreel_client::transport::HttpClient;
+use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, NodeSpec};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn specs() -> Vec<NodeSpec> {
+    vec![
+        NodeSpec::new("a1", "hobart-a", "catalogue"),
+        NodeSpec::new("b1", "hobart-b", "catalogue"),
+        NodeSpec::new("b2", "hobart-b", "bidding"),
+    ]
+}
+
+fn first_change() -> baobabreel_core::config::ChangeSet {
+    ChangeBuilder::new("first")
+        .service("catalogue")
+        .service("bidding")
+        .route("lots", "/lots", "catalogue", true)
+        .route("bids", "/bids", "bidding", false)
+        .build()
+}
+
+/// Guards against a published route that some daemon does not serve.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn published_route_is_served_by_every_daemon() {
+    let mesh = Mesh::start(specs()).await.expect("mesh starts");
+    let offset = mesh.publish(first_change());
+    mesh.wait_ready(offset, LIMIT).await.expect("mesh is ready");
+    let http = HttpClient::new();
+    for callers in mesh.callers() {
+        for path in ["/lots/7", "/bids/7"] {
+            let uri = format!("http://{callers}{path}");
+            let reply = http.get(&uri, LIMIT).await.expect("an answer comes");
+            let body = String::from_utf8_lossy(&reply.body).into_owned();
+            assert_eq!(reply.status, 200, "{uri}: {body}");
+        }
+    }
+    let ran: usize = mesh
+        .nodes
+        .iter()
+        .map(|node| node.backend.journal().len())
+        .sum();
+    assert_eq!(ran, 6);
+}
