--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -11,6 +11,7 @@
     Adoption, CompiledConfig, ConfigState, FoldError, Snapshot, Version,
 };
 use baobabreel_core::id::DaemonId;
+use baobabreel_core::registry::FIRST_GENERATION;
 use baobabreel_core::relay::{
     Ask, Attestation, Batch, Challenges, Pull, PullAdmission, PullAnswer, PullLimiter, Received,
     ReceivedChallenge,
@@ -48,6 +49,7 @@
     pub(super) rounds: HashMap<DaemonId, u64>,
     pub(super) round: u64,
     newest_seen: Version,
+    replaced_at: Option<Duration>,
     peer_answered: bool,
     last_heartbeat: Duration,
     pulls: PullLimiter,
@@ -70,6 +72,7 @@
             // Restarts of this daemon must not repeat numbers that others have passed on.
             round: cx.identity.incarnation << 20,
             newest_seen: Version::default(),
+            replaced_at: None,
             peer_answered: false,
             last_heartbeat: Duration::ZERO,
             pulls: PullLimiter::default(),
@@ -87,6 +90,11 @@
     /// Takes a batch and folds what is new; returns the new entries.
     fn take(&mut self, stream: Stream, batch: &Batch, from: Option<SocketAddr>) -> Option<Batch> {
         if self.stream(stream).is_blank() && batch.generation > 0 {
+            if stream == Stream::Config && batch.generation > FIRST_GENERATION {
+                // A log that replaced another one goes on from a snapshot, not from nothing.
+                self.cx.follower.need_snapshot();
+                return None;
+            }
             self.enter_generation(stream, batch);
         }
         match self.stream(stream).window.receive(batch) {
@@ -131,8 +139,11 @@
     fn log_was_replaced(&mut self, stream: Stream, batch: &Batch, generation: u64) {
         match stream {
             Stream::Config => {
-                self.state.notice_generation(generation);
-                self.report_hold();
+                if self.replaced_at.is_none() {
+                    self.replaced_at = Some(self.cx.clock.now());
+                    self.state.notice_generation(generation);
+                    self.report_hold();
+                }
                 self.cx.follower.need_snapshot();
             }
             Stream::Members => {
@@ -141,6 +152,17 @@
         }
     }
 
+    /// Generation of the log that waits to be continued, and for how long it has waited.
+    pub(super) fn waiting_generation(&self) -> Option<(u64, Duration)> {
+        let since = self.replaced_at?;
+        match &self.state.hold()?.cause {
+            FoldError::NewGeneration { generation } => {
+                Some((*generation, self.cx.clock.now().saturating_sub(since)))
+            }
+            _ => None,
+        }
+    }
+
     fn report_hold(&self) {
         if let Some(hold) = self.state.hold() {
             let version = self.state.version();
@@ -171,10 +193,12 @@
 
     /// Takes over a snapshot that is newer than the own state.
     fn restore(&mut self, text: &str) {
+        let max_schema = self.cx.settings.max_schema;
+        let blank = self.config.is_blank();
         let adopted = Snapshot::open(text).and_then(|snapshot| {
-            if self.config.is_blank() {
-                self.state = ConfigState::new(snapshot.version.generation)
-                    .with_max_schema(self.cx.settings.max_schema);
+            if blank {
+                self.state = ConfigState::restore(snapshot, max_schema)?;
+                return Ok(Adoption::Replaced);
             }
             self.state.adopt(snapshot)
         });
@@ -454,15 +478,16 @@
             nonce: asked.nonce,
             received_at: now,
         };
+        let blank = asked.generation == 0;
         let followed = self.stream(asked.stream);
         let proof = followed.confirmation.attest(challenge);
         let generation = followed.window.generation();
         // A daemon that has just started follows no generation yet.
-        let wanted = if asked.generation == 0 {
-            generation
-        } else {
-            asked.generation
-        };
+        let wanted = if blank { generation } else { asked.generation };
+        if blank && asked.stream == Stream::Config && generation > FIRST_GENERATION {
+            return PullReply(self.answer_with_start(asked.stream, now));
+        }
+        let followed = self.stream(asked.stream);
         let pull = Pull {
             generation: wanted,
             from: asked.from,
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -8,13 +8,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::wire::Stream;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use super::Control;
 use super::distribution::{FromLog, NextOffset, SnapshotRead};
+use super::{Control, snapshots};
 use crate::context::Cx;
 
 /// Time that a long poll waits for a record; the age of the proof of the head follows from it.
@@ -35,9 +34,6 @@
 /// Time between two looks at whether this daemon is a relay.
 const IDLE_CHECK: Duration = Duration::from_millis(200);
 
-/// Stream of snapshots.
-pub const SNAPSHOTS: &str = "snapshots";
-
 /// Wish of the distribution actor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FollowerHint {
@@ -154,36 +150,28 @@
     Ok(())
 }
 
-/// Reads the last snapshot of the log.
+/// Reads the snapshot that the configuration goes on from.
 async fn read_snapshot(cx: &Cx, control: &Control) {
-    let text = match newest_snapshot(cx).await {
-        Ok(Some(text)) => text,
-        Ok(None) => {
-            tracing::warn!("the log has no snapshot");
-            return;
-        }
-        Err(e) => {
-            tracing::warn!(error = format!("{e:#}"), "failed to read a snapshot");
-            return;
-        }
-    };
-    if control.distribution.ask(SnapshotRead(text)).await.is_err() {
-        tracing::debug!("the distribution actor has stopped");
-    }
-}
-
-async fn newest_snapshot(cx: &Cx) -> eyre::Result<Option<String>> {
-    let read = |from| cx.log.read(SNAPSHOTS, from, 1, Duration::ZERO);
-    // The first read tells where the stream ends.
-    let next = match read(1).await? {
-        ReadAnswer::Page(page) => page.next,
-        ReadAnswer::Expired(retained) => retained.next,
+    // A replaced log starts for all readers from its first snapshot; otherwise the newest saves
+    // the most entries.
+    let replaced = cx.position().config.generation > 0;
+    let read = if replaced {
+        snapshots::oldest(cx).await
+    } else {
+        snapshots::newest(cx).await
     };
-    if next <= 1 {
-        return Ok(None);
-    }
-    match read(next - 1).await? {
-        ReadAnswer::Page(mut page) => Ok(page.records.pop().map(|record| record.data)),
-        ReadAnswer::Expired(_) => Ok(None),
+    match read {
+        Ok(Some(record)) => {
+            if control
+                .distribution
+                .ask(SnapshotRead(record.data))
+                .await
+                .is_err()
+            {
+                tracing::debug!("the distribution actor has stopped");
+            }
+        }
+        Ok(None) => tracing::warn!("the log has no snapshot"),
+        Err(e) => tracing::warn!(error = format!("{e:#}"), "failed to read a snapshot"),
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,11 +11,12 @@
 mod membership;
 mod push;
 mod serve;
+mod snapshots;
 mod stream;
 
 pub use announce::{Announcement, BackendTracker};
 pub use distribution::{Distribution, DistributionStatus, GetStatus};
-pub use follower::{Follower, SNAPSHOTS};
+pub use follower::Follower;
 pub use membership::{Leave, LocalChanged, Membership};
 pub use push::encoded;
 pub use serve::serve_control;
@@ -53,6 +54,11 @@
             membership,
         };
         tasks.spawn(follower::run(Arc::clone(cx), control.clone(), stop.clone()));
+        tasks.spawn(snapshots::run(
+            Arc::clone(cx),
+            control.clone(),
+            stop.clone(),
+        ));
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
     }
