--- a/crates/core/src/idempotency/entry.rs
+++ b/crates/core/src/idempotency/entry.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::key::{Key, KeyForm};
+use super::decide::Request;
+use super::key::KeyForm;
 use super::{Attempt, promises_not_run};
 use crate::error::ErrorKind;
 use crate::membership::{MemberState, Members};
@@ -28,12 +29,11 @@
 #[must_use]
 pub fn route(
     me: &Incarnate,
-    service: &str,
-    key: &Key,
+    request: &Request<'_>,
     registry: &Registry,
     members: &Members,
-    attempt: Attempt,
 ) -> Route {
+    let (key, attempt) = (request.key, request.attempt);
     let (owner, registered_addr) = match key.form() {
         KeyForm::Issued { daemon, .. } => {
             let found = registry.get(&daemon.id);
@@ -43,7 +43,7 @@
             (daemon.clone(), addr)
         }
         KeyForm::Timed { .. } | KeyForm::Opaque => {
-            let Some(found) = registry.owner(service, key.as_str()) else {
+            let Some(found) = registry.owner(request.service, key.as_str()) else {
                 return Route::Refuse(attempt.undecided(ErrorKind::InProgress));
             };
             let owner = Incarnate {
@@ -56,31 +56,44 @@
     if owner == *me {
         return Route::Here;
     }
+    let issued = matches!(key.form(), KeyForm::Issued { .. });
     match reach(me, &owner, registered_addr, members) {
         Ok(peer_addr) => Route::Send { owner, peer_addr },
-        Err(otherwise) => Route::Refuse(attempt.undecided(otherwise)),
+        Err(Unreachable::Gone) if issued => {
+            Route::Refuse(attempt.undecided(ErrorKind::OutcomeUnknown))
+        }
+        // Other keys get a new owner, which decides.
+        Err(_) => Route::Refuse(attempt.undecided(ErrorKind::InProgress)),
     }
 }
 
+/// Why an incarnation cannot be asked.
+enum Unreachable {
+    /// It has ended for good.
+    Gone,
+    /// It is taken for dead, and may come back.
+    Dead,
+}
+
 /// Address of exactly this incarnation, or why it cannot be asked.
 fn reach(
     me: &Incarnate,
     owner: &Incarnate,
     registered_addr: Option<SocketAddr>,
     members: &Members,
-) -> Result<SocketAddr, ErrorKind> {
+) -> Result<SocketAddr, Unreachable> {
     if owner.id == me.id {
-        return Err(ErrorKind::OutcomeUnknown);
+        return Err(Unreachable::Gone);
     }
     match members.get(&owner.id) {
-        Some(member) if member.incarnation > owner.incarnation => Err(ErrorKind::OutcomeUnknown),
+        Some(member) if member.incarnation > owner.incarnation => Err(Unreachable::Gone),
         Some(member) if member.incarnation == owner.incarnation => match member.state {
-            MemberState::Left => Err(ErrorKind::OutcomeUnknown),
-            MemberState::Dead => Err(ErrorKind::InProgress),
+            MemberState::Left => Err(Unreachable::Gone),
+            MemberState::Dead => Err(Unreachable::Dead),
             _ => Ok(member.peer_addr),
         },
         // Live states are re-learnt after a start, so an unknown member is tried all the same.
-        _ => registered_addr.ok_or(ErrorKind::OutcomeUnknown),
+        _ => registered_addr.ok_or(Unreachable::Gone),
     }
 }
 
--- a/crates/core/src/idempotency/lease.rs
+++ b/crates/core/src/idempotency/lease.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::config::Version;
+use crate::registry::HISTORY;
 
 /// Default of [`Fencing::lease`].
 pub const LEASE: Duration = Duration::from_secs(5);
@@ -48,14 +49,14 @@
 impl Lease {
     /// Lease without any proof.
     ///
-    /// `retention` is the time for which the log keeps entries; a `join` is relied on for half of
-    /// it, which must exceed [`crate::registry::HISTORY`], so that a reader that starts at the
-    /// first kept offset sees everybody who acted within that time.
+    /// `retention` is the time for which the log keeps entries. A `join` is relied on for less than
+    /// that by more than [`HISTORY`], so that a reader that starts at the first kept offset sees
+    /// everybody who acted within that time. With a shorter retention, the lease is never valid.
     #[must_use]
     pub fn new(fencing: Fencing, retention: Duration) -> Self {
         Self {
             fencing,
-            join_validity: retention / 2,
+            join_validity: retention.saturating_sub(HISTORY) * 9 / 10,
             proven_at: None,
             pending: None,
             joined_until: None,
@@ -109,6 +110,12 @@
         true
     }
 
+    /// Whether the daemon's own `join` is certainly still kept by the log.
+    #[must_use]
+    pub fn is_joined(&self, now: Duration) -> bool {
+        self.joined_until.is_some_and(|until| now < until)
+    }
+
     /// Whether the daemon has to append its `join` again.
     #[must_use]
     pub fn renewal_is_due(&self, now: Duration) -> bool {
@@ -137,7 +144,7 @@
     #[must_use]
     pub fn is_valid(&self, now: Duration) -> bool {
         !self.retired
-            && self.joined_until.is_some_and(|until| now < until)
+            && self.is_joined(now)
             && self.age(now).is_some_and(|age| age < self.fencing.lease)
     }
 }
--- a/crates/core/src/idempotency/mod.rs
+++ b/crates/core/src/idempotency/mod.rs
@@ -21,7 +21,7 @@
 //!
 //! Assumptions: the wall clocks of any two daemons differ by at most [`CLOCK_DIFFERENCE`]; callers'
 //! clocks may be arbitrary. Monotonic clocks advance during pauses of the process and run at equal
-//! rates to within 3 %. The log is one total order, a read of its head that was asked for after an
+//! rates to within 1 %. The log is one total order, a read of its head that was asked for after an
 //! append returned includes that append, and a log that was replaced confirms no head any more.
 
 mod decide;
--- a/crates/core/src/idempotency/table.rs
+++ b/crates/core/src/idempotency/table.rs
@@ -15,8 +15,9 @@
 /// Time for which an outcome is kept after its request has finished.
 ///
 /// Longer than [`RETENTION`], because a key can be issued up to 2 s after its first start by the
-/// owner's clock, and that clock may be set by a few seconds in between.
-const KEEP_FOR: Duration = RETENTION.saturating_add(Duration::from_secs(10));
+/// owner's clock, that clock may be set by a few seconds in between, and the two clocks may run at
+/// rates that differ by 1 %.
+const KEEP_FOR: Duration = RETENTION.saturating_add(Duration::from_secs(20));
 
 /// Bounds of an [`OutcomeTable`].
 #[derive(Debug, Clone, Copy)]
--- a/crates/core/src/registry/fold.rs
+++ b/crates/core/src/registry/fold.rs
@@ -16,8 +16,8 @@
 /// Time for which ended registrations are remembered.
 ///
 /// It covers the retention of keys (10 minutes) after the takeover wait (8 s), with room for
-/// differences between clocks.
-pub const HISTORY: Duration = Duration::from_secs(10 * 60 + 30);
+/// for differences between clocks and their rates.
+pub const HISTORY: Duration = Duration::from_secs(10 * 60 + 40);
 
 /// Effect of one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
