Compare latencies of endpoints in linear time

The distance of a data centre was searched anew for each endpoint on each answer. Endpoints now refer to data centres by index, and one pass collects the distances. The route table of admission is an ordered map, since a hash map draws a random seed. A call can be recorded as cancelled.

--- a/crates/core/src/admission/routes.rs
+++ b/crates/core/src/admission/routes.rs
@@ -1,6 +1,6 @@
 //! Run times per route, and the routes that are bulk in effect.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Weight of a new run time in the smoothed one.
@@ -48,7 +48,8 @@
 /// Routes by interned index.
 #[derive(Debug, Default)]
 pub(super) struct Routes {
-    by_name: HashMap<String, usize>,
+    /// Ordered, since a hash map would draw a random seed.
+    by_name: BTreeMap<String, usize>,
     states: Vec<RouteState>,
     since_compared: u32,
     scratch: Vec<f64>,
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -5,7 +5,8 @@
 
 use super::builder::BalancerBuilder;
 use super::endpoint::{Endpoint, Failure, LoadReport, State};
-use super::outlier;
+use super::outlier::{self, Scratch};
+use crate::id::DataCentre;
 
 /// Time for which an absent endpoint without outstanding calls is remembered, so that one whose
 /// membership flaps keeps its ejection.
@@ -18,7 +19,8 @@
 /// Chooses among the backend servers of one service.
 ///
 /// Calls are reported by [`dispatched`](Self::dispatched) and then exactly one of
-/// [`answered`](Self::answered) and [`failed`](Self::failed). Names that are not known are ignored.
+/// [`answered`](Self::answered), [`failed`](Self::failed) and [`cancelled`](Self::cancelled). Names
+/// that are not known are ignored.
 #[derive(Debug)]
 pub struct Balancer {
     cfg: BalancerBuilder,
@@ -26,7 +28,9 @@
     states: Vec<State>,
     /// Indices of candidates; kept between calls to avoid an allocation per request.
     candidates: Vec<usize>,
-    scratch: Vec<f64>,
+    /// Names of data centres by the index that endpoints refer to; the own one is the first.
+    data_centres: Vec<DataCentre>,
+    scratch: Scratch,
 }
 
 impl Balancer {
@@ -38,10 +42,11 @@
 
     pub(super) fn new(cfg: BalancerBuilder) -> Self {
         Self {
+            data_centres: vec![cfg.data_centre.clone()],
             cfg,
             states: Vec::new(),
             candidates: Vec::new(),
-            scratch: Vec::new(),
+            scratch: Scratch::default(),
         }
     }
 
@@ -61,18 +66,18 @@
         }
         let known = self.states.len();
         for endpoint in endpoints {
-            let local = endpoint.data_centre == self.cfg.data_centre;
+            let data_centre = intern(&mut self.data_centres, &endpoint.data_centre);
             let found = self.states[..known]
                 .binary_search_by(|state| (*state.name).cmp(endpoint.name.as_str()));
             match found {
                 Ok(index) => refresh(
                     &mut self.states[index],
                     endpoint,
-                    local,
+                    data_centre,
                     was_present[index],
                     now,
                 ),
-                Err(_) => self.states.push(State::new(endpoint, local, now)),
+                Err(_) => self.states.push(State::new(endpoint, data_centre, now)),
             }
         }
         self.states.retain(|state| is_kept(state, now));
@@ -134,6 +139,14 @@
         }
     }
 
+    /// Records that a call was given up by this daemon, such as the loser of a hedge.
+    pub fn cancelled(&mut self, name: &str) {
+        if let Some(index) = self.find(name) {
+            let state = &mut self.states[index];
+            state.outstanding = state.outstanding.saturating_sub(1);
+        }
+    }
+
     /// Whether the endpoint is present in the own data centre.
     #[must_use]
     pub fn local(&self, name: &str) -> bool {
@@ -208,10 +221,11 @@
         let fits = |s: &State| {
             !s.local && able(s) && !s.is_ejected(now) && s.load(now, &self.cfg) <= limit
         };
-        if self.states.iter().any(fits) {
-            let matching = self.states.iter().enumerate().filter(|(_, s)| fits(s));
-            self.candidates.clear();
-            self.candidates.extend(matching.map(|(index, _)| index));
+        let own_count = self.candidates.len();
+        let matching = self.states.iter().enumerate().filter(|(_, s)| fits(s));
+        self.candidates.extend(matching.map(|(index, _)| index));
+        if self.candidates.len() > own_count {
+            self.candidates.drain(..own_count);
         }
     }
 
@@ -278,10 +292,25 @@
     }
 }
 
+/// Index of a data centre; there are few, so the list only grows.
+fn intern(data_centres: &mut Vec<DataCentre>, name: &str) -> usize {
+    let found = data_centres.iter().position(|other| other == name);
+    found.unwrap_or_else(|| {
+        data_centres.push(name.to_owned());
+        data_centres.len() - 1
+    })
+}
+
 /// Takes over a new description of a known endpoint.
-fn refresh(state: &mut State, endpoint: &Endpoint, local: bool, was_present: bool, now: Duration) {
-    state.data_centre.clone_from(&endpoint.data_centre);
-    state.local = local;
+fn refresh(
+    state: &mut State,
+    endpoint: &Endpoint,
+    data_centre: usize,
+    was_present: bool,
+    now: Duration,
+) {
+    state.data_centre = data_centre;
+    state.local = data_centre == 0;
     state.slots = f64::from(endpoint.slots.max(1));
     state.enabled = endpoint.enabled;
     if !was_present {
--- a/crates/core/src/balance/endpoint.rs
+++ b/crates/core/src/balance/endpoint.rs
@@ -59,7 +59,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub name: Arc<str>,
-    pub data_centre: DataCentre,
+    /// Index in the balancer's list of data centres.
+    pub data_centre: usize,
     pub local: bool,
     pub slots: f64,
     pub present: bool,
@@ -85,6 +86,8 @@
     /// Smoothed natural logarithm of the latency in seconds. The logarithm keeps one long job from
     /// making its endpoint look slow.
     pub ln: Option<f64>,
+    /// The smoothed latency in seconds, while `ln` is known.
+    pub secs: f64,
     pub answered_at: Duration,
     /// Smallest recent latency in seconds, a measure of the distance.
     pub fastest: f64,
@@ -103,11 +106,11 @@
 }
 
 impl State {
-    pub fn new(endpoint: &Endpoint, local: bool, now: Duration) -> Self {
+    pub fn new(endpoint: &Endpoint, data_centre: usize, now: Duration) -> Self {
         Self {
             name: endpoint.name.as_str().into(),
-            data_centre: endpoint.data_centre.clone(),
-            local,
+            data_centre,
+            local: data_centre == 0,
             slots: f64::from(endpoint.slots.max(1)),
             present: true,
             enabled: endpoint.enabled,
--- a/crates/core/src/balance/outlier.rs
+++ b/crates/core/src/balance/outlier.rs
@@ -35,50 +35,77 @@
             }
         }
     }
+    latency.secs = latency.ln.map_or(0.0, f64::exp);
     latency.answered_at = now;
 }
 
-/// Logarithm of the slowness of `states[index]` against the median of the measured members.
-pub(super) fn ln_slowness(states: &[State], index: usize, scratch: &mut Vec<f64>) -> f64 {
-    let base = floor(states, |state| state.local)
-        .or_else(|| floor(states, |_| true))
-        .unwrap_or(0.0);
-    scratch.clear();
-    scratch.extend(
-        states
-            .iter()
-            .filter(|state| state.present)
-            .filter_map(|state| without_distance(states, state, base)),
-    );
-    let Some(own) = without_distance(states, &states[index], base) else {
-        return 0.0;
-    };
-    if scratch.is_empty() {
-        return 0.0;
+/// Buffers that are kept between calls to avoid an allocation per answer.
+#[derive(Debug, Default)]
+pub(super) struct Scratch {
+    /// Smallest recent latency per data centre.
+    floors: Vec<f64>,
+    latencies: Vec<f64>,
+}
+
+impl Scratch {
+    fn fill(&mut self, states: &[State]) {
+        self.floors.clear();
+        for state in measured(states) {
+            if self.floors.len() <= state.data_centre {
+                self.floors.resize(state.data_centre + 1, f64::INFINITY);
+            }
+            let floor = &mut self.floors[state.data_centre];
+            *floor = floor.min(state.latency.fastest);
+        }
+        let base = self.base();
+        self.latencies.clear();
+        for state in measured(states) {
+            let floor = self.floors[state.data_centre];
+            self.latencies.push(without_distance(state, floor - base));
+        }
+    }
+
+    /// Smallest recent latency in the own data centre, or in any when the own one has none.
+    fn base(&self) -> f64 {
+        match self.floors.first() {
+            Some(own) if own.is_finite() => *own,
+            _ => self.floors.iter().copied().fold(f64::INFINITY, f64::min),
+        }
+    }
+
+    /// The lower median: when half of the members are slow, the fast half is the standard.
+    fn median(&mut self) -> f64 {
+        let middle = (self.latencies.len() - 1) / 2;
+        *self
+            .latencies
+            .select_nth_unstable_by(middle, f64::total_cmp)
+            .1
     }
-    // The lower median: when half of the members are slow, the fast half is the standard.
-    let middle = (scratch.len() - 1) / 2;
-    let (_, median, _) = scratch.select_nth_unstable_by(middle, f64::total_cmp);
-    (own / *median).ln()
 }
 
-/// Smallest recent latency among the endpoints that `of` selects.
-fn floor(states: &[State], of: impl Fn(&State) -> bool) -> Option<f64> {
+fn measured(states: &[State]) -> impl Iterator<Item = &State> {
     states
         .iter()
-        .filter(|state| state.present && state.latency.ln.is_some() && of(state))
-        .map(|state| state.latency.fastest)
-        .min_by(f64::total_cmp)
+        .filter(|state| state.present && state.latency.ln.is_some())
 }
 
 /// Smoothed latency in seconds without the additional distance of the endpoint's data centre.
-fn without_distance(states: &[State], state: &State, base: f64) -> Option<f64> {
-    let secs = state.latency.ln?.exp();
+fn without_distance(state: &State, distance: f64) -> f64 {
     if state.local {
-        return Some(secs);
+        return state.latency.secs;
+    }
+    (state.latency.secs - distance.max(0.0)).max(MIN_LATENCY)
+}
+
+/// Logarithm of the slowness of `states[index]` against the median of the measured members.
+pub(super) fn ln_slowness(states: &[State], index: usize, scratch: &mut Scratch) -> f64 {
+    let state = &states[index];
+    if !state.present || state.latency.ln.is_none() {
+        return 0.0;
     }
-    let floor = floor(states, |other| other.data_centre == state.data_centre).unwrap_or(base);
-    Some((secs - (floor - base).max(0.0)).max(MIN_LATENCY))
+    scratch.fill(states);
+    let distance = scratch.floors[state.data_centre] - scratch.base();
+    (without_distance(state, distance) / scratch.median()).ln()
 }
 
 /// Counts an answer towards ejection and ejects when the rules say so.
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -154,6 +154,8 @@
     // With enough calls outstanding, the fast one is the worse choice.
     (0..30).for_each(|_| b.dispatched("e1", now));
     assert!((0..64).all(|n| !avoids(&mut b, n)));
+    (0..30).for_each(|_| b.cancelled("e1"));
+    assert!((0..64).all(|n| avoids(&mut b, n)));
 }
 
 /// Guards against ejections that do not grow for an endpoint that stays slow.
