Let the log confirm deaths and tell daemons of each other

Cause: a test that crashed an owner of keys found that its keys stayed without an owner for ever when its data centre had no other member, and evictions in the log never reached membership, so proposals were repeated. Change: members of a data centre that is gone as a whole are evicted by others after 60 s, registrations of unknown daemons are evicted, and entries of stream members reach membership.

--- a/crates/core/src/membership/departed.rs
+++ b/crates/core/src/membership/departed.rs
@@ -11,6 +11,7 @@
 
 #[derive(Debug)]
 struct Entry {
+    departed_at: Duration,
     forget_at: Duration,
     propose_at: Duration,
 }
@@ -30,8 +31,15 @@
 }
 
 impl Departed {
-    pub(super) fn insert(&mut self, id: &str, forget_at: Duration, propose_at: Duration) {
+    pub(super) fn insert(
+        &mut self,
+        id: &str,
+        departed_at: Duration,
+        forget_at: Duration,
+        propose_at: Duration,
+    ) {
         let entry = Entry {
+            departed_at,
             forget_at,
             propose_at,
         };
@@ -78,6 +86,11 @@
         self.tombstones.retain(|_, tombstone| tombstone.until > now);
     }
 
+    /// When the member departed.
+    pub(super) fn departed_at(&self, id: &str) -> Option<Duration> {
+        self.entries.get(id).map(|entry| entry.departed_at)
+    }
+
     /// Ids whose eviction is due; the next proposal for each is due after `every`.
     pub(super) fn due(&mut self, now: Duration, every: Duration) -> Vec<DaemonId> {
         let due = self.entries.iter_mut().filter(|(_, e)| e.propose_at <= now);
--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -335,7 +335,7 @@
         if id != self.id && member.is_departed() {
             let forget_at = now + self.settings.forget_after;
             let propose_at = now + self.settings.evict_after;
-            self.departed.insert(id, forget_at, propose_at);
+            self.departed.insert(id, now, forget_at, propose_at);
         } else {
             self.departed.revive(id);
         }
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -12,6 +12,7 @@
     pub(super) indirect_timeout: Duration,
     pub(super) suspicion: Duration,
     pub(super) evict_after: Duration,
+    pub(super) evict_data_centre_after: Duration,
     pub(super) forget_after: Duration,
     pub(super) tombstone_for: Duration,
     pub(super) pause_gap: Duration,
@@ -27,6 +28,8 @@
             indirect_timeout: Duration::from_millis(700),
             suspicion: Duration::from_secs(3),
             evict_after: Duration::from_secs(10),
+            // A partition that ends before costs no registrations.
+            evict_data_centre_after: Duration::from_secs(60),
             forget_after: Duration::from_secs(15 * 60),
             // Longer than any pause or partition after which an old rumour is to be expected.
             tombstone_for: Duration::from_secs(24 * 3_600),
@@ -68,6 +71,8 @@
     suspicion: Duration;
     /// Time from death to the proposal to evict, 10 s; also the time between proposals.
     evict_after: Duration;
+    /// Time from death to the proposal to evict a member whose whole data centre is gone, 60 s.
+    evict_data_centre_after: Duration;
     /// Time that departed members stay in the table, 15 min.
     forget_after: Duration;
     /// Time that the last incarnation and sequence number of a forgotten member are kept, 24 h.
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -317,28 +317,40 @@
         }
     }
 
-    /// The first of the dead member's data centre in rank order for its id proposes; a data centre
-    /// that is gone as a whole is not evicted by others, which may merely be cut off from it.
+    /// The first of the dead member's data centre in rank order for its id proposes. When that data
+    /// centre is gone as a whole, the first of all others does so later: its keys need an owner, and
+    /// fencing keeps members that are merely cut off from acting as one.
     fn propose_evictions(&mut self, step: &mut Step) {
         for id in self.departed.due(step.now, self.settings.evict_after) {
             let Some(dead) = self.members.get(&id) else {
                 continue;
             };
-            let beside = self
-                .members
-                .live()
-                .filter(|m| m.data_centre == dead.data_centre);
-            let first = rendezvous::first(id.as_bytes(), beside.map(|m| m.id.as_str()));
             let incarnation = dead.incarnation;
             let wanted = dead.state == MemberState::Dead
                 && !self.departed.is_evicted(&id, incarnation)
-                && first == Some(self.id.as_str());
+                && self.is_proposer(dead, step.now);
             if wanted {
                 step.actions.push(Action::ProposeEvict { id, incarnation });
             }
         }
     }
 
+    fn is_proposer(&self, dead: &Member, now: Duration) -> bool {
+        let first = |beside: bool| {
+            let live = self.members.live();
+            let voters = live.filter(|m| !beside || m.data_centre == dead.data_centre);
+            rendezvous::first(dead.id.as_bytes(), voters.map(|m| m.id.as_str()))
+        };
+        if let Some(beside) = first(true) {
+            return beside == self.id;
+        }
+        let gone_for = self
+            .departed
+            .departed_at(&dead.id)
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        gone_for >= self.settings.evict_data_centre_after && first(false) == Some(self.id.as_str())
+    }
+
     fn forget(&mut self, now: Duration) {
         if now < self.forget_check {
             return;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -27,7 +27,7 @@
 pub use clock::Clock;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Follower, encoded};
+use crate::control::{Distribution, Follower, Membership, encoded};
 use crate::keys::Keys;
 use crate::proxy::{Balance, Host, PeerPool};
 use crate::settings::Settings;
@@ -93,6 +93,7 @@
     pub http: HttpClient,
     position: Mutex<Position>,
     distribution: OnceLock<WeakActorRef<Distribution>>,
+    membership: OnceLock<WeakActorRef<Membership>>,
     phase: AtomicU8,
     requests: AtomicUsize,
 }
@@ -120,6 +121,7 @@
             http,
             position: Mutex::default(),
             distribution: OnceLock::new(),
+            membership: OnceLock::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
             requests: AtomicUsize::new(0),
             settings,
@@ -226,9 +228,20 @@
         self.distribution.get()?.upgrade()
     }
 
-    /// Makes the actor known to the tasks that send for it.
-    pub fn set_distribution(&self, distribution: &ActorRef<Distribution>) {
-        if self.distribution.set(distribution.downgrade()).is_err() {
+    /// Actor that owns the members; absent before the start and after the end of the control plane.
+    pub fn membership(&self) -> Option<ActorRef<Membership>> {
+        self.membership.get()?.upgrade()
+    }
+
+    /// Makes the actors known to each other and to the tasks that send for them.
+    pub fn set_actors(
+        &self,
+        distribution: &ActorRef<Distribution>,
+        membership: &ActorRef<Membership>,
+    ) {
+        let first = self.distribution.set(distribution.downgrade()).is_ok()
+            && self.membership.set(membership.downgrade()).is_ok();
+        if !first {
             tracing::error!("the control plane was started twice");
         }
     }
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -21,6 +21,7 @@
 
 use super::follower::FollowerHint;
 use super::push;
+use super::registrations;
 use super::stream::Followed;
 use crate::context::{Cx, Phase};
 
@@ -229,6 +230,9 @@
         let generation = self.members.window.generation();
         let now = self.cx.clock.now();
         self.cx.keys.fold(generation, first, entries, now);
+        if let Some(membership) = self.cx.membership() {
+            registrations::tell(&self.cx, membership, entries);
+        }
     }
 
     /// Asks a peer for the entries that are missing, unless it was asked a moment ago.
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -15,12 +15,15 @@
 use kameo::message::{Context as MessageContext, Message};
 
 use super::distribution::{Distribution, PeerPosition};
-use super::gossip;
+use super::{gossip, registrations};
 use crate::context::{Cx, Phase};
 
 /// Time between two attempts to register.
 const JOIN_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time between two reviews of the registrations.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Actor that tracks the other daemons.
 #[derive(Debug, Actor)]
 pub struct Membership {
@@ -29,6 +32,7 @@
     distribution: ActorRef<Distribution>,
     local: LocalState,
     next_join: Duration,
+    next_review: Duration,
 }
 
 impl Membership {
@@ -59,6 +63,7 @@
             distribution,
             local,
             next_join: Duration::ZERO,
+            next_review: Duration::ZERO,
         };
         membership.publish();
         membership
@@ -158,6 +163,18 @@
         }
     }
 
+    /// Evicts registrations whose daemons are unknown.
+    fn review_registrations(&mut self) {
+        let now = self.cx.clock.now();
+        if now < self.next_review {
+            return;
+        }
+        self.next_review = now + REVIEW_INTERVAL;
+        for registered in registrations::abandoned(&self.cx) {
+            self.append_evict(registered.id, registered.incarnation);
+        }
+    }
+
     /// Registers as an owner of keys once the backend server is ready, and again in time.
     fn register(&mut self) {
         let now = self.cx.clock.now();
@@ -273,6 +290,7 @@
         let own = ctx.actor_ref().clone();
         self.update_local(&own);
         self.register();
+        self.review_registrations();
         let actions = self.swim.tick(self.cx.clock.now(), rand::random());
         let mut answers = self.carry_out(actions, &own);
         gossip::send_all(&self.cx, &own, &mut answers);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod membership;
 mod push;
+mod registrations;
 mod serve;
 mod snapshots;
 mod stream;
@@ -47,8 +48,8 @@
     #[must_use]
     pub fn start(cx: &Cx, tasks: &TaskTracker, stop: &CancellationToken) -> Self {
         let distribution = Distribution::spawn(Distribution::new(cx));
-        cx.set_distribution(&distribution);
         let membership = Membership::spawn(Membership::new(cx, distribution.clone()));
+        cx.set_actors(&distribution, &membership);
         let control = Self {
             distribution,
             membership,
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -7,12 +7,13 @@
 
 use baobabreel_client::wire::{PriorWire, QueryWire};
 use baobabreel_core::config::Version;
+use baobabreel_core::id::Incarnation;
 use baobabreel_core::idempotency::{
     Decision, Fencing, Finish, Key, Lease, Limits, OutcomeTable, Owner, PriorAnswer, Reading,
     Request, Route, answer_prior, decide, route,
 };
 use baobabreel_core::membership::Members;
-use baobabreel_core::registry::{Folded, Incarnate, MemberEntry, Registry};
+use baobabreel_core::registry::{Folded, Incarnate, MemberEntry, Registered, Registry};
 
 use crate::context::{Clock, Identity};
 
@@ -120,6 +121,20 @@
         wanted
     }
 
+    /// Whether exactly this incarnation is registered.
+    pub fn is_registered(&self, id: &str, incarnation: Incarnation) -> bool {
+        let daemon = Incarnate {
+            id: id.to_owned(),
+            incarnation,
+        };
+        self.lock().registry.is_registered(&daemon)
+    }
+
+    /// All registered daemons.
+    pub fn registered(&self) -> Vec<Registered> {
+        self.lock().registry.iter().cloned().collect()
+    }
+
     /// This incarnation was evicted.
     pub fn evicted(&self) {
         self.lock().registered = false;
@@ -154,16 +169,7 @@
 
     /// Daemon that decides about a request.
     pub fn route(&self, request: &Request<'_>, members: &Members) -> Route {
-        let inner = self.lock();
-        let (service, key) = (request.service, request.key);
-        route(
-            &self.me,
-            service,
-            key,
-            &inner.registry,
-            members,
-            request.attempt,
-        )
+        route(&self.me, request, &self.lock().registry, members)
     }
 
     /// Decides about a request; with [`Decision::Run`] it is recorded as running.
