--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -7,6 +7,11 @@
 use baobabreel_core::error::ErrorKind;
 use quickcheck::{Gen, QuickCheck};
 
+const UNREACHABLE: Decision = Decision::Refuse {
+    kind: ErrorKind::DeadlineUnreachable,
+    retry_after: Duration::from_secs(1),
+};
+
 const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
 
 fn ms(ms: u64) -> Duration {
@@ -214,10 +219,6 @@
     use Decision::{Queued, Start};
     let mut a = Admission::builder().slots(2).build();
     run(&mut a, "r", 100);
-    let refused = Decision::Refuse {
-        kind: ErrorKind::DeadlineUnreachable,
-        retry_after: Duration::from_secs(1),
-    };
     // Two slots of 100 ms each: the first in the queue waits 50 ms, and each one ahead adds 50 ms.
     // The fourth goes ahead of the third by its deadline; the last is behind both by its class.
     let (lookup, bulk) = (Class::Lookup, Class::Bulk);
@@ -228,8 +229,8 @@
     ];
     let late = [
         (lookup, 51, Queued),
-        (lookup, 49, refused),
-        (bulk, 149, refused),
+        (lookup, 49, UNREACHABLE),
+        (bulk, 149, UNREACHABLE),
     ];
     for (id, (class, wait, expected)) in offers.into_iter().chain(late).enumerate() {
         let decision = offer(&mut a, id as u64, class, "r", (0, wait));
@@ -246,17 +247,37 @@
         run(&mut a, route, time);
     }
     let offers = [
-        (Class::Lookup, "proof", Start),
-        (Class::Lookup, "proof", Start),
-        (Class::Lookup, "proof", Queued),
-        (Class::Command, "proof", Queued),
-        (Class::Lookup, "middle", Start),
+        (Class::Lookup, "proof", 9_000, Start),
+        (Class::Lookup, "proof", 9_000, Start),
+        // Half of 900 ms until one of the two slots of bulk work is free.
+        (Class::Lookup, "proof", 449, UNREACHABLE),
+        (Class::Lookup, "proof", 9_000, Queued),
+        (Class::Command, "proof", 9_000, Queued),
+        (Class::Lookup, "middle", 9_000, Start),
+        (Class::Lookup, "middle", 9_000, Start),
+        (Class::Lookup, "middle", 9_000, Queued),
     ];
-    for (id, (class, route, expected)) in offers.into_iter().enumerate() {
-        let decision = offer(&mut a, id as u64, class, route, (0, 9_000));
+    for (id, (class, route, wait, expected)) in offers.into_iter().enumerate() {
+        let decision = offer(&mut a, id as u64, class, route, (0, wait));
         assert_eq!(decision, expected, "ticket {id}");
     }
     assert_eq!(a.bulk_running(), 2);
-    // A command of a long route is within the share too, but goes before the lookup.
-    assert_eq!(a.finish(0, ms(900)), vec![Action::Start(3)]);
+    // A command of a long route is within the share too, but goes before lookups; a lookup of a
+    // long route goes after the others.
+    assert_eq!(a.finish(0, ms(900)), vec![Action::Start(4)]);
+    assert_eq!(a.finish(4, ms(901)), vec![Action::Start(7)]);
+}
+
+/// Guards against a baseline for measurements that still looks at classes.
+#[test]
+fn ignores_classes_when_told_to() {
+    let builder = Admission::builder().slots(1).class_aware(false);
+    let mut a = builder.build();
+    for (id, class) in [(0, Class::Bulk), (1, Class::Bulk), (2, Class::Check)] {
+        let _ = offer(&mut a, id, class, "r", (0, 100 + id));
+    }
+    assert_eq!(
+        (a.bulk_running(), a.finish(0, ms(1))),
+        (0, vec![Action::Start(1)])
+    );
 }
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -158,6 +158,20 @@
     assert!((0..64).all(|n| avoids(&mut b, n)));
 }
 
+/// Guards against a standard that one fast or a half of slow members shifts.
+#[test]
+fn slowness_is_relative_to_the_lower_median() {
+    let now = ms(6_000);
+    for (latencies, expected) in [([1, 8, 8, 8], [0.5, 1.0]), ([4, 40, 4, 40], [1.0, 10.0])] {
+        let mut b = balancer(&endpoints(4, 0));
+        for (n, latency) in latencies.into_iter().enumerate().cycle().take(8) {
+            b.answered(&format!("e{n}"), now, ms(latency), None);
+        }
+        let slowness = ["e0", "e1"].map(|name| (b.slowness(name, now) * 1e6).round() / 1e6);
+        assert_eq!(slowness, expected);
+    }
+}
+
 /// Guards against ejections that do not grow for an endpoint that stays slow.
 #[test]
 fn ejection_doubles() {
@@ -181,6 +195,14 @@
         times.push((now - start).as_secs());
     }
     assert_eq!(times, [1, 2, 4, 8, 16, 30, 30]);
+    now += ms(31);
+    (0..12).for_each(|_| b.answered("e0", now, ms(30), None));
+    b.update(&endpoints(3, 0)[1..], now);
+    b.update(&endpoints(3, 0), now + ms(20_000));
+    assert!(
+        b.ejected("e0", now + ms(20_000)),
+        "absence ends no ejection"
+    );
 }
 
 /// Guards against a cold backend server getting its full share at once, new or returned.
@@ -247,7 +269,10 @@
         now += ms(time);
         assert!(usable(&mut b, now), "usable after {time} ms");
     }
+    (0..3).for_each(|_| b.failed("e0", now, Failure::Lost));
+    assert!(!usable(&mut b, now), "unusable after three losses");
     b.answered("e0", now, ms(3), None);
+    now += ms(1_000);
     b.failed("e0", now, Failure::Refused);
     assert!(usable(&mut b, now + ms(50)), "an answer resets the time");
     now += ms(5_000);
