--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -25,6 +25,11 @@
     Ended,
 }
 
+fn id_of(action: &Action) -> usize {
+    let (Action::Start(id) | Action::Refuse { id, .. }) = action;
+    *id as usize
+}
+
 /// Reference model that checks every action; the index of a ticket is its id.
 struct Model {
     admission: Admission,
@@ -45,7 +50,7 @@
             matching.filter(|t| !bulk || t.0 == Class::Bulk).count() as u32
         };
         assert!(running(false) < self.admission.slots(), "over the slots");
-        let bulk_slot = running(true) < self.admission.bulk_slots();
+        let bulk_slot = running(true) < (self.admission.slots() / 2).max(1);
         assert!(class != Class::Bulk || bulk_slot, "over the bulk share");
         let mut before = self.with(Fate::Queued).filter(|t| {
             (t.0 > class || t.0 == class && t.1 < deadline) && (bulk_slot || t.0 != Class::Bulk)
@@ -55,22 +60,20 @@
 
     fn apply(&mut self, actions: Vec<Action>) {
         for action in actions {
-            let (Action::Start(id) | Action::Refuse { id, .. }) = action;
-            let (class, deadline, fate) = self.tickets[id as usize];
+            let id = id_of(&action);
+            let (class, deadline, fate) = self.tickets[id];
             assert_eq!(fate, Fate::Queued, "second outcome");
-            self.tickets[id as usize].2 = match action {
+            match action {
                 Action::Start(_) => {
                     self.check_start(class, deadline);
-                    Fate::Running
+                    self.tickets[id].2 = Fate::Running;
                 }
                 Action::Refuse { kind, .. } => {
-                    let lower = self.with(Fate::Queued).any(|t| t.0 < class);
-                    assert!(kind != ErrorKind::Overloaded || !lower, "shed too early");
                     let unreachable = kind == ErrorKind::DeadlineUnreachable;
                     assert!(!unreachable || deadline <= self.now, "expired too early");
-                    Fate::Ended
+                    self.refuse(id, kind);
                 }
-            };
+            }
         }
     }
 
@@ -84,33 +87,23 @@
         };
         let lowest = self.with(Fate::Queued).map(|t| t.0).min();
         let offer = self.admission.offer(ticket, self.now);
-        let shed = |a: &Action| {
-            matches!(
-                a,
-                Action::Refuse {
-                    kind: ErrorKind::Overloaded,
-                    ..
-                }
-            )
-        };
-        assert!(
-            !offer.evicted.iter().any(shed) || lowest < Some(class),
-            "shed for its equal"
-        );
+        for action in &offer.evicted {
+            let is_shed = self.tickets[id_of(action)].1 > self.now;
+            assert!(!is_shed || lowest < Some(class), "shed for its equal");
+        }
         self.apply(offer.evicted);
-        let fate = match offer.decision {
-            Decision::Start => {
-                self.check_start(class, deadline);
-                Fate::Running
-            }
-            Decision::Queued => Fate::Queued,
-            Decision::Refuse { kind, .. } => {
-                let lower = self.with(Fate::Queued).any(|t| t.0 < class);
-                assert!(kind != ErrorKind::Overloaded || !lower, "refused too early");
-                Fate::Ended
-            }
-        };
-        self.tickets.push((class, deadline, fate));
+        self.tickets.push((class, deadline, Fate::Queued));
+        match offer.decision {
+            Decision::Start => self.apply(vec![Action::Start(id)]),
+            Decision::Queued => {}
+            Decision::Refuse { kind, .. } => self.refuse(id as usize, kind),
+        }
+    }
+
+    fn refuse(&mut self, id: usize, kind: ErrorKind) {
+        let lower = self.with(Fate::Queued).any(|t| t.0 < self.tickets[id].0);
+        assert!(kind != ErrorKind::Overloaded || !lower, "shed too early");
+        self.tickets[id].2 = Fate::Ended;
     }
 
     fn end(&mut self, pick: usize, fate: Fate) {
@@ -147,15 +140,10 @@
 
     fn check(&self) {
         let load = self.admission.load();
-        let (running, queued) = (
-            self.with(Fate::Running).count(),
-            self.with(Fate::Queued).count(),
-        );
-        assert_eq!((load.running, load.queued), (running as u32, queued as u32));
-        assert!(
-            queued <= 3 && (queued == 0 || !self.drained),
-            "{queued} queued"
-        );
+        let queued = self.with(Fate::Queued).count() as u32;
+        let running = self.with(Fate::Running).count() as u32;
+        assert_eq!((load.running, load.queued), (running, queued));
+        assert!(queued <= 3 && (queued == 0 || !self.drained));
         let mut short = self.with(Fate::Queued).filter(|t| t.0 != Class::Bulk);
         let free = load.running < self.admission.slots();
         assert!(!free || short.next().is_none(), "a slot is idle");
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -52,6 +52,7 @@
 #[test]
 fn decides_by_proof_mark_count_and_time() {
     use RetryDecision::{Retry, Stop};
+    use StopReason::{AttemptsUsed, MarkedAsRetry, NoTime, NotIdempotent};
     let with = |idempotent, number, marked_as_retry, ms| Attempt {
         idempotent,
         number,
@@ -59,31 +60,15 @@
         remaining: Duration::from_millis(ms),
         max_retries: 2,
     };
-    for (attempt, after_proof, without_proof) in [
-        (with(true, 2, false, 2), Retry, Retry),
-        (
-            with(false, 2, false, 2),
-            Retry,
-            Stop(StopReason::NotIdempotent),
-        ),
-        (
-            with(true, 1, true, 9),
-            Stop(StopReason::MarkedAsRetry),
-            Stop(StopReason::MarkedAsRetry),
-        ),
-        (
-            with(true, 3, false, 9),
-            Stop(StopReason::AttemptsUsed),
-            Stop(StopReason::AttemptsUsed),
-        ),
-        (
-            with(true, 1, false, 1),
-            Stop(StopReason::NoTime),
-            Stop(StopReason::NoTime),
-        ),
+    for (attempt, expected) in [
+        (with(true, 2, false, 2), [Retry; 2]),
+        (with(false, 2, false, 2), [Retry, Stop(NotIdempotent)]),
+        (with(true, 1, true, 9), [Stop(MarkedAsRetry); 2]),
+        (with(true, 3, false, 9), [Stop(AttemptsUsed); 2]),
+        (with(true, 1, false, 1), [Stop(NoTime); 2]),
     ] {
-        assert_eq!(decide(&attempt, Failure::NotRun), after_proof);
-        assert_eq!(decide(&attempt, Failure::MayHaveRun), without_proof);
+        let decided = [Failure::NotRun, Failure::MayHaveRun].map(|f| decide(&attempt, f));
+        assert_eq!(decided, expected);
     }
 }
 
