Let the configuration change admission and slow start

A service record can change the queue, the bulk share and the slow start time while requests run; rebuilding the state machines would lose what they know.

--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -95,6 +95,15 @@
         self.start_queued(now)
     }
 
+    /// Sets the places in the queue and the bulk share when the configuration changes. Requests that
+    /// wait keep their places when there are fewer.
+    #[must_use]
+    pub fn set_policy(&mut self, queue_len: usize, bulk_share: f64, now: Duration) -> Vec<Action> {
+        self.cfg.queue_len = queue_len;
+        self.cfg.bulk_share = bulk_share;
+        self.start_queued(now)
+    }
+
     /// Stops admission: refuses what waits and all that follows; what runs ends.
     #[must_use]
     pub fn drain(&mut self, now: Duration) -> Vec<Action> {
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -86,6 +86,11 @@
         outlier::enforce_limit(&mut self.states, now, &self.cfg);
     }
 
+    /// Sets the slow start time when the configuration changes.
+    pub fn set_slow_start(&mut self, time: Duration) {
+        self.cfg.slow_start = time;
+    }
+
     /// Chooses a backend server for a call; `exclude` lists those that the call must not use.
     ///
     /// An ejected endpoint is chosen only when no other can be. Excluded, absent and disabled ones,
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -269,3 +269,12 @@
         (0, vec![Action::Start(1)])
     );
 }
+
+/// Guards against a changed bulk share that takes effect only with the next event.
+#[test]
+fn starts_bulk_work_when_its_share_grows() {
+    let mut a = Admission::builder().slots(2).build();
+    let decisions = [0, 1].map(|id| offer(&mut a, id, Class::Bulk, "r", (0, 100)));
+    assert_eq!(decisions, [Decision::Start, Decision::Queued]);
+    assert_eq!(a.set_policy(32, 1.0, ms(1)), vec![Action::Start(1)]);
+}
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -225,6 +225,10 @@
         b.update(&all[..3], ms(begin));
         begin += 1_000;
     }
+    b.update(&all, ms(begin));
+    b.set_slow_start(ms(0));
+    let even = share(&drive(&mut b, begin, begin + 1_000, &|_| 1), "e3", 4);
+    assert!((0.85..1.15).contains(&even), "without slow start {even}");
 }
 
 /// Guards against overload of the own data centre while others idle, and against staying away.
