Test keys from before the start of an owner

Breaking the check of the issuer's incarnation, the route of issued keys, or the rule for logs whose predecessor is unknown failed no test.

--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -8,6 +8,7 @@
 use baobabreel_core::config::Version;
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::idempotency::*;
+use baobabreel_core::membership::Members;
 use baobabreel_core::registry::Incarnate;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use world::{Call, Op, SERVICE, WALL, World, uuid, xorshift};
@@ -232,34 +233,71 @@
     assert_eq!(Reading::between(secs(1), secs(9), secs(2)), None);
 }
 
+fn owner(incarnation: u64) -> KeyOwner {
+    let me = Incarnate::new("a", incarnation);
+    let lease = Lease::new(Fencing::default(), secs(3_640));
+    let mut owner = KeyOwner::new(me, lease, Limits::default());
+    owner.join_sent(secs(1));
+    owner
+}
+
+/// Folds a join, confirms it as the head, and decides about a key.
+fn decide_after(
+    owner: &mut KeyOwner,
+    version: Version,
+    incarnation: u64,
+    now: u64,
+    key: &str,
+) -> Decision {
+    let join = format!(
+        r#"{{"type":"join","id":"a","incarnation":{incarnation},"data_centre":"uy-sur-a",
+        "service":"{SERVICE}","peer_addr":"127.0.0.1:7"}}"#
+    );
+    let folded = owner.fold(version, &join, secs(now), secs(now));
+    folded.expect("no gap");
+    owner.confirm(secs(now), Duration::ZERO, version);
+    let (now, wall) = (secs(now), Duration::from_millis(WALL) + secs(now));
+    call(key).request(|request| owner.decide(request, Reading { now, wall }, &[]))
+}
+
 // Guards against an incarnation that acts after it was replaced or after its join has expired.
 #[test]
 fn an_older_incarnation_neither_runs_nor_vouches() {
-    let join = |incarnation| {
-        format!(
-            r#"{{"type":"join","id":"a","incarnation":{incarnation},"data_centre":"uy-sur-a",
-            "service":"{SERVICE}","peer_addr":"127.0.0.1:7"}}"#
-        )
-    };
-    let me = Incarnate::new("a", 1);
-    let lease = Lease::new(Fencing::default(), secs(3_640));
-    let mut owner = KeyOwner::new(me.clone(), lease, Limits::default());
-    owner.join_sent(secs(1));
-    let mut decide = |incarnation, now, key: &str| {
-        let version = at(1, incarnation);
-        let folded = owner.fold(version, &join(incarnation), secs(now), secs(now));
-        folded.expect("no gap");
-        owner.confirm(secs(now), Duration::ZERO, version);
-        let (now, wall) = (secs(now), Duration::from_millis(WALL));
-        call(key).request(|request| owner.decide(request, Reading { now, wall }, &[]))
+    let mut owner = owner(1);
+    let unsure = Decision::Refuse(ErrorKind::InProgress);
+    assert_eq!(
+        decide_after(&mut owner, at(1, 1), 1, 2, "k1"),
+        Decision::Run
+    );
+    assert_eq!(decide_after(&mut owner, at(1, 2), 2, 30, "k2"), unsure);
+    let mut vouch = |asked, now| {
+        let asked = Incarnate::new("a", asked);
+        call("k3").request(|request| owner.answer_prior(&asked, request, secs(now)))
     };
-    assert_eq!(decide(1, 2, "k1"), Decision::Run);
-    assert_eq!(decide(2, 30, "k2"), Decision::Refuse(ErrorKind::InProgress));
-    let mut vouch = |asked: &Incarnate, now, key: &str| {
-        call(key).request(|request| owner.answer_prior(asked, request, secs(now)))
+    assert_eq!(vouch(2, 40), PriorAnswer::Unreachable);
+    assert_eq!(vouch(1, 40), PriorAnswer::NoRecord);
+    assert_eq!(vouch(1, 2_701), PriorAnswer::Unreachable);
+}
+
+// Guards against runs of keys that an earlier incarnation, or an owner in a lost log, may have run.
+#[test]
+fn keys_from_before_the_start_are_not_run() {
+    let mut owner = owner(2);
+    let unknown = Decision::Refuse(ErrorKind::OutcomeUnknown);
+    let issued = |incarnation| {
+        let wall = Duration::from_millis(WALL) + secs(29);
+        let key = issue(&Incarnate::new("a", incarnation), wall, 1);
+        key.expect("it fits").as_str().to_owned()
     };
-    let newer = Incarnate::new("a", 2);
-    assert_eq!(vouch(&newer, 40, "k3"), PriorAnswer::Unreachable);
-    assert_eq!(vouch(&me, 40, "k3"), PriorAnswer::NoRecord);
-    assert_eq!(vouch(&me, 2_701, "k3"), PriorAnswer::Unreachable);
+    let mut decide = |now, key: &str| decide_after(&mut owner, at(3, 1), 2, now, key);
+    assert_eq!(decide(1, "early"), Decision::Refuse(ErrorKind::InProgress));
+    assert_eq!(decide(30, "opaque"), unknown);
+    assert_eq!(decide(30, &uuid(10_900, 1)), unknown);
+    assert_eq!(decide(30, &uuid(11_100, 1)), Decision::Run);
+    assert_eq!(decide(30, &issued(1)), unknown);
+    assert_eq!(decide(30, &issued(2)), Decision::Run);
+    let (me, members) = (owner.me(), Members::default());
+    let to = |key: &str| call(key).request(|req| route(me, req, owner.registry(), &members));
+    assert_eq!(to(&issued(1)), Route::Refuse(ErrorKind::OutcomeUnknown));
+    assert_eq!(to(&issued(2)), Route::Here);
 }
