--- a/crates/core/src/idempotency/mod.rs
+++ b/crates/core/src/idempotency/mod.rs
@@ -17,12 +17,20 @@
 //! time is protected for [`RETENTION`] only, and so is a caller that repeats it within that time.
 //!
 //! `not_run` is a promise about the key, not about one attempt: a refusal carries it only when no
-//! earlier attempt can have run, or when the caller says that there was none ([`Attempt`]).
+//! earlier attempt can have run, or when the caller says that there was none ([`Attempt`]). While
+//! ownership is undecided, other attempts get `in_progress`, which is retryable and promises
+//! nothing.
 //!
-//! Assumptions: the wall clocks of any two daemons differ by at most [`CLOCK_DIFFERENCE`]; callers'
-//! clocks may be arbitrary. Monotonic clocks advance during pauses of the process and run at equal
-//! rates to within 1 %. The log is one total order, a read of its head that was asked for after an
-//! append returned includes that append, and a log that was replaced confirms no head any more.
+//! Assumptions:
+//!
+//! - The wall clocks of any two daemons differ by at most [`CLOCK_DIFFERENCE`]; callers' clocks may
+//!   be arbitrary. Monotonic clocks advance during pauses and differ in rate by at most 1 %.
+//! - The log is one total order, a read of its head that was asked for after an append returned
+//!   includes that append, and a log that was replaced confirms no head any more.
+//! - The log keeps entries for the time that [`Lease::new`] was told; otherwise, a reader that
+//!   starts at the first kept offset may not see an owner that still acts.
+//! - No two processes have the same id and incarnation, and a daemon that left or was retired
+//!   starts nothing.
 
 mod decide;
 mod entry;
