--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! Work in progress.
+//! Quick start and measurements.
+//!
+//! Everything runs on loopback against the real code of the daemon, with stand-ins for the log and
+//! the backend servers.
+
+pub mod table;
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -59,12 +59,6 @@
         }
     }
 
-    /// Sets the places in the queue and the share of bulk requests; requests that are present stay.
-    pub fn configure(&mut self, queue_len: usize, bulk_share: f64) {
-        self.cfg.queue_len = queue_len;
-        self.cfg.bulk_share = bulk_share;
-    }
-
     /// Decides on a new request. Its id must differ from those of all requests that are present.
     pub fn offer(&mut self, ticket: Ticket<'_>, now: Duration) -> Offer {
         let mut evicted = Vec::new();
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -171,7 +171,8 @@
         let Some(info) = self.host.info() else { return };
         if let Some(service) = config.services.get(&info.service) {
             let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
-            self.host.configure(queue, service.bulk_share);
+            self.host
+                .set_policy(queue, service.bulk_share, self.clock.now());
         }
     }
 
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -100,24 +100,24 @@
                     enabled: true,
                 })
                 .collect();
-            lock(&self.service(config, service)).update(&endpoints, now);
+            let balancer = self.service(service);
+            let mut balancer = lock(&balancer);
+            if let Some(policy) = config.services.get(service) {
+                balancer.set_slow_start(Duration::from_millis(policy.slow_start_ms));
+            }
+            balancer.update(&endpoints, now);
         }
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
         routes.retain(|name, _| config.routes.iter().any(|route| route.name == *name));
     }
 
-    fn service(&self, config: &CompiledConfig, name: &str) -> ServiceBalancer {
+    fn service(&self, name: &str) -> ServiceBalancer {
         if let Some(found) = self.find(name) {
             return found;
         }
-        let slow_start_ms = config
-            .services
-            .get(name)
-            .map(|service| service.slow_start_ms);
-        let mut builder = Balancer::builder().data_centre(self.data_centre.clone());
-        if let Some(millis) = slow_start_ms {
-            builder = builder.slow_start(Duration::from_millis(millis));
-        }
+        let balancer = Balancer::builder()
+            .data_centre(self.data_centre.clone())
+            .build();
         let mut services = self
             .services
             .write()
@@ -125,7 +125,7 @@
         Arc::clone(
             services
                 .entry(name.to_owned())
-                .or_insert_with(|| Arc::new(Mutex::new(builder.build()))),
+                .or_insert_with(|| Arc::new(Mutex::new(balancer))),
         )
     }
 
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -130,9 +130,11 @@
         self.backend.store(Some(Arc::new(Backend { info, pool })));
     }
 
-    /// Sets the places in the queue and the share of bulk requests; running requests stay.
-    pub fn configure(&self, queue: usize, bulk_share: f64) {
-        lock(&self.gate).admission.configure(queue, bulk_share);
+    /// Sets the places in the queue and the share of bulk requests; requests that are present stay.
+    pub fn set_policy(&self, queue: usize, bulk_share: f64, now: Duration) {
+        let mut gate = lock(&self.gate);
+        let actions = gate.admission.set_policy(queue, bulk_share, now);
+        gate.apply(actions);
     }
 
     /// The backend server as it announced itself last.
