Bound the waits of the log and relay tests

With the wake-up of long polls, the closing of old connections in an outage, or the refusal of new ones taken out, the tests hung or passed at the end of the wait.

--- a/crates/test-support/tests/log.rs
+++ b/crates/test-support/tests/log.rs
@@ -74,7 +74,12 @@
     });
     until(|| log.counters().open_polls == 1).await;
     log.append("config", "late");
-    assert_eq!(poll.await.unwrap().json()["records"][0]["data"], "late");
+    // Without the wake-up the answer comes only at the end of the wait, after 60 s.
+    let answer = tokio::time::timeout(Duration::from_secs(30), poll)
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(answer.json()["records"][0]["data"], "late");
     assert_eq!(log.counters().open_polls, 0);
 }
 
@@ -123,9 +128,13 @@
 async fn outages_limits_and_cuts_reach_the_client() {
     let (log, url) = start().await;
     let http = client();
+    // The first request leaves a connection that the outage has to close as well.
+    assert_eq!(send(&http, "GET", &url, &[], "").await.unwrap().status, 200);
     log.set_faults(|faults| faults.outage = Outage::Close);
     let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
     assert_eq!(failure.to_string(), "failed to send");
+    let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
+    assert_eq!(failure.to_string(), "failed to send");
     log.set_faults(|faults| faults.outage = Outage::Silent);
     let silent = send(&http, "POST", &url, &[], "a");
     tokio::time::timeout(Duration::from_millis(100), silent)
--- a/crates/test-support/tests/net.rs
+++ b/crates/test-support/tests/net.rs
@@ -10,6 +10,15 @@
 /// Time after which bytes are taken not to come.
 const SILENCE: Duration = Duration::from_millis(150);
 
+/// Longest wait for a relay; only a failing test takes that long.
+const LIMIT: Duration = Duration::from_secs(30);
+
+async fn within<T>(wait: impl Future<Output = T>) -> T {
+    tokio::time::timeout(LIMIT, wait)
+        .await
+        .expect("the relay acts in time")
+}
+
 async fn start() -> Relay {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let target = listener.local_addr().unwrap();
@@ -36,7 +45,7 @@
     relay.set_delay(Duration::from_millis(30));
     let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
     let sent = Instant::now();
-    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    assert_eq!(within(echo(&mut stream)).await.unwrap(), 7);
     assert!(sent.elapsed() >= Duration::from_millis(60));
     let counters = relay.counters();
     assert_eq!(
@@ -50,13 +59,13 @@
 async fn silenced_connections_stay_open_and_new_ones_work() {
     let relay = start().await;
     let mut old = TcpStream::connect(relay.addr()).await.unwrap();
-    assert_eq!(echo(&mut old).await.unwrap(), 7);
+    assert_eq!(within(echo(&mut old)).await.unwrap(), 7);
     relay.silence_existing();
     tokio::time::timeout(SILENCE, echo(&mut old))
         .await
         .unwrap_err();
     let mut new = TcpStream::connect(relay.addr()).await.unwrap();
-    assert_eq!(echo(&mut new).await.unwrap(), 7);
+    assert_eq!(within(echo(&mut new)).await.unwrap(), 7);
 }
 
 /// Guards against bytes that are lost, instead of late, when a partition ends.
@@ -70,7 +79,7 @@
         .await
         .unwrap_err();
     relay.hold(false);
-    assert_eq!(stream.read_u8().await.unwrap(), 9);
+    assert_eq!(within(stream.read_u8()).await.unwrap(), 9);
 }
 
 /// Guards against a refusal that is a closed connection, which proves less to a client.
@@ -78,15 +87,15 @@
 async fn cut_closes_and_refuse_refuses() {
     let relay = start().await;
     let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-    assert_eq!(echo(&mut stream).await.unwrap(), 7);
-    relay.refuse(true).await;
-    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    assert_eq!(within(echo(&mut stream)).await.unwrap(), 7);
+    within(relay.refuse(true)).await;
+    assert_eq!(within(echo(&mut stream)).await.unwrap(), 7);
     let refused = TcpStream::connect(relay.addr()).await.unwrap_err();
     assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
     relay.cut();
-    let cut = stream.read_u8().await.unwrap_err();
+    let cut = within(stream.read_u8()).await.unwrap_err();
     assert_eq!(cut.kind(), ErrorKind::UnexpectedEof);
-    relay.refuse(false).await;
+    within(relay.refuse(false)).await;
     let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
-    assert_eq!(echo(&mut stream).await.unwrap(), 7);
+    assert_eq!(within(echo(&mut stream)).await.unwrap(), 7);
 }
