Test kills, false load reports and repeats

A killed backend server must neither listen nor finish nor announce, and the generator must repeat only keyed requests, with the same key and request id.

--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -160,3 +160,41 @@
     let ran = &server.journal()[0];
     assert!(ran.ended_us.unwrap() - ran.started_us.unwrap() >= 100_000);
 }
+
+/// Guards against a killed backend server that still listens, finishes or announces anything, and
+/// against a load report that is the real one although it is set to be false.
+#[tokio::test]
+async fn a_kill_ends_everything_and_load_reports_can_be_false() {
+    let sink = AnnouncementSink::start().await;
+    let settings = BackendSettings::new("b1", "bidding")
+        .announce_url(&sink.url)
+        .announce_interval(Duration::from_millis(5));
+    let server = BackendServer::start(settings).await.unwrap();
+    server.set_faults(|faults| faults.false_load = Some(0.5));
+    until(|| {
+        sink.received()
+            .last()
+            .is_some_and(|last| last["load"] == 0.5)
+    })
+    .await;
+    assert_eq!(sink.received().last().unwrap()["running"], 5);
+
+    let (http, url) = (client(), server.url());
+    let call = tokio::spawn(async move {
+        send(&http, "GET", &url, &[("x-work-us", "60000000")], "")
+            .await
+            .is_err()
+    });
+    until(|| server.counters().running == 1).await;
+    server.kill().await;
+    let announced = sink.received().len();
+    assert!(call.await.unwrap());
+    assert_eq!(server.journal()[0].result, WorkResult::Cancelled);
+    let refused = tokio::net::TcpStream::connect(server.addr())
+        .await
+        .unwrap_err();
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // One announcement may have been on its way.
+    assert!(sink.received().len() <= announced + 1);
+}
--- a/crates/test-support/tests/load.rs
+++ b/crates/test-support/tests/load.rs
@@ -100,3 +100,34 @@
     assert_eq!(lookups.succeeded, report.calls.len() as u64 - 3);
     assert!(lookups.latency.max() > 5 * lookups.service_time.value_at_quantile(0.5));
 }
+
+/// Guards against a repeat with another key or request id, and against repeats of requests without
+/// a key, which a caller could not make safely.
+#[tokio::test]
+async fn only_keyed_requests_without_an_answer_are_repeated() {
+    let server = backend().await;
+    server.set_faults(|faults| faults.cut_answers = u32::MAX);
+    let keyed = RequestTemplate::command("keyed", "/bids", Key::Untimed);
+    let plain = RequestTemplate::command("plain", "/bids", Key::None);
+    let plan = LoadPlan::new(7)
+        .target(server.addr())
+        .template(keyed)
+        .template(plain);
+    let report = plan.step(SECOND / 5, 50.0).repeats(2).run().await.unwrap();
+    let journal = server.journal();
+    for call in &report.calls {
+        let is_same = |entry: &&JournalEntry| {
+            entry.request_id.as_ref() == Some(&call.request_id)
+                && entry.idempotency_key == call.idempotency_key
+        };
+        let sent = journal.iter().filter(is_same).count();
+        assert_eq!(sent, if call.class == "keyed" { 3 } else { 1 });
+    }
+    let keyed = report
+        .calls
+        .iter()
+        .filter(|call| call.class == "keyed")
+        .count();
+    assert!(keyed > 0 && keyed < report.calls.len());
+    assert_eq!(report.check(&[journal]).doubled.len(), keyed);
+}
