Exchange filters of statements instead of hashes of buckets

Two more causes of the slow start are removed: seeds whose budget is used up still name one random member to each daemon with a differing table, and a joining daemon does not spread what it was told by a delta.

--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -3,23 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::digest::Digest;
+use super::filter::Filter;
 use super::member::{Member, MemberState};
 use super::message::{
     Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 use super::probing::Phase;
-use super::swim::{
-    BYTES_PER_SECOND, DIGEST_BYTES, JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim,
-};
-use crate::id::Incarnation;
+use super::swim::{JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim, filter_bytes};
+use crate::id::{DaemonId, Incarnation};
 
 /// Contacts in a row with a differing digest before a daemon asks for a delta; updates that are
 /// being spread make digests differ for a moment.
 const MISMATCHES_BEFORE_SYNC: u32 = 3;
-/// Bytes of the budget that deltas leave to piggybacked updates.
-const PIGGYBACK_RESERVE: u32 = BYTES_PER_SECOND / 3;
-
 impl Swim {
     /// Handles an event.
     pub fn handle(&mut self, event: Event, now: Duration, random: u64) -> Vec<Action> {
@@ -50,10 +45,13 @@
         self.learn_all(probe.updates, step);
         let mut updates: Vec<Member> = self.objection(&probe.from).into_iter().collect();
         updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
+        if updates.is_empty() && probe.digest != self.members.digest() {
+            updates.extend(self.refer(&probe.from, step));
+        }
         let ack = Ack {
             number: probe.number,
             from: self.own().clone(),
-            digest: self.members().digest().total(),
+            digest: self.members().digest(),
             updates,
         };
         let to = probe.from.peer_addr;
@@ -61,6 +59,19 @@
         self.compare(probe.digest, &probe.from, step);
     }
 
+    /// A random member for a daemon whose table differs, even when the budget is used up. After a mass
+    /// restart all joining daemons probe the few seeds; without referrals they would know nobody
+    /// else to probe, and the seeds would stay overloaded.
+    fn refer(&mut self, from: &Member, step: &mut Step) -> Option<Member> {
+        let others = self.others(&from.id);
+        if others.is_empty() {
+            return None;
+        }
+        let referred = others[step.draw.below(others.len())].clone();
+        self.bytes.charge(self.statement_bytes);
+        Some(referred)
+    }
+
     /// What is known to contradict a daemon's statement about itself, so that it can refute it.
     fn objection(&self, from: &Member) -> Option<Member> {
         let known = self.members.get(&from.id)?;
@@ -142,7 +153,7 @@
 
     /// Asks for a delta when the tables have differed for longer than updates take to spread.
     fn compare(&mut self, digest: u64, from: &Member, step: &mut Step) {
-        if digest == self.members.digest().total() {
+        if digest == self.members.digest() {
             self.mismatches = 0;
             return;
         }
@@ -161,68 +172,90 @@
 
     fn request_sync(&mut self, to: SocketAddr, step: &mut Step) {
         let joining = self.is_joining(step.now);
+        let affordable = self.affords_filter(step);
         let budget = if joining {
             &mut self.joining_syncs
         } else {
             &mut self.syncs
         };
-        if self.bytes.available(step.now) > f64::from(DIGEST_BYTES) && budget.take_one(step.now) {
+        if affordable && budget.take_one(step.now) {
             let request = SyncRequest {
                 from: self.own().clone(),
-                digest: self.members.digest().clone(),
+                filter: self.filter(step),
             };
             step.actions.push(Action::SendSyncRequest { to, request });
         }
     }
 
+    fn affords_filter(&mut self, step: &Step) -> bool {
+        let bytes = filter_bytes(Filter::words_for(self.members.len()));
+        self.bytes.available(step.now) > f64::from(bytes)
+    }
+
+    fn filter(&self, step: &mut Step) -> Filter {
+        Filter::of(&self.members, step.draw.next())
+    }
+
     fn on_sync_request(&mut self, request: SyncRequest, step: &mut Step) {
         self.last_heard = step.now;
         let to = request.from.peer_addr;
         self.learn(request.from, step);
-        let affordable = self.bytes.available(step.now) > f64::from(DIGEST_BYTES);
-        if affordable && self.deltas.take_one(step.now) {
-            let digest = Some(self.members.digest().clone());
-            self.send_delta(to, &request.digest, digest, step);
+        if self.affords_filter(step) && self.deltas.take_one(step.now) {
+            let filter = Some(self.filter(step));
+            self.send_delta(to, &request.filter, filter, step);
         }
     }
 
     fn send_delta(
         &mut self,
         to: SocketAddr,
-        theirs: &Digest,
-        digest: Option<Digest>,
+        theirs: &Filter,
+        filter: Option<Filter>,
         step: &mut Step,
     ) {
-        let own = self.members.digest();
-        let differs = |m: &&Member| own.differs_in(theirs, Digest::bucket_of(&m.id));
-        let mut candidates: Vec<&Member> = self.members.iter().filter(differs).collect();
-        let wanted = candidates.len().min(MAX_DELTA);
-        let size = self.statement_bytes;
-        let count = self.bytes.take(wanted, size, PIGGYBACK_RESERVE, step.now);
-        step.draw.shuffle(&mut candidates, count);
-        let updates: Vec<Member> = candidates.into_iter().take(count).cloned().collect();
-        if updates.is_empty() && digest.is_none() {
+        // The filter is charged only when the message is sent.
+        let reserve = filter.as_ref().map_or(0, |own| filter_bytes(own.words()));
+        let mut updates = self.lacking(theirs, step);
+        let (wanted, size) = (updates.len(), self.statement_bytes);
+        updates.truncate(self.bytes.take(wanted, size, reserve, step.now));
+        if updates.is_empty() && filter.is_none() {
             return;
         }
         let delta = Delta {
             from: self.own().clone(),
             updates,
-            digest,
+            filter,
         };
         step.actions.push(Action::SendDelta { to, delta });
     }
 
+    /// Statements that the other table lacks, at random; departed members come last, because the
+    /// other daemon may have forgotten them.
+    fn lacking(&self, theirs: &Filter, step: &mut Step) -> Vec<Member> {
+        let lacking = self.members.iter().filter(|m| !theirs.contains(m));
+        let (mut chosen, departed): (Vec<&Member>, Vec<&Member>) =
+            lacking.partition(|member| !member.is_departed());
+        step.draw.shuffle(&mut chosen, MAX_DELTA);
+        chosen.extend(departed);
+        chosen.truncate(MAX_DELTA);
+        chosen.into_iter().cloned().collect()
+    }
+
     fn on_delta(&mut self, delta: Delta, step: &mut Step) {
         self.last_heard = step.now;
         let to = delta.from.peer_addr;
         self.learn(delta.from, step);
+        // What a joining daemon is told is known elsewhere; to spread it would only use up the budget.
+        let ids: Vec<DaemonId> = delta.updates.iter().map(|m| m.id.clone()).collect();
         self.learn_all(delta.updates, step);
-        let Some(theirs) = delta.digest else {
+        if self.is_joining(step.now) {
+            ids.iter()
+                .filter(|id| **id != self.id)
+                .for_each(|id| self.queue.remove(id));
+        }
+        let Some(theirs) = delta.filter else {
             return;
         };
-        if theirs == *self.members.digest() {
-            return;
-        }
         self.send_delta(to, &theirs, None, step);
         if self.is_joining(step.now) {
             let mut others = self.others("");
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::digest::Digest;
+use super::filter::digest_part;
 use crate::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 
 /// State of a daemon together with its backend server.
@@ -78,7 +78,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     by_id: BTreeMap<DaemonId, Member>,
-    digest: Digest,
+    digest: u64,
 }
 
 impl Members {
@@ -88,9 +88,9 @@
             if !member.supersedes(known) {
                 return false;
             }
-            self.digest.toggle(known);
+            self.digest ^= digest_part(known);
         }
-        self.digest.toggle(&member);
+        self.digest ^= digest_part(&member);
         self.by_id.insert(member.id.clone(), member);
         true
     }
@@ -98,14 +98,14 @@
     /// Forgets a member; returns what was known about it.
     pub fn remove(&mut self, id: &str) -> Option<Member> {
         let member = self.by_id.remove(id)?;
-        self.digest.toggle(&member);
+        self.digest ^= digest_part(&member);
         Some(member)
     }
 
-    /// Digest of the members that have not departed.
+    /// Digest of the members that have not departed; equal tables have equal digests.
     #[must_use]
-    pub fn digest(&self) -> &Digest {
-        &self.digest
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// The member with this id.
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::digest::Digest;
+use super::filter::Filter;
 use super::member::{Member, MemberState};
 use crate::id::{DaemonId, Incarnation, ServiceName};
 
@@ -15,7 +15,7 @@
     pub number: u64,
     /// The sender's statement about itself.
     pub from: Member,
-    /// Total of the sender's digest.
+    /// Digest of the sender's table.
     pub digest: u64,
     /// News about members.
     pub updates: Vec<Member>,
@@ -28,7 +28,7 @@
     pub number: u64,
     /// The sender's statement about itself.
     pub from: Member,
-    /// Total of the sender's digest.
+    /// Digest of the sender's table.
     pub digest: u64,
     /// News about members.
     pub updates: Vec<Member>,
@@ -56,24 +56,24 @@
     pub target: Option<Member>,
 }
 
-/// Asks for the members in the buckets that differ.
+/// Asks for the statements that the sender lacks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncRequest {
     /// The sender's statement about itself.
     pub from: Member,
-    /// The sender's digest.
-    pub digest: Digest,
+    /// The statements that it holds.
+    pub filter: Filter,
 }
 
-/// Members of differing buckets, as many as the sender's budget allows.
+/// Statements that the receiver lacks, as many as the sender's budget allows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
     /// The sender's statement about itself.
     pub from: Member,
     /// Members.
     pub updates: Vec<Member>,
-    /// The sender's digest when it wants a delta in return.
-    pub digest: Option<Digest>,
+    /// The statements that the sender holds, when it wants a delta in return.
+    pub filter: Option<Filter>,
 }
 
 /// What a daemon knows about itself and its backend server.
@@ -107,7 +107,7 @@
     Pushed(Vec<Member>),
     /// Another daemon's table differs.
     SyncRequest(SyncRequest),
-    /// Members of differing buckets were received.
+    /// Statements that were asked for were received.
     Delta(Delta),
     /// The state of this daemon or its backend server changed.
     Local(LocalState),
@@ -160,14 +160,14 @@
         /// Updates.
         updates: Vec<Member>,
     },
-    /// Ask for the members of differing buckets.
+    /// Ask for the statements that are lacking.
     SendSyncRequest {
         /// Address of the listener for peers.
         to: SocketAddr,
         /// Message.
         request: SyncRequest,
     },
-    /// Send members of differing buckets.
+    /// Send statements that another daemon lacks.
     SendDelta {
         /// Address of the listener for peers.
         to: SocketAddr,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -9,10 +9,10 @@
 //! - Updates are sent within [`BYTES_PER_SECOND`], and each kind of message that a daemon sends of its
 //!   own accord has a limit, so no failure can raise its traffic far above its budget.
 //! - Probes carry a digest of the table. When tables differ for longer than updates take to spread,
-//!   the daemons exchange the members of the buckets that differ, so lost updates do no lasting harm.
+//!   the daemons exchange the statements that one of them lacks, so lost updates do no lasting harm.
 
 mod departed;
-mod digest;
+mod filter;
 mod handle;
 mod member;
 mod message;
@@ -21,13 +21,13 @@
 mod settings;
 mod swim;
 
-pub use digest::{DIGEST_BUCKETS, Digest};
+pub use filter::Filter;
 pub use member::{Member, MemberState, Members};
 pub use message::{
     Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 pub use settings::SwimSettings;
 pub use swim::{
-    BYTES_PER_SECOND, DIGEST_BYTES, INDIRECT_PROBES, MAX_DELTA, MAX_MESSAGES_PER_SECOND,
-    MAX_UPDATES, MESSAGE_BYTES, PUSH_FANOUT, Swim,
+    BYTES_PER_SECOND, INDIRECT_PROBES, MAX_DELTA, MAX_MESSAGES_PER_SECOND, MAX_UPDATES,
+    MESSAGE_BYTES, PUSH_FANOUT, Swim,
 };
--- a/crates/core/src/membership/queue.rs
+++ b/crates/core/src/membership/queue.rs
@@ -102,13 +102,18 @@
 pub(super) struct Draw(pub(super) u64);
 
 impl Draw {
-    /// A number below `n`; `n` must not be zero.
-    pub(super) fn below(&mut self, n: usize) -> usize {
+    /// The next number.
+    pub(super) fn next(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.0;
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) % n as u64) as usize
+        z ^ (z >> 31)
+    }
+
+    /// A number below `n`; `n` must not be zero.
+    pub(super) fn below(&mut self, n: usize) -> usize {
+        (self.next() % n as u64) as usize
     }
 
     /// Brings the first `count` places of `items` into random order.
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -23,8 +23,6 @@
 pub const BYTES_PER_SECOND: u32 = 7_500;
 /// Estimate for the framing and the numbers of a message.
 pub const MESSAGE_BYTES: u32 = 100;
-/// Estimate for a digest.
-pub const DIGEST_BYTES: u32 = 580;
 /// Third daemons that are asked to probe a member that did not answer.
 pub const INDIRECT_PROBES: usize = 3;
 /// Members to which an urgent update is pushed.
@@ -34,11 +32,13 @@
 /// requests for a delta (1 in steady state). Each received message causes at most one answer.
 pub const MAX_MESSAGES_PER_SECOND: u32 = 20;
 
+/// Bytes of the budget that piggybacked updates leave to deltas.
+const DELTA_RESERVE: u32 = BYTES_PER_SECOND / 3;
 const PUSHES_PER_SECOND: u32 = 8;
 const RELAYED_PROBES_PER_SECOND: u32 = 4;
 pub(super) const SYNCS_PER_SECOND: u32 = 1;
 pub(super) const JOINING_SYNCS_PER_SECOND: u32 = 4;
-/// A delta with a digest is about 760 bytes without members; 4 a second took half of the budget.
+/// A delta with a filter is about 1.3 KB without members, so 4 a second would take most of the budget.
 const DELTAS_PER_SECOND: u32 = 2;
 /// One probe of this many goes to another data centre.
 const ELSEWHERE_EVERY: u64 = 10;
@@ -170,17 +170,18 @@
     /// Charges the parts of the messages that are sent whether or not the budget allows it.
     pub(super) fn settle(&mut self, step: Step) -> Vec<Action> {
         for action in &step.actions {
-            let digest = match action {
-                Action::SendSyncRequest { .. } => DIGEST_BYTES,
-                Action::SendDelta { delta, .. } if delta.digest.is_some() => DIGEST_BYTES,
-                _ => 0,
+            let filter = match action {
+                Action::SendSyncRequest { request, .. } => Some(&request.filter),
+                Action::SendDelta { delta, .. } => delta.filter.as_ref(),
+                _ => None,
             };
+            let filter = filter.map_or(0, |filter| filter_bytes(filter.words()));
             if !matches!(
                 action,
                 Action::StateChanged { .. } | Action::ProposeEvict { .. }
             ) {
                 self.bytes
-                    .charge(MESSAGE_BYTES + self.statement_bytes + digest);
+                    .charge(MESSAGE_BYTES + self.statement_bytes + filter);
             }
         }
         step.actions
@@ -418,7 +419,7 @@
         let probe = Probe {
             number,
             from: self.own().clone(),
-            digest: self.members.digest().total(),
+            digest: self.members.digest(),
             updates,
         };
         let outstanding = Outstanding {
@@ -433,13 +434,19 @@
     /// Updates to piggyback, within the budget.
     pub(super) fn take_updates(&mut self, limit: usize, now: Duration) -> Vec<Member> {
         let limit = limit.min(self.queue.len());
-        let count = self.bytes.take(limit, self.statement_bytes, 0, now);
+        let size = self.statement_bytes;
+        let count = self.bytes.take(limit, size, DELTA_RESERVE, now);
         let ids = self.queue.take(count);
         let members = ids.iter().filter_map(|id| self.members.get(id));
         members.cloned().collect()
     }
 }
 
+/// Bytes of a filter; each word has a type byte.
+pub(super) fn filter_bytes(words: usize) -> u32 {
+    9 * (words as u32 + 1)
+}
+
 /// Estimate for one statement, from this daemon's own: names in a mesh have similar lengths.
 fn statement_bytes(own: &Member) -> u32 {
     // Incarnation, sequence, state, slots and address with their type bytes.
