--- a/crates/client/src/wire/gossip.rs
+++ b/crates/client/src/wire/gossip.rs
@@ -4,7 +4,7 @@
 
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{
-    Ack, Delta, Digest, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+    Ack, Delta, Filter, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 use serde::{Deserialize, Serialize};
 
@@ -179,8 +179,8 @@
     SyncRequest {
         /// The sender about itself.
         from: MemberWire,
-        /// The sender's digest.
-        digest: Digest,
+        /// Which members the sender has.
+        filter: Filter,
     },
     /// Members of buckets that differ.
     Delta {
@@ -188,8 +188,8 @@
         from: MemberWire,
         /// Members.
         updates: Vec<MemberWire>,
-        /// The sender's digest when it wants a delta in return.
-        digest: Option<Digest>,
+        /// Which members the sender has, when it wants a delta in return.
+        filter: Option<Filter>,
     },
 }
 
@@ -223,7 +223,7 @@
     fn from(request: SyncRequest) -> Self {
         Self::SyncRequest {
             from: request.from.into(),
-            digest: request.digest,
+            filter: request.filter,
         }
     }
 }
@@ -233,12 +233,12 @@
         let Delta {
             from,
             updates,
-            digest,
+            filter,
         } = delta;
         Self::Delta {
             from: from.into(),
             updates: to_wire(updates),
-            digest,
+            filter,
         }
     }
 }
@@ -270,18 +270,18 @@
                 target: target.map(Into::into),
             }),
             GossipWire::Push(updates) => Self::Pushed(from_wire(updates)),
-            GossipWire::SyncRequest { from, digest } => Self::SyncRequest(SyncRequest {
+            GossipWire::SyncRequest { from, filter } => Self::SyncRequest(SyncRequest {
                 from: from.into(),
-                digest,
+                filter,
             }),
             GossipWire::Delta {
                 from,
                 updates,
-                digest,
+                filter,
             } => Self::Delta(Delta {
                 from: from.into(),
                 updates: from_wire(updates),
-                digest,
+                filter,
             }),
         }
     }
