--- /dev/null
+++ b/crates/cli/src/commands/common.rs
@@ -0,0 +1,132 @@
+//! Options of all commands.
+
+use std::str::FromStr;
+
+use getopts::{Matches, Options};
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Output {
+    /// Aligned text.
+    #[default]
+    Text,
+    /// One JSON document.
+    Json,
+}
+
+/// Options that every command takes.
+#[derive(Debug, Clone, Default)]
+pub struct Common {
+    /// Form of the output.
+    pub output: Output,
+    /// Address of the log.
+    pub log: Option<String>,
+    /// Addresses of daemons' listeners for operators.
+    pub daemons: Vec<String>,
+    /// File with the token for daemons.
+    pub token_file: Option<String>,
+}
+
+/// Options of one command together with those of all.
+#[derive(Debug)]
+pub struct Parsed<T> {
+    pub(super) common: Common,
+    pub(super) options: T,
+}
+
+/// Why a command line is not carried out.
+#[derive(Debug)]
+pub enum Stop {
+    /// Help was asked for.
+    Help(String),
+    /// The command line is wrong.
+    Usage(String),
+}
+
+/// Name, arguments and purpose of a command, for its help.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Usage {
+    pub(super) line: &'static str,
+    pub(super) purpose: &'static str,
+}
+
+impl Usage {
+    /// Fault of the command line, with a hint at the help.
+    pub(super) fn fault(self, message: &str) -> Stop {
+        let name = self.line.split(' ').next().unwrap_or_default();
+        Stop::Usage(format!(
+            "failed to parse the command line: {message}\nTry `baobabreel {name} --help`."
+        ))
+    }
+
+    /// Parses the options of all commands and those of `options`.
+    pub(super) fn parse(
+        self,
+        args: &[String],
+        mut options: Options,
+    ) -> Result<(Common, Matches), Stop> {
+        options
+            .optopt(
+                "",
+                "output",
+                "form of the output (default text)",
+                "text|json",
+            )
+            .optopt("", "log", "address of the log", "URL")
+            .optmulti(
+                "",
+                "daemon",
+                "address of a daemon's listener for operators; repeatable",
+                "URL",
+            )
+            .optopt("", "token-file", "file with the token for daemons", "FILE")
+            .optflag("h", "help", "show this help");
+        let matches = options
+            .parse(args)
+            .map_err(|e| self.fault(&e.to_string().to_lowercase()))?;
+        if matches.opt_present("help") {
+            let brief = format!("Usage: baobabreel {}\n\n{}", self.line, self.purpose);
+            return Err(Stop::Help(options.usage(&brief)));
+        }
+        let output = match matches.opt_str("output").as_deref() {
+            None | Some("text") => Output::Text,
+            Some("json") => Output::Json,
+            Some(_) => return Err(self.fault("`--output` is not `text` or `json`")),
+        };
+        let common = Common {
+            output,
+            log: matches.opt_str("log"),
+            daemons: matches.opt_strs("daemon"),
+            token_file: matches.opt_str("token-file"),
+        };
+        Ok((common, matches))
+    }
+
+    /// The free arguments, whose number must be that of `names`.
+    pub(super) fn free<const N: usize>(
+        self,
+        matches: &Matches,
+        names: [&str; N],
+    ) -> Result<[String; N], Stop> {
+        let free = matches.free.clone();
+        free.try_into().map_err(|free: Vec<String>| {
+            let found = free.len();
+            if N == 0 {
+                return self.fault(&format!("no argument is expected, found {found}"));
+            }
+            self.fault(&format!(
+                "expected {}, found {found} arguments",
+                names.join(" ")
+            ))
+        })
+    }
+
+    /// Parses a value of an option or argument.
+    pub(super) fn value<T: FromStr>(self, name: &str, text: &str) -> Result<T, Stop>
+    where
+        T::Err: std::fmt::Display,
+    {
+        text.parse()
+            .map_err(|e: T::Err| self.fault(&format!("{name} `{text}`: {e}")))
+    }
+}
