--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -7,6 +7,11 @@
 use baobabreel_core::error::ErrorKind;
 use quickcheck::{Gen, QuickCheck};
 
+const UNREACHABLE: Decision = Decision::Refuse {
+    kind: ErrorKind::DeadlineUnreachable,
+    retry_after: Duration::from_secs(1),
+};
+
 const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
 
 fn ms(ms: u64) -> Duration {
@@ -20,6 +25,11 @@
     Ended,
 }
 
+fn id_of(action: &Action) -> usize {
+    let (Action::Start(id) | Action::Refuse { id, .. }) = action;
+    *id as usize
+}
+
 /// Reference model that checks every action; the index of a ticket is its id.
 struct Model {
     admission: Admission,
@@ -40,7 +50,7 @@
             matching.filter(|t| !bulk || t.0 == Class::Bulk).count() as u32
         };
         assert!(running(false) < self.admission.slots(), "over the slots");
-        let bulk_slot = running(true) < self.admission.bulk_slots();
+        let bulk_slot = running(true) < (self.admission.slots() / 2).max(1);
         assert!(class != Class::Bulk || bulk_slot, "over the bulk share");
         let mut before = self.with(Fate::Queued).filter(|t| {
             (t.0 > class || t.0 == class && t.1 < deadline) && (bulk_slot || t.0 != Class::Bulk)
@@ -50,22 +60,20 @@
 
     fn apply(&mut self, actions: Vec<Action>) {
         for action in actions {
-            let (Action::Start(id) | Action::Refuse { id, .. }) = action;
-            let (class, deadline, fate) = self.tickets[id as usize];
+            let id = id_of(&action);
+            let (class, deadline, fate) = self.tickets[id];
             assert_eq!(fate, Fate::Queued, "second outcome");
-            self.tickets[id as usize].2 = match action {
+            match action {
                 Action::Start(_) => {
                     self.check_start(class, deadline);
-                    Fate::Running
+                    self.tickets[id].2 = Fate::Running;
                 }
                 Action::Refuse { kind, .. } => {
-                    let lower = self.with(Fate::Queued).any(|t| t.0 < class);
-                    assert!(kind != ErrorKind::Overloaded || !lower, "shed too early");
                     let unreachable = kind == ErrorKind::DeadlineUnreachable;
                     assert!(!unreachable || deadline <= self.now, "expired too early");
-                    Fate::Ended
+                    self.refuse(id, kind);
                 }
-            };
+            }
         }
     }
 
@@ -79,33 +87,23 @@
         };
         let lowest = self.with(Fate::Queued).map(|t| t.0).min();
         let offer = self.admission.offer(ticket, self.now);
-        let shed = |a: &Action| {
-            matches!(
-                a,
-                Action::Refuse {
-                    kind: ErrorKind::Overloaded,
-                    ..
-                }
-            )
-        };
-        assert!(
-            !offer.evicted.iter().any(shed) || lowest < Some(class),
-            "shed for its equal"
-        );
+        for action in &offer.evicted {
+            let is_shed = self.tickets[id_of(action)].1 > self.now;
+            assert!(!is_shed || lowest < Some(class), "shed for its equal");
+        }
         self.apply(offer.evicted);
-        let fate = match offer.decision {
-            Decision::Start => {
-                self.check_start(class, deadline);
-                Fate::Running
-            }
-            Decision::Queued => Fate::Queued,
-            Decision::Refuse { kind, .. } => {
-                let lower = self.with(Fate::Queued).any(|t| t.0 < class);
-                assert!(kind != ErrorKind::Overloaded || !lower, "refused too early");
-                Fate::Ended
-            }
-        };
-        self.tickets.push((class, deadline, fate));
+        self.tickets.push((class, deadline, Fate::Queued));
+        match offer.decision {
+            Decision::Start => self.apply(vec![Action::Start(id)]),
+            Decision::Queued => {}
+            Decision::Refuse { kind, .. } => self.refuse(id as usize, kind),
+        }
+    }
+
+    fn refuse(&mut self, id: usize, kind: ErrorKind) {
+        let lower = self.with(Fate::Queued).any(|t| t.0 < self.tickets[id].0);
+        assert!(kind != ErrorKind::Overloaded || !lower, "shed too early");
+        self.tickets[id].2 = Fate::Ended;
     }
 
     fn end(&mut self, pick: usize, fate: Fate) {
@@ -142,15 +140,10 @@
 
     fn check(&self) {
         let load = self.admission.load();
-        let (running, queued) = (
-            self.with(Fate::Running).count(),
-            self.with(Fate::Queued).count(),
-        );
-        assert_eq!((load.running, load.queued), (running as u32, queued as u32));
-        assert!(
-            queued <= 3 && (queued == 0 || !self.drained),
-            "{queued} queued"
-        );
+        let queued = self.with(Fate::Queued).count() as u32;
+        let running = self.with(Fate::Running).count() as u32;
+        assert_eq!((load.running, load.queued), (running, queued));
+        assert!(queued <= 3 && (queued == 0 || !self.drained));
         let mut short = self.with(Fate::Queued).filter(|t| t.0 != Class::Bulk);
         let free = load.running < self.admission.slots();
         assert!(!free || short.next().is_none(), "a slot is idle");
@@ -214,10 +207,6 @@
     use Decision::{Queued, Start};
     let mut a = Admission::builder().slots(2).build();
     run(&mut a, "r", 100);
-    let refused = Decision::Refuse {
-        kind: ErrorKind::DeadlineUnreachable,
-        retry_after: Duration::from_secs(1),
-    };
     // Two slots of 100 ms each: the first in the queue waits 50 ms, and each one ahead adds 50 ms.
     // The fourth goes ahead of the third by its deadline; the last is behind both by its class.
     let (lookup, bulk) = (Class::Lookup, Class::Bulk);
@@ -228,8 +217,8 @@
     ];
     let late = [
         (lookup, 51, Queued),
-        (lookup, 49, refused),
-        (bulk, 149, refused),
+        (lookup, 49, UNREACHABLE),
+        (bulk, 149, UNREACHABLE),
     ];
     for (id, (class, wait, expected)) in offers.into_iter().chain(late).enumerate() {
         let decision = offer(&mut a, id as u64, class, "r", (0, wait));
@@ -246,17 +235,46 @@
         run(&mut a, route, time);
     }
     let offers = [
-        (Class::Lookup, "proof", Start),
-        (Class::Lookup, "proof", Start),
-        (Class::Lookup, "proof", Queued),
-        (Class::Command, "proof", Queued),
-        (Class::Lookup, "middle", Start),
+        (Class::Lookup, "proof", 9_000, Start),
+        (Class::Lookup, "proof", 9_000, Start),
+        // Half of 900 ms until one of the two slots of bulk work is free.
+        (Class::Lookup, "proof", 449, UNREACHABLE),
+        (Class::Lookup, "proof", 9_000, Queued),
+        (Class::Command, "proof", 9_000, Queued),
+        (Class::Lookup, "middle", 9_000, Start),
+        (Class::Lookup, "middle", 9_000, Start),
+        (Class::Lookup, "middle", 9_000, Queued),
     ];
-    for (id, (class, route, expected)) in offers.into_iter().enumerate() {
-        let decision = offer(&mut a, id as u64, class, route, (0, 9_000));
+    for (id, (class, route, wait, expected)) in offers.into_iter().enumerate() {
+        let decision = offer(&mut a, id as u64, class, route, (0, wait));
         assert_eq!(decision, expected, "ticket {id}");
     }
     assert_eq!(a.bulk_running(), 2);
-    // A command of a long route is within the share too, but goes before the lookup.
-    assert_eq!(a.finish(0, ms(900)), vec![Action::Start(3)]);
+    // A command of a long route is within the share too, but goes before lookups; a lookup of a
+    // long route goes after the others.
+    assert_eq!(a.finish(0, ms(900)), vec![Action::Start(4)]);
+    assert_eq!(a.finish(4, ms(901)), vec![Action::Start(7)]);
+}
+
+/// Guards against a baseline for measurements that still looks at classes.
+#[test]
+fn ignores_classes_when_told_to() {
+    let builder = Admission::builder().slots(1).class_aware(false);
+    let mut a = builder.build();
+    for (id, class) in [(0, Class::Bulk), (1, Class::Bulk), (2, Class::Check)] {
+        let _ = offer(&mut a, id, class, "r", (0, 100 + id));
+    }
+    assert_eq!(
+        (a.bulk_running(), a.finish(0, ms(1))),
+        (0, vec![Action::Start(1)])
+    );
+}
+
+/// Guards against a changed bulk share that takes effect only with the next event.
+#[test]
+fn starts_bulk_work_when_its_share_grows() {
+    let mut a = Admission::builder().slots(2).build();
+    let decisions = [0, 1].map(|id| offer(&mut a, id, Class::Bulk, "r", (0, 100)));
+    assert_eq!(decisions, [Decision::Start, Decision::Queued]);
+    assert_eq!(a.set_policy(32, 1.0, ms(1)), vec![Action::Start(1)]);
 }
