--- a/crates/cli/src/ops/change_file.rs
+++ b/crates/cli/src/ops/change_file.rs
@@ -96,15 +96,12 @@
         change_id: ChangeId,
         author: String,
     ) -> Entry {
-        let revision = |key: &RecordKey| {
-            let found = state.records().get(key).map(|record| record.revision);
-            expect.get(key).copied().unwrap_or(found)
-        };
-        let expected = self.touched().map(|key| (key.clone(), revision(key)));
+        let revision = |key: &RecordKey| state.records().get(key).map(|record| record.revision);
+        let seen = self.touched().map(|key| (key.clone(), revision(key)));
         Entry::ChangeSet(ChangeSet {
             change_id,
             author,
-            expected: expected.chain(expect.clone()).collect(),
+            expected: seen.chain(expect.clone()).collect(),
             upserts: self.upserts.clone(),
             deletes: self.deletes.clone(),
         })
