--- a/crates/cli/src/commands/common.rs
+++ b/crates/cli/src/commands/common.rs
@@ -86,7 +86,7 @@
             .map_err(|e| self.fault(&e.to_string().to_lowercase()))?;
         if matches.opt_present("help") {
             let brief = format!("Usage: baobabreel {}\n\n{}", self.line, self.purpose);
-            return Err(Stop::Help(options.usage(&brief)));
+            return Err(Stop::Help(options.usage(&brief) + "\n"));
         }
         let output = match matches.opt_str("output").as_deref() {
             None | Some("text") => Output::Text,
