--- a/crates/cli/src/commands/common.rs
+++ b/crates/cli/src/commands/common.rs
@@ -4,6 +4,8 @@
 
 use getopts::{Matches, Options};
 
+use crate::settings::{self, Settings};
+
 /// Form of the output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Output {
@@ -25,6 +27,8 @@
     pub daemons: Vec<String>,
     /// File with the token for daemons.
     pub token_file: Option<String>,
+    /// Author of changes.
+    pub author: Option<String>,
 }
 
 /// Options of one command together with those of all.
@@ -43,6 +47,17 @@
     Usage(String),
 }
 
+/// Author of a change when none is given.
+const DEFAULT_AUTHOR: &str = "operator";
+
+impl Common {
+    /// The author that the command line or the settings name.
+    pub(super) fn author(&self, matches: &Matches) -> String {
+        let author = matches.opt_str("author").or_else(|| self.author.clone());
+        author.unwrap_or_else(|| DEFAULT_AUTHOR.to_owned())
+    }
+}
+
 /// Name, arguments and purpose of a command, for its help.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Usage {
@@ -80,6 +95,12 @@
                 "URL",
             )
             .optopt("", "token-file", "file with the token for daemons", "FILE")
+            .optopt(
+                "",
+                "settings",
+                "file with defaults, JSON with comments",
+                "FILE",
+            )
             .optflag("h", "help", "show this help");
         let matches = options
             .parse(args)
@@ -88,20 +109,37 @@
             let brief = format!("Usage: baobabreel {}\n\n{}", self.line, self.purpose);
             return Err(Stop::Help(options.usage(&brief) + "\n"));
         }
-        let output = match matches.opt_str("output").as_deref() {
+        let settings = self.settings(&matches)?;
+        let output = matches.opt_str("output").or(settings.output);
+        let output = match output.as_deref() {
             None | Some("text") => Output::Text,
             Some("json") => Output::Json,
             Some(_) => return Err(self.fault("`--output` is not `text` or `json`")),
         };
+        let daemons = matches.opt_strs("daemon");
         let common = Common {
             output,
-            log: matches.opt_str("log"),
-            daemons: matches.opt_strs("daemon"),
-            token_file: matches.opt_str("token-file"),
+            log: matches.opt_str("log").or(settings.log),
+            daemons: if daemons.is_empty() {
+                settings.daemons
+            } else {
+                daemons
+            },
+            token_file: matches.opt_str("token-file").or(settings.token_file),
+            author: settings.author,
         };
         Ok((common, matches))
     }
 
+    fn settings(self, matches: &Matches) -> Result<Settings, Stop> {
+        let Some(file) = matches.opt_str("settings") else {
+            return Ok(Settings::default());
+        };
+        let text = std::fs::read_to_string(&file)
+            .map_err(|e| Stop::Usage(format!("failed to read the settings file `{file}`: {e}")))?;
+        settings::parse(&file, &text).map_err(|faults| Stop::Usage(faults.join("\n")))
+    }
+
     /// The free arguments, whose number must be that of `names`.
     pub(super) fn free<const N: usize>(
         self,
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -12,9 +12,6 @@
 /// Time to wait for all daemons, in seconds; the target is 9 s.
 const DEFAULT_TIMEOUT_S: u64 = 30;
 
-/// Author of a change when none is given.
-pub(super) const DEFAULT_AUTHOR: &str = "operator";
-
 const USAGE: Usage = Usage {
     line: "publish FILE [OPTIONS]",
     purpose: "Publishes FILE as one change and prints its verdict.",
@@ -74,9 +71,7 @@
     let options = PublishOptions {
         file,
         change_id: matches.opt_str("change-id"),
-        author: matches
-            .opt_str("author")
-            .unwrap_or_else(|| DEFAULT_AUTHOR.to_owned()),
+        author: common.author(&matches),
         expect,
         wait: matches.opt_present("wait"),
         timeout: Duration::from_secs(timeout),
--- a/crates/cli/src/commands/raise_level.rs
+++ b/crates/cli/src/commands/raise_level.rs
@@ -4,7 +4,6 @@
 use getopts::Options;
 
 use super::common::{Parsed, Stop, Usage};
-use super::publish::DEFAULT_AUTHOR;
 
 const USAGE: Usage = Usage {
     line: "raise-level N [OPTIONS]",
@@ -49,9 +48,7 @@
     let options = RaiseLevelOptions {
         level: USAGE.value("N", &level)?,
         change_id: matches.opt_str("change-id"),
-        author: matches
-            .opt_str("author")
-            .unwrap_or_else(|| DEFAULT_AUTHOR.to_owned()),
+        author: common.author(&matches),
         force: matches.opt_present("force"),
     };
     Ok(Parsed { common, options })
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod context;
 pub mod ops;
 pub mod report;
+pub mod settings;
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -423,3 +423,31 @@
         (2, "`--log URL` is needed\n")
     );
 }
+
+/// Guards against settings that are ignored or whose faults are found one at a time.
+#[tokio::test]
+async fn settings_give_defaults_and_report_every_fault() {
+    let text = "{\n  // The auction's log.\n  \"author\": \"ana\",\n  \"output\": \"json\"\n}\n";
+    let settings = file("settings.jsonc", text);
+    let (log, change) = (log(), queue_file("settings-change.json"));
+    let line = format!("publish {change} --settings {settings}");
+    let ran = cli(&line, Some(&log), &[]).await;
+    let found: Value = serde_json::from_str(&ran.stdout).expect("JSON");
+    let verdict = json!({"verdict": "accepted", "version": {"generation": 1, "offset": 2}});
+    assert_eq!((ran.code, &found["verdict"]), (0, &verdict));
+    let ran = cli("history --output text", Some(&log), &[]).await;
+    assert!(
+        ran.stdout.contains("2       new-id     ana "),
+        "{}",
+        ran.stdout
+    );
+    let text = "{\n  \"daemons\": [1],\n  \"logs\": \"x\",\n  \"output\": \"xml\"\n}\n";
+    let bad = file("bad.jsonc", text);
+    let ran = cli(&format!("status --settings {bad}"), None, &[]).await;
+    let text = format!(
+        "{bad}:2: `daemons` is [1]; allowed: a list of texts\n\
+         {bad}:3: `logs` is unknown; allowed: output, log, daemons, token_file, author\n\
+         {bad}:4: `output` is \"xml\"; allowed: \"text\" or \"json\"\n"
+    );
+    assert_eq!((ran.code, ran.stderr), (2, text));
+}
