Give survivors time to notice a lost data centre before the eviction check

The check counts from the start of the loss, but each survivor waits 60 s from the time at which it noticed the death itself; the bound of 60 s stays.

--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -150,6 +150,8 @@
     assert_eq!(net.deaths().count(), 24 * 12);
     let mut subjects = net.changes.iter().map(|(_, _, m)| &m.data_centre);
     assert!(subjects.all(|data_centre| data_centre == "kingston-2"));
+    // A survivor counts the 60 s from the time at which it noticed the death itself.
+    net.run(60);
     let (gone, survivors): (Vec<usize>, Vec<usize>) = (0..36).partition(|i| *i >= 24);
     assert_late_evictions(&net, gone_at, &gone, &survivors);
     net.frozen[24..].fill(false);
