Test that a dropped child is killed

Without it a child of a failed test kept running and kept its port, and no test noticed. The wait for the broken call in the kill test has a limit now.

--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -188,7 +188,10 @@
     until(|| server.counters().running == 1).await;
     server.kill().await;
     let announced = sink.received().len();
-    assert!(call.await.unwrap());
+    let broken = tokio::time::timeout(Duration::from_secs(30), call)
+        .await
+        .unwrap();
+    assert!(broken.unwrap());
     assert_eq!(server.journal()[0].result, WorkResult::Cancelled);
     let refused = tokio::net::TcpStream::connect(server.addr())
         .await
--- a/crates/test-support/tests/process.rs
+++ b/crates/test-support/tests/process.rs
@@ -81,3 +81,14 @@
     assert!(error.contains("the child closed its output"), "{error}");
     assert!(error.contains("option --service is missing"), "{error}");
 }
+
+/// Guards against children that outlive a failed test and disturb the next ones.
+#[tokio::test]
+async fn a_dropped_child_is_killed() {
+    let folder = tempfile::tempdir().unwrap();
+    let child = start_backend(&folder.path().join("journal")).await;
+    let address = child.ready_field("address").unwrap().to_owned();
+    std::net::TcpStream::connect(&address).unwrap();
+    drop(child);
+    until(|| std::net::TcpStream::connect(&address).is_err()).await;
+}
