Tell entries beyond this release from an unreachable log

Such entries ended with exit code 3. Pages of the log are also kept below the 16 MiB that the client accepts: 500 large entries could never be read.

--- a/crates/cli/src/ops/check.rs
+++ b/crates/cli/src/ops/check.rs
@@ -25,7 +25,7 @@
     let mut notes = Vec::new();
     match &cx.log {
         Some(log) => {
-            let view = LogView::load(log).await.or_exit(Exit::Unreachable)?;
+            let view = LogView::load(log).await?;
             let id = (cx.new_id)();
             let entry = file.entry(&view.state, &BTreeMap::new(), id, "check".to_owned());
             if let Some(reason) = rehearse(&view.state, &entry).or_exit(Exit::Rejected)?
--- a/crates/cli/src/ops/diff.rs
+++ b/crates/cli/src/ops/diff.rs
@@ -17,7 +17,7 @@
     cx: &Context<L, D>,
     options: &DiffOptions,
 ) -> Result<Outcome, Failure> {
-    let load = async || LogView::load(log_of(cx)?).await.or_exit(Exit::Unreachable);
+    let load = async || LogView::load(log_of(cx)?).await;
     let changes = match &options.of {
         DiffOf::File(name) => {
             let file = ChangeFile::read(name)?;
--- a/crates/cli/src/ops/get.rs
+++ b/crates/cli/src/ops/get.rs
@@ -33,7 +33,7 @@
     options: &GetOptions,
 ) -> Result<Option<Record>, Failure> {
     if let Some(log) = &cx.log {
-        let view = LogView::load(log).await.or_exit(Exit::Unreachable)?;
+        let view = LogView::load(log).await?;
         return Ok(view.state.records().get(&options.key).cloned());
     }
     let mut last = Err(eyre!("`--log URL` or `--daemon URL` is needed")).or_exit(Exit::Usage);
--- a/crates/cli/src/ops/history.rs
+++ b/crates/cli/src/ops/history.rs
@@ -6,7 +6,7 @@
 use super::log_view::{Folded, LogView, log_of};
 use crate::commands::history::HistoryOptions;
 use crate::context::{Context, Log};
-use crate::report::{Exit, Failure, OrExit, Outcome, Table};
+use crate::report::{Failure, Outcome, Table};
 
 /// Lists entries that the log retains, of one record if one is named.
 ///
@@ -17,9 +17,7 @@
     cx: &Context<L, D>,
     options: &HistoryOptions,
 ) -> Result<Outcome, Failure> {
-    let view = LogView::load(log_of(cx)?)
-        .await
-        .or_exit(Exit::Unreachable)?;
+    let view = LogView::load(log_of(cx)?).await?;
     let mut table = Table::new(["OFFSET", "CHANGE ID", "AUTHOR", "CHANGE", "VERDICT"]);
     let mut list = Vec::new();
     for folded in &view.entries {
--- a/crates/cli/src/ops/log_view.rs
+++ b/crates/cli/src/ops/log_view.rs
@@ -2,7 +2,9 @@
 
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::wire::{LogRecord, Retained};
-use baobabreel_core::config::{ConfigState, Entry, MAX_SCHEMA, Snapshot, Verdict, Version};
+use baobabreel_core::config::{
+    ConfigState, Entry, FoldError, MAX_SCHEMA, Snapshot, Verdict, Version,
+};
 use baobabreel_core::id::Offset;
 use baobabreel_core::registry::FIRST_GENERATION;
 use eyre::{Result, bail, eyre};
@@ -13,8 +15,9 @@
 /// Stream of configuration entries.
 pub(super) const CONFIG: &str = "config";
 const SNAPSHOTS: &str = "snapshots";
-/// Records asked for at once.
-const PAGE: usize = 500;
+/// Records asked for at once. The client refuses answers over 16 MiB, and an entry has up to
+/// 256 KiB, at most twice that as text inside JSON when it has no control characters.
+const PAGE: usize = 32;
 
 /// An entry that was folded.
 #[derive(Debug)]
@@ -42,7 +45,20 @@
 
 impl LogView {
     /// Reads the whole log, from a snapshot when its start is no longer retained.
-    pub(super) async fn load(log: &impl Log) -> Result<Self> {
+    ///
+    /// A log that cannot be read is unreachable; one with entries that are beyond this release is
+    /// invalid for it.
+    pub(super) async fn load(log: &impl Log) -> Result<Self, Failure> {
+        Self::read(log).await.map_err(|report| Failure {
+            exit: match report.downcast_ref() {
+                Some(FoldError::Beyond { .. }) => Exit::Rejected,
+                _ => Exit::Unreachable,
+            },
+            report,
+        })
+    }
+
+    async fn read(log: &impl Log) -> Result<Self> {
         let (generation, first) = match log.read(CONFIG, 1, 1).await? {
             ReadAnswer::Page(page) => (page.generation, page.first),
             ReadAnswer::Expired(Retained {
--- a/crates/cli/src/ops/publish.rs
+++ b/crates/cli/src/ops/publish.rs
@@ -22,7 +22,7 @@
 ) -> Result<Outcome, Failure> {
     let file = ChangeFile::read(&options.file)?;
     let log = log_of(cx)?;
-    let mut view = LogView::load(log).await.or_exit(Exit::Unreachable)?;
+    let mut view = LogView::load(log).await?;
     let change_id = options.change_id.clone().unwrap_or_else(&cx.new_id);
     if let Some(first) = view.verdict_of(&change_id).cloned() {
         let text = format!("change id {change_id} was published before\n");
--- a/crates/cli/src/ops/raise_level.rs
+++ b/crates/cli/src/ops/raise_level.rs
@@ -26,7 +26,7 @@
 ) -> Result<Outcome, Failure> {
     let log = log_of(cx)?;
     let level = options.level;
-    let mut view = LogView::load(log).await.or_exit(Exit::Unreachable)?;
+    let mut view = LogView::load(log).await?;
     let change_id = options.change_id.clone().unwrap_or_else(&cx.new_id);
     let verdict = match view.verdict_of(&change_id).cloned() {
         Some(first) => first,
--- a/crates/cli/src/ops/status.rs
+++ b/crates/cli/src/ops/status.rs
@@ -72,7 +72,7 @@
 /// Records of the log when one is given, otherwise of the first daemon that answers.
 pub(super) async fn records<L: Log, D: Daemon>(cx: &Context<L, D>) -> Result<Records, Failure> {
     if let Some(log) = &cx.log {
-        let view = LogView::load(log).await.or_exit(Exit::Unreachable)?;
+        let view = LogView::load(log).await?;
         let records = view.state.records().iter();
         return Ok(Records {
             version: view.state.version(),
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -102,6 +102,12 @@
     let ran = cli(&format!("publish {file}"), Some(&log), &[]).await;
     let text = "failed to append: nothing was published: the log answered 503\n";
     assert_eq!((ran.code, ran.stderr.as_str()), (3, text));
+    let later = json!({"type": "canary", "change_id": "x"}).to_string();
+    let newer = FakeLog::new();
+    newer.put("config", &later);
+    let ran = cli(&format!("publish {file}"), Some(&newer), &[]).await;
+    let text = "failed to judge an entry: entry type `canary` is unknown\n";
+    assert_eq!((ran.code, ran.stderr.as_str()), (1, text));
     log.0.borrow_mut().down = true;
     let ran = cli(&format!("publish {file}"), Some(&log), &[]).await;
     assert_eq!(
