Send calls between daemons over pooled HTTP/1.1 connections

Cause: with HTTP/2 a call passes through two more tasks on either side and takes more system calls. Control messages stay on HTTP/2 with pings. A call that takes longer than 1 s is asked about over another connection: one that has not arrived is marked there, so that 'not run' stays true; an answered one whose answer does not come is unknown.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -30,6 +30,8 @@
 /// Head of a call between two daemons.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallHead {
+    /// Identifier of this attempt, drawn at random.
+    pub id: u64,
     /// Route that matched at the entry daemon.
     pub route: RouteName,
     /// Service of the chosen backend server.
@@ -46,6 +48,26 @@
     pub key: Option<KeyHead>,
 }
 
+/// Question about a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallQuery {
+    /// Identifier of the attempt.
+    pub id: u64,
+    /// Incarnation of the daemon that the call was sent to.
+    pub incarnation: Incarnation,
+}
+
+/// What a daemon knows about a call that was sent to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallState {
+    /// It has arrived and is not answered.
+    Active,
+    /// It was answered a short time ago.
+    Answered,
+    /// It has not arrived, and will not be run if it still does.
+    NotRun,
+}
+
 /// Load of a backend server as the daemon beside it sees it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadWire {
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -7,7 +7,7 @@
 mod log;
 mod operator;
 
-pub use call::{AnswerHead, CallHead, DecodeHeadError, KeyHead, LoadWire};
+pub use call::{AnswerHead, CallHead, CallQuery, CallState, DecodeHeadError, KeyHead, LoadWire};
 pub use control::{
     BatchWire, CodecError, Envelope, Position, PullAnswerWire, PullWire, PushAnswer, PushWire,
     Stream, decode, encode,
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::control::{Distribution, Follower, Membership, encoded};
 use crate::keys::Keys;
-use crate::proxy::{Balance, Host, PeerPool};
+use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -77,6 +77,8 @@
     pub host: Host,
     /// Connections to other daemons.
     pub peers: PeerPool,
+    /// Calls of other daemons.
+    pub calls: ActiveCalls,
     /// Choice of backend servers.
     pub balance: Balance,
     /// Instruments.
@@ -112,6 +114,7 @@
             view: ArcSwap::from_pointee(MeshView::default()),
             host: Host::new(settings.limits.backend_connections),
             peers: PeerPool::new(settings.token.clone()),
+            calls: ActiveCalls::default(),
             balance: Balance::new(&identity),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,6 +1,8 @@
 //! Control messages of other daemons over HTTP.
 
-use baobabreel_client::wire::{Envelope, PullWire, PushWire, QueryWire, decode};
+use baobabreel_client::wire::{
+    CallQuery, CallState, Envelope, PullWire, PushWire, QueryWire, decode,
+};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -33,6 +35,7 @@
         "/peer/v1/probe" => probe(cx, control, &body).await,
         "/peer/v1/entries" => entries(control, &body).await,
         "/peer/v1/pull" => pull(control, &body).await,
+        "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         _ => return status(StatusCode::NOT_FOUND),
     };
@@ -108,3 +111,11 @@
     let query: QueryWire = read(body)?;
     answer(&cx.keys.answer_prior(&query, cx.clock.now()))
 }
+
+fn call_state(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: CallQuery = read(body)?;
+    if query.incarnation != cx.identity.incarnation {
+        return answer(&CallState::Answered);
+    }
+    answer(&cx.calls.state(query.id, cx.clock.now()))
+}
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -1,13 +1,13 @@
-//! Listener for other daemons: HTTP/2 only.
+//! Listener for other daemons: HTTP/1.1 for calls, HTTP/2 for control messages.
 
 use std::convert::Infallible;
 use std::sync::Arc;
 
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
-use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -19,6 +19,9 @@
     CALL_PREFIX, PING_INTERVAL, PING_TIMEOUT, ProxyBody, has_token, serve_peer_call,
 };
 
+/// Bytes that the head of a call adds to the header section of a caller.
+const CALL_HEADER_BYTES: usize = 4 * 1024;
+
 /// Streams of one peer at once.
 const MAX_STREAMS: u32 = 1_024;
 
@@ -31,6 +34,7 @@
 /// Serves other daemons until `stop`; then lets the open connections end.
 pub async fn serve_peers(cx: Cx, control: Control, listener: TcpListener, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
+    let header_bytes = cx.settings.limits.header_bytes + CALL_HEADER_BYTES;
     loop {
         let stream = tokio::select! {
             () = stop.cancelled() => break,
@@ -38,14 +42,10 @@
         };
         let (cx, control) = (Arc::clone(&cx), control.clone());
         let service = service_fn(move |req| answer(Arc::clone(&cx), control.clone(), req));
-        let conn = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
-            .max_concurrent_streams(MAX_STREAMS)
-            .initial_stream_window_size(STREAM_WINDOW)
-            .initial_connection_window_size(CONNECTION_WINDOW)
-            .serve_connection(TokioIo::new(stream), service);
+        let builder = builder(header_bytes);
+        let conn = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
         let conn = graceful.watch(conn);
         tokio::spawn(async move {
             if let Err(e) = conn.await {
@@ -56,6 +56,23 @@
     graceful.shutdown().await;
 }
 
+fn builder(header_bytes: usize) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .max_buf_size(header_bytes);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW);
+    builder
+}
+
 async fn answer(
     cx: Cx,
     control: Control,
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -13,6 +13,7 @@
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
+use super::pool::Http1Connection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 
 /// Share of the requests that may be tried again.
@@ -192,6 +193,7 @@
             started: now,
             end: End::Cancelled,
             outstanding: Arc::clone(&self.outstanding),
+            connection: None,
         })
     }
 }
@@ -215,9 +217,22 @@
     started: Duration,
     end: End,
     outstanding: Arc<AtomicUsize>,
+    connection: Option<Http1Connection>,
 }
 
 impl EntryGuard {
+    /// Keeps the connection of the call until the answer is whole.
+    pub fn hold(&mut self, connection: Http1Connection) {
+        self.connection = Some(connection);
+    }
+
+    /// The answer is whole: the connection can be used again.
+    pub fn finished(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+    }
+
     /// Name of the backend server.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -12,6 +12,7 @@
 
 use super::balance::EntryGuard;
 use super::host::HostGuard;
+use super::pool::Http1Connection;
 
 /// A body could not be passed on.
 #[derive(Debug)]
@@ -49,12 +50,12 @@
 /// What is released at the end of an answer.
 #[derive(Debug)]
 pub enum Guard {
-    /// Nothing.
-    None,
     /// Slot at the host daemon.
     Host(HostGuard),
     /// Outstanding call at the entry daemon.
     Entry(EntryGuard),
+    /// Connection to the daemon that answers.
+    Connection(Option<Http1Connection>),
     /// Both, when the entry daemon is the host daemon.
     Both(HostGuard, EntryGuard),
 }
@@ -64,7 +65,12 @@
     pub fn finished(&mut self) {
         match self {
             Self::Host(host) | Self::Both(host, _) => host.finished(),
-            Self::None | Self::Entry(_) => {}
+            Self::Entry(entry) => entry.finished(),
+            Self::Connection(connection) => {
+                if let Some(connection) = connection.take() {
+                    connection.release();
+                }
+            }
         }
     }
 }
@@ -84,16 +90,46 @@
         left: u64,
     },
     /// Bytes of an answer, with what is released at its end.
-    Tracked {
-        /// Source of the bytes.
-        inner: Incoming,
-        /// Bytes that were announced and have not come.
-        expected: Option<u64>,
-        /// Time at which the answer is broken off.
-        deadline: Pin<Box<tokio::time::Sleep>>,
-        /// Released at the end.
-        guard: Guard,
-    },
+    Tracked(Box<Tracked>),
+}
+
+/// Bytes of an answer, with what is released at its end.
+#[derive(Debug)]
+pub struct Tracked {
+    /// Source of the bytes.
+    pub inner: Incoming,
+    /// Bytes that were announced and have not come.
+    pub expected: Option<u64>,
+    /// Time at which the answer is broken off.
+    pub deadline: Pin<Box<tokio::time::Sleep>>,
+    /// Released at the end.
+    pub guard: Guard,
+}
+
+impl Tracked {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(BodyError::Late)));
+        }
+        let polled = poll_incoming(&mut self.inner, cx);
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+                if let Some(expected) = &mut self.expected {
+                    *expected = expected.saturating_sub(bytes);
+                }
+                if self.inner.is_end_stream() {
+                    self.guard.finished();
+                }
+            }
+            Poll::Ready(None) if self.expected.is_some_and(|left| left > 0) => {
+                return Poll::Ready(Some(Err(BodyError::Short)));
+            }
+            Poll::Ready(None) => self.guard.finished(),
+            _ => {}
+        }
+        polled
+    }
 }
 
 impl ProxyBody {
@@ -143,34 +179,7 @@
                 }
                 polled
             }
-            Self::Tracked {
-                inner,
-                expected,
-                deadline,
-                guard,
-            } => {
-                if deadline.as_mut().poll(cx).is_ready() {
-                    return Poll::Ready(Some(Err(BodyError::Late)));
-                }
-                let polled = poll_incoming(inner, cx);
-                match &polled {
-                    Poll::Ready(Some(Ok(frame))) => {
-                        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
-                        if let Some(expected) = expected {
-                            *expected = expected.saturating_sub(bytes);
-                        }
-                        if inner.is_end_stream() {
-                            guard.finished();
-                        }
-                    }
-                    Poll::Ready(None) if expected.is_some_and(|left| left > 0) => {
-                        return Poll::Ready(Some(Err(BodyError::Short)));
-                    }
-                    Poll::Ready(None) => guard.finished(),
-                    _ => {}
-                }
-                polled
-            }
+            Self::Tracked(tracked) => tracked.poll(cx),
         }
     }
 
@@ -178,7 +187,8 @@
         match self {
             Self::Empty => true,
             Self::Full(_) => false,
-            Self::Stream { inner, .. } | Self::Tracked { inner, .. } => inner.is_end_stream(),
+            Self::Stream { inner, .. } => inner.is_end_stream(),
+            Self::Tracked(tracked) => tracked.inner.is_end_stream(),
         }
     }
 
@@ -186,7 +196,8 @@
         match self {
             Self::Empty => SizeHint::with_exact(0),
             Self::Full(data) => SizeHint::with_exact(data.len() as u64),
-            Self::Stream { inner, .. } | Self::Tracked { inner, .. } => inner.size_hint(),
+            Self::Stream { inner, .. } => inner.size_hint(),
+            Self::Tracked(tracked) => tracked.inner.size_hint(),
         }
     }
 }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -1,6 +1,5 @@
 //! One attempt at one backend server, and the choice of it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
@@ -15,7 +14,8 @@
 use super::body::{Guard, ProxyBody};
 use super::headers;
 use super::host::{self, CALL_PREFIX};
-use super::pool::{PeerError, peer_uri};
+use super::pool::{Http1Connection, SendError};
+use super::watch::{self, Callee, Watched};
 use crate::context::{Cx, is_able};
 
 /// Attempts of a request whose earlier ones are proved not to have run.
@@ -28,6 +28,8 @@
     pub response: Response<Incoming>,
     /// Load at the daemon.
     pub load: LoadWire,
+    /// Connection that the body comes over.
+    pub connection: Http1Connection,
 }
 
 /// Chooses a backend server of `service` and counts a call to it.
@@ -68,6 +70,7 @@
         match send_to_member(cx, head, req, guard.name(), deadline).await {
             Ok(answer) => {
                 guard.answered(Some(report(answer.load)));
+                guard.hold(answer.connection);
                 (answer.response, None)
             }
             Err(e) => return Err(failed(guard, e)),
@@ -116,18 +119,21 @@
     name: &str,
     deadline: Duration,
 ) -> Result<PeerAnswer, CallError> {
-    let addr = cx
+    let to = cx
         .view
         .load()
         .find(&head.service, name)
-        .map(|member| member.peer_addr);
-    let Some(addr) = addr else {
+        .map(|member| Callee {
+            addr: member.peer_addr,
+            incarnation: member.incarnation,
+        });
+    let Some(to) = to else {
         return Err(CallError::new(
             ErrorKind::NoBackendServer,
             "the member is gone",
         ));
     };
-    send_call(cx, addr, head, req, deadline).await
+    send_call(cx, to, head, req, deadline).await
 }
 
 /// Sends a call to a daemon.
@@ -138,27 +144,41 @@
 /// one that leaves open whether the request ran.
 pub async fn send_call(
     cx: &Cx,
-    addr: SocketAddr,
+    to: Callee,
     head: &CallHead,
     mut req: Request<ProxyBody>,
     deadline: Duration,
 ) -> Result<PeerAnswer, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
-    *req.uri_mut() = peer_uri(addr, &format!("{CALL_PREFIX}{path}"));
-    *req.version_mut() = Version::HTTP_2;
-    if let Some(host) = req.headers_mut().remove(HOST) {
+    *req.uri_mut() = format!("{CALL_PREFIX}{path}").parse().map_err(|e| {
+        CallError::new(
+            ErrorKind::BadRequest,
+            format!("failed to pass the path: {e}"),
+        )
+    })?;
+    *req.version_mut() = Version::HTTP_11;
+    let host = HeaderValue::try_from(to.addr.to_string())
+        .map_err(|e| CallError::new(ErrorKind::Internal, e.to_string()))?;
+    if let Some(host) = req.headers_mut().insert(HOST, host) {
         req.headers_mut().insert(headers::CALLER_HOST, host);
     }
     req.headers_mut()
         .insert(headers::CALL, HeaderValue::from(head));
-    let remaining = deadline.saturating_sub(cx.clock.now());
-    let mut res = match tokio::time::timeout(remaining, cx.peers.send(addr, req)).await {
-        Ok(Ok(res)) => res,
-        Ok(Err(PeerError::NotSent(detail))) => {
+    let exchange = cx.peers.call(to.addr, req);
+    let (mut res, connection) = match watch::until(cx, to, head.id, deadline, exchange).await {
+        Watched::Ended(Ok(answered)) => answered,
+        Watched::Ended(Err(SendError::NotSent(detail))) => {
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        Watched::Ended(Err(SendError::Lost(detail))) => {
+            return Err(CallError::new(ErrorKind::UpstreamLost, detail));
+        }
+        Watched::NotRun => {
+            let detail = "the connection to the daemon went silent before the call arrived";
             return Err(CallError::new(ErrorKind::NoBackendServer, detail));
         }
-        Ok(Err(e)) => return Err(CallError::new(ErrorKind::UpstreamLost, e.to_string())),
-        Err(_) => {
+        Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
+        Watched::Late => {
             return Err(CallError::new(
                 ErrorKind::DeadlineExceeded,
                 "the deadline passed",
@@ -172,7 +192,8 @@
         .and_then(|value| AnswerHead::try_from(&value).map_err(|e| e.to_string()))
         .map_err(|detail| CallError::new(ErrorKind::UpstreamLost, detail))?;
     if let Some(kind) = answer.error {
-        let mut e = CallError::new(kind, format!("refused by the daemon at {addr}"));
+        // The short body of a refusal is not read, so the connection is closed.
+        let mut e = CallError::new(kind, format!("refused by the daemon at {}", to.addr));
         e.is_local = false;
         return Err(match read_retry_after(&res) {
             Some(after) => e.with_retry_after(after),
@@ -182,6 +203,7 @@
     Ok(PeerAnswer {
         response: res,
         load: answer.load,
+        connection,
     })
 }
 
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -21,8 +21,10 @@
 use super::answer::CallError;
 use super::balance::{EntryGuard, RouteState};
 use super::body::{Guard, ProxyBody};
+use super::dispatch::PeerAnswer;
 use super::keyed::{self, WholeRequest};
 use super::replay::{CallerBody, CallerRequest};
+use super::watch::Callee;
 use super::{dispatch, headers, host};
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
@@ -318,6 +320,7 @@
             remaining_ms: u64::try_from(remaining.as_millis())
                 .unwrap_or(u64::MAX)
                 .max(1),
+            id: rand::random(),
             retry: again || self.marked_as_retry,
             version: self.config.version,
             key: None,
@@ -357,10 +360,13 @@
             KeyRoute::Here => keyed::serve_as_owner(self.cx, head, key_head(&me), req).await,
             KeyRoute::Send { owner, peer_addr } => {
                 head.key = Some(key_head(&owner));
-                let sent =
-                    dispatch::send_call(self.cx, peer_addr, &head, req.to_request(), self.deadline);
-                let res = sent.await.map_err(|e| owner_error(e, attempt))?.response;
-                Ok(pass_through(self.cx, res, self.deadline))
+                let to = Callee {
+                    addr: peer_addr,
+                    incarnation: owner.incarnation,
+                };
+                let sent = dispatch::send_call(self.cx, to, &head, req.to_request(), self.deadline);
+                let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
+                Ok(pass_through(self.cx, answer, self.deadline))
             }
         }
     }
@@ -376,11 +382,12 @@
 }
 
 /// Answer of the owner, which carries its own outcome header.
-fn pass_through(cx: &Cx, mut res: Response<Incoming>, deadline: Duration) -> Response<ProxyBody> {
-    headers::remove_hop_by_hop(res.headers_mut());
-    let (mut parts, body) = res.into_parts();
+fn pass_through(cx: &Cx, answer: PeerAnswer, deadline: Duration) -> Response<ProxyBody> {
+    let (mut parts, body) = answer.response.into_parts();
+    headers::remove_hop_by_hop(&mut parts.headers);
     parts.version = Version::HTTP_11;
-    Response::from_parts(parts, host::tracked(cx, body, deadline, Guard::None))
+    let guard = Guard::Connection(Some(answer.connection));
+    Response::from_parts(parts, host::tracked(cx, body, deadline, guard))
 }
 
 /// Whether another backend server could answer differently.
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -18,11 +18,12 @@
 use hyper::body::{Body, Incoming};
 use tokio::sync::oneshot;
 
+use super::active::ActiveCalls;
 use super::answer::CallError;
-use super::body::{Guard, ProxyBody};
+use super::body::{Guard, ProxyBody, Tracked};
 use super::headers;
 use super::keyed::{self, WholeRequest};
-use super::pool::{BackendConnection, BackendPool, SendError};
+use super::pool::{Http1Connection, Http1Pool, SendError};
 use super::replay::MAX_REPLAY_BYTES;
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
@@ -49,7 +50,7 @@
 #[derive(Debug)]
 struct Backend {
     info: BackendInfo,
-    pool: Arc<BackendPool>,
+    pool: Arc<Http1Pool>,
 }
 
 #[derive(Debug)]
@@ -119,7 +120,7 @@
         let known = self.backend.load_full();
         let pool = match known.filter(|known| known.info.address == info.address) {
             Some(known) => Arc::clone(&known.pool),
-            None => Arc::new(BackendPool::new(info.address, self.connection_limit)),
+            None => Arc::new(Http1Pool::new(info.address, self.connection_limit)),
         };
         let mut gate = lock(&self.gate);
         if gate.admission.slots() != info.slots {
@@ -269,7 +270,7 @@
 pub struct HostGuard {
     cx: Cx,
     id: Option<TicketId>,
-    connection: Option<BackendConnection>,
+    connection: Option<Http1Connection>,
 }
 
 impl std::fmt::Debug for HostGuard {
@@ -428,12 +429,12 @@
         return ProxyBody::Empty;
     }
     let expected = body.size_hint().exact();
-    ProxyBody::Tracked {
+    ProxyBody::Tracked(Box::new(Tracked {
         inner: body,
         expected,
         deadline: Box::pin(tokio::time::sleep(left)),
         guard,
-    }
+    }))
 }
 
 /// Serves a call of another daemon.
@@ -444,7 +445,13 @@
     let head = req.headers().get(headers::CALL).map(CallHead::try_from);
     let (route, result) = match head {
         Some(Ok(head)) => {
-            let result = call(&cx, &head, req, &span).await;
+            let result = match ActiveCalls::begin(&cx, head.id) {
+                Some(_active) => call(&cx, &head, req, &span).await,
+                None => Err(CallError::new(
+                    ErrorKind::NotReady,
+                    "the caller gave this call up",
+                )),
+            };
             (head.route, result)
         }
         Some(Err(e)) => (
@@ -517,7 +524,7 @@
     let (mut parts, body) = admitted.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     let body = tracked(cx, body, admitted.deadline, Guard::Host(admitted.guard));
-    parts.version = Version::HTTP_2;
+    parts.version = Version::HTTP_11;
     Ok(Response::from_parts(parts, body))
 }
 
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 //! hands the request to the daemon beside it. That daemon admits it and passes it to the backend
 //! server. When the entry daemon is the one beside the chosen backend server, there is one hop less.
 
+mod active;
 mod answer;
 mod balance;
 mod body;
@@ -14,7 +15,9 @@
 mod keyed;
 mod pool;
 mod replay;
+mod watch;
 
+pub use active::ActiveCalls;
 pub use answer::CallError;
 pub use balance::Balance;
 pub use body::{BodyError, ProxyBody};
--- a/crates/daemon/src/proxy/pool/backend.rs
+++ b/crates/daemon/src/proxy/pool/http1.rs
@@ -1,4 +1,4 @@
-//! Pool of HTTP/1.1 connections to the backend server beside the daemon.
+//! Pool of HTTP/1.1 connections to a backend server or to another daemon.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -35,9 +35,9 @@
     since: Instant,
 }
 
-/// Pool of connections to one backend server.
+/// Pool of connections to one server.
 #[derive(Debug)]
-pub struct BackendPool {
+pub struct Http1Pool {
     addr: SocketAddr,
     idle: Mutex<Vec<Idle>>,
     permits: Arc<Semaphore>,
@@ -45,13 +45,13 @@
 
 /// Connection that is in use; goes back to its pool when the answer is whole.
 #[derive(Debug)]
-pub struct BackendConnection {
-    pool: Arc<BackendPool>,
+pub struct Http1Connection {
+    pool: Arc<Http1Pool>,
     sender: SendRequest<ProxyBody>,
     permit: OwnedSemaphorePermit,
 }
 
-impl BackendConnection {
+impl Http1Connection {
     /// Gives the connection back.
     pub fn release(self) {
         if self.sender.is_closed() {
@@ -70,7 +70,7 @@
     }
 }
 
-impl BackendPool {
+impl Http1Pool {
     /// Makes a pool of at most `limit` connections.
     #[must_use]
     pub fn new(addr: SocketAddr, limit: usize) -> Self {
@@ -109,7 +109,7 @@
             .map_err(|e| not_sent(&format!("failed to start HTTP/1.1: {e}")))?;
         tokio::spawn(async move {
             if let Err(e) = conn.await {
-                tracing::debug!(error = %e, "connection to the backend server ended");
+                tracing::debug!(error = %e, "connection to a server ended");
             }
         });
         Ok((sender, permit))
@@ -121,11 +121,11 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotSent`] only when the backend server cannot have seen the request.
+    /// [`SendError::NotSent`] only when the server cannot have seen the request.
     pub async fn send(
         self: &Arc<Self>,
         mut req: Request<ProxyBody>,
-    ) -> Result<(Response<Incoming>, BackendConnection), SendError> {
+    ) -> Result<(Response<Incoming>, Http1Connection), SendError> {
         if let Some((mut sender, permit)) = self.take_idle() {
             match sender.try_send_request(req).await {
                 Ok(res) => return Ok((res, self.connection(sender, permit))),
@@ -149,8 +149,8 @@
         self: &Arc<Self>,
         sender: SendRequest<ProxyBody>,
         permit: OwnedSemaphorePermit,
-    ) -> BackendConnection {
-        BackendConnection {
+    ) -> Http1Connection {
+        Http1Connection {
             pool: Arc::clone(self),
             sender,
             permit,
--- a/crates/daemon/src/proxy/pool/mod.rs
+++ b/crates/daemon/src/proxy/pool/mod.rs
@@ -1,7 +1,7 @@
 //! Connections to backend servers and to other daemons.
 
-mod backend;
+mod http1;
 mod peer;
 
-pub use backend::{BackendConnection, BackendPool, SendError};
-pub use peer::{PING_INTERVAL, PING_TIMEOUT, PeerError, PeerPool, peer_uri};
+pub use http1::{Http1Connection, Http1Pool, SendError};
+pub use peer::{PING_INTERVAL, PING_TIMEOUT, PeerError, PeerPool};
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -1,7 +1,9 @@
-//! HTTP/2 connections to other daemons.
+//! Connections to other daemons.
 //!
-//! One connection per pair of daemons carries calls and control messages. Each connection is pinged,
-//! so that one that went silent is found and replaced although no request on it is overdue yet.
+//! Control messages share one HTTP/2 connection per pair of daemons. It is pinged, so that one that
+//! went silent is found and replaced. Calls go over pooled HTTP/1.1 connections: with HTTP/2 each
+//! call passed through two more tasks on either side and took more system calls. A call whose
+//! connection went silent is found by asking the other daemon about it.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -17,6 +19,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
+use super::http1::{Http1Connection, Http1Pool, SendError};
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::TOKEN;
 
@@ -35,6 +38,9 @@
 /// Receive window of one connection.
 const CONNECTION_WINDOW: u32 = 1024 * 1024;
 
+/// Connections for calls to one peer.
+const MAX_CALL_CONNECTIONS: usize = 128;
+
 /// Largest body of a control answer, in bytes.
 const MAX_CONTROL_BYTES: usize = 16 * 1024 * 1024;
 
@@ -86,6 +92,7 @@
 #[derive(Debug)]
 pub struct PeerPool {
     slots: RwLock<HashMap<SocketAddr, Arc<PeerSlot>>>,
+    calls: RwLock<HashMap<SocketAddr, Arc<Http1Pool>>>,
     token: Option<HeaderValue>,
 }
 
@@ -96,6 +103,7 @@
         let token = token.and_then(|token| HeaderValue::from_str(&token).ok());
         Self {
             slots: RwLock::default(),
+            calls: RwLock::default(),
             token,
         }
     }
@@ -110,8 +118,41 @@
         Arc::clone(slots.entry(addr).or_default())
     }
 
-    /// Closes the connection to a peer that is gone.
+    fn calls_to(&self, addr: SocketAddr) -> Arc<Http1Pool> {
+        let pools = self.calls.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pool) = pools.get(&addr) {
+            return Arc::clone(pool);
+        }
+        drop(pools);
+        let mut pools = self.calls.write().unwrap_or_else(PoisonError::into_inner);
+        let pool = pools
+            .entry(addr)
+            .or_insert_with(|| Arc::new(Http1Pool::new(addr, MAX_CALL_CONNECTIONS)));
+        Arc::clone(pool)
+    }
+
+    /// Sends a call to a peer and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`] only when the peer cannot have seen the request.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        mut req: Request<ProxyBody>,
+    ) -> Result<(Response<Incoming>, Http1Connection), SendError> {
+        if let Some(value) = &self.token {
+            req.headers_mut().insert(TOKEN, value.clone());
+        }
+        self.calls_to(addr).send(req).await
+    }
+
+    /// Closes the connections to a peer that is gone.
     pub fn forget(&self, addr: SocketAddr) {
+        self.calls
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&addr);
         self.slots
             .write()
             .unwrap_or_else(PoisonError::into_inner)
@@ -158,12 +199,8 @@
         }
     }
 
-    /// Sends a request to a peer and returns the head of the answer.
-    ///
-    /// # Errors
-    ///
-    /// [`PeerError::NotSent`] only when the peer cannot have seen the request.
-    pub async fn send(
+    /// Sends a control request to a peer and returns the head of the answer.
+    async fn send(
         &self,
         addr: SocketAddr,
         mut req: Request<ProxyBody>,
@@ -215,7 +252,7 @@
 }
 
 /// URI of a path at a peer; HTTP/2 needs scheme and authority.
-pub fn peer_uri(addr: SocketAddr, path: &str) -> Uri {
+fn peer_uri(addr: SocketAddr, path: &str) -> Uri {
     Uri::builder()
         .scheme("http")
         .authority(addr.to_string())
--- /dev/null
+++ b/crates/daemon/src/proxy/watch.rs
@@ -0,0 +1,97 @@
+//! Wait for the answer to a call, with a look at the other daemon when it takes long.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use baobabreel_client::wire::{CallQuery, CallState};
+use baobabreel_core::id::Incarnation;
+
+use super::active::MEMORY;
+use crate::context::Cx;
+
+/// Time without an answer after which the other daemon is asked about the call.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for the other daemon to answer the question.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for an answer that is under way to arrive.
+const ARRIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Questions without an answer after which the other daemon counts as out of reach.
+const MAX_UNANSWERED: u32 = 3;
+
+/// How a wait ended.
+#[derive(Debug)]
+pub enum Watched<T> {
+    /// The exchange ended.
+    Ended(T),
+    /// The call has not arrived and will not be run.
+    NotRun,
+    /// The call was answered, or may have run, and its answer does not come.
+    Lost(&'static str),
+    /// The deadline passed.
+    Late,
+}
+
+/// Time after the start of a call from which the other daemon may have forgotten how it ended.
+const TRUST_TIME: Duration = Duration::from_secs(MEMORY.as_secs() / 2);
+
+/// Daemon that a call was sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Callee {
+    /// Its listener for peers.
+    pub addr: SocketAddr,
+    /// Its incarnation when the call was sent; another one cannot tell what this one ran.
+    pub incarnation: Incarnation,
+}
+
+/// Waits for an exchange until `deadline`; it is dropped with its connection when it is given up.
+pub async fn until<T>(
+    cx: &Cx,
+    to: Callee,
+    id: u64,
+    deadline: Duration,
+    exchange: impl Future<Output = T>,
+) -> Watched<T> {
+    let mut exchange = std::pin::pin!(exchange);
+    let mut unanswered = 0;
+    let started = cx.clock.now();
+    loop {
+        let remaining = deadline.saturating_sub(cx.clock.now());
+        let wait = remaining.min(ASK_INTERVAL);
+        if let Ok(result) = tokio::time::timeout(wait, &mut exchange).await {
+            return Watched::Ended(result);
+        }
+        if remaining <= ASK_INTERVAL {
+            return Watched::Late;
+        }
+        let query = CallQuery {
+            id,
+            incarnation: to.incarnation,
+        };
+        let question = cx.ask_peer(to.addr, "/peer/v1/call-state", &query, ASK_TIMEOUT);
+        let state: Option<CallState> = tokio::select! {
+            result = &mut exchange => return Watched::Ended(result),
+            state = question => state,
+        };
+        unanswered = if state.is_some() { 0 } else { unanswered + 1 };
+        match state {
+            Some(CallState::Active) => {}
+            Some(CallState::NotRun) if cx.clock.now() - started < TRUST_TIME => {
+                return Watched::NotRun;
+            }
+            Some(CallState::NotRun | CallState::Answered) => {
+                let arrival = tokio::time::timeout(ARRIVAL_TIME, &mut exchange).await;
+                return arrival.map_or(
+                    Watched::Lost("the answer was lost on a silent connection"),
+                    Watched::Ended,
+                );
+            }
+            None if unanswered >= MAX_UNANSWERED => {
+                return Watched::Lost("the daemon is out of reach");
+            }
+            None => {}
+        }
+    }
+}
