--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -194,9 +194,13 @@
     /// Makes attempts until one is answered or no further one is allowed.
     async fn run(&self, req: &mut CallerRequest) -> Result<Response<ProxyBody>, CallError> {
         let mut tried: Vec<String> = Vec::new();
+        let mut earlier: Option<CallError> = None;
         let mut number = 1;
         loop {
-            let (service, guard) = self.choose(&tried)?;
+            let (service, guard) = match self.choose(&tried) {
+                Ok(chosen) => chosen,
+                Err(e) => return Err(combine(earlier, e)),
+            };
             tried.push(guard.name().to_owned());
             let result = if number == 1 && self.route.spec.hedge {
                 self.hedged(req, service, guard, &mut tried).await
@@ -206,7 +210,7 @@
             };
             let e = match result {
                 Ok(res) => return Ok(res),
-                Err(e) => e,
+                Err(e) => combine(earlier.take(), e),
             };
             let attempt = self.attempt_state(number, req);
             let failure = if e.is_not_run() {
@@ -222,6 +226,7 @@
                 return Err(e);
             }
             self.cx.metrics.retry(&self.route.name);
+            earlier = Some(e);
             number += 1;
         }
     }
@@ -285,11 +290,11 @@
         tokio::select! {
             result = &mut first => match result {
                 Ok(res) => Ok(res),
-                Err(_) => second.await,
+                Err(e) => second.await.map_err(|later| combine(Some(e), later)),
             },
             result = &mut second => match result {
                 Ok(res) => Ok(res),
-                Err(_) => first.await,
+                Err(e) => first.await.map_err(|later| combine(Some(e), later)),
             },
         }
     }
@@ -383,6 +388,14 @@
     Response::from_parts(parts, host::tracked(cx, body, deadline, Guard::None))
 }
 
+/// Error after several attempts: a refusal does not tell that an earlier attempt did not run.
+fn combine(earlier: Option<CallError>, later: CallError) -> CallError {
+    match earlier {
+        Some(earlier) if later.is_not_run() && !earlier.is_not_run() => earlier,
+        _ => later,
+    }
+}
+
 /// Whether another backend server could answer differently.
 fn is_worth_repeating(e: &CallError) -> bool {
     e.kind.answer().retryable || e.kind == ErrorKind::UpstreamLost
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -13,7 +13,7 @@
 use baobabreel_test_support::mesh::{NodeSpec, entry_text, settings_text};
 use baobabreel_test_support::process::{ChildProcess, ChildSettings, target_binary};
 
-use crate::{LIMIT, first_change, specs, wait_until};
+use crate::{LIMIT, first_change, wait_until};
 
 /// A daemon and the backend server beside it, each in a process.
 #[derive(Debug)]
@@ -114,16 +114,16 @@
 }
 
 impl Fleet {
-    /// Starts [`specs`] with [`first_change`] in force.
+    /// Starts nodes of service `catalogue` with [`first_change`] in force.
     ///
     /// # Panics
     ///
     /// A part does not start, or they are not ready within [`LIMIT`].
-    pub async fn ready() -> Self {
+    pub async fn ready(specs: Vec<NodeSpec>) -> Self {
         let log = LogServer::start(LogSettings::new()).await;
         let log = log.expect("log starts");
         let mut nodes: Vec<FleetNode> = Vec::new();
-        for spec in specs() {
+        for spec in specs {
             let seeds: Vec<_> = nodes.iter().map(|node| node.peers).collect();
             nodes.push(FleetNode::start(&spec, &log.url(), &seeds).await);
         }
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use baobabreel_core::config::ChangeSet;
-use baobabreel_test_support::backend::JournalEntry;
+use baobabreel_test_support::backend::{BackendFaults, JournalEntry};
 use baobabreel_test_support::load::{Key, LoadPlan, LoadReport, RequestTemplate};
 use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, NodeSpec};
 
@@ -83,6 +83,28 @@
     );
 }
 
+/// Node whose daemon gets a [`RawBackend`], beside a second daemon without a backend server of
+/// the service.
+///
+/// # Panics
+///
+/// They are not ready within [`LIMIT`].
+pub async fn raw_mesh() -> (Mesh, RawBackend) {
+    let mute = BackendFaults {
+        mute: true,
+        ..BackendFaults::default()
+    };
+    let specs = vec![
+        NodeSpec::new("a1", "hobart-a", "yard").backend(|backend| backend.faults(mute)),
+        NodeSpec::new("a2", "hobart-a", "yard"),
+    ];
+    let mesh = Mesh::start(specs).await.expect("mesh starts");
+    let raw = RawBackend::start("catalogue", mesh.nodes[0].addresses().backend).await;
+    let offset = mesh.publish(first_change());
+    mesh.wait_ready(offset, LIMIT).await.expect("mesh is ready");
+    (mesh, raw)
+}
+
 /// Journals of the backend servers of a mesh.
 #[must_use]
 pub fn journals(mesh: &Mesh) -> Vec<Vec<JournalEntry>> {
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -1,7 +1,7 @@
 //! Requests and answers as bytes, for what well-behaved libraries do not send.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use baobabreel_client::transport::HttpClient;
@@ -169,7 +169,17 @@
 /// Backend server that answers each request with the same bytes and then closes the connection.
 #[derive(Debug)]
 pub struct RawBackend {
-    answer: Arc<Mutex<Vec<(Vec<u8>, Duration)>>>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    answer: Vec<(Vec<u8>, Duration)>,
+    last_head: String,
+}
+
+fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl RawBackend {
@@ -181,15 +191,11 @@
     pub async fn start(service: &str, announce: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let answer: Arc<Mutex<Vec<(Vec<u8>, Duration)>>> = Arc::default();
-        let shared = Arc::clone(&answer);
+        let shared: Arc<Mutex<Shared>> = Arc::default();
+        let served = Arc::clone(&shared);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let parts = shared
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .clone();
-                tokio::spawn(serve(stream, parts));
+                tokio::spawn(serve(stream, Arc::clone(&served)));
             }
         });
         let body = format!(
@@ -205,7 +211,7 @@
                 tokio::time::sleep(Duration::from_millis(500)).await;
             }
         });
-        Self { answer }
+        Self { shared }
     }
 
     /// Sets the parts of the answer, each with the pause after it.
@@ -213,11 +219,17 @@
         let parts = parts
             .iter()
             .map(|(text, pause)| (text.as_bytes().to_vec(), *pause));
-        *self.answer.lock().unwrap_or_else(PoisonError::into_inner) = parts.collect();
+        lock(&self.shared).answer = parts.collect();
+    }
+
+    /// Head of the last request, in lower case.
+    #[must_use]
+    pub fn last_head(&self) -> String {
+        lock(&self.shared).last_head.clone()
     }
 }
 
-async fn serve(mut stream: TcpStream, parts: Vec<(Vec<u8>, Duration)>) {
+async fn serve(mut stream: TcpStream, shared: Arc<Mutex<Shared>>) {
     let mut head: Vec<u8> = Vec::new();
     let mut buf = [0; 4096];
     while !head.windows(4).any(|end| end == b"\r\n\r\n") && head.len() < MAX_HEAD {
@@ -226,6 +238,11 @@
             Ok(length) => head.extend(&buf[..length]),
         }
     }
+    let parts = {
+        let mut shared = lock(&shared);
+        shared.last_head = String::from_utf8_lossy(&head).to_lowercase();
+        shared.answer.clone()
+    };
     for (bytes, pause) in parts {
         if stream.write_all(&bytes).await.is_err() {
             return;
