--- a/crates/testsuite/tests/whole_answers.rs
+++ b/crates/testsuite/tests/whole_answers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use baobabreel_testsuite::{RawAnswer, h1, h2, raw_mesh};
+use baobabreel_testsuite::{RawAnswer, h1, h2, raw_mesh, wait_until};
 
 const NO_PAUSE: Duration = Duration::ZERO;
 
@@ -31,7 +31,7 @@
     (
         "good length",
         &[(
-            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+            "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello",
             NO_PAUSE,
         )],
         Whole("hello"),
@@ -136,7 +136,10 @@
             success && answer.body == body.as_bytes(),
             "{name}: {answer:?}"
         ),
-        Cut => assert!(!success, "{name}: {answer:?}"),
+        Cut => {
+            let known = answer.code() == 200 || answer.header("baobabreel-outcome") == "unknown";
+            assert!(!success && known, "{name}: {answer:?}");
+        }
         Unknown => {
             assert_eq!(answer.code(), 502, "{name}: {answer:?}");
             assert_eq!(answer.header("baobabreel-outcome"), "unknown", "{name}");
@@ -158,16 +161,22 @@
 async fn callers_never_get_a_short_success() {
     let (mesh, backend) = raw_mesh().await;
     for (name, parts, expected) in &CASES {
-        backend.answer_with(parts);
         for to in mesh.callers() {
             for (http2, path) in [(false, "/lots"), (true, "/lots"), (false, "/bids")] {
+                // A backend server that lost several requests in a row is left out for a while.
+                backend.answer_with(CASES[0].1);
+                wait_until("a good answer", async || {
+                    let answer = send(false, to, "/bids").await;
+                    let good = answer.code() == 200;
+                    assert!(!good || answer.body == "hello", "after {name}: {answer:?}");
+                    good
+                })
+                .await;
+                backend.answer_with(parts);
                 let start = Instant::now();
                 let answer = send(http2, to, path).await;
-                check(
-                    &format!("{name} at {to}{path}, HTTP/2 {http2}"),
-                    &answer,
-                    expected,
-                );
+                let name = format!("{name} at {to}{path}, HTTP/2 {http2}");
+                check(&name, &answer, expected);
                 assert!(start.elapsed() < LONG_PAUSE, "{name}: the deadline holds");
             }
         }
