--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use baobabreel_core::error::ErrorKind;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -16,7 +17,7 @@
 
 use super::accept;
 use crate::context::Cx;
-use crate::proxy::{ProxyBody, serve_caller};
+use crate::proxy::{CallError, ProxyBody, section_bytes, serve_caller};
 
 /// Time in which the head of a request must be whole.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,6 +25,10 @@
 /// Receive window of one stream; bounds what is buffered for a slow backend server.
 const STREAM_WINDOW: u32 = 256 * 1024;
 
+/// Factor on the allowed header section up to which the daemon reads it, to answer with the error
+/// of the closed list; hyper answers a larger one itself, with a bare 431.
+const HEADER_READ_FACTOR: usize = 2;
+
 /// Path at which callers get a key that names its owner.
 const KEY_PATH: &str = "/.well-known/baobabreel/key";
 
@@ -58,7 +63,7 @@
 }
 
 fn builder(cx: &Cx) -> auto::Builder<TokioExecutor> {
-    let header_bytes = cx.settings.limits.header_bytes;
+    let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -74,6 +79,11 @@
 }
 
 async fn answer(cx: Cx, req: Request<Incoming>) -> Result<Response<ProxyBody>, Infallible> {
+    let most = cx.settings.limits.header_bytes;
+    if section_bytes(req.uri(), req.headers()) > most {
+        let detail = format!("the header section has more than {most} bytes");
+        return Ok(CallError::new(ErrorKind::HeaderTooLarge, detail).into_response());
+    }
     if req.uri().path() == KEY_PATH {
         return Ok(issue_key(&cx, req.method()));
     }
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -3,7 +3,8 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use http::{Request, Response, StatusCode};
+use baobabreel_core::error::ErrorKind;
+use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
@@ -16,9 +17,16 @@
 use crate::context::Cx;
 use crate::control::{Control, serve_control};
 use crate::proxy::{
-    CALL_PREFIX, PING_INTERVAL, PING_TIMEOUT, ProxyBody, has_token, serve_peer_call,
+    CALL_PREFIX, CallError, PING_INTERVAL, PING_TIMEOUT, ProxyBody, has_token, serve_peer_call,
 };
 
+/// Start of the paths of all messages between daemons.
+const PEER_PREFIX: &str = "/peer/v1/";
+
+/// Factor on a caller's header section: the head of the call comes on top, and HTTP/2 counts 32
+/// bytes more for each header than HTTP/1.1.
+const HEADER_FACTOR: usize = 4;
+
 /// Streams of one peer at once.
 const MAX_STREAMS: u32 = 1_024;
 
@@ -31,6 +39,8 @@
 /// Serves other daemons until `stop`; then lets the open connections end.
 pub async fn serve_peers(cx: Cx, control: Control, listener: TcpListener, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
+    let header_bytes = cx.settings.limits.header_bytes * HEADER_FACTOR;
+    let header_bytes = u32::try_from(header_bytes).unwrap_or(u32::MAX);
     loop {
         let stream = tokio::select! {
             () = stop.cancelled() => break,
@@ -43,6 +53,7 @@
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(header_bytes)
             .initial_stream_window_size(STREAM_WINDOW)
             .initial_connection_window_size(CONNECTION_WINDOW)
             .serve_connection(TokioIo::new(stream), service);
@@ -61,10 +72,15 @@
     control: Control,
     req: Request<Incoming>,
 ) -> Result<Response<ProxyBody>, Infallible> {
-    if !has_token(&cx.settings, req.headers()) {
-        let mut res = Response::new(ProxyBody::Empty);
-        *res.status_mut() = StatusCode::FORBIDDEN;
-        return Ok(res);
+    let refusal = if !has_token(&cx.settings, req.headers()) {
+        Some("the token is missing or wrong")
+    } else if !req.uri().path().starts_with(PEER_PREFIX) {
+        Some("this listener is for other daemons")
+    } else {
+        None
+    };
+    if let Some(detail) = refusal {
+        return Ok(CallError::new(ErrorKind::Forbidden, detail).into_response());
     }
     if req.uri().path().starts_with(CALL_PREFIX) {
         return Ok(serve_peer_call(cx, req).await);
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::Uri;
 use http::header::{
     CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -68,6 +69,15 @@
     }
 }
 
+/// Size of the request target and the headers as HTTP/1.1 writes them, in bytes.
+#[must_use]
+pub fn section_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
+    let target = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    // Each line has a colon, a space and a line end.
+    let line = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + 4;
+    target + headers.iter().map(line).sum::<usize>()
+}
+
 /// Reads the remaining time; `None` when the header is absent.
 pub fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, String> {
     let Some(value) = headers.get(TIMEOUT) else {
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -20,6 +20,6 @@
 pub use body::{BodyError, ProxyBody};
 pub use dispatch::candidate;
 pub use entry::serve_caller;
-pub use headers::has_token;
+pub use headers::{has_token, section_bytes};
 pub use host::{BackendInfo, CALL_PREFIX, Host, serve_peer_call};
 pub use pool::{PING_INTERVAL, PING_TIMEOUT, PeerError, PeerPool};
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -81,6 +81,18 @@
     path: String,
     line: usize,
     left: Vec<ObjectProp<'a>>,
+    /// Keys that were asked for, present or not.
+    known: Vec<String>,
+}
+
+impl<'a> Section<'a> {
+    /// Whether a key is present; it is a known one from now on.
+    fn has(&mut self, key: &str) -> bool {
+        if !self.known.iter().any(|known| known == key) {
+            self.known.push(key.to_owned());
+        }
+        self.left.iter().any(|prop| prop.name.as_str() == key)
+    }
 }
 
 struct Reader<'a> {
@@ -173,6 +185,7 @@
                 path: "limits".to_owned(),
                 line: top.line,
                 left: Vec::new(),
+                known: Vec::new(),
             },
             Some(ObjectProp {
                 value: Value::Object(object),
@@ -202,6 +215,7 @@
             path: path.to_owned(),
             line,
             left: object.properties,
+            known: Vec::new(),
         }
     }
 
@@ -224,6 +238,7 @@
 
     /// Takes a key out of a section; a repeated key is a fault.
     fn take(&mut self, section: &mut Section<'a>, key: &str) -> Option<ObjectProp<'a>> {
+        section.has(key);
         let mut found = None;
         let mut i = 0;
         while i < section.left.len() {
@@ -249,15 +264,11 @@
 
     /// Reports the keys that nobody read.
     fn finish(&mut self, section: Section<'a>) {
+        let allowed = section.known.join(", ");
         for prop in section.left {
             let line = self.line_at(prop.range.start);
             let key = join(&section.path, prop.name.as_str());
-            self.fault(
-                line,
-                &key,
-                "an unknown key",
-                "the keys of docs/operating.md",
-            );
+            self.fault(line, &key, "an unknown key", &allowed);
         }
     }
 
@@ -282,8 +293,7 @@
         allowed: &str,
         accept: impl Fn(&T) -> bool,
     ) -> Option<T> {
-        let present = section.left.iter().any(|prop| prop.name.as_str() == key);
-        if !present {
+        if !section.has(key) {
             self.missing(section, key, allowed);
             return None;
         }
@@ -320,8 +330,7 @@
     }
 
     fn optional_address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
-        let present = section.left.iter().any(|prop| prop.name.as_str() == key);
-        if present {
+        if section.has(key) {
             self.address(section, key)
         } else {
             None
--- /dev/null
+++ b/crates/daemon/tests/errors.rs
@@ -0,0 +1,30 @@
+//! Answers that the daemon makes from the table of error kinds.
+
+use std::time::Duration;
+
+use baobabreel_core::error::TABLE;
+use baobabreel_daemon::proxy::CallError;
+use http::Response;
+
+fn header<B>(res: &Response<B>, name: &str) -> Option<String> {
+    let value = res.headers().get(name)?;
+    Some(value.to_str().expect("text").to_owned())
+}
+
+/// Guards against a status, an outcome or a `Retry-After` that differs from the table.
+#[test]
+fn every_kind_is_answered_as_the_table_says() {
+    for answer in &TABLE {
+        let res = CallError::new(answer.kind, "why").into_response();
+        assert_eq!(res.status().as_u16(), answer.status, "{}", answer.name);
+        let outcome = header(&res, "baobabreel-outcome");
+        assert_eq!(outcome.as_deref(), Some(answer.outcome.as_str()));
+        let after = answer.retry_after.map(|after| after.as_secs().to_string());
+        assert_eq!(header(&res, "retry-after"), after, "{}", answer.name);
+        // A time to wait does not make a kind retryable, and is never rounded down.
+        let error =
+            CallError::new(answer.kind, "why").with_retry_after(Duration::from_millis(2_100));
+        let after = answer.retryable.then(|| "3".to_owned());
+        assert_eq!(header(&error.into_response(), "retry-after"), after);
+    }
+}
