--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -75,6 +75,8 @@
     };
     cx.balance.route(&head.route).observe(guard.latency());
     headers::remove_hop_by_hop(res.headers_mut());
+    // A backend server must not speak as a daemon.
+    headers::remove_internal(res.headers_mut());
     res.headers_mut().insert(
         headers::OUTCOME,
         HeaderValue::from_static(Outcome::Ran.as_str()),
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -10,6 +10,7 @@
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use tracing_subscriber::EnvFilter;
 
 use super::{Limits, Listen, Settings};
 
@@ -129,7 +130,9 @@
         let listen = self.listen(top);
         let advertise_peers = self.optional_address(top, "advertise_peers");
         let seeds = self.addresses(top, "seeds");
-        let token = self.text(top, "token");
+        let token = self.text(top, "token", "a text of visible ASCII characters", |text| {
+            text.bytes().all(|b| b.is_ascii_graphic())
+        });
         let limits = self.limits(top);
         let drain_limit = self.millis(top, "drain_limit_ms", 30_000, 0..=600_000);
         let drain_notice = self.millis(top, "drain_notice_ms", 1_000, 0..=60_000);
@@ -143,7 +146,12 @@
         );
         let trace_share = self.share(top, "trace_share", 0.0);
         let log_filter = self
-            .text(top, "log_filter")
+            .text(
+                top,
+                "log_filter",
+                "a filter like info,baobabreel_daemon=debug",
+                |text| EnvFilter::try_new(text).is_ok(),
+            )
             .unwrap_or_else(|| "info".to_owned());
         Some(Settings {
             daemon: daemon?,
@@ -364,10 +372,16 @@
         found
     }
 
-    fn text(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
-        let (text, prop) = self.string(section, key, "a text that is not empty")?;
-        if text.is_empty() {
-            self.bad_value(section, &prop, "a text that is not empty");
+    fn text(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &str,
+        allowed: &str,
+        accept: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        let (text, prop) = self.string(section, key, allowed)?;
+        if text.is_empty() || !accept(&text) {
+            self.bad_value(section, &prop, allowed);
             return None;
         }
         Some(text)
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -39,7 +39,7 @@
   },
   "seeds": ["127.0.0.1:1", "x"],
   "advertise_peers": null,
-  "token": "",
+  "token": "two words",
   "limits": {"body_bytes": 0, "header_bytes": "16 KB"},
   "drain_limit_ms": -1,
   "drain_notice_ms": 1.5,
@@ -47,7 +47,7 @@
   "threads": 65,
   "max_schema": 3,
   "trace_share": 1.1,
-  "log_filter": [],
+  "log_filter": "daemon=loud",
   "treads": 2,
   "threads": 3
 }"#;
@@ -61,7 +61,7 @@
 f.jsonc:9: `listen.other` is an unknown key; allowed: callers, peers, backend, operators
 f.jsonc:11: `seeds` is \"x\"; allowed: an address like 10.0.0.1:7101
 f.jsonc:12: `advertise_peers` is null; allowed: an address like 10.0.0.1:7101
-f.jsonc:13: `token` is \"\"; allowed: a text that is not empty
+f.jsonc:13: `token` is \"two words\"; allowed: a text of visible ASCII characters
 f.jsonc:14: `limits.body_bytes` is 0; allowed: an integer from 1 to 1073741824
 f.jsonc:14: `limits.header_bytes` is \"16 KB\"; allowed: an integer from 8192 to 1048576
 f.jsonc:15: `drain_limit_ms` is -1; allowed: an integer from 0 to 600000
@@ -70,7 +70,7 @@
 f.jsonc:18: `threads` is 65; allowed: an integer from 1 to 64
 f.jsonc:19: `max_schema` is 3; allowed: an integer from 1 to 2
 f.jsonc:20: `trace_share` is 1.1; allowed: a number from 0 to 1
-f.jsonc:21: `log_filter` is []; allowed: a text that is not empty
+f.jsonc:21: `log_filter` is \"daemon=loud\"; allowed: a filter like info,baobabreel_daemon=debug
 f.jsonc:22: `treads` is an unknown key; allowed: daemon, data_centre, log, listen, advertise_peers, seeds, token, limits, drain_limit_ms, drain_notice_ms, log_retention_ms, threads, max_schema, trace_share, log_filter
 f.jsonc:23: `threads` is given twice; allowed: each key once";
     assert_eq!(faults(text), expected);
