--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -10,7 +10,7 @@
 
 use baobabreel_core::config::ChangeSet;
 use baobabreel_test_support::backend::{BackendFaults, JournalEntry};
-use baobabreel_test_support::load::{Key, LoadPlan, LoadReport, RequestTemplate};
+use baobabreel_test_support::load::{CallEnd, Key, LoadPlan, LoadReport, RequestTemplate};
 use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, NodeSpec};
 
 pub use fleet::{Fleet, FleetNode};
@@ -83,6 +83,23 @@
     );
 }
 
+/// Checks that callers' connections broke only for calls that were running at some time between
+/// `from` and `to`, and that every other call was answered.
+///
+/// # Panics
+///
+/// A call outside that time broke, or one got no answer until after its deadline.
+pub fn assert_cut_only(report: &LoadReport, from: Duration, to: Duration) {
+    for call in &report.calls {
+        let running = call.intended <= to && call.intended + call.latency >= from;
+        match call.end {
+            CallEnd::Answered { .. } => {}
+            CallEnd::Broken => assert!(running, "{call:?}"),
+            CallEnd::Unreached | CallEnd::TimedOut => panic!("{call:?}"),
+        }
+    }
+}
+
 /// Node whose daemon gets a [`RawBackend`], beside a second daemon without a backend server of
 /// the service.
 ///
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -147,17 +147,18 @@
     done.expect("the exchange ends")
 }
 
-/// Sends bytes, closes the sending side, and returns what came until the other end closed.
+/// Sends bytes, closes the sending side if `close`, and returns what came until the other end
+/// closed.
 ///
 /// # Panics
 ///
 /// The connection is refused, or the other end does not close it within [`LIMIT`].
-pub async fn exchange(to: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+pub async fn exchange(to: SocketAddr, bytes: &[u8], close: bool) -> Vec<u8> {
     let mut stream = TcpStream::connect(to).await.expect("it listens");
     let mut answer = Vec::new();
     within(async {
         // The other end may close before it has read everything.
-        if stream.write_all(bytes).await.is_ok() {
+        if stream.write_all(bytes).await.is_ok() && close {
             drop(stream.shutdown().await);
         }
         drop(stream.read_to_end(&mut answer).await);
