--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -10,6 +10,7 @@
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use tracing_subscriber::EnvFilter;
 
 use super::{Limits, Listen, Settings};
 
@@ -81,6 +82,18 @@
     path: String,
     line: usize,
     left: Vec<ObjectProp<'a>>,
+    /// Keys that were asked for, present or not.
+    known: Vec<String>,
+}
+
+impl<'a> Section<'a> {
+    /// Whether a key is present; it is a known one from now on.
+    fn has(&mut self, key: &str) -> bool {
+        if !self.known.iter().any(|known| known == key) {
+            self.known.push(key.to_owned());
+        }
+        self.left.iter().any(|prop| prop.name.as_str() == key)
+    }
 }
 
 struct Reader<'a> {
@@ -117,7 +130,9 @@
         let listen = self.listen(top);
         let advertise_peers = self.optional_address(top, "advertise_peers");
         let seeds = self.addresses(top, "seeds");
-        let token = self.text(top, "token");
+        let token = self.text(top, "token", "a text of visible ASCII characters", |text| {
+            text.bytes().all(|b| b.is_ascii_graphic())
+        });
         let limits = self.limits(top);
         let drain_limit = self.millis(top, "drain_limit_ms", 30_000, 0..=600_000);
         let drain_notice = self.millis(top, "drain_notice_ms", 1_000, 0..=60_000);
@@ -131,7 +146,12 @@
         );
         let trace_share = self.share(top, "trace_share", 0.0);
         let log_filter = self
-            .text(top, "log_filter")
+            .text(
+                top,
+                "log_filter",
+                "a filter like info,baobabreel_daemon=debug",
+                |text| EnvFilter::try_new(text).is_ok(),
+            )
             .unwrap_or_else(|| "info".to_owned());
         Some(Settings {
             daemon: daemon?,
@@ -173,6 +193,7 @@
                 path: "limits".to_owned(),
                 line: top.line,
                 left: Vec::new(),
+                known: Vec::new(),
             },
             Some(ObjectProp {
                 value: Value::Object(object),
@@ -202,6 +223,7 @@
             path: path.to_owned(),
             line,
             left: object.properties,
+            known: Vec::new(),
         }
     }
 
@@ -224,6 +246,7 @@
 
     /// Takes a key out of a section; a repeated key is a fault.
     fn take(&mut self, section: &mut Section<'a>, key: &str) -> Option<ObjectProp<'a>> {
+        section.has(key);
         let mut found = None;
         let mut i = 0;
         while i < section.left.len() {
@@ -249,15 +272,11 @@
 
     /// Reports the keys that nobody read.
     fn finish(&mut self, section: Section<'a>) {
+        let allowed = section.known.join(", ");
         for prop in section.left {
             let line = self.line_at(prop.range.start);
             let key = join(&section.path, prop.name.as_str());
-            self.fault(
-                line,
-                &key,
-                "an unknown key",
-                "the keys of docs/operating.md",
-            );
+            self.fault(line, &key, "an unknown key", &allowed);
         }
     }
 
@@ -282,8 +301,7 @@
         allowed: &str,
         accept: impl Fn(&T) -> bool,
     ) -> Option<T> {
-        let present = section.left.iter().any(|prop| prop.name.as_str() == key);
-        if !present {
+        if !section.has(key) {
             self.missing(section, key, allowed);
             return None;
         }
@@ -320,8 +338,7 @@
     }
 
     fn optional_address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
-        let present = section.left.iter().any(|prop| prop.name.as_str() == key);
-        if present {
+        if section.has(key) {
             self.address(section, key)
         } else {
             None
@@ -355,10 +372,16 @@
         found
     }
 
-    fn text(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
-        let (text, prop) = self.string(section, key, "a text that is not empty")?;
-        if text.is_empty() {
-            self.bad_value(section, &prop, "a text that is not empty");
+    fn text(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &str,
+        allowed: &str,
+        accept: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        let (text, prop) = self.string(section, key, allowed)?;
+        if text.is_empty() || !accept(&text) {
+            self.bad_value(section, &prop, allowed);
             return None;
         }
         Some(text)
