--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -33,7 +33,7 @@
 }
 
 impl FleetNode {
-    async fn start(spec: &NodeSpec, log_url: &str, seeds: &[SocketAddr]) -> Self {
+    async fn start(spec: &NodeSpec, service: &str, log_url: &str, seeds: &[SocketAddr]) -> Self {
         let text = settings_text(spec, log_url, seeds);
         let settings = ChildSettings::new(binary("baobabreeld")).settings("--settings", text);
         let daemon = ChildProcess::start(settings).await.expect("daemon starts");
@@ -43,7 +43,7 @@
         };
         let announce: SocketAddr = addr("backend");
         let backend = ChildSettings::new(binary("backend"))
-            .arg("--service=catalogue")
+            .arg(format!("--service={service}"))
             .arg(format!("--name={}", spec.name))
             .arg(format!("--announce-url=http://{announce}"))
             .arg("--journal")
@@ -106,18 +106,18 @@
 }
 
 impl Fleet {
-    /// Starts nodes of service `catalogue` with [`first_change`] in force.
+    /// Starts nodes with the services of their backend servers, and [`first_change`] in force.
     ///
     /// # Panics
     ///
     /// A part does not start, or they are not ready within [`LIMIT`].
-    pub async fn ready(specs: Vec<NodeSpec>) -> Self {
+    pub async fn ready(specs: Vec<(NodeSpec, &str)>) -> Self {
         let log = LogServer::start(LogSettings::new()).await;
         let log = log.expect("log starts");
         let mut nodes: Vec<FleetNode> = Vec::new();
-        for spec in specs {
+        for (spec, service) in specs {
             let seeds: Vec<_> = nodes.iter().map(|node| node.peers).collect();
-            nodes.push(FleetNode::start(&spec, &log.url(), &seeds).await);
+            nodes.push(FleetNode::start(&spec, service, &log.url(), &seeds).await);
         }
         let fleet = Self { log, nodes };
         let offset = fleet.publish(first_change());
