Ask about a slow call over a new connection and replace silent ones

Cause: the test of silent connections found that the question about a slow call went over a control connection that was silent too, and that later calls took other silent connections from the pool (a request took over 4.4 s). Change: a question without an answer in 500 ms is put again over a new connection, and the pooled connections to that daemon are given up.

--- a/crates/daemon/src/proxy/watch.rs
+++ b/crates/daemon/src/proxy/watch.rs
@@ -13,7 +13,7 @@
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for the other daemon to answer the question.
-const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for an answer that is under way to arrive.
 const ARRIVAL_TIME: Duration = Duration::from_millis(500);
@@ -59,11 +59,17 @@
     let started = cx.clock.now();
     loop {
         let remaining = deadline.saturating_sub(cx.clock.now());
-        let wait = remaining.min(ASK_INTERVAL);
+        // An unanswered question is put again at once, over a new connection.
+        let wait = if unanswered == 0 {
+            ASK_INTERVAL
+        } else {
+            Duration::ZERO
+        };
+        let wait = wait.min(remaining);
         if let Ok(result) = tokio::time::timeout(wait, &mut exchange).await {
             return Watched::Ended(result);
         }
-        if remaining <= ASK_INTERVAL {
+        if remaining <= wait {
             return Watched::Late;
         }
         let query = CallQuery {
@@ -76,6 +82,10 @@
             state = question => state,
         };
         unanswered = if state.is_some() { 0 } else { unanswered + 1 };
+        if state != Some(CallState::Active) {
+            // Other connections to this daemon may have gone silent at the same time.
+            cx.peers.forget(to.addr);
+        }
         match state {
             Some(CallState::Active) => {}
             Some(CallState::NotRun) if cx.clock.now() - started < TRUST_TIME => {
