Add the error kind owner_changing

A refusal while nobody may act as the owner of a key was in_progress (409) for repeats, as if the request were running. It is now owner_changing (503, unknown, Retry-After 2 s); in_progress is left for requests that run. A first attempt still gets not_owner. The traces state the new kind where no request was running.

A missing route counts as a refusal that may change, since the route may have been deleted after an earlier attempt or may not have arrived yet. KeyOwner gains what a daemon needs to hold it: when to join, and the restart of the fold after a gap, which makes the incarnation lapse.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -61,6 +61,9 @@
     NoBackendServer,
     /// No daemon may act as the owner of the idempotency key at present.
     NotOwner,
+    /// No daemon may act as the owner of the idempotency key at present, and an earlier attempt may
+    /// have run.
+    OwnerChanging,
     /// A request with the same idempotency key is running.
     InProgress,
     /// A request with the same idempotency key may have run.
@@ -116,7 +119,7 @@
 }
 
 /// One row for each error kind, in the order of [`ErrorKind`].
-pub const TABLE: [Answer; 19] = [
+pub const TABLE: [Answer; 20] = [
     row(
         ErrorKind::BadRequest,
         "bad_request",
@@ -160,6 +163,13 @@
         1,
     ),
     row(ErrorKind::NotOwner, "not_owner", 503, Outcome::NotRun, 2),
+    row(
+        ErrorKind::OwnerChanging,
+        "owner_changing",
+        503,
+        Outcome::Unknown,
+        2,
+    ),
     row(
         ErrorKind::InProgress,
         "in_progress",
--- a/crates/core/src/idempotency/decide.rs
+++ b/crates/core/src/idempotency/decide.rs
@@ -133,7 +133,7 @@
         Begin::AnswerNotKept => ErrorKind::AnswerNotKept,
         Begin::OutcomeUnknown => ErrorKind::OutcomeUnknown,
         Begin::KeyReused => ErrorKind::KeyReused,
-        Begin::Ceded => attempt.undecided(ErrorKind::InProgress),
+        Begin::Ceded => attempt.without_owner(),
         Begin::Overloaded => ErrorKind::Overloaded,
     })
 }
@@ -151,7 +151,7 @@
     let otherwise = if gone {
         ErrorKind::OutcomeUnknown
     } else {
-        ErrorKind::InProgress
+        ErrorKind::OwnerChanging
     };
     Err(undecided(attempt, otherwise))
 }
@@ -163,7 +163,7 @@
     answers: &[(Incarnate, PriorAnswer)],
 ) -> Result<(), Decision> {
     let (service, key) = (request.service, request.key.as_str());
-    let wait = || undecided(request.attempt, ErrorKind::InProgress);
+    let wait = || undecided(request.attempt, ErrorKind::OwnerChanging);
     let owned = owner
         .registry
         .owner(service, key)
@@ -203,7 +203,7 @@
 fn from_prior(known: Begin, attempt: Attempt) -> Decision {
     match known {
         // Neither is a record of the key; whoever sends one does not vouch for anything.
-        Begin::Run | Begin::Overloaded => undecided(attempt, ErrorKind::InProgress),
+        Begin::Run | Begin::Overloaded => undecided(attempt, ErrorKind::OwnerChanging),
         known => from_record(known, attempt),
     }
 }
--- a/crates/core/src/idempotency/entry.rs
+++ b/crates/core/src/idempotency/entry.rs
@@ -44,7 +44,7 @@
         }
         KeyForm::Timed { .. } | KeyForm::Opaque => {
             let Some(found) = registry.owner(request.service, key.as_str()) else {
-                return Route::Refuse(attempt.undecided(ErrorKind::InProgress));
+                return Route::Refuse(attempt.without_owner());
             };
             let owner = Incarnate {
                 id: found.id.clone(),
@@ -63,7 +63,7 @@
             Route::Refuse(attempt.undecided(ErrorKind::OutcomeUnknown))
         }
         // Other keys get a new owner, which decides.
-        Err(_) => Route::Refuse(attempt.undecided(ErrorKind::InProgress)),
+        Err(_) => Route::Refuse(attempt.without_owner()),
     }
 }
 
@@ -106,18 +106,21 @@
     if sent {
         ErrorKind::UpstreamLost
     } else {
-        attempt.undecided(ErrorKind::InProgress)
+        attempt.without_owner()
     }
 }
 
 /// Error for a keyed request that this daemon refuses with `kind` before it asks the owner.
 ///
-/// A retryable refusal becomes `in_progress` when an earlier attempt may have run. A refusal that
-/// every daemon gives to this request at all times is true for earlier attempts too.
+/// `owner_changing` takes the place of a refusal that another daemon, or this one at another time,
+/// would not have given, since an earlier attempt may then have run. That includes a missing route,
+/// which may have been deleted or may not have arrived here yet. What is wrong with the request
+/// itself was wrong with earlier attempts too.
 #[must_use]
 pub fn refusal_before_owner(kind: ErrorKind, attempt: Attempt) -> ErrorKind {
-    if promises_not_run(kind) && kind.answer().retryable && attempt == Attempt::MayRepeat {
-        ErrorKind::InProgress
+    let can_change = kind.answer().retryable || kind == ErrorKind::NoRoute;
+    if promises_not_run(kind) && can_change && attempt == Attempt::MayRepeat {
+        ErrorKind::OwnerChanging
     } else {
         kind
     }
--- a/crates/core/src/idempotency/mod.rs
+++ b/crates/core/src/idempotency/mod.rs
@@ -18,7 +18,7 @@
 //!
 //! `not_run` is a promise about the key, not about one attempt: a refusal carries it only when no
 //! earlier attempt can have run, or when the caller says that there was none ([`Attempt`]). While
-//! ownership is undecided, other attempts get `in_progress`, which is retryable and promises
+//! ownership is undecided, other attempts get `owner_changing`, which is retryable and promises
 //! nothing.
 //!
 //! Assumptions:
@@ -85,6 +85,12 @@
             Self::MayRepeat => otherwise,
         }
     }
+
+    /// Refusal of an attempt while nobody may act as the owner of its key.
+    #[must_use]
+    pub fn without_owner(self) -> ErrorKind {
+        self.undecided(ErrorKind::OwnerChanging)
+    }
 }
 
 /// Both clocks of a daemon, read at the same instant.
--- a/crates/core/src/idempotency/owner.rs
+++ b/crates/core/src/idempotency/owner.rs
@@ -20,6 +20,7 @@
     lease: Lease,
     table: OutcomeTable,
     join_sent_at: Option<Duration>,
+    has_sent_join: bool,
     lapsed: bool,
 }
 
@@ -33,6 +34,7 @@
             lease,
             table: OutcomeTable::new(limits),
             join_sent_at: None,
+            has_sent_join: false,
             lapsed: false,
         }
     }
@@ -73,6 +75,13 @@
     /// the one that took effect.
     pub fn join_sent(&mut self, now: Duration) {
         self.join_sent_at.get_or_insert(now);
+        self.has_sent_join = true;
+    }
+
+    /// Whether the log may have a `join` of this incarnation, even if its answer was lost.
+    #[must_use]
+    pub fn has_sent_join(&self) -> bool {
+        self.has_sent_join
     }
 
     /// Folds an entry; see [`Registry::fold`] about `seen_at`.
@@ -97,6 +106,9 @@
         {
             self.lapsed |= !self.lease.joined(sent_at, now);
         }
+        if self.lapsed {
+            self.lease.retire();
+        }
         Ok(folded)
     }
 
@@ -114,6 +126,30 @@
         self.lease.confirm(asked_at, age, head, folded);
     }
 
+    /// Whether this incarnation is registered.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        self.registry.is_registered(&self.me)
+    }
+
+    /// Whether a `join` has to be sent, for the first time, again after an eviction, or in time
+    /// before the last one may expire.
+    #[must_use]
+    pub fn wants_join(&self, now: Duration) -> bool {
+        let retired = self.lapsed || self.lease.is_retired();
+        !retired && (!self.is_registered() || self.lease.renewal_is_due(now))
+    }
+
+    /// Starts the fold again after entries that the log no longer has.
+    ///
+    /// Others may have owned the keys of this incarnation unnoticed, so it has lapsed and starts
+    /// nothing any more, except for keys that it issued itself. It still answers for its outcomes.
+    pub fn restart_fold(&mut self) {
+        self.registry = Registry::new();
+        self.lapsed = true;
+        self.lease.retire();
+    }
+
     /// Stops starting requests; to be called before `leave` is sent.
     pub fn retire(&mut self) {
         self.lease.retire();
@@ -153,7 +189,9 @@
         }
         match answer_prior(&mut self.table, request, now) {
             // Once the `join` has expired, unseen readers may have owned the key in its place.
-            PriorAnswer::NoRecord if !self.lease.is_joined(now) => PriorAnswer::Unreachable,
+            PriorAnswer::NoRecord if self.lapsed || !self.lease.is_joined(now) => {
+                PriorAnswer::Unreachable
+            }
             answer => answer,
         }
     }
