Let the daemon hold its keys as one aggregate and hand them over early

The daemon combined registry, lease and outcome table itself. It now holds a KeyOwner under one lock, with the clocks read under it.

- A registration is renewed whether or not the backend server is ready; a long drain let it lapse before.
A lapsed incarnation, or one that missed entries, appends leave and owns no chosen keys until it is started again.
- A draining daemon retires and appends leave before it waits for its running requests, so that the next owners can still ask it; a lost answer is made up for by a further leave.
A leave entry no longer marks the member as dead.
- The entry daemon's own refusals, and bodies that come late or break off, are owner_changing for repeats.
Previous owners are asked at the same time, and again when another one turns up.
- Kept answers leave out date, age, retry-after and trace headers.
- The id of a daemon is limited to 26 bytes, as issued keys name it.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -8,6 +8,7 @@
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::{DaemonId, Incarnation, RouteName, ServiceName};
+use baobabreel_core::idempotency::Attempt;
 use http::HeaderValue;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,20 @@
     pub first: bool,
     /// Daemon that is to decide as the owner; absent once it has decided that the call runs.
     pub owner: Option<(DaemonId, Incarnation)>,
+    /// Service that takes the call when the one of the route has no backend server for it.
+    pub fallback: Option<ServiceName>,
+}
+
+impl KeyHead {
+    /// What the caller says about earlier attempts.
+    #[must_use]
+    pub fn attempt(&self) -> Attempt {
+        if self.first {
+            Attempt::First
+        } else {
+            Attempt::MayRepeat
+        }
+    }
 }
 
 /// Head of a call between two daemons.
--- a/crates/core/src/idempotency/key.rs
+++ b/crates/core/src/idempotency/key.rs
@@ -9,6 +9,12 @@
 /// Longest key, in bytes.
 pub const MAX_KEY_BYTES: usize = 64;
 
+/// Longest id of a daemon that issues keys, in bytes.
+///
+/// Prefix, dots, two times of 9 digits (enough until the year 5188) and a random number of 13 digits
+/// take the rest of a key.
+pub const MAX_ISSUER_BYTES: usize = MAX_KEY_BYTES - (ISSUED_PREFIX.len() + 3 + 2 * 9 + 13);
+
 const ISSUED_PREFIX: &str = "bk1.";
 const UUID_BYTES: usize = 36;
 const BASE: u32 = 36;
@@ -119,7 +125,7 @@
 
 /// Issues a key that names `daemon` as its owner; `random` has to be unpredictable.
 ///
-/// The numbers are written in base 36 to leave 26 bytes for the id of the daemon.
+/// The numbers are written in base 36 to leave [`MAX_ISSUER_BYTES`] for the id of the daemon.
 ///
 /// # Errors
 ///
--- a/crates/core/src/idempotency/owner.rs
+++ b/crates/core/src/idempotency/owner.rs
@@ -142,12 +142,15 @@
 
     /// Starts the fold again after entries that the log no longer has.
     ///
-    /// Others may have owned the keys of this incarnation unnoticed, so it has lapsed and starts
-    /// nothing any more, except for keys that it issued itself. It still answers for its outcomes.
+    /// Others may have owned the keys of this incarnation unnoticed, so it has lapsed unless it
+    /// never joined. It starts nothing any more, except for keys that it issued itself, and still
+    /// answers for its outcomes.
     pub fn restart_fold(&mut self) {
         self.registry = Registry::new();
-        self.lapsed = true;
-        self.lease.retire();
+        if self.has_sent_join {
+            self.lapsed = true;
+            self.lease.retire();
+        }
     }
 
     /// Stops starting requests; to be called before `leave` is sent.
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -16,7 +16,7 @@
 use baobabreel_client::transport::HttpClient;
 use baobabreel_client::wire::{Position, Stream, decode};
 use baobabreel_core::config::CompiledConfig;
-use baobabreel_core::id::{DaemonId, DataCentre, Incarnation};
+use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::registry::MemberEntry;
 use baobabreel_core::relay::relays;
@@ -46,6 +46,29 @@
     pub peer_addr: SocketAddr,
 }
 
+impl Identity {
+    /// Entry that registers this daemon.
+    #[must_use]
+    pub fn join(&self, service: ServiceName) -> MemberEntry {
+        MemberEntry::Join {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+            data_centre: self.data_centre.clone(),
+            service,
+            peer_addr: self.peer_addr,
+        }
+    }
+
+    /// Entry that ends the registration of this daemon.
+    #[must_use]
+    pub fn leave(&self) -> MemberEntry {
+        MemberEntry::Leave {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// Phase in the life of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -115,7 +138,7 @@
             balance: Balance::new(&identity),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
-            keys: Keys::new(&identity, settings.log_retention),
+            keys: Keys::new(&identity, clock, settings.log_retention),
             follower: Follower::default(),
             log: LogClient::new(http.clone(), settings.log.clone()),
             http,
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -228,8 +228,7 @@
 
     fn fold_members(&mut self, first: u64, entries: &[Arc<str>]) {
         let generation = self.members.window.generation();
-        let now = self.cx.clock.now();
-        self.cx.keys.fold(generation, first, entries, now);
+        self.cx.keys.fold(generation, first, entries);
         if let Some(membership) = self.cx.membership() {
             registrations::tell(&self.cx, membership, entries);
         }
@@ -272,18 +271,18 @@
         self.after_confirmation(stream);
     }
 
+    /// Lets the lease rest on a proof of the head of `members`, dated by this daemon's clock.
     fn after_confirmation(&mut self, stream: Stream) {
+        if stream != Stream::Members {
+            return;
+        }
         let now = self.cx.clock.now();
-        if stream == Stream::Members {
-            let (version, age) = (self.members.version(), self.members.confirmation.age(now));
-            let next = self.members.window.next();
-            let complete =
-                self.members
-                    .confirmation
-                    .covers(version.generation, next, Duration::MAX, now);
-            if let (Some(age), true) = (age, complete) {
-                self.cx.keys.confirm(now, age, version);
-            }
+        let (version, next) = (self.members.version(), self.members.window.next());
+        let proof = &self.members.confirmation;
+        let complete = proof.covers(version.generation, next, Duration::MAX, now);
+        let proven_at = proof.age(now).and_then(|age| now.checked_sub(age));
+        if let (Some(proven_at), true) = (proven_at, complete) {
+            self.cx.keys.confirm(proven_at, version);
         }
     }
 
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -17,9 +17,10 @@
 use super::distribution::{Distribution, PeerPosition};
 use super::{gossip, registrations};
 use crate::context::{Cx, Phase};
+use crate::keys::OwnEntry;
 
-/// Time between two attempts to register.
-const JOIN_PAUSE: Duration = Duration::from_secs(1);
+/// Time between two entries of this daemon in stream `members`.
+const ENTRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Time between two reviews of the registrations.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(10);
@@ -31,7 +32,7 @@
     swim: Swim,
     distribution: ActorRef<Distribution>,
     local: LocalState,
-    next_join: Duration,
+    next_entry: Duration,
     next_review: Duration,
 }
 
@@ -62,7 +63,7 @@
             swim,
             distribution,
             local,
-            next_join: Duration::ZERO,
+            next_entry: Duration::ZERO,
             next_review: Duration::ZERO,
         };
         membership.publish();
@@ -118,8 +119,7 @@
             Action::ProposeEvict { id, incarnation } => self.append_evict(id, incarnation),
             Action::SelfEvicted => {
                 tracing::warn!("this incarnation was evicted; it registers again");
-                self.cx.keys.evicted();
-                self.next_join = self.cx.clock.now();
+                self.next_entry = self.cx.clock.now();
             }
             Action::Superseded { incarnation } => {
                 tracing::error!(
@@ -175,25 +175,28 @@
         }
     }
 
-    /// Registers as an owner of keys once the backend server is ready, and again in time.
+    /// Registers as an owner of keys once the backend server is ready, and renews it in time.
+    ///
+    /// The renewal does not depend on the backend server: without it, a long drain would let the
+    /// registration lapse. A daemon that no longer acts as an owner leaves until the log shows it.
     fn register(&mut self) {
         let now = self.cx.clock.now();
-        let ready = self.local.state == MemberState::Ready;
-        if !ready || now < self.next_join || !self.cx.keys.wants_join(now) {
+        let Some(service) = self.local.service.clone() else {
+            return;
+        };
+        if now < self.next_entry {
             return;
         }
-        let Some(service) = self.local.service.clone() else {
+        let ready = self.local.state == MemberState::Ready;
+        let Some(due) = self.cx.keys.due_entry(ready, &service) else {
             return;
         };
-        self.next_join = now + JOIN_PAUSE;
-        let identity = &self.cx.identity;
-        self.cx.append_member_entry(MemberEntry::Join {
-            id: identity.id.clone(),
-            incarnation: identity.incarnation,
-            data_centre: identity.data_centre.clone(),
-            service,
-            peer_addr: identity.peer_addr,
-        });
+        self.next_entry = now + ENTRY_PAUSE;
+        let entry = match due {
+            OwnEntry::Join => self.cx.identity.join(service),
+            OwnEntry::Leave => self.cx.identity.leave(),
+        };
+        self.cx.append_member_entry(entry);
     }
 }
 
--- a/crates/daemon/src/control/registrations.rs
+++ b/crates/daemon/src/control/registrations.rs
@@ -64,9 +64,9 @@
                 slots: 0,
             }))
         }
-        MemberEntry::Leave { id, incarnation } | MemberEntry::Evict { id, incarnation } => {
-            Some(Event::Evicted { id, incarnation })
-        }
+        // A daemon leaves when it starts to drain, and still answers for its outcomes after that.
+        MemberEntry::Leave { .. } => None,
+        MemberEntry::Evict { id, incarnation } => Some(Event::Evicted { id, incarnation }),
     }
 }
 
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -106,5 +106,5 @@
 
 fn outcome(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let query: QueryWire = read(body)?;
-    answer(&cx.keys.answer_prior(&query, cx.clock.now()))
+    answer(&cx.keys.answer_prior(&query))
 }
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use baobabreel_core::registry::MemberEntry;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Method, Request, StatusCode};
@@ -191,6 +190,7 @@
         self.tell_membership().await;
         tokio::time::sleep(self.cx.settings.drain_notice).await;
         self.cx.advance(Phase::Draining);
+        self.hand_keys_over().await;
         let whole = self.wait_until_idle().await;
         self.stop_serving.cancel();
         self.leave().await;
@@ -229,25 +229,26 @@
         whole
     }
 
+    /// Hands the keys over to the next owners.
+    ///
+    /// This is done before the running requests end, as the next owners take over at once, and can
+    /// only ask this daemon for its outcomes while it is there.
+    async fn hand_keys_over(&self) {
+        if !self.cx.keys.retire() {
+            return;
+        }
+        let entry = self.cx.identity.leave();
+        let append = append_entry(&self.cx.log, &entry);
+        match tokio::time::timeout(LEAVE_TIMEOUT, append).await {
+            Ok(_) => {}
+            Err(_) => tracing::warn!("the log did not take the leave entry in time"),
+        }
+    }
+
     async fn leave(&self) {
-        let registered = self.cx.keys.retire();
         if self.control.membership.tell(Leave).await.is_err() {
             tracing::debug!("the membership actor has stopped");
         }
-        if !registered {
-            return;
-        }
-        let identity = &self.cx.identity;
-        let entry = MemberEntry::Leave {
-            id: identity.id.clone(),
-            incarnation: identity.incarnation,
-        };
-        if tokio::time::timeout(LEAVE_TIMEOUT, append_entry(&self.cx.log, &entry))
-            .await
-            .is_err()
-        {
-            tracing::warn!("the log did not take the leave entry in time");
-        }
     }
 
     /// Ends the daemon at once, as a crash would.
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -1,160 +1,141 @@
 //! Idempotency keys at one daemon: the registry of owners, the lease, and the recorded outcomes.
 //!
-//! The three are under one lock, since a decision must see all of them at the same instant.
+//! All are in one [`KeyOwner`] under one lock, since a decision must see them at the same instant.
+//! The clocks are read under the lock too, so that times never decrease from one use to the next.
+//!
+//! An incarnation whose registration may have expired, or that missed entries of the log, stays
+//! without keys chosen by callers until the daemon is started again. It leaves in the log, so that
+//! the next in rank owns the keys meanwhile; everything else goes on. A new incarnation within the
+//! process would have to replace the identity that members, relays and issued keys already use.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use baobabreel_client::wire::{PriorWire, QueryWire};
 use baobabreel_core::config::Version;
-use baobabreel_core::id::Incarnation;
+use baobabreel_core::id::{Incarnation, Offset, ServiceName};
 use baobabreel_core::idempotency::{
-    Decision, Fencing, Finish, Key, Lease, Limits, OutcomeTable, Owner, PriorAnswer, Reading,
-    Request, Route, answer_prior, decide, route,
+    Attempt, Decision, Fencing, Finish, Key, KeyOwner, Lease, Limits, PriorAnswer, Reading,
+    Request, Route, route,
 };
 use baobabreel_core::membership::Members;
-use baobabreel_core::registry::{Folded, Incarnate, MemberEntry, Registered, Registry};
+use baobabreel_core::registry::{Folded, Incarnate, Registered};
 
 use crate::context::{Clock, Identity};
 
 /// Answers of previous owners.
 pub type Priors = Vec<(Incarnate, PriorAnswer)>;
 
-#[derive(Debug)]
-struct Inner {
-    registry: Registry,
-    lease: Lease,
-    table: OutcomeTable,
-    join_sent_at: Option<Duration>,
-    registered: bool,
+/// Entry of stream `members` that this daemon has to append for itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnEntry {
+    /// It registers, or renews its registration.
+    Join,
+    /// It no longer acts as an owner.
+    Leave,
 }
 
 /// Idempotency keys at one daemon.
 #[derive(Debug)]
 pub struct Keys {
     me: Incarnate,
-    inner: Mutex<Inner>,
+    clock: Clock,
+    owner: Mutex<KeyOwner>,
 }
 
 impl Keys {
     /// Starts without any registration or outcome; `retention` is that of the log.
     #[must_use]
-    pub fn new(identity: &Identity, retention: Duration) -> Self {
-        let inner = Inner {
-            registry: Registry::new(),
-            lease: Lease::new(Fencing::default(), retention),
-            table: OutcomeTable::new(Limits::default()),
-            join_sent_at: None,
-            registered: false,
-        };
+    pub fn new(identity: &Identity, clock: Clock, retention: Duration) -> Self {
         let me = Incarnate {
             id: identity.id.clone(),
             incarnation: identity.incarnation,
         };
+        let lease = Lease::new(Fencing::default(), retention);
+        let owner = KeyOwner::new(me.clone(), lease, Limits::default());
         Self {
             me,
-            inner: Mutex::new(inner),
+            clock,
+            owner: Mutex::new(owner),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, KeyOwner> {
+        self.owner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This daemon.
+    pub fn me(&self) -> &Incarnate {
+        &self.me
     }
 
     /// Folds entries of stream `members`.
-    pub fn fold(&self, generation: u64, first: u64, entries: &[Arc<str>], now: Duration) {
-        let mut inner = self.lock();
+    pub fn fold(&self, generation: u64, first: Offset, entries: &[Arc<str>]) {
+        let mut owner = self.lock();
+        let now = self.clock.now();
+        let had_lapsed = owner.has_lapsed();
         for (offset, entry) in (first..).zip(entries) {
-            match inner.registry.fold(generation, offset, entry, now) {
-                Ok(Folded::Malformed) => {
-                    tracing::warn!(offset, "a member entry is malformed");
-                }
-                Ok(_) => self.after_fold(&mut inner, entry, now),
-                Err(e) => {
-                    // The entries in between are gone; registrations are renewed in the log.
-                    tracing::warn!(error = %e, "the registry starts again");
-                    inner.registry = Registry::new();
-                    inner.lease.retire();
-                }
-            }
+            fold_entry(&mut owner, Version { generation, offset }, entry, now);
         }
-        let version = inner.registry.version();
-        inner.lease.folded(version);
-    }
-
-    fn after_fold(&self, inner: &mut Inner, entry: &str, now: Duration) {
-        inner.registered = inner.registry.is_registered(&self.me);
-        let own = matches!(
-            MemberEntry::parse(entry),
-            Some(MemberEntry::Join { id, incarnation, .. })
-                if id == self.me.id && incarnation == self.me.incarnation
-        );
-        if let (true, Some(sent_at)) = (own, inner.join_sent_at)
-            && !inner.lease.joined(sent_at, now)
-        {
-            tracing::error!("the registration expired before it was renewed");
-            inner.lease.retire();
+        if owner.has_lapsed() && !had_lapsed {
+            tracing::error!("the registration lapsed; a restart is needed to own keys again");
         }
     }
 
-    /// The fold was complete at `age` before `now`.
-    pub fn confirm(&self, now: Duration, age: Duration, version: Version) {
-        let mut inner = self.lock();
-        let folded = inner.registry.version();
-        // A stream without entries has no version to fold.
-        let folded = if folded.generation == 0 {
-            version
-        } else {
-            folded
-        };
-        inner.lease.confirm(now, age, version, folded);
+    /// The fold was complete up to `head` at `proven_at`.
+    pub fn confirm(&self, proven_at: Duration, head: Version) {
+        self.lock().confirm(proven_at, Duration::ZERO, head);
     }
 
-    /// Whether a `join` should be appended; the caller appends it now.
-    pub fn wants_join(&self, now: Duration) -> bool {
-        let mut inner = self.lock();
-        let due = !inner.registered || inner.lease.renewal_is_due(now);
-        let wanted = due && !inner.lease.is_retired();
-        if wanted {
-            inner.join_sent_at = Some(now);
+    /// What has to be appended now for this daemon, if anything.
+    ///
+    /// `may_start` tells whether the daemon may register for the first time or after an eviction;
+    /// a registration that holds is renewed in any case. `service` is that of its backend server.
+    pub fn due_entry(&self, may_start: bool, service: &ServiceName) -> Option<OwnEntry> {
+        let mut owner = self.lock();
+        if owner.lease().is_retired() {
+            return owner.is_registered().then_some(OwnEntry::Leave);
         }
-        wanted
+        let now = self.clock.now();
+        let registered = owner.registry().get(&self.me.id);
+        let moved = registered.is_some_and(|found| found.service != *service);
+        let due = owner.wants_join(now) || moved;
+        if !due || !(may_start || owner.is_registered()) {
+            return None;
+        }
+        owner.join_sent(now);
+        Some(OwnEntry::Join)
     }
 
     /// Whether exactly this incarnation is registered.
     pub fn is_registered(&self, id: &str, incarnation: Incarnation) -> bool {
-        let daemon = Incarnate {
-            id: id.to_owned(),
-            incarnation,
-        };
-        self.lock().registry.is_registered(&daemon)
+        let daemon = Incarnate::new(id, incarnation);
+        self.lock().registry().is_registered(&daemon)
     }
 
     /// All registered daemons.
     pub fn registered(&self) -> Vec<Registered> {
-        self.lock().registry.iter().cloned().collect()
+        self.lock().registry().iter().cloned().collect()
     }
 
-    /// This incarnation was evicted.
-    pub fn evicted(&self) {
-        self.lock().registered = false;
-    }
-
-    /// Ends the lease before `leave` is appended; returns whether there is a registration.
+    /// Stops starting requests with keys chosen by callers; to be called before `leave` is sent.
+    ///
+    /// Returns whether a `join` of this incarnation may be in the log.
     pub fn retire(&self) -> bool {
-        let mut inner = self.lock();
-        inner.lease.retire();
-        inner.registered
+        let mut owner = self.lock();
+        owner.retire();
+        owner.has_sent_join()
     }
 
     /// Whether this daemon may act as an owner now.
-    pub fn may_own(&self, now: Duration) -> bool {
-        self.lock().lease.is_valid(now)
+    pub fn may_own(&self) -> bool {
+        let owner = self.lock();
+        owner.lease().is_valid(self.clock.now())
     }
 
     /// Number of recorded keys.
     pub fn len(&self) -> usize {
-        self.lock().table.len()
+        self.lock().table().len()
     }
 
     /// Whether no key is recorded.
@@ -163,53 +144,57 @@
     }
 
     /// A new key that names this daemon as its owner.
-    pub fn issue(&self, wall: Duration) -> Option<Key> {
-        baobabreel_core::idempotency::issue(&self.me, wall, rand::random()).ok()
+    pub fn issue(&self) -> Option<Key> {
+        baobabreel_core::idempotency::issue(&self.me, self.clock.wall(), rand::random()).ok()
     }
 
     /// Daemon that decides about a request.
     pub fn route(&self, request: &Request<'_>, members: &Members) -> Route {
-        route(&self.me, request, &self.lock().registry, members)
+        route(&self.me, request, self.lock().registry(), members)
     }
 
     /// Decides about a request; with [`Decision::Run`] it is recorded as running.
-    pub fn decide(&self, request: &Request<'_>, clock: Clock, priors: &Priors) -> Decision {
-        let mut inner = self.lock();
-        let reading = read_clocks(clock);
-        let Inner {
-            registry,
-            lease,
-            table,
-            ..
-        } = &mut *inner;
-        let owner = Owner {
-            me: &self.me,
-            registry,
-            lease,
-        };
-        decide(&owner, request, reading, table, priors)
+    pub fn decide(&self, request: &Request<'_>, priors: &Priors) -> Decision {
+        let mut owner = self.lock();
+        let reading = read_clocks(self.clock);
+        owner.decide(request, reading, priors)
     }
 
     /// Records how a request ended.
-    pub fn finish(&self, request: &Request<'_>, finish: Finish, now: Duration) {
-        self.lock().table.finish(&request.table_key(), finish, now);
+    pub fn finish(&self, request: &Request<'_>, finish: Finish) {
+        let mut owner = self.lock();
+        let now = self.clock.now();
+        owner.finish(request, finish, now);
     }
 
     /// Answers a later owner.
-    pub fn answer_prior(&self, query: &QueryWire, now: Duration) -> PriorWire {
+    pub fn answer_prior(&self, query: &QueryWire) -> PriorWire {
         let Ok(key) = Key::parse(&query.key) else {
             return PriorWire::Unreachable;
         };
-        if query.daemon != self.me.id || query.incarnation != self.me.incarnation {
-            return PriorWire::Unreachable;
-        }
+        let asked = Incarnate::new(&query.daemon, query.incarnation);
         let request = Request {
             service: &query.service,
             key: &key,
             fingerprint: query.fingerprint.into(),
-            attempt: baobabreel_core::idempotency::Attempt::MayRepeat,
+            attempt: Attempt::MayRepeat,
         };
-        answer_prior(&mut self.lock().table, &request, now).into()
+        let mut owner = self.lock();
+        let now = self.clock.now();
+        owner.answer_prior(&asked, &request, now).into()
+    }
+}
+
+fn fold_entry(owner: &mut KeyOwner, version: Version, entry: &str, now: Duration) {
+    let folded = owner.fold(version, entry, now, now).or_else(|e| {
+        tracing::warn!(error = %e, "the registry starts again");
+        owner.restart_fold();
+        owner.fold(version, entry, now, now)
+    });
+    match folded {
+        Ok(Folded::Malformed) => tracing::warn!(%version, "a member entry is malformed"),
+        Ok(_) => {}
+        Err(e) => tracing::error!(error = %e, "a member entry was not folded"),
     }
 }
 
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -82,7 +82,7 @@
 
 fn issue_key(cx: &Cx, method: &Method) -> Response<ProxyBody> {
     let mut res = Response::new(ProxyBody::Empty);
-    let key = cx.keys.issue(cx.clock.wall());
+    let key = cx.keys.issue();
     match key {
         Some(key) if *method == Method::GET => {
             *res.body_mut() = ProxyBody::full(format!("{}\n", key.as_str()));
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -23,6 +23,8 @@
     pub close: bool,
     /// Whether it was found here and not answered by another daemon.
     pub is_local: bool,
+    /// Whether it says nothing about other attempts of the same request, whatever its kind.
+    pub is_passing: bool,
     /// Route of the request, for metrics.
     pub route: Option<RouteName>,
 }
@@ -36,10 +38,18 @@
             detail: detail.into(),
             close: false,
             is_local: true,
+            is_passing: false,
             route: None,
         }
     }
 
+    /// Makes an error that says nothing about other attempts of the same request.
+    pub fn passing(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        let mut e = Self::new(kind, detail);
+        e.is_passing = true;
+        e
+    }
+
     /// Sets when to ask again.
     #[must_use]
     pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -6,6 +6,7 @@
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
 use baobabreel_core::balance::{Failure as EndpointFailure, LoadReport};
 use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::id::ServiceName;
 use http::header::{HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
@@ -192,38 +193,36 @@
 
 /// Makes attempts at different backend servers while the earlier ones are proved not to have run.
 ///
+/// A backend server of `fallback` is chosen when none of the service of `head` can be.
+///
 /// # Errors
 ///
 /// The error of the last attempt.
 pub async fn dispatch_until(
     cx: &Cx,
     head: &CallHead,
+    fallback: Option<&ServiceName>,
     deadline: Duration,
     request: impl Fn() -> Request<ProxyBody>,
 ) -> Result<Response<ProxyBody>, CallError> {
     let mut tried = Vec::new();
     let state = cx.balance.route(&head.route);
+    let may_retry = !head.retry;
     loop {
-        let Some(guard) = choose(cx, &head.service, &tried) else {
-            let detail = format!(
-                "no backend server of service {} is able to serve",
-                head.service
-            );
-            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-        };
+        let (service, guard) = choose_of(cx, &head.service, fallback, &tried)?;
         tried.push(guard.name().to_owned());
         let mut head = head.clone();
-        let remaining = deadline.saturating_sub(cx.clock.now());
-        head.remaining_ms = u64::try_from(remaining.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1);
+        head.service = service;
+        head.retry |= tried.len() > 1;
+        head.remaining_ms = remaining_ms(cx, deadline)?;
         let e = match attempt(cx, &head, request(), guard, deadline).await {
             Ok(res) => return Ok(res),
             Err(e) => e,
         };
         let again = e.is_not_run()
+            && e.kind.answer().retryable
+            && may_retry
             && tried.len() < MAX_SAFE_ATTEMPTS
-            && !head.retry
             && cx.balance.try_spend(&state, cx.clock.now());
         if !again {
             return Err(e);
@@ -232,6 +231,41 @@
     }
 }
 
+/// Chooses a backend server of `service` or, when it has none, of `fallback`.
+///
+/// # Errors
+///
+/// [`ErrorKind::NoBackendServer`] when neither has one that is able to serve.
+pub fn choose_of(
+    cx: &Cx,
+    service: &ServiceName,
+    fallback: Option<&ServiceName>,
+    tried: &[String],
+) -> Result<(ServiceName, EntryGuard), CallError> {
+    for service in std::iter::once(service).chain(fallback) {
+        if let Some(guard) = choose(cx, service, tried) {
+            return Ok((service.clone(), guard));
+        }
+    }
+    let detail = format!("no backend server of service {service} is able to serve");
+    Err(CallError::new(ErrorKind::NoBackendServer, detail))
+}
+
+/// Time until the deadline for the head of a call, in milliseconds.
+///
+/// # Errors
+///
+/// [`ErrorKind::DeadlineUnreachable`] when no time is left.
+pub fn remaining_ms(cx: &Cx, deadline: Duration) -> Result<u64, CallError> {
+    let remaining = deadline.saturating_sub(cx.clock.now());
+    if remaining.is_zero() {
+        let detail = "the deadline passed before the request was sent";
+        return Err(CallError::new(ErrorKind::DeadlineUnreachable, detail));
+    }
+    let millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+    Ok(millis.max(1))
+}
+
 /// Backend server that a request of `service` would go to now.
 #[must_use]
 pub fn candidate(cx: &Cx, service: &str) -> Option<String> {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -22,7 +22,7 @@
 use super::balance::{EntryGuard, RouteState};
 use super::body::{Guard, ProxyBody};
 use super::keyed::{self, WholeRequest};
-use super::replay::{CallerBody, CallerRequest};
+use super::replay::CallerRequest;
 use super::{dispatch, headers, host};
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
@@ -44,9 +44,17 @@
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
     let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
+    let keyed = keyed::read_repeat(req.headers());
     let (route, result) = match serve(&cx, req, &span, start).await {
         Ok((route, res)) => (route, Ok(res)),
-        Err(e) => (e.route.clone().unwrap_or_default(), Err(e)),
+        Err(e) => {
+            // Without a route it is not known whether the key counts, so it does.
+            let e = match keyed {
+                Some(attempt) if e.route.is_none() => keyed::before_owner(e, attempt),
+                _ => e,
+            };
+            (e.route.clone().unwrap_or_default(), Err(e))
+        }
     };
     let now = cx.clock.now();
     let ended = result.as_ref().map(|_| Outcome::Ran).map_err(|e| e.kind);
@@ -158,37 +166,27 @@
     }
 
     async fn serve(&self, parts: Parts, body: Incoming) -> Result<Response<ProxyBody>, CallError> {
-        let max_body = self.cx.settings.limits.body_bytes;
-        let timeout = self.remaining();
-        let key = match self.route.spec.is_idempotent() {
-            true => None,
-            false => keyed::read_key(&parts.headers)?,
-        };
-        let key_attempt = keyed::read_attempt(&parts.headers);
-        let mut req = CallerRequest::new(parts, body, max_body, key.is_some(), timeout).await?;
-        headers::write_trace(&mut req.headers, self.span);
         self.cx.balance.on_request(&self.state, self.cx.clock.now());
-        match (key, req.body) {
-            (Some(key), CallerBody::Kept(body)) => {
-                let CallerRequest {
-                    method,
-                    uri,
-                    headers,
-                    ..
-                } = req;
-                let whole = WholeRequest {
-                    method,
-                    uri,
-                    headers,
-                    body,
-                };
-                self.serve_keyed(key, key_attempt, whole).await
-            }
-            (_, body) => {
-                req.body = body;
-                self.run(&mut req).await
-            }
+        if !self.route.spec.is_idempotent()
+            && let Some(key) = keyed::read_key(&parts.headers)?
+        {
+            return self.serve_keyed(key, parts, body).await;
         }
+        let mut req = self.read(parts, body, false).await?;
+        self.run(&mut req).await
+    }
+
+    /// Reads what has to be in memory before the request is sent.
+    async fn read(
+        &self,
+        parts: Parts,
+        body: Incoming,
+        keep: bool,
+    ) -> Result<CallerRequest, CallError> {
+        let max_body = self.cx.settings.limits.body_bytes;
+        let mut req = CallerRequest::new(parts, body, max_body, keep, self.remaining()).await?;
+        headers::write_trace(&mut req.headers, self.span);
+        Ok(req)
     }
 
     /// Makes attempts until one is answered or no further one is allowed.
@@ -243,16 +241,7 @@
     /// Chooses a backend server of the route's service, or of its fallback.
     fn choose(&self, tried: &[String]) -> Result<(ServiceName, EntryGuard), CallError> {
         let spec = &self.route.spec;
-        for service in std::iter::once(&spec.service).chain(spec.fallback.as_ref()) {
-            if let Some(guard) = dispatch::choose(self.cx, service, tried) {
-                return Ok((service.clone(), guard));
-            }
-        }
-        let detail = format!(
-            "no backend server of service {} is able to serve",
-            spec.service
-        );
-        Err(CallError::new(ErrorKind::NoBackendServer, detail))
+        dispatch::choose_of(self.cx, &spec.service, spec.fallback.as_ref(), tried)
     }
 
     /// Sends a second copy to another backend server when the first is slower than usual.
@@ -306,61 +295,70 @@
     }
 
     fn head(&self, service: &ServiceName, again: bool) -> Result<CallHead, CallError> {
-        let remaining = self.remaining();
-        if remaining.is_zero() {
-            let detail = "the deadline passed before the request was sent";
-            return Err(CallError::new(ErrorKind::DeadlineUnreachable, detail));
-        }
         Ok(CallHead {
             route: self.route.name.clone(),
             service: service.clone(),
             class: self.route.spec.class,
-            remaining_ms: u64::try_from(remaining.as_millis())
-                .unwrap_or(u64::MAX)
-                .max(1),
+            remaining_ms: dispatch::remaining_ms(self.cx, self.deadline)?,
             retry: again || self.marked_as_retry,
             version: self.config.version,
             key: None,
         })
     }
 
-    /// Hands a request with a key to the daemon that owns the key.
+    /// Serves a request with a key; its body is read as a whole, since it is part of the request's
+    /// fingerprint.
     async fn serve_keyed(
         &self,
         key: Key,
+        parts: Parts,
+        body: Incoming,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        let attempt = keyed::read_attempt(&parts.headers);
+        let before_owner = |e| keyed::before_owner(e, attempt);
+        let req = self.read(parts, body, true).await;
+        let req = req.and_then(WholeRequest::new).map_err(before_owner)?;
+        let head = self.head(&self.route.spec.service, false);
+        let head = head.map_err(before_owner)?;
+        self.ask_owner(&key, attempt, head, req).await
+    }
+
+    /// Hands a request with a key to the daemon that owns the key.
+    async fn ask_owner(
+        &self,
+        key: &Key,
         attempt: KeyAttempt,
+        mut head: CallHead,
         req: WholeRequest,
     ) -> Result<Response<ProxyBody>, CallError> {
-        let service = &self.route.spec.service;
         let request = KeyedRequest {
-            service,
-            key: &key,
+            service: &self.route.spec.service,
+            key,
             fingerprint: req.fingerprint(),
             attempt,
         };
-        let mut head = self.head(service, false)?;
         let key_head = |owner: &Incarnate| KeyHead {
             key: key.as_str().to_owned(),
             fingerprint: request.fingerprint.into(),
             first: attempt == KeyAttempt::First,
             owner: Some((owner.id.clone(), owner.incarnation)),
+            fallback: self.route.spec.fallback.clone(),
         };
-        let identity = &self.cx.identity;
-        let me = Incarnate {
-            id: identity.id.clone(),
-            incarnation: identity.incarnation,
-        };
-        match self.cx.keys.route(&request, &self.cx.members.load()) {
+        let cx = self.cx;
+        match cx.keys.route(&request, &cx.members.load()) {
             KeyRoute::Refuse(kind) => {
                 Err(CallError::new(kind, "the owner of the key cannot be asked"))
             }
-            KeyRoute::Here => keyed::serve_as_owner(self.cx, head, key_head(&me), req).await,
+            KeyRoute::Here => {
+                let key_head = key_head(cx.keys.me());
+                keyed::serve_as_owner(cx, head, key_head, req).await
+            }
             KeyRoute::Send { owner, peer_addr } => {
                 head.key = Some(key_head(&owner));
                 let sent =
-                    dispatch::send_call(self.cx, peer_addr, &head, req.to_request(), self.deadline);
+                    dispatch::send_call(cx, peer_addr, &head, req.to_request(), self.deadline);
                 let res = sent.await.map_err(|e| owner_error(e, attempt))?.response;
-                Ok(pass_through(self.cx, res, self.deadline))
+                Ok(pass_through(cx, res, self.deadline))
             }
         }
     }
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http::header::{
-    CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AGE, CONNECTION, DATE, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 use crate::settings::Settings;
@@ -31,6 +31,7 @@
 /// Idempotency key of a caller.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+const TRACESTATE: HeaderName = HeaderName::from_static("tracestate");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -61,6 +62,15 @@
     }
 }
 
+/// Removes the headers that concern one passage of an answer, and would be wrong in a replay.
+pub fn remove_momentary(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    for name in [DATE, AGE, RETRY_AFTER, TRACEPARENT, TRACESTATE, TIMEOUT] {
+        headers.remove(name);
+    }
+    remove_internal(headers);
+}
+
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
     for name in [OUTCOME, CALL, ANSWER, TOKEN, CALLER_HOST] {
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -492,7 +492,8 @@
     }
     headers::write_trace(&mut headers, span);
     if let Some(key) = &head.key {
-        let body = read_whole(body, head).await?;
+        let body = read_whole(body, head).await;
+        let body = body.map_err(|e| keyed::before_owner(e, key.attempt()))?;
         let req = WholeRequest {
             method: parts.method,
             uri,
@@ -530,7 +531,7 @@
 async fn read_whole(body: Incoming, head: &CallHead) -> Result<Bytes, CallError> {
     let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(head.remaining_ms);
-    let fault = |detail| CallError::new(ErrorKind::BadRequest, detail);
+    let fault = |detail| CallError::passing(ErrorKind::BadRequest, detail);
     match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(_)) => Err(fault("the body of a keyed call broke off or is too large")),
--- a/crates/daemon/src/proxy/keyed.rs
+++ b/crates/daemon/src/proxy/keyed.rs
@@ -8,13 +8,16 @@
 
 use baobabreel_client::wire::{CallHead, KeyHead, PriorWire, QueryWire};
 use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::id::ServiceName;
 use baobabreel_core::idempotency::{
-    Attempt, Decision, Finish, KeptAnswer, Key, Request as KeyedRequest,
+    Attempt, Decision, Finish, KeptAnswer, Key, PriorAnswer, Request as KeyedRequest,
+    refusal_before_owner,
 };
 use baobabreel_core::registry::Incarnate;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::future::join_all;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -22,12 +25,16 @@
 use super::body::ProxyBody;
 use super::dispatch;
 use super::headers;
+use super::replay::{CallerBody, CallerRequest};
 use crate::context::Cx;
 use crate::keys::Priors;
 
 /// Time for a previous owner to answer.
 const PRIOR_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Times that a decision is made about one request; previous owners are asked in between.
+const MAX_DECISIONS: usize = 3;
+
 /// Largest answer that is kept for repeats, in bytes.
 const MAX_KEPT_BYTES: usize = 64 * 1024;
 
@@ -48,16 +55,35 @@
 }
 
 impl WholeRequest {
-    /// Hash of what makes it the same request: method, path and body.
+    /// Takes over a request of a caller whose body was read.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Internal`] when the body is not in memory.
+    pub fn new(req: CallerRequest) -> Result<Self, CallError> {
+        let CallerBody::Kept(body) = req.body else {
+            let detail = "the body of a request with a key was not read";
+            return Err(CallError::new(ErrorKind::Internal, detail));
+        };
+        Ok(Self {
+            method: req.method,
+            uri: req.uri,
+            headers: req.headers,
+            body,
+        })
+    }
+
+    /// Hash of what makes it the same request: method, path, query and body.
     #[must_use]
     pub fn fingerprint(&self) -> u128 {
         let mut hasher = Xxh3::new();
+        let target = self.uri.path_and_query();
         for part in [
-            self.method.as_str().as_bytes(),
-            self.uri.to_string().as_bytes(),
+            self.method.as_str(),
+            target.map_or("", |path| path.as_str()),
         ] {
             hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            hasher.update(part.as_bytes());
         }
         hasher.update(&self.body);
         hasher.digest128()
@@ -98,6 +124,26 @@
     }
 }
 
+/// What the caller of a request that has a key says about earlier attempts.
+#[must_use]
+pub fn read_repeat(headers: &HeaderMap) -> Option<Attempt> {
+    let has_key = headers.contains_key(headers::KEY);
+    has_key.then(|| read_attempt(headers))
+}
+
+/// Error for a request with a key that this daemon refuses before the owner has decided.
+///
+/// That a body broke off or came too late says nothing about earlier attempts.
+#[must_use]
+pub fn before_owner(mut e: CallError, attempt: Attempt) -> CallError {
+    e.kind = if e.kind == ErrorKind::BadRequest && e.is_passing {
+        attempt.undecided(ErrorKind::OwnerChanging)
+    } else {
+        refusal_before_owner(e.kind, attempt)
+    };
+    e
+}
+
 /// Decides about a request as the owner of its key, and runs it if it is to run.
 ///
 /// # Errors
@@ -123,55 +169,53 @@
     wire: KeyHead,
     req: WholeRequest,
 ) -> Result<Response<ProxyBody>, CallError> {
-    let started = cx.clock.now();
+    // A drain waits for the run even when its caller has gone.
+    let _count = cx.count_request();
+    let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let key =
         Key::parse(&wire.key).map_err(|e| CallError::new(ErrorKind::BadKey, e.to_string()))?;
-    let attempt = if wire.first {
-        Attempt::First
-    } else {
-        Attempt::MayRepeat
-    };
     let service = head.service.clone();
     let request = KeyedRequest {
         service: &service,
         key: &key,
         fingerprint: wire.fingerprint.into(),
-        attempt,
+        attempt: wire.attempt(),
     };
-    let mut priors = Priors::new();
-    loop {
-        match cx.keys.decide(&request, cx.clock, &priors) {
-            Decision::Run => break,
-            Decision::Answer(kept) => return restore(&kept),
-            Decision::Refuse(kind) => {
-                return Err(CallError::new(kind, "decided by the owner of the key"));
-            }
-            Decision::Ask(owners) if priors.is_empty() => {
-                priors = ask_priors(cx, &request, owners).await;
-            }
-            Decision::Ask(_) => {
-                let kind = attempt.undecided(ErrorKind::InProgress);
-                return Err(CallError::new(kind, "the owners of the key changed again"));
-            }
-        }
+    if let Some(kept) = decide(cx, &request).await? {
+        return restore(&kept);
     }
     let recording = Recording {
         cx,
         request: &request,
         ended: false,
     };
-    head.remaining_ms = head
-        .remaining_ms
-        .saturating_sub(millis(cx.clock.now() - started))
-        .max(1);
     head.key = None;
-    let result = run(cx, &head, &req).await;
+    let result = run(cx, &head, wire.fallback.as_ref(), deadline, &req).await;
     recording.end(&result);
-    result.map(|answer| answer.into_response(false))
+    Ok(result?.into_response(false))
 }
 
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+/// Decides about a request, with the answers of previous owners if it takes them; `None` when it is
+/// to be run, which is recorded then.
+async fn decide(cx: &Cx, request: &KeyedRequest<'_>) -> Result<Option<KeptAnswer>, CallError> {
+    let mut priors = Priors::new();
+    for _ in 0..MAX_DECISIONS {
+        match cx.keys.decide(request, &priors) {
+            Decision::Run => return Ok(None),
+            Decision::Answer(kept) => return Ok(Some(kept)),
+            Decision::Refuse(kind) => {
+                return Err(CallError::new(kind, "decided by the owner of the key"));
+            }
+            Decision::Ask(owners) => {
+                let answers = owners
+                    .into_iter()
+                    .map(|owner| ask_prior(cx, request, owner));
+                priors.extend(join_all(answers).await);
+            }
+        }
+    }
+    let kind = request.attempt.without_owner();
+    Err(CallError::new(kind, "the owners of the key changed again"))
 }
 
 /// A run that is recorded as unknown unless its end is told.
@@ -186,68 +230,85 @@
         let finish = match result {
             Ok(answer) => Finish::Ran(answer.keep()),
             Err(e) if e.is_not_run() => Finish::NotRun,
+            Err(e) if e.kind == ErrorKind::AnswerNotKept => Finish::Ran(None),
             Err(_) => Finish::Unknown,
         };
         self.ended = true;
-        self.cx
-            .keys
-            .finish(self.request, finish, self.cx.clock.now());
+        self.cx.keys.finish(self.request, finish);
     }
 }
 
 impl Drop for Recording<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            self.cx
-                .keys
-                .finish(self.request, Finish::Unknown, self.cx.clock.now());
+            self.cx.keys.finish(self.request, Finish::Unknown);
         }
     }
 }
 
-async fn ask_priors(cx: &Cx, request: &KeyedRequest<'_>, owners: Vec<Incarnate>) -> Priors {
-    let mut answers = Priors::new();
-    for owner in owners {
-        let query = QueryWire {
-            daemon: owner.id.clone(),
-            incarnation: owner.incarnation,
-            service: request.service.to_owned(),
-            key: request.key.as_str().to_owned(),
-            fingerprint: request.fingerprint.into(),
-        };
-        let addr = cx
-            .members
-            .load()
-            .get(&owner.id)
-            .map(|member| member.peer_addr);
-        let answer: Option<PriorWire> = match addr {
-            Some(addr) => {
-                cx.ask_peer(addr, "/peer/v1/outcome", &query, PRIOR_TIMEOUT)
-                    .await
-            }
-            None => None,
-        };
-        answers.push((owner, answer.unwrap_or(PriorWire::Unreachable).into()));
-    }
-    answers
+async fn ask_prior(
+    cx: &Cx,
+    request: &KeyedRequest<'_>,
+    owner: Incarnate,
+) -> (Incarnate, PriorAnswer) {
+    let query = QueryWire {
+        daemon: owner.id.clone(),
+        incarnation: owner.incarnation,
+        service: request.service.to_owned(),
+        key: request.key.as_str().to_owned(),
+        fingerprint: request.fingerprint.into(),
+    };
+    let members = cx.members.load_full();
+    let answer: Option<PriorWire> = match members.get(&owner.id) {
+        Some(member) => {
+            let ask = cx.ask_peer(member.peer_addr, "/peer/v1/outcome", &query, PRIOR_TIMEOUT);
+            ask.await
+        }
+        None => None,
+    };
+    (owner, answer.unwrap_or(PriorWire::Unreachable).into())
 }
 
 /// Runs the request here or, as long as it is proved not to have run, at another daemon.
-async fn run(cx: &Cx, head: &CallHead, req: &WholeRequest) -> Result<WholeAnswer, CallError> {
-    let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
-    let res = dispatch::dispatch_until(cx, head, deadline, || req.to_request()).await?;
-    let (parts, body) = res.into_parts();
-    match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => Ok(WholeAnswer {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        }),
-        Err(e) => Err(CallError::new(
-            ErrorKind::UpstreamLost,
-            format!("the answer broke off: {e}"),
-        )),
+async fn run(
+    cx: &Cx,
+    head: &CallHead,
+    fallback: Option<&ServiceName>,
+    deadline: Duration,
+    req: &WholeRequest,
+) -> Result<WholeAnswer, CallError> {
+    let sent = dispatch::dispatch_until(cx, head, fallback, deadline, || req.to_request());
+    let (parts, body) = sent.await?.into_parts();
+    let body = read_answer(body).await?;
+    Ok(WholeAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+/// Reads an answer to its end; the part of it that is over the limit is not kept.
+async fn read_answer(mut body: ProxyBody) -> Result<Bytes, CallError> {
+    let mut data = BytesMut::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            let detail = format!("the answer broke off: {e}");
+            CallError::new(ErrorKind::UpstreamLost, detail)
+        })?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        is_whole &= data.len() + chunk.len() <= MAX_ANSWER_BYTES;
+        if is_whole {
+            data.extend_from_slice(&chunk);
+        }
+    }
+    if is_whole {
+        return Ok(data.freeze());
     }
+    let detail = format!("the answer has more than {MAX_ANSWER_BYTES} bytes");
+    Err(CallError::new(ErrorKind::AnswerNotKept, detail))
 }
 
 /// Answer whose body is in memory.
@@ -273,9 +334,11 @@
         let pair = |(name, value): (&HeaderName, &HeaderValue)| {
             (name.as_str().to_owned(), value.as_bytes().to_vec())
         };
+        let mut headers = self.headers.clone();
+        headers::remove_momentary(&mut headers);
         let kept = Kept {
             status: self.status.as_u16(),
-            headers: self.headers.iter().map(pair).collect(),
+            headers: headers.iter().map(pair).collect(),
             body: self.body.clone(),
         };
         rmp_serde::to_vec(&kept).ok().map(Into::into)
--- a/crates/daemon/src/proxy/replay.rs
+++ b/crates/daemon/src/proxy/replay.rs
@@ -63,6 +63,9 @@
                 format!("the body has more than {max_body} bytes"),
             ));
         }
+        if keep && size.lower() > MAX_REPLAY_BYTES {
+            return Err(key_body_too_large());
+        }
         let small = size.exact().is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES);
         let body = if small || keep {
             CallerBody::Kept(read_body(body, timeout).await?)
@@ -107,18 +110,23 @@
     let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
     match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(CallError::new(
-            ErrorKind::BodyTooLarge,
-            format!("the body of a request with a key has more than {MAX_REPLAY_BYTES} bytes"),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(key_body_too_large()),
+        Ok(Err(_)) => Err(CallError::passing(
+            ErrorKind::BadRequest,
+            "the body broke off",
         )),
-        Ok(Err(_)) => Err(CallError::new(ErrorKind::BadRequest, "the body broke off")),
-        Err(_) => Err(CallError::new(
+        Err(_) => Err(CallError::passing(
             ErrorKind::BadRequest,
             "the body did not come in time",
         )),
     }
 }
 
+fn key_body_too_large() -> CallError {
+    let detail = format!("the body of a request with a key has more than {MAX_REPLAY_BYTES} bytes");
+    CallError::new(ErrorKind::BodyTooLarge, detail)
+}
+
 /// Path and query without scheme and authority.
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use baobabreel_core::config::{Kind, MAX_SCHEMA, RecordKey};
+use baobabreel_core::idempotency::MAX_ISSUER_BYTES;
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
@@ -111,7 +112,7 @@
     }
 
     fn read_all(&mut self, top: &mut Section<'a>) -> Option<Settings> {
-        let daemon = self.name(top, "daemon");
+        let daemon = self.daemon_id(top);
         let data_centre = self.name(top, "data_centre");
         let log = self.url(top, "log");
         let listen = self.listen(top);
@@ -297,6 +298,17 @@
         }
     }
 
+    /// Reads the id of the daemon, which has to fit into the keys that it issues.
+    fn daemon_id(&mut self, section: &mut Section<'a>) -> Option<String> {
+        let allowed = format!(
+            "1 to {MAX_ISSUER_BYTES} characters of a-z 0-9 . _ -, the first a letter or digit"
+        );
+        self.parsed(section, "daemon", &allowed, |id: &String| {
+            id.len() <= MAX_ISSUER_BYTES
+                && RecordKey::new(Kind::BackendServer, id.clone()).is_valid()
+        })
+    }
+
     fn name(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
         let allowed = "1 to 128 characters of a-z 0-9 . _ -, the first a letter or digit";
         let accept = |name: &String| RecordKey::new(Kind::BackendServer, name.clone()).is_valid();
