Ask owners that left or were evicted, and test the failures of owners

A previous owner that was no longer registered was never asked, so every key from before a graceful leave ended as outcome_unknown although the leaving daemon was still there. It is asked now; only when it does not answer, its keys are unknown. A departed member is not waited for. A daemon stays for 6 s after its leave, within the drain limit, so that keys issued in between are not taken for run.

--- a/crates/core/src/idempotency/decide.rs
+++ b/crates/core/src/idempotency/decide.rs
@@ -16,7 +16,10 @@
 const ISSUE_MARGIN_REMOVED: Duration = Duration::from_secs(2);
 
 /// As [`ISSUE_MARGIN_REMOVED`], after a `leave`, which allows the takeover at once.
-const ISSUE_MARGIN_LEFT: Duration = Duration::from_secs(5);
+///
+/// A daemon that stays for so long after its `leave` can be asked about all keys from before it, and
+/// none of them that did not run is taken for one that may have run.
+pub const ISSUE_MARGIN_LEFT: Duration = Duration::from_secs(5);
 
 const _: () = {
     let accepted_ahead = FUTURE_ALLOWANCE.as_millis() + CLOCK_DIFFERENCE.as_millis();
@@ -187,8 +190,11 @@
             Some((_, PriorAnswer::Known(known))) => {
                 return Err(from_prior(known.clone(), request.attempt));
             }
-            Some((_, PriorAnswer::Unreachable)) => return Err(wait()),
-            None if !owner.registry.is_registered(&from) => return Err(gone()),
+            // One that is registered may answer later; another one has ended, or is taken for dead.
+            Some((_, PriorAnswer::Unreachable)) if owner.registry.is_registered(&from) => {
+                return Err(wait());
+            }
+            Some((_, PriorAnswer::Unreachable)) => return Err(gone()),
             None if asked.contains(&from) => {}
             None => asked.push(from),
         }
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Method, Request, StatusCode};
@@ -21,6 +22,11 @@
 /// Time in which the members learn that this daemon has left, and the log takes the entry.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after the begin of the drain in which the next owners can ask for outcomes.
+///
+/// Later keys are known not to have run here; 1 s is for the `leave` entry to reach the next owners.
+const HANDOVER_TIME: Duration = ISSUE_MARGIN_LEFT.saturating_add(Duration::from_secs(1));
+
 /// Time between two looks at whether all requests have ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -190,8 +196,14 @@
         self.tell_membership().await;
         tokio::time::sleep(self.cx.settings.drain_notice).await;
         self.cx.advance(Phase::Draining);
-        self.hand_keys_over().await;
+        let draining = self.cx.clock.now();
+        let has_keys = self.hand_keys_over().await;
         let whole = self.wait_until_idle().await;
+        if has_keys {
+            let waited = self.cx.clock.now().saturating_sub(draining);
+            let stay = HANDOVER_TIME.min(self.cx.settings.drain_limit);
+            tokio::time::sleep(stay.saturating_sub(waited)).await;
+        }
         self.stop_serving.cancel();
         self.leave().await;
         self.stop.cancel();
@@ -232,10 +244,10 @@
     /// Hands the keys over to the next owners.
     ///
     /// This is done before the running requests end, as the next owners take over at once, and can
-    /// only ask this daemon for its outcomes while it is there.
-    async fn hand_keys_over(&self) {
+    /// only ask this daemon for its outcomes while it is there. Returns whether it may have had keys.
+    async fn hand_keys_over(&self) -> bool {
         if !self.cx.keys.retire() {
-            return;
+            return false;
         }
         let entry = self.cx.identity.leave();
         let append = append_entry(&self.cx.log, &entry);
@@ -243,6 +255,7 @@
             Ok(_) => {}
             Err(_) => tracing::warn!("the log did not take the leave entry in time"),
         }
+        true
     }
 
     async fn leave(&self) {
--- a/crates/daemon/src/proxy/keyed.rs
+++ b/crates/daemon/src/proxy/keyed.rs
@@ -246,6 +246,7 @@
     }
 }
 
+/// Asks a previous owner; one that has ended or is taken for dead is not waited for.
 async fn ask_prior(
     cx: &Cx,
     request: &KeyedRequest<'_>,
@@ -259,7 +260,10 @@
         fingerprint: request.fingerprint.into(),
     };
     let members = cx.members.load_full();
-    let answer: Option<PriorWire> = match members.get(&owner.id) {
+    let asked = members
+        .get(&owner.id)
+        .filter(|member| !member.is_departed() && member.incarnation <= owner.incarnation);
+    let answer: Option<PriorWire> = match asked {
         Some(member) => {
             let ask = cx.ask_peer(member.peer_addr, "/peer/v1/outcome", &query, PRIOR_TIMEOUT);
             ask.await
