--- a/crates/core/src/idempotency/decide.rs
+++ b/crates/core/src/idempotency/decide.rs
@@ -16,7 +16,10 @@
 const ISSUE_MARGIN_REMOVED: Duration = Duration::from_secs(2);
 
 /// As [`ISSUE_MARGIN_REMOVED`], after a `leave`, which allows the takeover at once.
-const ISSUE_MARGIN_LEFT: Duration = Duration::from_secs(5);
+///
+/// A daemon that stays for so long after its `leave` can be asked about all keys from before it, and
+/// none of them that did not run is taken for one that may have run.
+pub const ISSUE_MARGIN_LEFT: Duration = Duration::from_secs(5);
 
 const _: () = {
     let accepted_ahead = FUTURE_ALLOWANCE.as_millis() + CLOCK_DIFFERENCE.as_millis();
@@ -133,7 +136,7 @@
         Begin::AnswerNotKept => ErrorKind::AnswerNotKept,
         Begin::OutcomeUnknown => ErrorKind::OutcomeUnknown,
         Begin::KeyReused => ErrorKind::KeyReused,
-        Begin::Ceded => attempt.undecided(ErrorKind::InProgress),
+        Begin::Ceded => attempt.without_owner(),
         Begin::Overloaded => ErrorKind::Overloaded,
     })
 }
@@ -151,7 +154,7 @@
     let otherwise = if gone {
         ErrorKind::OutcomeUnknown
     } else {
-        ErrorKind::InProgress
+        ErrorKind::OwnerChanging
     };
     Err(undecided(attempt, otherwise))
 }
@@ -163,7 +166,7 @@
     answers: &[(Incarnate, PriorAnswer)],
 ) -> Result<(), Decision> {
     let (service, key) = (request.service, request.key.as_str());
-    let wait = || undecided(request.attempt, ErrorKind::InProgress);
+    let wait = || undecided(request.attempt, ErrorKind::OwnerChanging);
     let owned = owner
         .registry
         .owner(service, key)
@@ -187,8 +190,11 @@
             Some((_, PriorAnswer::Known(known))) => {
                 return Err(from_prior(known.clone(), request.attempt));
             }
-            Some((_, PriorAnswer::Unreachable)) => return Err(wait()),
-            None if !owner.registry.is_registered(&from) => return Err(gone()),
+            // One that is registered may answer later; another one has ended, or is taken for dead.
+            Some((_, PriorAnswer::Unreachable)) if owner.registry.is_registered(&from) => {
+                return Err(wait());
+            }
+            Some((_, PriorAnswer::Unreachable)) => return Err(gone()),
             None if asked.contains(&from) => {}
             None => asked.push(from),
         }
@@ -203,7 +209,7 @@
 fn from_prior(known: Begin, attempt: Attempt) -> Decision {
     match known {
         // Neither is a record of the key; whoever sends one does not vouch for anything.
-        Begin::Run | Begin::Overloaded => undecided(attempt, ErrorKind::InProgress),
+        Begin::Run | Begin::Overloaded => undecided(attempt, ErrorKind::OwnerChanging),
         known => from_record(known, attempt),
     }
 }
--- a/crates/core/src/idempotency/mod.rs
+++ b/crates/core/src/idempotency/mod.rs
@@ -18,7 +18,7 @@
 //!
 //! `not_run` is a promise about the key, not about one attempt: a refusal carries it only when no
 //! earlier attempt can have run, or when the caller says that there was none ([`Attempt`]). While
-//! ownership is undecided, other attempts get `in_progress`, which is retryable and promises
+//! ownership is undecided, other attempts get `owner_changing`, which is retryable and promises
 //! nothing.
 //!
 //! Assumptions:
@@ -39,9 +39,9 @@
 mod owner;
 mod table;
 
-pub use decide::{Decision, Owner, PriorAnswer, Request, answer_prior, decide};
+pub use decide::{Decision, ISSUE_MARGIN_LEFT, Owner, PriorAnswer, Request, answer_prior, decide};
 pub use entry::{Route, refusal_before_owner, route, unreachable_owner};
-pub use key::{Key, KeyError, KeyForm, MAX_KEY_BYTES, issue};
+pub use key::{Key, KeyError, KeyForm, MAX_ISSUER_BYTES, MAX_KEY_BYTES, issue};
 pub use lease::{Fencing, LEASE, Lease, TAKEOVER_WAIT};
 pub use owner::KeyOwner;
 pub use table::{Begin, Finish, KeptAnswer, Limits, OutcomeTable};
@@ -85,6 +85,12 @@
             Self::MayRepeat => otherwise,
         }
     }
+
+    /// Refusal of an attempt while nobody may act as the owner of its key.
+    #[must_use]
+    pub fn without_owner(self) -> ErrorKind {
+        self.undecided(ErrorKind::OwnerChanging)
+    }
 }
 
 /// Both clocks of a daemon, read at the same instant.
