Push changes to cold and ready to other data centres at once

Only draining and leaving were pushed; the state `ready` reached other data centres with 1 probe of 10.

--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -15,6 +15,9 @@
 /// Contacts in a row with a differing digest before a daemon asks for a delta; updates that are
 /// being spread make digests differ for a moment.
 const MISMATCHES_BEFORE_SYNC: u32 = 3;
+/// Pushes of a second that changes to `cold` and `ready` leave to draining, refutations and suspicions.
+const RESERVED_PUSHES: u32 = 4;
+
 impl Swim {
     /// Handles an event.
     pub fn handle(&mut self, event: Event, now: Duration, random: u64) -> Vec<Action> {
@@ -364,7 +367,7 @@
             let mut refuted = own.clone();
             refuted.sequence = rumour.sequence.saturating_add(1);
             self.accept(refuted.clone(), step);
-            self.push(&refuted, step);
+            self.push(&refuted, 0, step);
         }
     }
 
@@ -390,27 +393,51 @@
             self.departed.revive(id);
         }
         self.queue.add(id, self.members.len());
-        let urgent = matches!(member.state, MemberState::Draining | MemberState::Left);
-        if urgent && before != Some(member.state) {
-            self.push(&member, step);
+        if before != Some(member.state) {
+            match member.state {
+                MemberState::Draining | MemberState::Left => self.push(&member, 0, step),
+                MemberState::Cold | MemberState::Ready if before.is_some() => {
+                    self.push(&member, RESERVED_PUSHES, step);
+                }
+                _ => {}
+            }
         }
         step.actions.push(Action::StateChanged { member });
     }
 
-    /// Pushes a statement to a few members at once.
-    fn push(&mut self, member: &Member, step: &mut Step) {
+    /// Pushes a statement to a few members at once, of as many other data centres as possible but for
+    /// one of the own: probes spread it within a data centre, and only one of 10 crosses to others.
+    fn push(&mut self, member: &Member, reserve: u32, step: &mut Step) {
         let mut others = self.others(&member.id);
-        step.draw.shuffle(&mut others, PUSH_FANOUT);
-        others.truncate(PUSH_FANOUT);
-        let targets: Vec<_> = others.iter().map(|other| other.peer_addr).collect();
+        let count = others.len();
+        step.draw.shuffle(&mut others, count);
+        let own = &self.own().data_centre;
+        let mut seen: Vec<&str> = Vec::new();
+        let (mut targets, rest): (Vec<&Member>, Vec<&Member>) = others.into_iter().partition(|m| {
+            let first = !seen.contains(&m.data_centre.as_str());
+            if first {
+                seen.push(&m.data_centre);
+            }
+            first
+        });
+        targets.sort_by_key(|m| m.data_centre != *own);
+        targets.extend(rest);
+        targets.truncate(PUSH_FANOUT);
+        let targets: Vec<_> = targets.iter().map(|other| other.peer_addr).collect();
         for to in targets {
-            self.push_to(to, member.clone(), step);
+            self.push_within(to, member.clone(), reserve, step);
         }
     }
 
     /// Pushes a statement to one member, within the budget.
     pub(super) fn push_to(&mut self, to: SocketAddr, member: Member, step: &mut Step) {
-        if self.bytes.available(step.now) > 0.0 && self.pushes.take_one(step.now) {
+        self.push_within(to, member, 0, step);
+    }
+
+    /// The same, leaving `reserve` pushes of this second to others.
+    fn push_within(&mut self, to: SocketAddr, member: Member, reserve: u32, step: &mut Step) {
+        let affordable = self.bytes.available(step.now) > 0.0;
+        if affordable && self.pushes.take(1, 1, reserve, step.now) == 1 {
             let updates = vec![member];
             step.actions.push(Action::Push { to, updates });
         }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -258,6 +258,45 @@
     }
 }
 
+/// Guards against backend servers that other data centres do not use for many seconds after they became
+/// ready, because the news crosses data centres only with probes.
+#[test]
+fn change_of_state_is_known_within_3_s() {
+    for (n, dcs) in [(4, 2), (9, 3), (16, 4), (40, 2), (40, 4)] {
+        for seed in 0..5 {
+            let mut net = settled(n, dcs, seed, &SwimSettings::new());
+            for change in [MemberState::Cold, MemberState::Ready] {
+                net.handle(1, local(change, 10));
+                net.run(3);
+                let knows = |node: &Swim| state(node, 1) == Some(change);
+                assert!(net.nodes.iter().all(knows), "{n} in {dcs}, seed {seed}");
+            }
+        }
+    }
+}
+
+/// Guards against daemons that start together and learn late that the others have become ready meanwhile.
+#[test]
+fn started_mesh_is_known_as_ready_within_3_s() {
+    for (n, dcs) in [(4, 2), (9, 3), (16, 4)] {
+        for seed in 0..10 {
+            let mut net = Net::new(n, dcs, seed, &SwimSettings::new());
+            for i in 0..n {
+                net.handle(i, local(MemberState::Cold, 10));
+            }
+            net.run(1);
+            for i in 0..n {
+                net.handle(i, local(MemberState::Ready, 10));
+            }
+            net.run(3);
+            let ready = |m: &Member| m.state == MemberState::Ready;
+            let knows = |node: &Swim| node.members().iter().filter(|m| ready(m)).count() == n;
+            let missing = net.nodes.iter().filter(|node| !knows(node)).count();
+            assert_eq!(missing, 0, "{n} in {dcs}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against a storm of pushes when many backend servers drain and return at once.
 #[test]
 fn mass_drains_cause_no_storm() {
