Collect the states of all daemons on GET /mesh

An operator had to name every daemon to see who lags. Status answers no longer copy the whole configuration state; only /records copies the records.

--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -642,35 +642,3 @@
         self.check_ready();
     }
 }
-
-/// State of the folds for operators.
-#[derive(Debug, Clone, kameo::Reply)]
-pub struct DistributionStatus {
-    /// Folded configuration.
-    pub state: ConfigState,
-    /// Age of the newest proof of the head of `config`.
-    pub config_age: Option<Duration>,
-    /// Age of the newest proof of the head of `members`.
-    pub members_age: Option<Duration>,
-}
-
-/// Asks for the state of the folds.
-#[derive(Debug, Clone, Copy)]
-pub struct GetStatus;
-
-impl Message<GetStatus> for Distribution {
-    type Reply = DistributionStatus;
-
-    async fn handle(
-        &mut self,
-        _: GetStatus,
-        _: &mut MessageContext<Self, Self::Reply>,
-    ) -> DistributionStatus {
-        let now = self.cx.clock.now();
-        DistributionStatus {
-            state: self.state.clone(),
-            config_age: self.config.confirmation.age(now),
-            members_age: self.members.confirmation.age(now),
-        }
-    }
-}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -13,14 +13,16 @@
 mod registrations;
 mod serve;
 mod snapshots;
+mod status;
 mod stream;
 
 pub use announce::{Announcement, BackendTracker};
-pub use distribution::{Distribution, DistributionStatus, GetStatus};
+pub use distribution::Distribution;
 pub use follower::Follower;
 pub use membership::{Leave, LocalChanged, Membership};
 pub use push::encoded;
 pub use serve::serve_control;
+pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -12,6 +12,7 @@
 use super::membership::Asked;
 use super::push::encoded;
 use crate::context::Cx;
+use crate::operators::{STATUS_PATH, status as status_doc};
 use crate::proxy::ProxyBody;
 
 /// Largest control message, in bytes.
@@ -34,6 +35,7 @@
         "/peer/v1/entries" => entries(control, &body).await,
         "/peer/v1/pull" => pull(control, &body).await,
         "/peer/v1/outcome" => outcome(cx, &body),
+        STATUS_PATH => own_status(cx, control).await,
         _ => return status(StatusCode::NOT_FOUND),
     };
     match answer {
@@ -108,3 +110,8 @@
     let query: QueryWire = read(body)?;
     answer(&cx.keys.answer_prior(&query, cx.clock.now()))
 }
+
+async fn own_status(cx: &Cx, control: &Control) -> Result<Vec<u8>, StatusCode> {
+    let doc = status_doc(cx, control).await;
+    answer(&doc.ok_or(StatusCode::SERVICE_UNAVAILABLE)?)
+}
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -1,21 +1,24 @@
 //! Endpoints for operators.
 
 mod explain;
+mod mesh;
 mod query;
 
 use baobabreel_client::wire::{
     BackendServerDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
 };
 use baobabreel_core::config::CompiledConfig;
-use baobabreel_core::membership::MemberState;
+use baobabreel_core::membership::{Member, MemberState};
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 
 use crate::context::{Cx, Phase};
-use crate::control::{Control, DistributionStatus, GetStatus};
+use crate::control::{Control, FoldedRecords, GetRecords, GetStatus};
 use crate::listeners::Reply;
 use crate::proxy::has_token;
 
+pub use mesh::STATUS_PATH;
+
 /// Answers a request of an operator.
 pub async fn serve_operators(cx: Cx, control: Control, req: Request<Bytes>) -> Reply {
     if !has_token(&cx.settings, req.headers()) {
@@ -29,8 +32,12 @@
             Some(doc) => Reply::json(&doc),
             None => stopped(),
         },
-        "/records" => match control.distribution.ask(GetStatus).await {
-            Ok(status) => Reply::json(&records(&cx, &status)),
+        "/mesh" => match mesh::collect(&cx, &control).await {
+            Some(docs) => Reply::json(&docs),
+            None => stopped(),
+        },
+        "/records" => match control.distribution.ask(GetRecords).await {
+            Ok(folded) => Reply::json(&records(&cx, &folded)),
             Err(_) => stopped(),
         },
         "/members" => Reply::json(&members(&cx)),
@@ -48,7 +55,7 @@
         },
         _ => Reply::error(
             StatusCode::NOT_FOUND,
-            "the paths are /status, /records, /members, /explain and /metrics",
+            "the paths are /status, /mesh, /records, /members, /explain and /metrics",
         ),
     }
 }
@@ -57,7 +64,8 @@
     Reply::error(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping")
 }
 
-async fn status(cx: &Cx, control: &Control) -> Option<StatusDoc> {
+/// State of this daemon; absent while it is stopping.
+pub async fn status(cx: &Cx, control: &Control) -> Option<StatusDoc> {
     let status = control.distribution.ask(GetStatus).await.ok()?;
     let config = cx.config.load();
     let members = cx.members.load();
@@ -72,10 +80,10 @@
         state: own.map_or(MemberState::Cold, |own| own.state),
         serving: cx.phase() == Phase::Serving,
         version: config.version,
-        digest: status.state.digest().to_string(),
-        level: status.state.level(),
+        digest: status.digest,
+        level: status.level,
         max_schema: cx.settings.max_schema,
-        held: status.state.hold().map(|hold| hold.cause.to_string()),
+        held: status.held,
         passed_over: config.passed_over.clone(),
         members: members.live().count(),
         log: LogDoc {
@@ -93,7 +101,7 @@
     })
 }
 
-fn records(cx: &Cx, status: &DistributionStatus) -> RecordsDoc {
+fn records(cx: &Cx, folded: &FoldedRecords) -> RecordsDoc {
     let max_schema = cx.settings.max_schema;
     let config = cx.config.load();
     let in_use = |key: &baobabreel_core::config::RecordKey,
@@ -106,9 +114,8 @@
             .map(|(schema, _)| *schema)
             .find(|s| !passed(s))
     };
-    let records = status
-        .state
-        .records()
+    let records = folded
+        .records
         .iter()
         .map(|(key, record)| RecordDoc {
             key: key.clone(),
@@ -117,14 +124,19 @@
         })
         .collect();
     RecordsDoc {
-        version: status.state.version(),
+        version: folded.version,
         records,
     }
 }
 
 fn members(cx: &Cx) -> Vec<MemberDoc> {
-    let config: &CompiledConfig = &cx.config.load();
-    let doc = |member: &baobabreel_core::membership::Member| MemberDoc {
+    let config = cx.config.load();
+    let members = cx.members.load();
+    members.iter().map(|m| member_doc(&config, m)).collect()
+}
+
+fn member_doc(config: &CompiledConfig, member: &Member) -> MemberDoc {
+    MemberDoc {
         id: member.id.clone(),
         incarnation: member.incarnation,
         data_centre: member.data_centre.clone(),
@@ -136,6 +148,5 @@
             .backend_servers
             .get(&member.id)
             .map(|policy| policy.state),
-    };
-    cx.members.load().iter().map(doc).collect()
+    }
 }
