Read fewer large records at once

256 records of 256 KB together exceed the 16 MiB that the client reads of an answer, so a daemon repeated the same failing read for ever: with 150 such entries behind it, it had not reached the last change after 40 s. The client now reports this error apart from others, and the reader halves its limit until it has caught up.

--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail};
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -19,6 +19,24 @@
 /// Time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The answer is larger than 16 MiB.
+#[derive(Debug)]
+pub struct AnswerTooLarge;
+
+impl std::fmt::Display for AnswerTooLarge {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the answer is larger than {MAX_ANSWER_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for AnswerTooLarge {}
+
+/// Whether an error of [`HttpClient`], possibly with context, is [`AnswerTooLarge`].
+#[must_use]
+pub fn is_too_large(error: &eyre::Report) -> bool {
+    error.chain().any(|cause| cause.is::<AnswerTooLarge>())
+}
+
 /// Answer to a control request.
 #[derive(Debug)]
 pub struct Reply {
@@ -78,8 +96,8 @@
     ///
     /// # Errors
     ///
-    /// The URI is malformed, the connection fails, the answer is larger than 16 MiB, or `timeout`
-    /// passes. The request may have taken effect unless the connection was refused.
+    /// The URI is malformed, the connection fails, the answer is larger than 16 MiB (see
+    /// [`is_too_large`]), or `timeout` passes. The request may have taken effect unless the connection was refused.
     pub async fn send(
         &self,
         method: Method,
@@ -108,6 +126,7 @@
                     status: parts.status,
                     body: body.to_bytes(),
                 }),
+                Err(e) if e.is::<LengthLimitError>() => Err(AnswerTooLarge.into()),
                 Err(e) => bail!("failed to read the answer: {e}"),
             }
         };
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use baobabreel_client::log::ReadAnswer;
+use baobabreel_client::transport::is_too_large;
 use baobabreel_client::wire::Stream;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -19,7 +21,8 @@
 /// Time that a long poll waits for a record; the age of the proof of the head follows from it.
 const POLL_WAIT: Duration = Duration::from_secs(1);
 
-/// Records per read.
+/// Records per read; 256 records of 64 KB or more exceed the largest answer, which halves the limit
+/// until the reader has caught up.
 const READ_LIMIT: usize = 256;
 
 /// Pause after a failed read, before jitter.
@@ -102,6 +105,7 @@
 
 async fn follow(cx: &Cx, control: &Control, stream: Stream) {
     let mut pause = RETRY_PAUSE;
+    let mut limit = READ_LIMIT;
     loop {
         let wait = if cx.is_relay() {
             POLL_WAIT
@@ -115,10 +119,19 @@
         if stream == Stream::Config && cx.follower.snapshot.swap(false, Ordering::AcqRel) {
             read_snapshot(cx, control).await;
         }
-        match read(cx, control, stream, wait).await {
-            Ok(()) => {
+        match read(cx, control, stream, limit, wait).await {
+            Ok(records) => {
                 cx.follower.set_error(None);
                 pause = RETRY_PAUSE;
+                if records < limit {
+                    limit = READ_LIMIT;
+                }
+            }
+            Err(e) if is_too_large(&e) && limit > 1 => {
+                limit /= 2;
+                tracing::warn!(stream = stream.name(), limit, "large records; reads fewer");
+                // A daemon that is no relay was asked for this read and would not repeat it.
+                cx.follower.hints(stream).notify_one();
             }
             Err(e) => {
                 tracing::warn!(
@@ -135,10 +148,21 @@
     }
 }
 
-async fn read(cx: &Cx, control: &Control, stream: Stream, wait: Duration) -> eyre::Result<()> {
+/// Reads once; returns the number of records.
+async fn read(
+    cx: &Cx,
+    control: &Control,
+    stream: Stream,
+    limit: usize,
+    wait: Duration,
+) -> eyre::Result<usize> {
     let from = control.distribution.ask(NextOffset(stream)).await?;
     let requested_at = cx.clock.now();
-    let answer = cx.log.read(stream.name(), from, READ_LIMIT, wait).await?;
+    let answer = cx.log.read(stream.name(), from, limit, wait).await?;
+    let records = match &answer {
+        ReadAnswer::Page(page) => page.records.len(),
+        ReadAnswer::Expired(_) => 0,
+    };
     control
         .distribution
         .ask(FromLog {
@@ -147,7 +171,7 @@
             answer,
         })
         .await?;
-    Ok(())
+    Ok(records)
 }
 
 /// Reads the snapshot that the configuration goes on from.
