Measure the control plane, the pure code and the data path

The capacity figures need slopes over the number of daemons. The program starts daemons in processes of their own, counts socket bytes in relays and reads processor time by the names of threads. Path latency is measured in rounds that alternate between the ways, since other work on the machine disturbs single rounds.

--- /dev/null
+++ b/crates/bench/examples/measure.rs
@@ -0,0 +1,141 @@
+//! Measures the control plane, the data path and the policy on this machine.
+
+use std::process::ExitCode;
+
+use baobabreel_bench::{path, process, pure, scale};
+use eyre::{Result, bail};
+use getopts::{Matches, Options};
+use serde_json::{Map, Value, json};
+
+/// Numbers of daemons of part `scale`.
+const SIZES: [usize; 4] = [8, 16, 32, 64];
+
+/// Numbers of daemons of part `scale` with `--quick`.
+const QUICK_SIZES: [usize; 2] = [8, 16];
+
+/// Rates of part `path`, in calls a second.
+const RATES: [f64; 3] = [500.0, 2_000.0, 6_000.0];
+
+/// Exit status for bad usage.
+const USAGE: u8 = 2;
+
+fn options() -> Options {
+    let mut opts = Options::new();
+    opts.optopt("", "part", "run one part only: scale, pure or path", "NAME");
+    opts.optopt("", "seed", "seed of all random choices (default 1)", "N");
+    opts.optflag("", "quick", "fewer sizes and shorter runs (under 40 s)");
+    opts.optflag("", "json", "print the figures as one JSON object");
+    opts.optopt(
+        "",
+        scale::CHILD_OPTION,
+        "used by the program itself",
+        "SIZE",
+    );
+    opts.optflag("h", "help", "print this help");
+    opts
+}
+
+struct Run {
+    seed: u64,
+    quick: bool,
+    json: bool,
+    figures: Map<String, Value>,
+}
+
+impl Run {
+    fn keep(&mut self, part: &str, figures: &impl serde::Serialize, text: &str) -> Result<()> {
+        self.figures
+            .insert(part.to_owned(), serde_json::to_value(figures)?);
+        if !self.json {
+            println!("== {part} ==\n{text}");
+        }
+        Ok(())
+    }
+
+    fn scale(&mut self) -> Result<()> {
+        let sizes: &[usize] = if self.quick { &QUICK_SIZES } else { &SIZES };
+        let report = scale::run(sizes, self.quick)?;
+        let text = format!(
+            "{}\n{}",
+            scale::table(&report),
+            scale::target_table(&report)
+        );
+        self.keep("scale", &report, &text)
+    }
+
+    fn pure(&mut self) -> Result<()> {
+        let figures = pure::run(self.seed)?;
+        self.keep("pure", &figures, &pure::table(&figures))
+    }
+
+    fn path(&mut self) -> Result<()> {
+        let rates: &[f64] = if self.quick { &RATES[..2] } else { &RATES };
+        let rounds = if self.quick { 1 } else { 5 };
+        let report = path::run(rates, rounds, self.seed)?;
+        self.keep("path", &report, &path::table(&report))
+    }
+}
+
+fn run(matches: &Matches) -> Result<()> {
+    if let Some(size) = matches.opt_str(scale::CHILD_OPTION) {
+        let figures = scale::measure(scale::parse_child(&size)?)?;
+        println!("{}", serde_json::to_string(&figures)?);
+        return Ok(());
+    }
+    let mut run = Run {
+        seed: matches.opt_get_default("seed", 1)?,
+        quick: matches.opt_present("quick"),
+        json: matches.opt_present("json"),
+        figures: Map::new(),
+    };
+    let part = matches.opt_str("part");
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let load = process::load_average();
+    run.figures.insert(
+        "machine".to_owned(),
+        json!({"cores": cores, "load_average": load, "seed": run.seed}),
+    );
+    if !run.json {
+        println!(
+            "{cores} cores, load average {load:.1} at the start, seed {}",
+            run.seed
+        );
+    }
+    match part.as_deref() {
+        Some("scale") => run.scale()?,
+        Some("pure") => run.pure()?,
+        Some("path") => run.path()?,
+        Some(other) => bail!("failed to find part `{other}`"),
+        None => {
+            run.pure()?;
+            run.path()?;
+            run.scale()?;
+        }
+    }
+    if run.json {
+        println!("{}", Value::Object(run.figures));
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let opts = options();
+    let matches = match opts.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(e) => {
+            eprintln!("error: {e}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", opts.usage("Usage: measure [options]"));
+        return ExitCode::SUCCESS;
+    }
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/bench/examples/quickstart.rs
+++ b/crates/bench/examples/quickstart.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use baobabreel_bench::table::{format, row};
-use baobabreel_client::operator::OperatorClient;
 use baobabreel_client::transport::HttpClient;
 use baobabreel_client::wire::StatusDoc;
 use baobabreel_core::config::{ConfigState, Kind, Verdict, Version};
@@ -93,7 +92,7 @@
     }
     print!("{}", format(&daemons));
     println!();
-    let operator: OperatorClient = mesh.nodes[0].operator();
+    let operator = mesh.nodes[0].operator();
     let records = operator.records().await?;
     let mut rows = vec![row(["RECORD", "REVISION", "SCHEMA", "IN FORCE ON"])];
     for record in &records.records {
