Compare the policy with a plain baseline under load

Setting `policy` of the daemon is `full` or, for measurements, `plain`: backend servers take turns, admission and ejection are off, and further tries have no budget. The program puts both through the same seeded load.

--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -1,8 +1,10 @@
 //! Measures the control plane, the data path and the policy on this machine.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use baobabreel_bench::{path, process, pure, scale};
+use baobabreel_bench::policy::{self, TAS_SOUTH, UY_SUR};
+use baobabreel_bench::{path, plots, process, pure, scale};
 use eyre::{Result, bail};
 use getopts::{Matches, Options};
 use serde_json::{Map, Value, json};
@@ -21,9 +23,15 @@
 
 fn options() -> Options {
     let mut opts = Options::new();
-    opts.optopt("", "part", "run one part only: scale, pure or path", "NAME");
+    opts.optopt(
+        "",
+        "part",
+        "run one part only: scale, pure, path or policy",
+        "NAME",
+    );
     opts.optopt("", "seed", "seed of all random choices (default 1)", "N");
     opts.optflag("", "quick", "fewer sizes and shorter runs (under 40 s)");
+    opts.optopt("", "plots", "write plots as SVG into this folder", "DIR");
     opts.optflag("", "json", "print the figures as one JSON object");
     opts.optopt(
         "",
@@ -39,6 +47,7 @@
     seed: u64,
     quick: bool,
     json: bool,
+    plots: Option<PathBuf>,
     figures: Map<String, Value>,
 }
 
@@ -63,6 +72,21 @@
         self.keep("scale", &report, &text)
     }
 
+    fn policy(&mut self) -> Result<()> {
+        let both = [TAS_SOUTH, UY_SUR];
+        let deployments = if self.quick { &both[..1] } else { &both };
+        let options = policy::Options {
+            seed: self.seed,
+            quick: self.quick,
+        };
+        let report = policy::run(deployments, options)?;
+        if let Some(folder) = &self.plots {
+            plots::policy(&report, folder)?;
+        }
+        let tables: Vec<String> = report.iter().map(policy::table).collect();
+        self.keep("policy", &report, &tables.join("\n"))
+    }
+
     fn pure(&mut self) -> Result<()> {
         let figures = pure::run(self.seed)?;
         self.keep("pure", &figures, &pure::table(&figures))
@@ -72,6 +96,9 @@
         let rates: &[f64] = if self.quick { &RATES[..2] } else { &RATES };
         let rounds = if self.quick { 1 } else { 5 };
         let report = path::run(rates, rounds, self.seed)?;
+        if let Some(folder) = &self.plots {
+            plots::path(&report, folder)?;
+        }
         self.keep("path", &report, &path::table(&report))
     }
 }
@@ -86,8 +113,12 @@
         seed: matches.opt_get_default("seed", 1)?,
         quick: matches.opt_present("quick"),
         json: matches.opt_present("json"),
+        plots: matches.opt_str("plots").map(PathBuf::from),
         figures: Map::new(),
     };
+    if let Some(folder) = &run.plots {
+        std::fs::create_dir_all(folder)?;
+    }
     let part = matches.opt_str("part");
     let cores = std::thread::available_parallelism().map_or(0, usize::from);
     let load = process::load_average();
@@ -105,11 +136,13 @@
         Some("scale") => run.scale()?,
         Some("pure") => run.pure()?,
         Some("path") => run.path()?,
+        Some("policy") => run.policy()?,
         Some(other) => bail!("failed to find part `{other}`"),
         None => {
             run.pure()?;
             run.path()?;
             run.scale()?;
+            run.policy()?;
         }
     }
     if run.json {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod fit;
 pub mod fleet;
 pub mod path;
+pub mod plots;
+pub mod policy;
 pub mod process;
 pub mod pure;
 pub mod scale;
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -31,6 +31,7 @@
     /// Names of data centres by the index that endpoints refer to; the own one is the first.
     data_centres: Vec<DataCentre>,
     scratch: Scratch,
+    turn: usize,
 }
 
 impl Balancer {
@@ -47,6 +48,7 @@
             states: Vec::new(),
             candidates: Vec::new(),
             scratch: Scratch::default(),
+            turn: 0,
         }
     }
 
@@ -96,6 +98,9 @@
     /// An ejected endpoint is chosen only when no other can be. Excluded, absent and disabled ones,
     /// and those that just refused a connection, are never chosen.
     pub fn choose(&mut self, now: Duration, random: u64, exclude: &[&str]) -> Option<Arc<str>> {
+        if self.cfg.round_robin {
+            return self.next_in_turn(now, exclude);
+        }
         self.collect_candidates(now, exclude);
         let (first, second) = self.draw_two(now, random)?;
         let score = |index: usize| self.states[index].score(now, &self.cfg);
@@ -107,6 +112,13 @@
         Some(Arc::clone(&self.states[index].name))
     }
 
+    fn next_in_turn(&mut self, now: Duration, exclude: &[&str]) -> Option<Arc<str>> {
+        self.collect(|s| s.is_usable(now) && !exclude.contains(&&*s.name));
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn.checked_rem(self.candidates.len())?;
+        Some(Arc::clone(&self.states[self.candidates[turn]].name))
+    }
+
     /// Records that a call was sent.
     pub fn dispatched(&mut self, name: &str, _now: Duration) {
         if let Some(index) = self.find(name) {
--- a/crates/core/src/balance/builder.rs
+++ b/crates/core/src/balance/builder.rs
@@ -18,6 +18,7 @@
     pub(super) report_half_life: Duration,
     pub(super) spill_load: f64,
     pub(super) spill_ratio: f64,
+    pub(super) round_robin: bool,
 }
 
 impl Default for BalancerBuilder {
@@ -33,6 +34,7 @@
             report_half_life: Duration::from_millis(500),
             spill_load: 0.8,
             spill_ratio: 0.5,
+            round_robin: false,
         }
     }
 }
@@ -91,6 +93,14 @@
         self
     }
 
+    /// Whether usable endpoints take turns, wherever they are and however slow they are. This serves
+    /// as the baseline of measurements.
+    #[must_use]
+    pub fn round_robin(mut self, on: bool) -> Self {
+        self.round_robin = on;
+        self
+    }
+
     /// Builds a balancer without endpoints.
     #[must_use]
     pub fn build(self) -> Balancer {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -110,9 +110,9 @@
         Self {
             config: ArcSwap::from_pointee(CompiledConfig::default()),
             view: ArcSwap::from_pointee(MeshView::default()),
-            host: Host::new(settings.limits.backend_connections),
+            host: Host::new(settings.limits.backend_connections, settings.policy),
             peers: PeerPool::new(settings.token.clone()),
-            balance: Balance::new(&identity),
+            balance: Balance::new(&identity, settings.policy),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
             keys: Keys::new(&identity, settings.log_retention),
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -14,6 +14,7 @@
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
 use crate::context::{Clock, Identity, MeshView, is_able};
+use crate::settings::Policy;
 
 /// Share of the requests that may be tried again.
 const RETRY_SHARE: f64 = 0.1;
@@ -66,12 +67,13 @@
     routes: RwLock<HashMap<RouteName, Arc<RouteState>>>,
     budget: Mutex<RetryBudget>,
     outstanding: Arc<AtomicUsize>,
+    policy: Policy,
 }
 
 impl Balance {
     /// Makes the state of a daemon that knows no backend server.
     #[must_use]
-    pub fn new(identity: &Identity) -> Self {
+    pub fn new(identity: &Identity, policy: Policy) -> Self {
         Self {
             own: identity.id.clone(),
             data_centre: identity.data_centre.clone(),
@@ -79,6 +81,7 @@
             routes: RwLock::default(),
             budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
             outstanding: Arc::default(),
+            policy,
         }
     }
 
@@ -117,6 +120,7 @@
         }
         let balancer = Balancer::builder()
             .data_centre(self.data_centre.clone())
+            .round_robin(self.policy == Policy::Plain)
             .build();
         let mut services = self
             .services
@@ -156,7 +160,8 @@
 
     /// Takes one further try out of both budgets.
     pub fn try_spend(&self, route: &RouteState, now: Duration) -> bool {
-        lock(&route.budget).try_take(now) && lock(&self.budget).try_take(now)
+        self.policy == Policy::Plain
+            || lock(&route.budget).try_take(now) && lock(&self.budget).try_take(now)
     }
 
     /// Chooses a backend server and counts a call to it.
@@ -173,7 +178,8 @@
         let shared = self.find(service)?;
         let now = clock.now();
         let mut balancer = lock(&shared);
-        let own = own_is_free
+        let own = self.policy == Policy::Full
+            && own_is_free
             && !exclude.contains(&self.own.as_str())
             && !balancer.ejected(&self.own, now)
             && balancer.slowness(&self.own, now) < OWN_SLOWNESS_LIMIT;
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -25,6 +25,7 @@
 use super::pool::{BackendConnection, BackendPool, SendError};
 use super::replay::MAX_REPLAY_BYTES;
 use crate::context::{Cx, Phase};
+use crate::settings::Policy;
 use crate::telemetry::{Span, TraceContext};
 
 /// Path of calls; the path of the request follows it.
@@ -87,6 +88,7 @@
     backend: ArcSwapOption<Backend>,
     gate: Arc<Mutex<Gate>>,
     connection_limit: usize,
+    policy: Policy,
 }
 
 fn lock(gate: &Mutex<Gate>) -> MutexGuard<'_, Gate> {
@@ -96,9 +98,11 @@
 impl Host {
     /// Makes the state of a daemon whose backend server has not announced itself.
     #[must_use]
-    pub fn new(connection_limit: usize) -> Self {
+    pub fn new(connection_limit: usize, policy: Policy) -> Self {
         let gate = Gate {
-            admission: Admission::builder().build(),
+            admission: Admission::builder()
+                .class_aware(policy == Policy::Full)
+                .build(),
             waiting: HashMap::new(),
             next_id: 0,
         };
@@ -107,6 +111,7 @@
             backend: ArcSwapOption::empty(),
             gate,
             connection_limit,
+            policy,
         }
     }
 
@@ -122,8 +127,12 @@
             None => Arc::new(BackendPool::new(info.address, self.connection_limit)),
         };
         let mut gate = lock(&self.gate);
-        if gate.admission.slots() != info.slots {
-            let actions = gate.admission.set_slots(info.slots, now);
+        let slots = match self.policy {
+            Policy::Full => info.slots,
+            Policy::Plain => u32::MAX,
+        };
+        if gate.admission.slots() != slots {
+            let actions = gate.admission.set_slots(slots, now);
             gate.apply(actions);
         }
         drop(gate);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -38,6 +38,16 @@
     pub backend_connections: usize,
 }
 
+/// How requests are balanced, admitted and tried again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// As designed.
+    Full,
+    /// Baseline of measurements, not for production: backend servers take turns, admission and
+    /// ejection are off, and tries have no budget.
+    Plain,
+}
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -65,6 +75,8 @@
     pub log_retention: Duration,
     /// Worker threads of the runtime.
     pub threads: usize,
+    /// How requests are balanced, admitted and tried again.
+    pub policy: Policy,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -11,7 +11,7 @@
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
-use super::{Limits, Listen, Settings};
+use super::{Limits, Listen, Policy, Settings};
 
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -123,6 +123,7 @@
         let drain_notice = self.millis(top, "drain_notice_ms", 1_000, 0..=60_000);
         let log_retention = self.millis(top, "log_retention_ms", DAY_MS, 60_000..=366 * DAY_MS);
         let threads = self.integer(top, "threads", 2, 1..=64);
+        let policy = self.policy(top);
         let max_schema = self.integer(
             top,
             "max_schema",
@@ -146,6 +147,7 @@
             drain_notice,
             log_retention,
             threads: usize::try_from(threads).ok()?,
+            policy,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
             log_filter,
@@ -411,6 +413,19 @@
         default
     }
 
+    fn policy(&mut self, top: &mut Section<'a>) -> Policy {
+        let allowed = "`full`, or `plain` for measurements";
+        match self.string(top, "policy", allowed) {
+            None => Policy::Full,
+            Some((text, _)) if text == "full" => Policy::Full,
+            Some((text, _)) if text == "plain" => Policy::Plain,
+            Some((_, prop)) => {
+                self.bad_value(top, &prop, allowed);
+                Policy::Full
+            }
+        }
+    }
+
     fn missing(&mut self, section: &Section<'a>, key: &str, allowed: &str) {
         let (line, key) = (section.line, join(&section.path, key));
         self.fault(line, &key, "missing", allowed);
