--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -11,6 +11,7 @@
     Ack, Action, Event, Member, MemberState, Probe, Swim, SwimSettings,
 };
 use baobabreel_core::registry::{MemberEntry, Registry};
+use baobabreel_daemon::context::MeshView;
 use baobabreel_test_support::mesh::{ChangeBuilder, entry_text};
 use eyre::{Result, ensure};
 use rand::rngs::SmallRng;
@@ -124,6 +125,14 @@
             }
         }
     }));
+    figures.push(timed(
+        "daemon: new view after a change of a member",
+        200,
+        |_| {
+            let members = state.members();
+            black_box((MeshView::new(members.iter()), members.clone()));
+        },
+    ));
     let digest = 7;
     figures.push(timed(
         "swim: probe received, with 16 updates",
