--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -31,8 +31,8 @@
 /// Length of the answers in bytes.
 const ANSWER_BYTES: usize = 256;
 
-/// Slots of the backend server, so that admission is not what limits the rate.
-const SLOTS: u32 = 512;
+/// Slots of the backend server; more than the 100 connections to it would only fail.
+const SLOTS: u32 = 100;
 
 /// Rate offered to find the saturation, in calls a second.
 const SATURATION_RATE: f64 = 20_000.0;
