Probe a suspect once more before it is taken for dead

A refutation can be lost or wait behind other updates for longer than the 3 s of a suspicion. Each daemon now probes a suspect once more, at a random time between a third and five sixths of these 3 s, within the limit of 1 verification a second.

--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -8,7 +8,7 @@
 use super::message::{
     Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
-use super::probing::Phase;
+use super::probing::{Phase, Suspicion};
 use super::swim::{JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim, filter_bytes};
 use crate::id::{DaemonId, Incarnation};
 
@@ -380,8 +380,8 @@
         let now = step.now;
         let id = member.id.as_str();
         if member.state == MemberState::Suspect {
-            self.suspects
-                .insert(id.to_owned(), now + self.settings.suspicion);
+            let suspicion = Suspicion::new(now, self.settings.suspicion, &mut step.draw);
+            self.suspects.insert(id.to_owned(), suspicion);
         } else {
             self.suspects.remove(id);
         }
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -7,7 +7,7 @@
 use super::departed::Departed;
 use super::member::{Member, MemberState, Members};
 use super::message::{Action, Probe, ProbeAnswer, ProbeRequest};
-use super::probing::{Outstanding, Phase, Ring};
+use super::probing::{Outstanding, Phase, Ring, Suspicion};
 use super::queue::{Budget, Draw, UpdateQueue};
 use super::settings::SwimSettings;
 use crate::id::DaemonId;
@@ -82,7 +82,7 @@
     pub(super) members: Members,
     pub(super) queue: UpdateQueue,
     pub(super) outstanding: BTreeMap<u64, Outstanding>,
-    pub(super) suspects: BTreeMap<DaemonId, Duration>,
+    pub(super) suspects: BTreeMap<DaemonId, Suspicion>,
     pub(super) departed: Departed,
     pub(super) bytes: Budget,
     pub(super) statement_bytes: u32,
@@ -164,6 +164,7 @@
         self.notice_pause(now);
         self.last_tick = now;
         self.expire_probes(&mut step);
+        self.check_suspects(&mut step);
         self.expire_suspects(&mut step);
         self.propose_evictions(&mut step);
         self.forget(now);
@@ -201,8 +202,9 @@
             self.last_heard = now;
         } else if now.saturating_sub(self.last_tick) > self.settings.pause_gap {
             self.outstanding.clear();
-            for deadline in self.suspects.values_mut() {
-                *deadline = now + self.settings.suspicion;
+            for suspicion in self.suspects.values_mut() {
+                suspicion.deadline = now + self.settings.suspicion;
+                suspicion.check_at = Some(now + self.settings.suspicion / 2);
             }
             self.departed.postpone(now + self.settings.evict_after);
             self.last_heard = now;
@@ -309,11 +311,33 @@
         self.push_to(suspect.peer_addr, suspect, step);
     }
 
+    /// Probes suspects once more before their time is over. A refutation can be lost or wait behind
+    /// other updates for longer than that, for example while a partition heals.
+    fn check_suspects(&mut self, step: &mut Step) {
+        let due = self
+            .suspects
+            .iter()
+            .filter(|(_, s)| s.check_at.is_some_and(|at| at <= step.now));
+        for id in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            let target = Some(id.clone());
+            let under_way = self.outstanding.values().any(|o| o.target == target);
+            if under_way || !self.verifications.take_one(step.now) {
+                continue;
+            }
+            if let Some(suspicion) = self.suspects.get_mut(&id) {
+                suspicion.check_at = None;
+            }
+            if let Some(to) = self.members.get(&id).map(|suspect| suspect.peer_addr) {
+                self.send_probe(to, target, Phase::Direct, step);
+            }
+        }
+    }
+
     fn expire_suspects(&mut self, step: &mut Step) {
         if self.is_isolated(step.now) {
             return;
         }
-        let due = self.suspects.iter().filter(|(_, at)| **at <= step.now);
+        let due = self.suspects.iter().filter(|(_, s)| s.deadline <= step.now);
         for id in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             let mut dead = self
                 .members
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -86,6 +86,49 @@
     assert_eq!(state(&swim, 1), Some(MemberState::Suspect));
 }
 
+/// Guards against a live member that is declared dead because its refutation was lost: the suspect is
+/// probed once more in time, and shown the suspicion.
+#[test]
+fn suspect_is_probed_before_its_time_is_over() {
+    let mut swim = Swim::new(member(0, 0), SwimSettings::new());
+    swim.tick(MS(0), 0);
+    for i in 1..200 {
+        swim.handle(Event::Learnt(member(i, 0)), MS(0), 0);
+    }
+    let mut rumour = member(150, 0);
+    rumour.state = MemberState::Suspect;
+    swim.handle(Event::Pushed(vec![rumour.clone()]), MS(100), 0);
+    let mut checks = Vec::new();
+    for now in (200..=2_700).step_by(100) {
+        for action in swim.tick(MS(now), now) {
+            match action {
+                Action::SendProbe { to, probe } if to == addr(150) => checks.push((now, probe)),
+                _ => {}
+            }
+        }
+    }
+    let [(at, probe)] = checks.as_slice() else {
+        panic!("{checks:?}");
+    };
+    assert!(
+        (1_100..=2_600).contains(at) && probe.updates[0] == rumour,
+        "{at}"
+    );
+    let mut refuted = member(150, 0);
+    refuted.sequence = 1;
+    let (number, digest, updates) = (probe.number, 0, Vec::new());
+    let from = refuted;
+    let ack = Event::Ack(Ack {
+        number,
+        from,
+        digest,
+        updates,
+    });
+    swim.handle(ack, MS(2_800), 0);
+    swim.tick(MS(3_200), 0);
+    assert_eq!(state(&swim, 150), Some(MemberState::Ready));
+}
+
 /// Guards against late detection of a death, and against no or several daemons that propose to evict.
 #[test]
 fn death_is_detected_and_proposed_once() {
