--- a/crates/testsuite/tests/outage.rs
+++ b/crates/testsuite/tests/outage.rs
@@ -1,13 +1,18 @@
 //! A log that is out of reach, slow, or limited.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use baobabreel_client::log::LogClient;
 use baobabreel_client::transport::HttpClient;
 use baobabreel_core::config::{ChangeSet, Version};
-use baobabreel_test_support::log::Outage;
-use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, entry_text};
-use baobabreel_testsuite::{LIMIT, ready_mesh, specs};
+use baobabreel_daemon::{Daemon, settings};
+use baobabreel_test_support::backend::BackendServer;
+use baobabreel_test_support::log::{LogServer, LogSettings, Outage};
+use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, NodeSpec, entry_text, settings_text};
+use baobabreel_test_support::net::Relay;
+use baobabreel_test_support::process::free_port;
+use baobabreel_testsuite::{LIMIT, first_change, ready_mesh, specs, wait_until};
 
 /// Time in which a change is in force everywhere.
 const CONVERGENCE: Duration = Duration::from_secs(9);
@@ -163,3 +168,98 @@
         assert_converges(&mesh, offset, "data centre cut from the log").await;
     }
 }
+
+/// Daemon whose peers reach it only through a relay, and its backend server.
+struct Remote {
+    daemon: Daemon,
+    relay: Relay,
+    /// Kept running.
+    _backend: BackendServer,
+}
+
+impl Remote {
+    /// Starts a daemon that gives `advertised` as its address for peers.
+    async fn start(
+        spec: NodeSpec,
+        log: &str,
+        advertised: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let spec = spec.setting(format!("\"advertise_peers\": \"{advertised}\""));
+        let text = settings_text(&spec, log, seeds);
+        let settings = settings::parse(&spec.name, &text).expect("valid settings");
+        let daemon = Daemon::start(settings).await.expect("daemon starts");
+        let addresses = daemon.addresses();
+        let relay = Relay::start_on(advertised, addresses.peers).await;
+        let announce = format!("http://{}", addresses.backend);
+        let backend = BackendServer::start(spec.backend.announce_url(announce)).await;
+        Self {
+            daemon,
+            relay: relay.expect("relay starts"),
+            _backend: backend.expect("backend starts"),
+        }
+    }
+
+    fn offset(&self) -> u64 {
+        self.daemon.context().config.load().version.offset
+    }
+
+    /// Status code and body of a lookup, which is 200 when the daemon serves.
+    async fn look_up(&self) -> (u16, String) {
+        let uri = format!("http://{}/lots/7", self.daemon.addresses().callers);
+        let reply = HttpClient::new().get(&uri, LIMIT).await.expect("an answer");
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        (reply.status.as_u16(), text)
+    }
+}
+
+/// Guards against a data centre that stops serving or loses its version when it is cut off from the log
+/// and all others, and against one that does not catch up afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn isolated_data_centre_serves_and_catches_up() {
+    let log = LogServer::start(LogSettings::new())
+        .await
+        .expect("log starts");
+    let at = [free_port(), free_port()].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let spec = |name, site| NodeSpec::new(name, site, "catalogue");
+    let a = Remote::start(spec("a1", "hobart-a"), &log.url(), at[0], &[]).await;
+    let b = Remote::start(spec("b1", "hobart-b"), &log.url(), at[1], &at[..1]).await;
+    let first = log.append("config", &entry_text(first_change()));
+    wait_until("both are ready", async || {
+        let known = |node: &Remote| {
+            let members = node.daemon.context().members.load_full();
+            members.iter().filter(|member| member.is_able()).count() == 2
+        };
+        a.offset() == first
+            && b.offset() == first
+            && known(&a)
+            && known(&b)
+            && b.look_up().await.0 == 200
+    })
+    .await;
+    log.set_faults(|faults| faults.cut_clients = ["b1".to_owned()].into());
+    for node in [&a, &b] {
+        node.relay.refuse(true).await;
+        node.relay.cut();
+    }
+    let change = log.append("config", &entry_text(change("meanwhile")));
+    let start = Instant::now();
+    while start.elapsed() < OUTAGE {
+        let (status, text) = b.look_up().await;
+        assert_eq!(status, 200, "after {:?}: {text}", start.elapsed());
+        assert_eq!(b.offset(), first);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(a.offset(), change);
+    for node in [&a, &b] {
+        node.relay.refuse(false).await;
+    }
+    // Only its peers can tell the data centre, since it is still cut off from the log.
+    let start = Instant::now();
+    wait_until("the data centre catches up", async || b.offset() == change).await;
+    println!(
+        "isolated: in force after {} ms",
+        start.elapsed().as_millis()
+    );
+    assert!(start.elapsed() < CONVERGENCE, "{:?}", start.elapsed());
+}
