--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -304,3 +304,26 @@
         assert_eq!(ejected, [false, slow == 20]);
     }
 }
+
+/// Guards against a baseline of measurements that still prefers the own data centre or avoids slow
+/// endpoints, which would make the chosen policy look worse than it is.
+#[test]
+fn round_robin_takes_usable_endpoints_in_turn() {
+    let mut b = Balancer::builder()
+        .data_centre("a")
+        .round_robin(true)
+        .build();
+    b.update(&endpoints(4, 2), ms(0));
+    let chosen = drive(&mut b, 10_000, 10_800, &|name| {
+        if name == "e0" { 200 } else { 2 }
+    });
+    for name in ["e0", "e1", "e2", "e3"] {
+        assert_eq!(share(&chosen, name, 4), 1.0, "{name}");
+    }
+    b.failed("e1", ms(10_900), Failure::Refused);
+    let next: BTreeSet<String> = (0..6)
+        .filter_map(|n| b.choose(ms(10_900), random(n), &["e2"]))
+        .map(|name| name.to_string())
+        .collect();
+    assert_eq!(next, BTreeSet::from(["e0".to_owned(), "e3".to_owned()]));
+}
