--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -157,7 +157,14 @@
     pub fn decide(&self, request: &Request<'_>, priors: &Priors) -> Decision {
         let mut owner = self.lock();
         let reading = read_clocks(self.clock);
-        owner.decide(request, reading, priors)
+        let decision = owner.decide(request, reading, priors);
+        tracing::debug!(
+            key = request.key.as_str(),
+            ?decision,
+            ?priors,
+            "decided about a key"
+        );
+        decision
     }
 
     /// Records how a request ended.
@@ -181,7 +188,9 @@
         };
         let mut owner = self.lock();
         let now = self.clock.now();
-        owner.answer_prior(&asked, &request, now).into()
+        let answer = owner.answer_prior(&asked, &request, now);
+        tracing::debug!(key = query.key, ?answer, "answered a later owner");
+        answer.into()
     }
 }
 
@@ -191,6 +200,7 @@
         owner.restart_fold();
         owner.fold(version, entry, now, now)
     });
+    tracing::debug!(%version, entry, "folded a member entry");
     match folded {
         Ok(Folded::Malformed) => tracing::warn!(%version, "a member entry is malformed"),
         Ok(_) => {}
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -138,7 +138,7 @@
         let drain_limit = self.millis(top, "drain_limit_ms", 30_000, 0..=600_000);
         let drain_notice = self.millis(top, "drain_notice_ms", 1_000, 0..=60_000);
         let log_retention = self.millis(top, "log_retention_ms", DAY_MS, 60_000..=366 * DAY_MS);
-        let threads = self.integer(top, "threads", 2, 1..=64);
+        let threads = self.integer(top, "threads", 1, 1..=64);
         let policy = self.policy(top);
         let max_schema = self.integer(
             top,
