--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -26,19 +26,9 @@
 
 fn options() -> Options {
     let mut opts = Options::new();
-    opts.optopt(
-        "",
-        "part",
-        "run one part only: scale, pure, path or policy",
-        "NAME",
-    );
+    opts.optopt("", "part", "run one part only: scale, pure, path or policy", "NAME");
     opts.optopt("", "seed", "seed of all random choices (default 1)", "N");
-    opts.optopt(
-        "",
-        "threads",
-        "threads of a daemon in part path (default 2)",
-        "N",
-    );
+    opts.optopt("", "threads", "threads of a daemon in part path (default 2)", "N");
     opts.optflag(
         "",
         "quick",
@@ -46,12 +36,7 @@
     );
     opts.optopt("", "plots", "write plots as SVG into this folder", "DIR");
     opts.optflag("", "json", "print the figures as one JSON object");
-    opts.optopt(
-        "",
-        scale::CHILD_OPTION,
-        "used by the program itself",
-        "SIZE",
-    );
+    opts.optopt("", scale::CHILD_OPTION, "used by the program itself", "SIZE");
     opts.optflag("h", "help", "print this help");
     opts
 }
@@ -67,8 +52,7 @@
 
 impl Run {
     fn keep(&mut self, part: &str, figures: &impl serde::Serialize, text: &str) -> Result<()> {
-        self.figures
-            .insert(part.to_owned(), serde_json::to_value(figures)?);
+        self.figures.insert(part.to_owned(), serde_json::to_value(figures)?);
         if !self.json {
             println!("== {part} ==\n{text}");
         }
@@ -81,21 +65,14 @@
         if let Some(folder) = &self.plots {
             plots::scale(&report, folder)?;
         }
-        let text = format!(
-            "{}\n{}",
-            scale::table(&report),
-            scale::target_table(&report)
-        );
+        let text = format!("{}\n{}", scale::table(&report), scale::target_table(&report));
         self.keep("scale", &report, &text)
     }
 
     fn policy(&mut self) -> Result<()> {
         let both = [TAS_SOUTH, UY_SUR];
         let deployments = if self.quick { &both[..1] } else { &both };
-        let options = policy::Options {
-            seed: self.seed,
-            quick: self.quick,
-        };
+        let options = policy::Options { seed: self.seed, quick: self.quick };
         let report = policy::run(deployments, options)?;
         if let Some(folder) = &self.plots {
             plots::policy(&report, folder)?;
@@ -145,10 +122,7 @@
         json!({"cores": cores, "load_average": load, "seed": run.seed}),
     );
     if !run.json {
-        println!(
-            "{cores} cores, load average {load:.1} at the start, seed {}",
-            run.seed
-        );
+        println!("{cores} cores, load average {load:.1} at the start, seed {}", run.seed);
     }
     match part.as_deref() {
         Some("scale") => run.scale()?,
--- a/crates/bench/examples/quickstart.rs
+++ b/crates/bench/examples/quickstart.rs
@@ -72,23 +72,11 @@
     for node in &mesh.nodes {
         statuses.push(node.operator().status().await?);
     }
-    let mut daemons = vec![row([
-        "DAEMON",
-        "DATA CENTRE",
-        "STATE",
-        "VERSION",
-        "MEMBERS",
-    ])];
+    let mut daemons = vec![row(["DAEMON", "DATA CENTRE", "STATE", "VERSION", "MEMBERS"])];
     for status in &statuses {
         let (version, members) = (status.version.to_string(), status.members.to_string());
         let state = format!("{:?}", status.state).to_lowercase();
-        daemons.push(row([
-            &status.daemon,
-            &status.data_centre,
-            &state,
-            &version,
-            &members,
-        ]));
+        daemons.push(row([&status.daemon, &status.data_centre, &state, &version, &members]));
     }
     print!("{}", format(&daemons));
     println!();
@@ -97,20 +85,10 @@
     let mut rows = vec![row(["RECORD", "REVISION", "SCHEMA", "IN FORCE ON"])];
     for record in &records.records {
         let revision = record.record.revision;
-        let holders = statuses
-            .iter()
-            .filter(|status| status.version >= revision)
-            .count();
-        let schema = record
-            .schema_in_use
-            .map_or("-".to_owned(), |schema| schema.to_string());
+        let holders = statuses.iter().filter(|status| status.version >= revision).count();
+        let schema = record.schema_in_use.map_or("-".to_owned(), |schema| schema.to_string());
         let share = format!("{holders} of {}", statuses.len());
-        rows.push(row([
-            &record.key.to_string(),
-            &revision.to_string(),
-            &schema,
-            &share,
-        ]));
+        rows.push(row([&record.key.to_string(), &revision.to_string(), &schema, &share]));
     }
     print!("{}", format(&rows));
     Ok(())
@@ -126,35 +104,19 @@
         .build();
     let offset = mesh.publish(first);
     let ready = mesh.wait_ready(offset, LIMIT).await?;
-    println!(
-        "4 daemons in 2 data centres are ready after {} ms",
-        ready.as_millis()
-    );
+    println!("4 daemons in 2 data centres are ready after {} ms", ready.as_millis());
 
     let counts = Arc::new(Counts::default());
-    let callers: Vec<_> = mesh
-        .callers()
-        .into_iter()
-        .map(|to| tokio::spawn(call(to, Arc::clone(&counts))))
-        .collect();
+    let callers: Vec<_> =
+        mesh.callers().into_iter().map(|to| tokio::spawn(call(to, Arc::clone(&counts)))).collect();
     tokio::time::sleep(FLOW_TIME).await;
     let second = ChangeBuilder::new("second")
-        .expect(
-            Kind::Route,
-            "lots",
-            Some(Version {
-                generation: 1,
-                offset,
-            }),
-        )
+        .expect(Kind::Route, "lots", Some(Version { generation: 1, offset }))
         .class_route("lots", "/lots", "catalogue", "lookup")
         .build();
     let offset = mesh.publish(second);
     let took = mesh.wait_version(offset, LIMIT).await?;
-    println!(
-        "change `second` is in force on every daemon after {} ms",
-        took.as_millis()
-    );
+    println!("change `second` is in force on every daemon after {} ms", took.as_millis());
 
     let bad = ChangeBuilder::new("bad")
         .upsert(
@@ -178,16 +140,11 @@
     for caller in callers {
         caller.await?;
     }
-    let (answered, failed) = (
-        counts.answered.load(Ordering::Acquire),
-        counts.failed.load(Ordering::Acquire),
-    );
+    let (answered, failed) =
+        (counts.answered.load(Ordering::Acquire), counts.failed.load(Ordering::Acquire));
     println!("{answered} requests answered, {failed} failed, while the configuration changed\n");
     print_standing(&mesh).await?;
-    ensure!(
-        failed == 0,
-        "requests failed while the configuration changed"
-    );
+    ensure!(failed == 0, "requests failed while the configuration changed");
     if !once {
         println!("\nThe mesh goes on; end it with Ctrl-C.");
         for node in &mesh.nodes {
--- a/crates/bench/src/fit.rs
+++ b/crates/bench/src/fit.rs
@@ -25,16 +25,10 @@
     let count = points.len().max(1) as f64;
     let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
     let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
-    let across: f64 = points
-        .iter()
-        .map(|(x, y)| (x - mean_x) * (y - mean_y))
-        .sum();
+    let across: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
     let along: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
     let slope = if along > 0.0 { across / along } else { 0.0 };
-    Line {
-        constant: mean_y - slope * mean_x,
-        slope,
-    }
+    Line { constant: mean_y - slope * mean_x, slope }
 }
 
 /// Value at or below which the share `q` (0 to 1) of the values lies.
@@ -80,11 +74,7 @@
         }
     }
     let [constant, per_member, per_connection] = solve(rows)?;
-    Some(Plane {
-        constant,
-        per_member,
-        per_connection,
-    })
+    Some(Plane { constant, per_member, per_connection })
 }
 
 /// Solves three linear equations, each with its right side in the last place.
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -161,23 +161,9 @@
             let announced = place.backend.clone();
             let announced = announced.announce_url(format!("http://{announce}"));
             let backend = stand_ins.block_on(BackendServer::start(announced))?;
-            nodes.push(Node {
-                place,
-                daemon: None,
-                backend,
-                relay,
-                peers,
-                announce,
-            });
+            nodes.push(Node { place, daemon: None, backend, relay, peers, announce });
         }
-        Ok(Self {
-            log,
-            nodes,
-            log_relay,
-            daemons,
-            stand_ins,
-            relays,
-        })
+        Ok(Self { log, nodes, log_relay, daemons, stand_ins, relays })
     }
 
     /// Starts the daemon of one node.
@@ -234,11 +220,7 @@
     /// It is not so within `limit`.
     pub fn wait_ready(&self, offset: u64, limit: Duration) -> Result<Duration> {
         let begin = Instant::now();
-        let running: Vec<&Daemon> = self
-            .nodes
-            .iter()
-            .filter_map(|n| n.daemon.as_ref())
-            .collect();
+        let running: Vec<&Daemon> = self.nodes.iter().filter_map(|n| n.daemon.as_ref()).collect();
         // An entry about an earlier incarnation of a restarted daemon does not count.
         let knows_all = |daemon: &Daemon| {
             let members = daemon.context().members.load();
@@ -261,10 +243,7 @@
                 return Ok(begin.elapsed());
             }
             if begin.elapsed() > limit {
-                bail!(
-                    "{lagging} of {} daemons are not ready within {limit:?}",
-                    running.len()
-                );
+                bail!("{lagging} of {} daemons are not ready within {limit:?}", running.len());
             }
             std::thread::sleep(Duration::from_millis(2));
         }
@@ -281,18 +260,11 @@
         begin: Instant,
         limit: Duration,
     ) -> Result<Vec<Duration>> {
-        let mut open: Vec<&Daemon> = self
-            .nodes
-            .iter()
-            .filter_map(|n| n.daemon.as_ref())
-            .collect();
+        let mut open: Vec<&Daemon> = self.nodes.iter().filter_map(|n| n.daemon.as_ref()).collect();
         let mut times = Vec::with_capacity(open.len());
         while !open.is_empty() {
             if begin.elapsed() > limit {
-                bail!(
-                    "{} daemons do not have offset {offset} in force",
-                    open.len()
-                );
+                bail!("{} daemons do not have offset {offset} in force", open.len());
             }
             open.retain(|daemon| {
                 let arrived = daemon.context().config.load().version.offset >= offset;
@@ -317,16 +289,13 @@
             let connect = async move {
                 for to in addresses.into_iter().filter(|to| *to != own) {
                     // The empty message is refused; only the connection is wanted.
-                    let sent = cx
-                        .peers
-                        .control(to, "/peer/v1/probe", Vec::new(), CONNECT_LIMIT);
+                    let sent = cx.peers.control(to, "/peer/v1/probe", Vec::new(), CONNECT_LIMIT);
                     drop(sent.await);
                 }
             };
             tasks.spawn_on(connect, self.daemons.handle());
         }
-        self.daemons
-            .block_on(async { while tasks.join_next().await.is_some() {} });
+        self.daemons.block_on(async { while tasks.join_next().await.is_some() {} });
     }
 
     /// Mean number of connections that a daemon has opened.
@@ -345,12 +314,7 @@
             counters.to_target + counters.from_target
         };
         Traffic {
-            peers: self
-                .nodes
-                .iter()
-                .filter_map(|n| n.relay.as_ref())
-                .map(sum)
-                .sum(),
+            peers: self.nodes.iter().filter_map(|n| n.relay.as_ref()).map(sum).sum(),
             log: self.log_relay.as_ref().map_or(0, sum),
         }
     }
@@ -366,14 +330,7 @@
         for index in 0..self.nodes.len() {
             self.crash(index);
         }
-        let Self {
-            log,
-            nodes,
-            log_relay,
-            daemons,
-            stand_ins,
-            relays,
-        } = self;
+        let Self { log, nodes, log_relay, daemons, stand_ins, relays } = self;
         daemons.shutdown_background();
         stand_ins.shutdown_background();
         relays.shutdown_background();
--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -138,10 +138,8 @@
             let spec = NodeSpec::new(name, "hobart-a", service)
                 .setting("\"log_filter\": \"off\"")
                 .backend(|b| b.slots(SLOTS).work_time(WorkTime::Fixed(Duration::ZERO)));
-            let seeds: Vec<SocketAddr> = daemons
-                .iter()
-                .map(|d: &Daemon| d.addresses().peers)
-                .collect();
+            let seeds: Vec<SocketAddr> =
+                daemons.iter().map(|d: &Daemon| d.addresses().peers).collect();
             let text = settings_text(&spec, &log.url(), &seeds);
             let settings = settings::parse(name, &text)?;
             let (daemon, stop) = start_daemon(settings, threads)?;
@@ -151,14 +149,7 @@
             backends.push(stand_ins.block_on(BackendServer::start(backend))?);
             daemons.push(daemon);
         }
-        let bed = Self {
-            client,
-            daemons,
-            backends,
-            _log: log,
-            stand_ins,
-            running,
-        };
+        let bed = Self { client, daemons, backends, _log: log, stand_ins, running };
         bed.wait_ready(offset)?;
         Ok(bed)
     }
@@ -289,10 +280,7 @@
         points.extend(point(way, None, &report, cpu));
     }
     bed.stop();
-    Ok(Report {
-        load_average,
-        points,
-    })
+    Ok(Report { load_average, points })
 }
 
 /// Table of the figures with what each way adds to the direct one.
@@ -331,25 +319,15 @@
             _ => "undecided",
         };
         let mut cells = vec![
-            point
-                .rate
-                .map_or("saturated".to_owned(), |rate| format!("{rate:.0}")),
+            point.rate.map_or("saturated".to_owned(), |rate| format!("{rate:.0}")),
             format!("{:?}", point.way),
             format!("{:.0}", point.answered),
             point.failed.to_string(),
         ];
         cells.extend(point.latency_ms.iter().map(|ms| format!("{ms:.3}")));
-        cells.extend(
-            [added(0), added(2), lowest]
-                .iter()
-                .map(|ms| format!("{ms:.3}")),
-        );
+        cells.extend([added(0), added(2), lowest].iter().map(|ms| format!("{ms:.3}")));
         cells.push(format!("{:.1}", point.cpu_us));
-        let per_core = if point.cpu_us > 0.0 {
-            1e6 / point.cpu_us
-        } else {
-            f64::NAN
-        };
+        let per_core = if point.cpu_us > 0.0 { 1e6 / point.cpu_us } else { f64::NAN };
         cells.push(if point.way == Way::Direct {
             "-".to_owned()
         } else {
--- a/crates/bench/src/plots.rs
+++ b/crates/bench/src/plots.rs
@@ -46,17 +46,10 @@
             .x_label_area_size(40)
             .y_label_area_size(64)
             .build_cartesian_2d(0.0..right.max(1e-9), 0.0..upper.max(1e-9))?;
-        chart
-            .configure_mesh()
-            .x_desc(self.x)
-            .y_desc(self.y)
-            .draw()?;
+        chart.configure_mesh().x_desc(self.x).y_desc(self.y).draw()?;
         for (series, color) in self.series.iter().zip(COLORS.iter().cycle()) {
             chart
-                .draw_series(LineSeries::new(
-                    series.points.iter().copied(),
-                    color.stroke_width(2),
-                ))?
+                .draw_series(LineSeries::new(series.points.iter().copied(), color.stroke_width(2)))?
                 .label(&series.name)
                 .legend(move |(x, y)| {
                     PathElement::new([(x, y), (x + 20, y)], color.stroke_width(2))
@@ -89,12 +82,8 @@
         x: "daemons",
         y: "bytes a second between daemons",
         series: vec![
-            line("connections of the probes so far", &|i| {
-                report.counted[i].idle.peer_bytes
-            }),
-            line("connected to all others", &|i| {
-                report.counted[i].connected.peer_bytes
-            }),
+            line("connections of the probes so far", &|i| report.counted[i].idle.peer_bytes),
+            line("connected to all others", &|i| report.counted[i].connected.peer_bytes),
         ],
     };
     bytes.write(&folder.join("control-bytes.svg"))?;
@@ -103,12 +92,8 @@
         x: "daemons",
         y: "percent of a core",
         series: vec![
-            line("connections of the probes so far", &|i| {
-                report.uncounted[i].idle.cpu * 100.0
-            }),
-            line("connected to all others", &|i| {
-                report.uncounted[i].connected.cpu * 100.0
-            }),
+            line("connections of the probes so far", &|i| report.uncounted[i].idle.cpu * 100.0),
+            line("connected to all others", &|i| report.uncounted[i].connected.cpu * 100.0),
         ],
     };
     cpu.write(&folder.join("control-cpu.svg"))
@@ -122,10 +107,7 @@
 pub fn path(report: &PathReport, folder: &Path) -> Result<()> {
     let rate = 2_000.0;
     let way = |way: Way| {
-        let point = report
-            .points
-            .iter()
-            .find(|p| p.rate == Some(rate) && p.way == way);
+        let point = report.points.iter().find(|p| p.rate == Some(rate) && p.way == way);
         Series {
             name: format!("{way:?}"),
             // The last thousandth would stretch the scale.
@@ -136,9 +118,7 @@
         title: "Latency at 2,000 calls a second, up to 99 %",
         x: "ms",
         y: "share of calls",
-        series: [Way::Direct, Way::OneDaemon, Way::TwoDaemons]
-            .map(way)
-            .into(),
+        series: [Way::Direct, Way::OneDaemon, Way::TwoDaemons].map(way).into(),
     };
     plot.write(&folder.join("path-latency.svg"))
 }
@@ -152,10 +132,7 @@
     for comparison in comparisons {
         let line = |name: &str, points: &[(f64, f64)]| Series {
             name: name.to_owned(),
-            points: points
-                .iter()
-                .map(|(at, share)| (*at, share * 100.0))
-                .collect(),
+            points: points.iter().map(|(at, share)| (*at, share * 100.0)).collect(),
         };
         let title = format!("{}: demand triples", comparison.deployment);
         let plot = Plot {
--- a/crates/bench/src/policy/deployment.rs
+++ b/crates/bench/src/policy/deployment.rs
@@ -55,25 +55,14 @@
     weight: f64,
     tenths: u32,
 ) -> Kinds {
-    Kinds {
-        class,
-        path,
-        service,
-        weight,
-        tenths,
-    }
+    Kinds { class, path, service, weight, tenths }
 }
 
 /// The auction.
 pub const TAS_SOUTH: Deployment = Deployment {
     name: "tas-south",
     data_centres: ["hobart-a", "hobart-b", "kingston-c"],
-    services: [
-        ("catalogue", 4),
-        ("bidding", 3),
-        ("settlement", 3),
-        ("yard", 3),
-    ],
+    services: [("catalogue", 4), ("bidding", 3), ("settlement", 3), ("yard", 3)],
     slots: 5,
     look_up: Duration::from_millis(50),
     kinds: &[
@@ -85,25 +74,14 @@
         kind("command", "/settlements", "settlement", 6.0, 12),
         kind("command", "/releases", "yard", 6.0, 12),
     ],
-    bulk: kind(
-        "bulk",
-        "/reconciliation",
-        "settlement",
-        BULK_WEIGHT,
-        10 * BULK_FACTOR,
-    ),
+    bulk: kind("bulk", "/reconciliation", "settlement", BULK_WEIGHT, 10 * BULK_FACTOR),
 };
 
 /// The consortium.
 pub const UY_SUR: Deployment = Deployment {
     name: "uy-sur",
     data_centres: ["uy-sur-a", "uy-sur-b", "uy-sur-c"],
-    services: [
-        ("archivo", 4),
-        ("pedidos", 3),
-        ("tarifas", 3),
-        ("envios", 3),
-    ],
+    services: [("archivo", 4), ("pedidos", 3), ("tarifas", 3), ("envios", 3)],
     slots: 8,
     look_up: Duration::from_millis(60),
     kinds: &[
@@ -114,13 +92,7 @@
         kind("command", "/approvals", "tarifas", 10.0, 12),
         kind("command", "/couriers", "envios", 20.0, 12),
     ],
-    bulk: kind(
-        "bulk",
-        "/proof-jobs",
-        "archivo",
-        BULK_WEIGHT,
-        10 * BULK_FACTOR,
-    ),
+    bulk: kind("bulk", "/proof-jobs", "archivo", BULK_WEIGHT, 10 * BULK_FACTOR),
 };
 
 impl Deployment {
@@ -134,15 +106,11 @@
         let total: f64 = self.kinds.iter().map(|kind| kind.weight).sum();
         let limit = |(service, workers): &(&str, u32)| {
             let kinds = self.kinds.iter().filter(|kind| kind.service == *service);
-            let secs: f64 = kinds
-                .map(|kind| kind.weight / total * self.run_time(kind).as_secs_f64())
-                .sum();
+            let secs: f64 =
+                kinds.map(|kind| kind.weight / total * self.run_time(kind).as_secs_f64()).sum();
             f64::from(workers * self.slots) / secs
         };
-        self.services
-            .iter()
-            .map(limit)
-            .fold(f64::INFINITY, f64::min)
+        self.services.iter().map(limit).fold(f64::INFINITY, f64::min)
     }
 
     /// Daemons with their backend servers, spread over the data centres.
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -52,32 +52,18 @@
 
 const FIELDS: [(&str, Field); 25] = [
     ("convergence under load, ms", |f| f.convergence_ms),
-    ("control bytes a daemon and second (bodies)", |f| {
-        f.control_bytes
-    }),
-    ("service at the peak, % within 100 ms", |f| {
-        f.peak.within * 100.0
-    }),
-    ("  commands at the peak, %", |f| {
-        f.peak.commands_within * 100.0
-    }),
+    ("control bytes a daemon and second (bodies)", |f| f.control_bytes),
+    ("service at the peak, % within 100 ms", |f| f.peak.within * 100.0),
+    ("  commands at the peak, %", |f| f.peak.commands_within * 100.0),
     ("  checks at the peak, %", |f| f.peak.checks_within * 100.0),
     ("  p99 of answers at the peak, ms", |f| f.peak.p99_ms),
-    ("  refused as not run at the peak", |f| {
-        f.peak.refused as f64
-    }),
+    ("  refused as not run at the peak", |f| f.peak.refused as f64),
     ("  failed otherwise at the peak", |f| f.peak.failed as f64),
-    ("  service after the peak, %", |f| {
-        f.after_peak_within * 100.0
-    }),
+    ("  service after the peak, %", |f| f.after_peak_within * 100.0),
     ("checks without bulk, p99 ms", |f| f.checks_alone_p99_ms),
     ("checks with bulk, p99 ms", |f| f.checks_with_bulk_p99_ms),
-    ("head-of-line blocking, ratio of the two", |f| {
-        f.head_of_line
-    }),
-    ("  bulk jobs answered while measured", |f| {
-        f.bulk_answered as f64
-    }),
+    ("head-of-line blocking, ratio of the two", |f| f.head_of_line),
+    ("  bulk jobs answered while measured", |f| f.bulk_answered as f64),
     ("a quarter slowed: p99 ms", |f| f.slow.p99_ms),
     ("a quarter slowed: p99.9 ms", |f| f.slow.p999_ms),
     ("  within 100 ms, %", |f| f.slow.within * 100.0),
@@ -89,9 +75,7 @@
     ("all runs: requests", |f| f.requests as f64),
     ("all runs: lost (success without a run)", |f| f.lost as f64),
     ("all runs: doubled at-most-once", |f| f.doubled as f64),
-    ("all runs: ran though refused as not run", |f| {
-        f.false_not_run as f64
-    }),
+    ("all runs: ran though refused as not run", |f| f.false_not_run as f64),
 ];
 
 /// Table of one comparison.
@@ -101,17 +85,8 @@
     let mut rows = vec![head.to_vec()];
     for (name, field) in FIELDS {
         let (full, plain) = (field(&comparison.full), field(&comparison.plain));
-        let ratio = if plain == 0.0 {
-            "-".to_owned()
-        } else {
-            format!("{:.2}", full / plain)
-        };
-        rows.push(vec![
-            name.to_owned(),
-            format!("{full:.1}"),
-            format!("{plain:.1}"),
-            ratio,
-        ]);
+        let ratio = if plain == 0.0 { "-".to_owned() } else { format!("{:.2}", full / plain) };
+        rows.push(vec![name.to_owned(), format!("{full:.1}"), format!("{plain:.1}"), ratio]);
     }
     format!(
         "{}: capacity {:.0} requests a second, load average {:.1}\n{}",
--- a/crates/bench/src/policy/situations.rs
+++ b/crates/bench/src/policy/situations.rs
@@ -149,10 +149,7 @@
         share_in_time(calls.iter().copied().filter(move |c| c.class == class))
     };
     let succeeded = calls.iter().filter(|call| call.end.succeeded()).count();
-    let refused = calls
-        .iter()
-        .filter(|call| call.end.refused_as_not_run())
-        .count();
+    let refused = calls.iter().filter(|call| call.end.refused_as_not_run()).count();
     Window {
         offered: calls.len(),
         within: share_in_time(calls.iter().copied()),
@@ -186,9 +183,7 @@
         for index in 0..fleet.nodes.len() {
             fleet.start(index)?;
         }
-        let offset = fleet
-            .log
-            .append("config", &deployment.first_change(retries));
+        let offset = fleet.log.append("config", &deployment.first_change(retries));
         fleet.wait_ready(offset, LIMIT)?;
         // Owners of keys act only some seconds after they have joined.
         std::thread::sleep(Duration::from_secs(9));
@@ -323,23 +318,15 @@
         let daemons = self.fleet.nodes.iter().filter_map(|n| n.daemon.as_ref());
         let rendered = daemons.filter_map(|daemon| daemon.context().metrics.render().ok());
         let of_one = |text: String| -> f64 {
-            let lines = text
-                .lines()
-                .filter(|line| line.starts_with("baobabreel_control_bytes"));
-            lines
-                .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-                .sum()
+            let lines = text.lines().filter(|line| line.starts_with("baobabreel_control_bytes"));
+            lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
         };
         rendered.map(of_one).sum()
     }
 
     fn check(&self, figures: &mut Figures) {
-        let journals: Vec<Vec<JournalEntry>> = self
-            .fleet
-            .nodes
-            .iter()
-            .map(|node| node.backend.journal())
-            .collect();
+        let journals: Vec<Vec<JournalEntry>> =
+            self.fleet.nodes.iter().map(|node| node.backend.journal()).collect();
         for report in &self.reports {
             let check = report.check(&journals);
             figures.requests += report.calls.len();
@@ -348,10 +335,7 @@
             for id in check.doubled.iter().take(SHOWN) {
                 let runs = journals.iter().enumerate().flat_map(|(index, journal)| {
                     let of_id = |entry: &&JournalEntry| entry.request_id.as_ref() == Some(id);
-                    journal
-                        .iter()
-                        .filter(of_id)
-                        .map(move |entry| (index, entry))
+                    journal.iter().filter(of_id).map(move |entry| (index, entry))
                 });
                 eprintln!("doubled {id}: {:?}", runs.collect::<Vec<_>>());
             }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -31,9 +31,8 @@
 pub fn resident_bytes() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kib: u64 = line
-        .and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok())
-        .unwrap_or(0);
+    let kib: u64 =
+        line.and_then(|rest| rest.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0);
     kib * 1024
 }
 
--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -59,11 +59,7 @@
         call(round);
     }
     let nanos = begin.elapsed().as_secs_f64() * 1e9 / f64::from(rounds);
-    Figure {
-        what,
-        nanos,
-        bytes: None,
-    }
+    Figure { what, nanos, bytes: None }
 }
 
 fn built<T>(what: &'static str, build: impl Fn() -> T) -> Figure {
@@ -75,11 +71,7 @@
     let nanos = begin.elapsed().as_secs_f64() * 1e9 / COPIES as f64;
     let bytes = resident_bytes().saturating_sub(before) as f64 / COPIES as f64;
     drop(black_box(copies));
-    Figure {
-        what,
-        nanos,
-        bytes: Some(bytes),
-    }
+    Figure { what, nanos, bytes: Some(bytes) }
 }
 
 fn member(index: usize) -> Member {
@@ -125,35 +117,22 @@
             }
         }
     }));
-    figures.push(timed(
-        "daemon: new view after a change of a member",
-        200,
-        |_| {
-            let members = state.members();
-            black_box((MeshView::new(members.iter()), members.clone()));
-        },
-    ));
+    figures.push(timed("daemon: new view after a change of a member", 200, |_| {
+        let members = state.members();
+        black_box((MeshView::new(members.iter()), members.clone()));
+    }));
     let digest = 7;
-    figures.push(timed(
-        "swim: probe received, with 16 updates",
-        5_000,
-        |round| {
-            now += Duration::from_millis(50);
-            let updates = (0..16)
-                .map(|i| Member {
-                    sequence: u64::from(round) + 2,
-                    ..member(2 + (i + round as usize * 16) % 900)
-                })
-                .collect();
-            let probe = Probe {
-                number: u64::from(round),
-                from: member(1),
-                digest,
-                updates,
-            };
-            black_box(state.handle(Event::Probe(probe), now, rng.random()));
-        },
-    ));
+    figures.push(timed("swim: probe received, with 16 updates", 5_000, |round| {
+        now += Duration::from_millis(50);
+        let updates = (0..16)
+            .map(|i| Member {
+                sequence: u64::from(round) + 2,
+                ..member(2 + (i + round as usize * 16) % 900)
+            })
+            .collect();
+        let probe = Probe { number: u64::from(round), from: member(1), digest, updates };
+        black_box(state.handle(Event::Probe(probe), now, rng.random()));
+    }));
     figures
 }
 
@@ -189,11 +168,7 @@
     let changes = changes();
     let mut figures = vec![built("config: state of 2,000 records", || filled(&changes))];
     let mut state = filled(&changes);
-    ensure!(
-        state.records().len() == RECORDS,
-        "the fold has {} records",
-        state.records().len()
-    );
+    ensure!(state.records().len() == RECORDS, "the fold has {} records", state.records().len());
     let mut offset = state.version().offset;
     let texts: Vec<String> = (0..200)
         .map(|number| {
@@ -206,14 +181,10 @@
             )
         })
         .collect();
-    figures.push(timed(
-        "config: fold of a change of 1 record",
-        200,
-        |round| {
-            offset += 1;
-            drop(black_box(state.fold(offset, &texts[round as usize])));
-        },
-    ));
+    figures.push(timed("config: fold of a change of 1 record", 200, |round| {
+        offset += 1;
+        drop(black_box(state.fold(offset, &texts[round as usize])));
+    }));
     let view = || CompiledConfig::new(&state, 2);
     figures.push(built("config: compiled view", view));
     figures.push(timed("config: digest of the state", 20, |_| {
@@ -296,14 +267,8 @@
 pub fn table(figures: &[Figure]) -> String {
     let mut rows = vec![row(["PURE CODE AT 960 MEMBERS", "NS A CALL", "KB"])];
     for figure in figures {
-        let bytes = figure
-            .bytes
-            .map_or("-".to_owned(), |bytes| format!("{:.0}", bytes / 1024.0));
-        rows.push(vec![
-            figure.what.to_owned(),
-            format!("{:.0}", figure.nanos),
-            bytes,
-        ]);
+        let bytes = figure.bytes.map_or("-".to_owned(), |bytes| format!("{:.0}", bytes / 1024.0));
+        rows.push(vec![figure.what.to_owned(), format!("{:.0}", figure.nanos), bytes]);
     }
     format(&rows)
 }
--- a/crates/bench/src/scale/mod.rs
+++ b/crates/bench/src/scale/mod.rs
@@ -79,19 +79,11 @@
     let [daemons, counted, quick] = parts[..] else {
         eyre::bail!("failed to read the size `{argument}`");
     };
-    Ok(Options {
-        daemons: daemons.parse()?,
-        counted: counted.parse()?,
-        quick: quick.parse()?,
-    })
+    Ok(Options { daemons: daemons.parse()?, counted: counted.parse()?, quick: quick.parse()? })
 }
 
 fn read_child(output: &std::process::Output) -> Result<Figures> {
-    ensure!(
-        output.status.success(),
-        "a measurement of `scale` ended with {}",
-        output.status
-    );
+    ensure!(output.status.success(), "a measurement of `scale` ended with {}", output.status);
     serde_json::from_slice(&output.stdout).wrap_err("failed to read the figures of a measurement")
 }
 
@@ -105,11 +97,7 @@
     let mut children = Vec::new();
     for counted in [true, false] {
         for daemons in sizes {
-            let options = Options {
-                daemons: *daemons,
-                counted,
-                quick,
-            };
+            let options = Options { daemons: *daemons, counted, quick };
             children.push(run_child(options)?.spawn()?);
         }
     }
@@ -167,10 +155,8 @@
         "LOAD",
     ])];
     for (f, plain) in report.counted.iter().zip(&report.uncounted) {
-        let states = [
-            ("idle", f.idle, plain.idle),
-            ("all connected", f.connected, plain.connected),
-        ];
+        let states =
+            [("idle", f.idle, plain.idle), ("all connected", f.connected, plain.connected)];
         for (state, idle, plain) in states {
             rows.push(line(f, state, &idle, &plain));
         }
@@ -225,18 +211,9 @@
     };
     add("peer bytes a second", &report.peer_bytes, 1.0, BUDGET_BYTES);
     add("percent of a core", &report.cpu, 100.0, BUDGET_CPU * 100.0);
-    add(
-        "memory in MB",
-        &report.memory,
-        1.0 / 1_048_576.0,
-        BUDGET_MEMORY / 1_048_576.0,
-    );
+    add("memory in MB", &report.memory, 1.0 / 1_048_576.0, BUDGET_MEMORY / 1_048_576.0);
     let convergence = report.convergence_ms.at(TARGET_DAEMONS.log2());
-    let verdict = if convergence > BUDGET_CONVERGENCE_MS {
-        "misses"
-    } else {
-        "meets"
-    };
+    let verdict = if convergence > BUDGET_CONVERGENCE_MS { "misses" } else { "meets" };
     format!(
         "{}log bytes a second of a relay: {:.0}\n\
          longest convergence at 960 daemons, over log2(members): {convergence:.0} ms \
--- a/crates/bench/src/scale/one.rs
+++ b/crates/bench/src/scale/one.rs
@@ -104,9 +104,12 @@
 
 fn next_change(number: usize) -> String {
     let name = format!("extra-{number:03}");
-    let change = ChangeBuilder::new(&name)
-        .expect(Kind::Route, &name, None)
-        .class_route(&name, &format!("/extra/{number}"), "service-00", "lookup");
+    let change = ChangeBuilder::new(&name).expect(Kind::Route, &name, None).class_route(
+        &name,
+        &format!("/extra/{number}"),
+        "service-00",
+        "lookup",
+    );
     entry_text(change.build())
 }
 
@@ -188,9 +191,7 @@
     std::thread::sleep(secs(2, 1));
     let connected = idle(&fleet, secs(4, 2), resident);
     let restart_ms = match options.counted {
-        true => restart_third(&mut fleet, first)
-            .ok()
-            .map(|time| time.as_secs_f64() * 1e3),
+        true => restart_third(&mut fleet, first).ok().map(|time| time.as_secs_f64() * 1e3),
         false => None,
     };
     let figures = Figures {
--- a/crates/bench/tests/fit.rs
+++ b/crates/bench/tests/fit.rs
@@ -23,28 +23,19 @@
 /// Guards against figures made up from too few sizes.
 #[test]
 fn points_on_one_line_determine_no_plane() {
-    assert_eq!(
-        fit_plane(&[(8.0, 8.0, 1.0), (16.0, 16.0, 2.0), (32.0, 32.0, 4.0)]),
-        None
-    );
+    assert_eq!(fit_plane(&[(8.0, 8.0, 1.0), (16.0, 16.0, 2.0), (32.0, 32.0, 4.0)]), None);
 }
 
 /// Guards against a fit that is not the least squares.
 #[test]
 fn a_line_passes_between_its_points() {
     let line = fit(&[(0.0, 1.0), (1.0, 2.0), (2.0, 6.0)]);
-    assert!(
-        near(line.slope, 2.5) && near(line.constant, 0.5),
-        "{line:?}"
-    );
+    assert!(near(line.slope, 2.5) && near(line.constant, 0.5), "{line:?}");
 }
 
 /// Guards against a quantile that is off by one rank.
 #[test]
 fn quantiles_are_values_of_the_sample() {
     let values: Vec<f64> = (1..=100).map(f64::from).collect();
-    assert_eq!(
-        [0.0, 0.5, 0.99, 1.0].map(|q| quantile(&values, q)),
-        [1.0, 50.0, 99.0, 100.0]
-    );
+    assert_eq!([0.0, 0.5, 0.99, 1.0].map(|q| quantile(&values, q)), [1.0, 50.0, 99.0, 100.0]);
 }
--- a/crates/cli/src/commands/common.rs
+++ b/crates/cli/src/commands/common.rs
@@ -81,12 +81,7 @@
         mut options: Options,
     ) -> Result<(Common, Matches), Stop> {
         options
-            .optopt(
-                "",
-                "output",
-                "form of the output (default text)",
-                "text|json",
-            )
+            .optopt("", "output", "form of the output (default text)", "text|json")
             .optopt("", "log", "address of the log", "URL")
             .optmulti(
                 "",
@@ -95,16 +90,9 @@
                 "URL",
             )
             .optopt("", "token-file", "file with the token for daemons", "FILE")
-            .optopt(
-                "",
-                "settings",
-                "file with defaults, JSON with comments",
-                "FILE",
-            )
+            .optopt("", "settings", "file with defaults, JSON with comments", "FILE")
             .optflag("h", "help", "show this help");
-        let matches = options
-            .parse(args)
-            .map_err(|e| self.fault(&e.to_string().to_lowercase()))?;
+        let matches = options.parse(args).map_err(|e| self.fault(&e.to_string().to_lowercase()))?;
         if matches.opt_present("help") {
             let brief = format!("Usage: baobabreel {}\n\n{}", self.line, self.purpose);
             return Err(Stop::Help(options.usage(&brief) + "\n"));
@@ -120,11 +108,7 @@
         let common = Common {
             output,
             log: matches.opt_str("log").or(settings.log),
-            daemons: if daemons.is_empty() {
-                settings.daemons
-            } else {
-                daemons
-            },
+            daemons: if daemons.is_empty() { settings.daemons } else { daemons },
             token_file: matches.opt_str("token-file").or(settings.token_file),
             author: settings.author,
         };
@@ -152,10 +136,7 @@
             if N == 0 {
                 return self.fault(&format!("no argument is expected, found {found}"));
             }
-            self.fault(&format!(
-                "expected {}, found {found} arguments",
-                names.join(" ")
-            ))
+            self.fault(&format!("expected {}, found {found} arguments", names.join(" ")))
         })
     }
 
@@ -164,7 +145,6 @@
     where
         T::Err: std::fmt::Display,
     {
-        text.parse()
-            .map_err(|e: T::Err| self.fault(&format!("{name} `{text}`: {e}")))
+        text.parse().map_err(|e: T::Err| self.fault(&format!("{name} `{text}`: {e}")))
     }
 }
--- a/crates/cli/src/commands/diff.rs
+++ b/crates/cli/src/commands/diff.rs
@@ -30,10 +30,9 @@
     let (common, matches) = USAGE.parse(args, Options::new())?;
     let of = match matches.free.as_slice() {
         [file] => DiffOf::File(file.clone()),
-        [before, after] => DiffOf::Versions(
-            USAGE.value("VERSION", before)?,
-            USAGE.value("VERSION", after)?,
-        ),
+        [before, after] => {
+            DiffOf::Versions(USAGE.value("VERSION", before)?, USAGE.value("VERSION", after)?)
+        }
         _ => return Err(USAGE.fault("expected FILE or VERSION VERSION")),
     };
     let options = DiffOptions { of };
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -22,12 +22,7 @@
     options
         .optopt("", "path", "path of the request", "PATH")
         .optopt("", "host", "host of the request", "HOST")
-        .optopt(
-            "",
-            "method",
-            "method of the request (default GET)",
-            "METHOD",
-        )
+        .optopt("", "method", "method of the request (default GET)", "METHOD")
         .optopt("", "key", "idempotency key of the request", "KEY");
     let (common, matches) = USAGE.parse(args, options)?;
     let [] = USAGE.free(&matches, [])?;
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -56,35 +56,22 @@
     /// A command that could not start.
     #[must_use]
     pub fn failed(message: &str) -> Self {
-        Self {
-            code: Exit::Unreachable as u8,
-            stderr: format!("{message}\n"),
-            ..Self::default()
-        }
+        Self { code: Exit::Unreachable as u8, stderr: format!("{message}\n"), ..Self::default() }
     }
 
     fn usage(message: &str) -> Self {
-        Self {
-            code: Exit::Usage as u8,
-            stderr: format!("{message}\n"),
-            ..Self::default()
-        }
+        Self { code: Exit::Usage as u8, stderr: format!("{message}\n"), ..Self::default() }
     }
 
     fn help(text: String) -> Self {
-        Self {
-            stdout: text,
-            ..Self::default()
-        }
+        Self { stdout: text, ..Self::default() }
     }
 
     fn result(output: Output, result: Result<Outcome, Failure>) -> Self {
         match (result, output) {
-            (Ok(outcome), Output::Text) => Self {
-                code: outcome.exit as u8,
-                stdout: outcome.text,
-                stderr: String::new(),
-            },
+            (Ok(outcome), Output::Text) => {
+                Self { code: outcome.exit as u8, stdout: outcome.text, stderr: String::new() }
+            }
             (Ok(outcome), Output::Json) => Self {
                 code: outcome.exit as u8,
                 stdout: format!("{}\n", outcome.json),
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -37,24 +37,9 @@
 pub(super) fn parse(args: &[String]) -> Result<Parsed<PublishOptions>, Stop> {
     let mut options = Options::new();
     options
-        .optopt(
-            "",
-            "change-id",
-            "identifier of the change; repeating it has no effect",
-            "ID",
-        )
-        .optopt(
-            "",
-            "author",
-            "who makes the change (default operator)",
-            "NAME",
-        )
-        .optmulti(
-            "",
-            "expect",
-            "revision that a record must have, or `absent`",
-            "KEY=VERSION",
-        )
+        .optopt("", "change-id", "identifier of the change; repeating it has no effect", "ID")
+        .optopt("", "author", "who makes the change (default operator)", "NAME")
+        .optmulti("", "expect", "revision that a record must have, or `absent`", "KEY=VERSION")
         .optflag("", "wait", "wait until every live daemon has the change")
         .optopt("", "timeout", "longest wait (default 30)", "SECONDS");
     let (common, matches) = USAGE.parse(args, options)?;
--- a/crates/cli/src/commands/raise_level.rs
+++ b/crates/cli/src/commands/raise_level.rs
@@ -26,23 +26,9 @@
 pub(super) fn parse(args: &[String]) -> Result<Parsed<RaiseLevelOptions>, Stop> {
     let mut options = Options::new();
     options
-        .optopt(
-            "",
-            "change-id",
-            "identifier of the change; repeating it has no effect",
-            "ID",
-        )
-        .optopt(
-            "",
-            "author",
-            "who makes the change (default operator)",
-            "NAME",
-        )
-        .optflag(
-            "",
-            "force",
-            "do not ask the daemons; those that are too old will hold",
-        );
+        .optopt("", "change-id", "identifier of the change; repeating it has no effect", "ID")
+        .optopt("", "author", "who makes the change (default operator)", "NAME")
+        .optflag("", "force", "do not ask the daemons; those that are too old will hold");
     let (common, matches) = USAGE.parse(args, options)?;
     let [level] = USAGE.free(&matches, ["N"])?;
     let options = RaiseLevelOptions {
--- a/crates/cli/src/context/mod.rs
+++ b/crates/cli/src/context/mod.rs
@@ -129,9 +129,7 @@
     let daemons = common.daemons.iter();
     Ok(Context {
         log: common.log.as_ref().map(|url| LogClient::new(http, url)),
-        daemons: daemons
-            .map(|url| OperatorClient::new(operators.clone(), url))
-            .collect(),
+        daemons: daemons.map(|url| OperatorClient::new(operators.clone(), url)).collect(),
         new_id: Box::new(|| format!("{:032x}", rand::random::<u128>())),
         progress: Box::new(|line| eprintln!("{line}")),
         pause: PAUSE,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,9 +7,7 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let printed = match runtime {
         Ok(runtime) => runtime.block_on(run(&args, connect)),
         Err(e) => Printed::failed(&format!("failed to start: {e}")),
--- a/crates/cli/src/ops/change_file.rs
+++ b/crates/cli/src/ops/change_file.rs
@@ -79,10 +79,7 @@
             records.remove(key);
         }
         for upsert in &self.upserts {
-            let record = Record {
-                revision: state.version(),
-                forms: upsert.forms.clone(),
-            };
+            let record = Record { revision: state.version(), forms: upsert.forms.clone() };
             records.insert(upsert.key.clone(), record);
         }
         records
--- a/crates/cli/src/ops/check.rs
+++ b/crates/cli/src/ops/check.rs
@@ -36,16 +36,10 @@
             notes.push(format!("judged on top of version {}", view.state.version()));
         }
         None => notes.extend(
-            file.outside()
-                .iter()
-                .map(|to| format!("not checked without a log: reference to {to}")),
+            file.outside().iter().map(|to| format!("not checked without a log: reference to {to}")),
         ),
     }
-    let exit = if faults.is_empty() {
-        Exit::Done
-    } else {
-        Exit::Rejected
-    };
+    let exit = if faults.is_empty() { Exit::Done } else { Exit::Rejected };
     let mut text = String::new();
     for fault in &faults {
         text.push_str(&format!("{}: {fault}\n", options.file));
--- a/crates/cli/src/ops/diff.rs
+++ b/crates/cli/src/ops/diff.rs
@@ -31,10 +31,7 @@
             report::diff(before.records(), after.records())
         }
     };
-    let text = if changes.is_empty() {
-        "no difference\n".to_owned()
-    } else {
-        report::diff_text(&changes)
-    };
+    let text =
+        if changes.is_empty() { "no difference\n".to_owned() } else { report::diff_text(&changes) };
     Ok(Outcome::done(text, json!({"changes": changes})))
 }
--- a/crates/cli/src/ops/explain.rs
+++ b/crates/cli/src/ops/explain.rs
@@ -31,10 +31,7 @@
 fn describe(doc: &ExplainDoc) -> String {
     let or_none = |text: Option<String>| text.unwrap_or_else(|| "none".to_owned());
     let schema = doc.schema.map(|schema| format!(" (schema {schema})"));
-    let route = doc
-        .route
-        .clone()
-        .map(|route| route + &schema.unwrap_or_default());
+    let route = doc.route.clone().map(|route| route + &schema.unwrap_or_default());
     let rows = [
         ("daemon", Some(doc.daemon.clone())),
         ("version", Some(doc.version.to_string())),
--- a/crates/cli/src/ops/history.rs
+++ b/crates/cli/src/ops/history.rs
@@ -21,22 +21,12 @@
     let mut table = Table::new(["OFFSET", "CHANGE ID", "AUTHOR", "CHANGE", "VERDICT"]);
     let mut list = Vec::new();
     for folded in &view.entries {
-        if options
-            .key
-            .as_ref()
-            .is_some_and(|key| !touches(folded, key))
-        {
+        if options.key.as_ref().is_some_and(|key| !touches(folded, key)) {
             continue;
         }
         let (id, author, what) = describe(folded);
         let offset = folded.record.offset;
-        table.row([
-            offset.to_string(),
-            id,
-            author,
-            what,
-            verdict(&folded.verdict),
-        ]);
+        table.row([offset.to_string(), id, author, what, verdict(&folded.verdict)]);
         list.push(json!({"offset": offset, "time_ms": folded.record.time_ms,
             "entry": folded.entry, "verdict": folded.verdict}));
     }
--- a/crates/cli/src/ops/log_view.rs
+++ b/crates/cli/src/ops/log_view.rs
@@ -61,20 +61,14 @@
     async fn read(log: &impl Log) -> Result<Self> {
         let (generation, first) = match log.read(CONFIG, 1, 1).await? {
             ReadAnswer::Page(page) => (page.generation, page.first),
-            ReadAnswer::Expired(Retained {
-                generation, first, ..
-            }) => (generation, first),
+            ReadAnswer::Expired(Retained { generation, first, .. }) => (generation, first),
         };
         let base = if generation > FIRST_GENERATION || first > 1 {
             from_snapshot(log, generation).await?
         } else {
             ConfigState::new(generation)
         };
-        let mut view = Self {
-            state: base.clone(),
-            base,
-            entries: Vec::new(),
-        };
+        let mut view = Self { state: base.clone(), base, entries: Vec::new() };
         view.advance(log).await?;
         Ok(view)
     }
@@ -96,11 +90,7 @@
             for record in page.records {
                 let verdict = self.state.fold(record.offset, &record.data)?;
                 let entry = Entry::parse(&record.data).ok();
-                self.entries.push(Folded {
-                    record,
-                    entry,
-                    verdict,
-                });
+                self.entries.push(Folded { record, entry, verdict });
             }
             if self.state.version().offset + 1 >= page.next {
                 return Ok(());
@@ -110,12 +100,8 @@
 
     /// First verdict on a change id, with its texts as long as the log retains the entry.
     pub(super) fn verdict_of(&self, change_id: &str) -> Option<&Verdict> {
-        let of_id = |folded: &&Folded| {
-            folded
-                .entry
-                .as_ref()
-                .is_some_and(|e| e.change_id() == change_id)
-        };
+        let of_id =
+            |folded: &&Folded| folded.entry.as_ref().is_some_and(|e| e.change_id() == change_id);
         let found = self.entries.iter().find(of_id);
         let found = found.map(|folded| folded.verdict.first());
         found.or_else(|| self.state.verdict_of(change_id))
--- a/crates/cli/src/ops/members.rs
+++ b/crates/cli/src/ops/members.rs
@@ -23,11 +23,7 @@
         match daemon.members().await {
             Ok(mut members) => {
                 members.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
-                let text = format!(
-                    "as {} sees them\n\n{}",
-                    daemon.url(),
-                    table(&members).text()
-                );
+                let text = format!("as {} sees them\n\n{}", daemon.url(), table(&members).text());
                 return Ok(Outcome::done(text, json!({"members": members})));
             }
             Err(e) => last = Err(e).or_exit(Exit::Unreachable),
@@ -37,14 +33,7 @@
 }
 
 fn table(members: &[MemberDoc]) -> Table {
-    let mut table = Table::new([
-        "DATA CENTRE",
-        "DAEMON",
-        "SERVICE",
-        "STATE",
-        "SLOTS",
-        "POLICY",
-    ]);
+    let mut table = Table::new(["DATA CENTRE", "DAEMON", "SERVICE", "STATE", "SLOTS", "POLICY"]);
     for member in members {
         table.row([
             member.data_centre.clone(),
--- a/crates/cli/src/ops/mesh.rs
+++ b/crates/cli/src/ops/mesh.rs
@@ -75,19 +75,14 @@
 
     /// Daemons of a data centre, and how many of them have a version.
     pub(super) fn having(&self, data_centre_name: &str, version: Version) -> (usize, usize) {
-        let all = self
-            .0
-            .values()
-            .filter(|k| data_centre(k) == data_centre_name);
+        let all = self.0.values().filter(|k| data_centre(k) == data_centre_name);
         let have = |known: &&Known| known.as_ref().is_ok_and(|s| s.version >= version);
         (all.clone().filter(have).count(), all.count())
     }
 
     /// Daemons that follow the log and are behind a version.
     pub(super) fn lagging(&self, version: Version) -> Vec<Named> {
-        let behind = self
-            .answered()
-            .filter(|s| s.version < version && s.held.is_none());
+        let behind = self.answered().filter(|s| s.version < version && s.held.is_none());
         sorted(behind.map(|s| named(&s.data_centre, &s.daemon, &format!(" at {}", s.version))))
     }
 
@@ -117,8 +112,7 @@
         kinds
             .iter()
             .flat_map(|(kind, list)| {
-                list.iter()
-                    .map(move |n| format!("{kind} in {}: {}", n.data_centre, n.text))
+                list.iter().map(move |n| format!("{kind} in {}: {}", n.data_centre, n.text))
             })
             .collect()
     }
@@ -152,10 +146,7 @@
 }
 
 fn named(data_centre: &str, id: &str, rest: &str) -> Named {
-    Named {
-        data_centre: data_centre.to_owned(),
-        text: format!("{id}{rest}"),
-    }
+    Named { data_centre: data_centre.to_owned(), text: format!("{id}{rest}") }
 }
 
 fn sorted(list: impl Iterator<Item = Named>) -> Vec<Named> {
--- a/crates/cli/src/ops/publish.rs
+++ b/crates/cli/src/ops/publish.rs
@@ -72,14 +72,10 @@
 ) -> Result<Exit, Failure> {
     let (exit, line) = match wait(cx, version, options.timeout).await {
         Ok(WaitResult { done: true, line }) => (Exit::Done, line),
-        Ok(WaitResult { line, .. }) => (
-            Exit::TimedOut,
-            format!("timed out after {:?}: {line}", options.timeout),
-        ),
-        Err(e) => (
-            Exit::Unreachable,
-            format!("failed to watch the daemons: {e:#}"),
-        ),
+        Ok(WaitResult { line, .. }) => {
+            (Exit::TimedOut, format!("timed out after {:?}: {line}", options.timeout))
+        }
+        Err(e) => (Exit::Unreachable, format!("failed to watch the daemons: {e:#}")),
     };
     json["wait"] = json!(line);
     text.push_str(&line);
--- a/crates/cli/src/ops/raise_level.rs
+++ b/crates/cli/src/ops/raise_level.rs
@@ -63,23 +63,15 @@
 ) -> Result<(), Failure> {
     let mesh = mesh_of(cx).await?;
     let old = mesh.answered().filter(|status| status.max_schema < level);
-    let old = old.map(|s| {
-        format!(
-            "{} in {} understands up to {}",
-            s.daemon, s.data_centre, s.max_schema
-        )
-    });
+    let old = old
+        .map(|s| format!("{} in {} understands up to {}", s.daemon, s.data_centre, s.max_schema));
     let gone = mesh.unreachable();
-    let gone = gone
-        .iter()
-        .map(|n| format!("{} in {} cannot be reached", n.text, n.data_centre));
+    let gone = gone.iter().map(|n| format!("{} in {} cannot be reached", n.text, n.data_centre));
     let faults: Vec<String> = old.chain(gone).collect();
     if faults.is_empty() {
         return Ok(());
     }
     let faults = faults.join("; ");
-    Err(eyre!(
-        "failed to raise the level to {level}: {faults} (see `--force`)"
-    ))
-    .or_exit(Exit::Rejected)
+    Err(eyre!("failed to raise the level to {level}: {faults} (see `--force`)"))
+        .or_exit(Exit::Rejected)
 }
--- a/crates/cli/src/ops/status.rs
+++ b/crates/cli/src/ops/status.rs
@@ -60,11 +60,7 @@
             let (have, all) = mesh.having(name, *revision);
             format!("{have}/{all}")
         });
-        table.row(
-            [key.to_string(), revision.to_string()]
-                .into_iter()
-                .chain(cells),
-        );
+        table.row([key.to_string(), revision.to_string()].into_iter().chain(cells));
     }
     table
 }
--- a/crates/cli/src/report/diff.rs
+++ b/crates/cli/src/report/diff.rs
@@ -24,9 +24,7 @@
     after: &BTreeMap<RecordKey, Record>,
 ) -> Vec<Change> {
     let keys: BTreeSet<&RecordKey> = before.keys().chain(after.keys()).collect();
-    keys.into_iter()
-        .filter_map(|key| change(key, before.get(key), after.get(key)))
-        .collect()
+    keys.into_iter().filter_map(|key| change(key, before.get(key), after.get(key))).collect()
 }
 
 fn change(key: &RecordKey, before: Option<&Record>, after: Option<&Record>) -> Option<Change> {
@@ -45,11 +43,7 @@
         .map(|(path, before, after)| (path.clone(), (before.cloned(), after.cloned())))
         .collect();
     let same = values.is_empty() && change == "changed";
-    (!same).then(|| Change {
-        key: key.clone(),
-        change,
-        values,
-    })
+    (!same).then(|| Change { key: key.clone(), change, values })
 }
 
 /// Single values of all forms by path, for example `2.timeout_ms`.
--- a/crates/cli/src/report/mod.rs
+++ b/crates/cli/src/report/mod.rs
@@ -67,9 +67,6 @@
 
 impl<T, E: Into<Report>> OrExit<T> for Result<T, E> {
     fn or_exit(self, exit: Exit) -> Result<T, Failure> {
-        self.map_err(|e| Failure {
-            exit,
-            report: e.into(),
-        })
+        self.map_err(|e| Failure { exit, report: e.into() })
     }
 }
--- a/crates/cli/src/settings/mod.rs
+++ b/crates/cli/src/settings/mod.rs
@@ -25,27 +25,15 @@
 ///
 /// Every fault with file, line, key, value and what is allowed; unknown keys are faults.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<String>> {
-    let mut reader = Reader {
-        file,
-        text,
-        faults: Vec::new(),
-        settings: Settings::default(),
-    };
+    let mut reader = Reader { file, text, faults: Vec::new(), settings: Settings::default() };
     match parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default()) {
         Ok(parsed) => match parsed.value {
             Some(Value::Object(object)) => reader.read(object),
             _ => reader.fault(0, "the file is not an object; allowed: one object"),
         },
-        Err(e) => reader.fault(
-            e.range().start,
-            &format!("not JSON with comments: {}", e.kind()),
-        ),
-    }
-    if reader.faults.is_empty() {
-        Ok(reader.settings)
-    } else {
-        Err(reader.faults)
+        Err(e) => reader.fault(e.range().start, &format!("not JSON with comments: {}", e.kind())),
     }
+    if reader.faults.is_empty() { Ok(reader.settings) } else { Err(reader.faults) }
 }
 
 struct Reader<'a> {
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -55,12 +55,7 @@
     let (log, file) = (log(), queue_file("publish.json"));
     let ran = cli(&format!("publish {file}"), Some(&log), &[]).await;
     assert_eq!((ran.code, ran.stdout.as_str()), (0, PUBLISHED));
-    let again = cli(
-        &format!("publish {file} --change-id new-id"),
-        Some(&log),
-        &[],
-    )
-    .await;
+    let again = cli(&format!("publish {file} --change-id new-id"), Some(&log), &[]).await;
     let text = "change id new-id was published before\naccepted as version 1.2\n";
     assert_eq!((again.code, again.stdout.as_str()), (0, text));
     assert_eq!(log.len(), 2);
@@ -110,10 +105,7 @@
     assert_eq!((ran.code, ran.stderr.as_str()), (1, text));
     log.0.borrow_mut().down = true;
     let ran = cli(&format!("publish {file}"), Some(&log), &[]).await;
-    assert_eq!(
-        (ran.code, ran.stderr.as_str()),
-        (3, "failed to reach http://log\n")
-    );
+    assert_eq!((ran.code, ran.stderr.as_str()), (3, "failed to reach http://log\n"));
 }
 
 /// Guards against overwriting a change of another operator.
@@ -158,16 +150,8 @@
     let line = format!("publish {file} --wait --timeout 0 --change-id new-id");
     let ran = cli(&line, Some(&log), &[mesh([behind])]).await;
     assert_eq!(ran.code, 4);
-    assert!(
-        ran.stdout
-            .ends_with(&format!("timed out after 0ns: {lag}\n")),
-        "{}",
-        ran.stdout
-    );
-    let down = FakeDaemon {
-        down: true,
-        ..FakeDaemon::default()
-    };
+    assert!(ran.stdout.ends_with(&format!("timed out after 0ns: {lag}\n")), "{}", ran.stdout);
+    let down = FakeDaemon { down: true, ..FakeDaemon::default() };
     let ran = cli(&line, Some(&log), &[down]).await;
     assert_eq!(ran.code, 3);
 }
@@ -175,10 +159,7 @@
 /// Guards against faults that only show after publishing.
 #[tokio::test]
 async fn check_reports_faults_with_their_places() {
-    let broken = file(
-        "broken.json",
-        "{\n  \"upserts\": [],\n  \"delete\": []\n}\n",
-    );
+    let broken = file("broken.json", "{\n  \"upserts\": [],\n  \"delete\": []\n}\n");
     let ran = cli(&format!("check {broken}"), None, &[]).await;
     let text = format!(
         "failed to parse {broken}:3:10: unknown field `delete`, expected `upserts` or `deletes`\n"
@@ -195,9 +176,7 @@
          note: not checked without a log: reference to service/bids\n1 records, 1 faults\n"
     );
     assert_eq!((ran.code, ran.stdout), (1, text));
-    let open = std::fs::read_to_string(&bad)
-        .expect("file")
-        .replace("\"lots\"", "\"/lots\"");
+    let open = std::fs::read_to_string(&bad).expect("file").replace("\"lots\"", "\"/lots\"");
     let open = file("open.json", &open);
     let ran = cli(&format!("check {open}"), Some(&log()), &[]).await;
     let text = format!(
@@ -243,18 +222,9 @@
 /// Guards against members reported as unreachable although one of the given daemons reaches them.
 #[tokio::test]
 async fn status_joins_the_views_of_all_given_daemons() {
-    let one = vec![
-        Ok(status("a-w1", "hobart-a", 1)),
-        Err(member("b-w1", "hobart-b", "ready")),
-    ];
-    let other = vec![
-        Err(member("a-w1", "hobart-a", "suspect")),
-        Ok(status("b-w1", "hobart-b", 1)),
-    ];
-    let down = FakeDaemon {
-        down: true,
-        ..FakeDaemon::default()
-    };
+    let one = vec![Ok(status("a-w1", "hobart-a", 1)), Err(member("b-w1", "hobart-b", "ready"))];
+    let other = vec![Err(member("a-w1", "hobart-a", "suspect")), Ok(status("b-w1", "hobart-b", 1))];
+    let down = FakeDaemon { down: true, ..FakeDaemon::default() };
     let ran = cli("status", Some(&log()), &[mesh([one]), down, mesh([other])]).await;
     let text = "\
 version 1.1 (level 1, from the log)
@@ -270,10 +240,7 @@
 #[tokio::test]
 async fn get_history_and_diff_read_the_log() {
     let log = log();
-    log.put(
-        "config",
-        &entry("stale", &json!({"service/catalogue": null}), &service(9)),
-    );
+    log.put("config", &entry("stale", &json!({"service/catalogue": null}), &service(9)));
     log.put("config", &entry("first", &json!({}), &service(9)));
     let expected = json!({"service/catalogue": {"generation": 1, "offset": 1}});
     log.put("config", &entry("second", &expected, &service(9)));
@@ -335,20 +302,14 @@
     assert_eq!(log.len(), 1);
     let daemon = mesh([vec![Ok(status("a-w1", "hobart-a", 1))]]);
     let ran = cli("raise-level 2", Some(&log), &[daemon]).await;
-    assert_eq!(
-        (ran.code, ran.stdout.as_str()),
-        (0, "accepted as version 1.2\n")
-    );
+    assert_eq!((ran.code, ran.stdout.as_str()), (0, "accepted as version 1.2\n"));
 }
 
 /// Guards against tables that are out of line.
 #[tokio::test]
 async fn members_and_explain_print_tables() {
     let daemon = mesh([]);
-    let down = FakeDaemon {
-        down: true,
-        ..FakeDaemon::default()
-    };
+    let down = FakeDaemon { down: true, ..FakeDaemon::default() };
     let ran = cli("members", None, &[down.clone(), daemon.clone()]).await;
     let text = "\
 as http://daemon sees them
@@ -375,10 +336,7 @@
 ";
     assert_eq!((ran.code, ran.stdout.as_str()), (0, text));
     let ran = cli("members", None, &[down]).await;
-    assert_eq!(
-        (ran.code, ran.stderr.as_str()),
-        (3, "failed to reach http://daemon\n")
-    );
+    assert_eq!((ran.code, ran.stderr.as_str()), (3, "failed to reach http://daemon\n"));
 }
 
 /// Guards against usage faults that look like other failures.
@@ -413,21 +371,13 @@
     ] {
         let ran = cli(&format!("{name} --help"), None, &[]).await;
         assert_eq!(ran.code, 0);
-        assert!(
-            ran.stdout
-                .starts_with(&format!("Usage: baobabreel {name} ")),
-            "{}",
-            ran.stdout
-        );
+        assert!(ran.stdout.starts_with(&format!("Usage: baobabreel {name} ")), "{}", ran.stdout);
         assert!(ran.stdout.contains("--output text|json"));
     }
     assert_eq!(cli("frob", None, &[]).await.code, 2);
     assert_eq!(cli("--help", None, &[]).await.code, 0);
     let ran = cli("history", None, &[]).await;
-    assert_eq!(
-        (ran.code, ran.stderr.as_str()),
-        (2, "`--log URL` is needed\n")
-    );
+    assert_eq!((ran.code, ran.stderr.as_str()), (2, "`--log URL` is needed\n"));
 }
 
 /// Guards against settings that are ignored or whose faults are found one at a time.
@@ -442,11 +392,7 @@
     let verdict = json!({"verdict": "accepted", "version": {"generation": 1, "offset": 2}});
     assert_eq!((ran.code, &found["verdict"]), (0, &verdict));
     let ran = cli("history --output text", Some(&log), &[]).await;
-    assert!(
-        ran.stdout.contains("2       new-id     ana "),
-        "{}",
-        ran.stdout
-    );
+    assert!(ran.stdout.contains("2       new-id     ana "), "{}", ran.stdout);
     let text = "{\n  \"daemons\": [1],\n  \"logs\": \"x\",\n  \"output\": \"xml\"\n}\n";
     let bad = file("bad.jsonc", text);
     let ran = cli(&format!("status --settings {bad}"), None, &[]).await;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -43,11 +43,7 @@
 
 impl FakeLog {
     pub fn new() -> Self {
-        let streams = Streams {
-            generation: 1,
-            first: 1,
-            ..Streams::default()
-        };
+        let streams = Streams { generation: 1, first: 1, ..Streams::default() };
         Self(Rc::new(RefCell::new(streams)))
     }
 
@@ -59,11 +55,7 @@
     }
 
     pub fn len(&self) -> u64 {
-        self.0
-            .borrow()
-            .records
-            .get("config")
-            .map_or(0, |records| records.len() as u64)
+        self.0.borrow().records.get("config").map_or(0, |records| records.len() as u64)
     }
 }
 
@@ -102,28 +94,13 @@
         let first = if stream == "config" { streams.first } else { 1 };
         let next = records.len() as u64 + 1;
         if from < first {
-            return Ok(ReadAnswer::Expired(Retained {
-                generation,
-                first,
-                next,
-            }));
+            return Ok(ReadAnswer::Expired(Retained { generation, first, next }));
         }
-        let wanted = (1..)
-            .zip(records)
-            .filter(|(offset, _)| *offset >= from)
-            .take(limit);
-        let record = |(offset, data): (u64, &String)| LogRecord {
-            offset,
-            time_ms: 0,
-            data: data.clone(),
-        };
+        let wanted = (1..).zip(records).filter(|(offset, _)| *offset >= from).take(limit);
+        let record =
+            |(offset, data): (u64, &String)| LogRecord { offset, time_ms: 0, data: data.clone() };
         let records = wanted.map(record).collect();
-        Ok(ReadAnswer::Page(ReadPage {
-            generation,
-            first,
-            next,
-            records,
-        }))
+        Ok(ReadAnswer::Page(ReadPage { generation, first, next, records }))
     }
 }
 
@@ -159,11 +136,7 @@
         self.up()?;
         let mut looks = self.looks.borrow_mut();
         let last = looks.len() == 1;
-        let look = if last {
-            looks.front().cloned()
-        } else {
-            looks.pop_front()
-        };
+        let look = if last { looks.front().cloned() } else { looks.pop_front() };
         look.ok_or_else(|| eyre!("no look is set"))
     }
 
@@ -173,10 +146,7 @@
 
     async fn members(&self) -> Result<Vec<MemberDoc>> {
         self.up()?;
-        Ok(vec![
-            member("b-w1", "hobart-b", "suspect"),
-            member("a-w1", "hobart-a", "ready"),
-        ])
+        Ok(vec![member("b-w1", "hobart-b", "suspect"), member("a-w1", "hobart-a", "ready")])
     }
 
     async fn explain(&self, query: &ExplainQuery) -> Result<ExplainDoc> {
@@ -232,18 +202,9 @@
             pause: Duration::ZERO,
         })
     });
-    let Printed {
-        code,
-        stdout,
-        stderr,
-    } = printed.await;
+    let Printed { code, stdout, stderr } = printed.await;
     let progress = lines.borrow().clone();
-    Ran {
-        code,
-        stdout,
-        stderr,
-        progress,
-    }
+    Ran { code, stdout, stderr, progress }
 }
 
 /// Text of a change set.
--- a/crates/client/src/operator/mod.rs
+++ b/crates/client/src/operator/mod.rs
@@ -98,11 +98,8 @@
     /// The daemon cannot be reached, or answers with an error.
     pub async fn explain(&self, query: &ExplainQuery) -> Result<ExplainDoc> {
         let mut path = format!("/explain?path={}", percent_encode(&query.path));
-        for (name, value) in [
-            ("method", &query.method),
-            ("host", &query.host),
-            ("key", &query.key),
-        ] {
+        for (name, value) in [("method", &query.method), ("host", &query.host), ("key", &query.key)]
+        {
             if let Some(value) = value {
                 path.push_str(&format!("&{name}={}", percent_encode(value)));
             }
@@ -116,12 +113,6 @@
 pub fn percent_encode(text: &str) -> String {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.' | b'_' | b'~' | b'/');
     text.bytes()
-        .map(|b| {
-            if plain(b) {
-                char::from(b).to_string()
-            } else {
-                format!("%{b:02X}")
-            }
-        })
+        .map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") })
         .collect()
 }
--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -71,11 +71,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(15))
             .build(connector);
-        Self {
-            inner,
-            name: None,
-            token: None,
-        }
+        Self { inner, name: None, token: None }
     }
 
     /// Sends `name` in the `x-client` header of each request.
@@ -105,9 +101,8 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Reply> {
-        let target: Uri = uri
-            .parse()
-            .wrap_err_with(|| format!("failed to parse the address `{uri}`"))?;
+        let target: Uri =
+            uri.parse().wrap_err_with(|| format!("failed to parse the address `{uri}`"))?;
         let mut req = Request::builder().method(method).uri(target);
         if let Some(name) = &self.name {
             req = req.header("x-client", name);
@@ -115,17 +110,12 @@
         if let Some(token) = &self.token {
             req = req.header(http::header::AUTHORIZATION, format!("Bearer {token}"));
         }
-        let req = req
-            .body(Full::new(body))
-            .wrap_err("failed to build a request")?;
+        let req = req.body(Full::new(body)).wrap_err("failed to build a request")?;
         let exchange = async {
             let res = self.inner.request(req).await?;
             let (parts, body) = res.into_parts();
             match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-                Ok(body) => Ok(Reply {
-                    status: parts.status,
-                    body: body.to_bytes(),
-                }),
+                Ok(body) => Ok(Reply { status: parts.status, body: body.to_bytes() }),
                 Err(e) if e.is::<LengthLimitError>() => Err(AnswerTooLarge.into()),
                 Err(e) => bail!("failed to read the answer: {e}"),
             }
--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -34,11 +34,7 @@
     /// What the caller says about earlier attempts.
     #[must_use]
     pub fn attempt(&self) -> Attempt {
-        if self.first {
-            Attempt::First
-        } else {
-            Attempt::MayRepeat
-        }
+        if self.first { Attempt::First } else { Attempt::MayRepeat }
     }
 }
 
@@ -131,11 +127,7 @@
 
 fn from_header<T: DeserializeOwned>(value: &HeaderValue) -> Result<T, DecodeHeadError> {
     let fault = |detail: &str| DecodeHeadError(detail.to_owned());
-    let digit = |b: u8| {
-        char::from(b)
-            .to_digit(16)
-            .and_then(|d| u8::try_from(d).ok())
-    };
+    let digit = |b: u8| char::from(b).to_digit(16).and_then(|d| u8::try_from(d).ok());
     let text = value.as_bytes();
     if !text.len().is_multiple_of(2) {
         return Err(fault("odd length"));
--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -96,11 +96,7 @@
         Self {
             generation: batch.generation,
             first: batch.first,
-            entries: batch
-                .entries
-                .iter()
-                .map(|entry| String::from(&**entry))
-                .collect(),
+            entries: batch.entries.iter().map(|entry| String::from(&**entry)).collect(),
         }
     }
 }
--- a/crates/client/src/wire/gossip.rs
+++ b/crates/client/src/wire/gossip.rs
@@ -82,69 +82,29 @@
 
 impl From<Probe> for ProbeWire {
     fn from(probe: Probe) -> Self {
-        let Probe {
-            number,
-            from,
-            digest,
-            updates,
-        } = probe;
-        Self {
-            number,
-            from: from.into(),
-            digest,
-            updates: to_wire(updates),
-        }
+        let Probe { number, from, digest, updates } = probe;
+        Self { number, from: from.into(), digest, updates: to_wire(updates) }
     }
 }
 
 impl From<ProbeWire> for Probe {
     fn from(probe: ProbeWire) -> Self {
-        let ProbeWire {
-            number,
-            from,
-            digest,
-            updates,
-        } = probe;
-        Self {
-            number,
-            from: from.into(),
-            digest,
-            updates: from_wire(updates),
-        }
+        let ProbeWire { number, from, digest, updates } = probe;
+        Self { number, from: from.into(), digest, updates: from_wire(updates) }
     }
 }
 
 impl From<Ack> for ProbeWire {
     fn from(ack: Ack) -> Self {
-        let Ack {
-            number,
-            from,
-            digest,
-            updates,
-        } = ack;
-        Self {
-            number,
-            from: from.into(),
-            digest,
-            updates: to_wire(updates),
-        }
+        let Ack { number, from, digest, updates } = ack;
+        Self { number, from: from.into(), digest, updates: to_wire(updates) }
     }
 }
 
 impl From<ProbeWire> for Ack {
     fn from(ack: ProbeWire) -> Self {
-        let ProbeWire {
-            number,
-            from,
-            digest,
-            updates,
-        } = ack;
-        Self {
-            number,
-            from: from.into(),
-            digest,
-            updates: from_wire(updates),
-        }
+        let ProbeWire { number, from, digest, updates } = ack;
+        Self { number, from: from.into(), digest, updates: from_wire(updates) }
     }
 }
 
@@ -195,51 +155,27 @@
 
 impl From<ProbeRequest> for GossipWire {
     fn from(request: ProbeRequest) -> Self {
-        let ProbeRequest {
-            number,
-            from,
-            target,
-            target_addr,
-        } = request;
-        Self::ProbeRequest {
-            number,
-            from: from.into(),
-            target,
-            target_addr,
-        }
+        let ProbeRequest { number, from, target, target_addr } = request;
+        Self::ProbeRequest { number, from: from.into(), target, target_addr }
     }
 }
 
 impl From<ProbeAnswer> for GossipWire {
     fn from(answer: ProbeAnswer) -> Self {
-        Self::ProbeAnswer {
-            number: answer.number,
-            target: answer.target.map(Into::into),
-        }
+        Self::ProbeAnswer { number: answer.number, target: answer.target.map(Into::into) }
     }
 }
 
 impl From<SyncRequest> for GossipWire {
     fn from(request: SyncRequest) -> Self {
-        Self::SyncRequest {
-            from: request.from.into(),
-            filter: request.filter,
-        }
+        Self::SyncRequest { from: request.from.into(), filter: request.filter }
     }
 }
 
 impl From<Delta> for GossipWire {
     fn from(delta: Delta) -> Self {
-        let Delta {
-            from,
-            updates,
-            filter,
-        } = delta;
-        Self::Delta {
-            from: from.into(),
-            updates: to_wire(updates),
-            filter,
-        }
+        let Delta { from, updates, filter } = delta;
+        Self::Delta { from: from.into(), updates: to_wire(updates), filter }
     }
 }
 
@@ -254,35 +190,19 @@
         match message {
             GossipWire::Probe(probe) => Self::Probe(probe.into()),
             GossipWire::Ack(ack) => Self::Ack(ack.into()),
-            GossipWire::ProbeRequest {
-                number,
-                from,
-                target,
-                target_addr,
-            } => Self::ProbeRequest(ProbeRequest {
-                number,
-                from: from.into(),
-                target,
-                target_addr,
-            }),
-            GossipWire::ProbeAnswer { number, target } => Self::ProbeAnswer(ProbeAnswer {
-                number,
-                target: target.map(Into::into),
-            }),
+            GossipWire::ProbeRequest { number, from, target, target_addr } => {
+                Self::ProbeRequest(ProbeRequest { number, from: from.into(), target, target_addr })
+            }
+            GossipWire::ProbeAnswer { number, target } => {
+                Self::ProbeAnswer(ProbeAnswer { number, target: target.map(Into::into) })
+            }
             GossipWire::Push(updates) => Self::Pushed(from_wire(updates)),
-            GossipWire::SyncRequest { from, filter } => Self::SyncRequest(SyncRequest {
-                from: from.into(),
-                filter,
-            }),
-            GossipWire::Delta {
-                from,
-                updates,
-                filter,
-            } => Self::Delta(Delta {
-                from: from.into(),
-                updates: from_wire(updates),
-                filter,
-            }),
+            GossipWire::SyncRequest { from, filter } => {
+                Self::SyncRequest(SyncRequest { from: from.into(), filter })
+            }
+            GossipWire::Delta { from, updates, filter } => {
+                Self::Delta(Delta { from: from.into(), updates: from_wire(updates), filter })
+            }
         }
     }
 }
--- a/crates/core/examples/owner_lookup.rs
+++ b/crates/core/examples/owner_lookup.rs
@@ -31,9 +31,8 @@
 
 fn main() {
     let registry = registry();
-    let keys: Vec<String> = (0..1024)
-        .map(|n| format!("01931f2e-{n:04x}-7000-8000-0123456789ab"))
-        .collect();
+    let keys: Vec<String> =
+        (0..1024).map(|n| format!("01931f2e-{n:04x}-7000-8000-0123456789ab")).collect();
     let round = || {
         let start = Instant::now();
         for key in keys.iter().cycle().take(LOOKUPS as usize) {
--- a/crates/core/src/admission/builder.rs
+++ b/crates/core/src/admission/builder.rs
@@ -14,13 +14,7 @@
 
 impl Default for AdmissionBuilder {
     fn default() -> Self {
-        Self {
-            slots: 1,
-            queue_len: 32,
-            bulk_share: 0.5,
-            class_aware: true,
-            learn_bulk: true,
-        }
+        Self { slots: 1, queue_len: 32, bulk_share: 0.5, class_aware: true, learn_bulk: true }
     }
 }
 
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -72,8 +72,7 @@
 
     /// Takes all requests whose deadline has passed.
     pub fn take_expired(&mut self, now: Duration) -> impl Iterator<Item = Waiting> {
-        self.waiting
-            .extract_if(.., move |item| item.deadline <= now)
+        self.waiting.extract_if(.., move |item| item.deadline <= now)
     }
 
     pub fn take_all(&mut self) -> std::vec::Drain<'_, Waiting> {
--- a/crates/core/src/admission/routes.rs
+++ b/crates/core/src/admission/routes.rs
@@ -24,11 +24,7 @@
 impl RunTime {
     pub fn observe(&mut self, time: Duration) {
         let secs = time.as_secs_f64();
-        self.secs = if self.runs == 0 {
-            secs
-        } else {
-            self.secs + SMOOTHING * (secs - self.secs)
-        };
+        self.secs = if self.runs == 0 { secs } else { self.secs + SMOOTHING * (secs - self.secs) };
         self.runs = self.runs.saturating_add(1);
     }
 
@@ -78,11 +74,7 @@
     }
 
     fn make_room(&mut self) -> usize {
-        let oldest = self
-            .states
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, s)| s.last_used);
+        let oldest = self.states.iter().enumerate().min_by_key(|(_, s)| s.last_used);
         let index = oldest.map_or(0, |(index, _)| index);
         self.by_name.retain(|_, other| *other != index);
         self.states[index] = RouteState::default();
@@ -106,8 +98,7 @@
     fn compare(&mut self) {
         let known = |s: &&RouteState| s.run_time.runs >= MIN_RUNS;
         self.scratch.clear();
-        self.scratch
-            .extend(self.states.iter().filter(known).map(|s| s.run_time.secs));
+        self.scratch.extend(self.states.iter().filter(known).map(|s| s.run_time.secs));
         if self.scratch.is_empty() {
             return;
         }
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -134,10 +134,7 @@
     /// Requests that run and that wait.
     #[must_use]
     pub fn load(&self) -> LoadReport {
-        LoadReport {
-            running: self.running.len() as u32,
-            queued: self.queue.len() as u32,
-        }
+        LoadReport { running: self.running.len() as u32, queued: self.queue.len() as u32 }
     }
 
     /// Slots at present.
@@ -258,9 +255,7 @@
         loop {
             let slot = self.may_start(false);
             let bulk_slot = self.may_start(true);
-            let next = self
-                .queue
-                .pop_first(|item| slot && (bulk_slot || !item.bulk));
+            let next = self.queue.pop_first(|item| slot && (bulk_slot || !item.bulk));
             let Some(item) = next else { break };
             self.start(&item, now);
             actions.push(Action::Start(item.id));
@@ -272,9 +267,7 @@
     fn estimated_wait(&self, item: &Waiting) -> Duration {
         let ahead = self.queue.ahead_of(item);
         let running = self.running.iter().map(|running| running.class);
-        let mut secs = self
-            .run_times
-            .wait_secs(running, ahead.iter(), self.cfg.slots);
+        let mut secs = self.run_times.wait_secs(running, ahead.iter(), self.cfg.slots);
         if item.bulk {
             let running = self.running.iter().filter(|running| running.bulk);
             let behind_bulk = self.run_times.wait_secs(
@@ -306,16 +299,9 @@
 }
 
 fn refuse(kind: ErrorKind, estimate: Duration) -> Decision {
-    Decision::Refuse {
-        kind,
-        retry_after: bounded(kind, estimate),
-    }
+    Decision::Refuse { kind, retry_after: bounded(kind, estimate) }
 }
 
 fn refusal(item: &Waiting, kind: ErrorKind, retry_after: Duration) -> Action {
-    Action::Refuse {
-        id: item.id,
-        kind,
-        retry_after,
-    }
+    Action::Refuse { id: item.id, kind, retry_after }
 }
--- a/crates/core/src/admission/wait.rs
+++ b/crates/core/src/admission/wait.rs
@@ -28,14 +28,9 @@
         ahead: impl Iterator<Item = &'a Waiting>,
         lanes: u32,
     ) -> f64 {
-        let (count, total) = running.fold((0_u32, 0.0), |(count, total), class| {
-            (count + 1, total + self.secs(class))
-        });
-        let residual = if count == 0 {
-            0.0
-        } else {
-            total / f64::from(count)
-        };
+        let (count, total) = running
+            .fold((0_u32, 0.0), |(count, total), class| (count + 1, total + self.secs(class)));
+        let residual = if count == 0 { 0.0 } else { total / f64::from(count) };
         let queued: f64 = ahead.map(|item| self.secs(item.class)).sum();
         (residual + queued) / f64::from(lanes.max(1))
     }
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -72,13 +72,9 @@
             let found = self.states[..known]
                 .binary_search_by(|state| (*state.name).cmp(endpoint.name.as_str()));
             match found {
-                Ok(index) => refresh(
-                    &mut self.states[index],
-                    endpoint,
-                    data_centre,
-                    was_present[index],
-                    now,
-                ),
+                Ok(index) => {
+                    refresh(&mut self.states[index], endpoint, data_centre, was_present[index], now)
+                }
                 Err(_) => self.states.push(State::new(endpoint, data_centre, now)),
             }
         }
@@ -104,11 +100,7 @@
         self.collect_candidates(now, exclude);
         let (first, second) = self.draw_two(now, random)?;
         let score = |index: usize| self.states[index].score(now, &self.cfg);
-        let index = if first != second && score(second) < score(first) {
-            second
-        } else {
-            first
-        };
+        let index = if first != second && score(second) < score(first) { second } else { first };
         Some(Arc::clone(&self.states[index].name))
     }
 
@@ -167,35 +159,29 @@
     /// Whether the endpoint is present in the own data centre.
     #[must_use]
     pub fn local(&self, name: &str) -> bool {
-        self.find(name)
-            .is_some_and(|index| self.states[index].present && self.states[index].local)
+        self.find(name).is_some_and(|index| self.states[index].present && self.states[index].local)
     }
 
     /// Whether the endpoint is ejected.
     #[must_use]
     pub fn ejected(&self, name: &str, now: Duration) -> bool {
-        self.find(name)
-            .is_some_and(|index| self.states[index].is_ejected(now))
+        self.find(name).is_some_and(|index| self.states[index].is_ejected(now))
     }
 
     /// Calls to the endpoint without a response yet.
     #[must_use]
     pub fn outstanding(&self, name: &str) -> u32 {
-        self.find(name)
-            .map_or(0, |index| self.states[index].outstanding)
+        self.find(name).map_or(0, |index| self.states[index].outstanding)
     }
 
     /// Slowness of the endpoint at present, discounted by the age of its last answer.
     #[must_use]
     pub fn slowness(&self, name: &str, now: Duration) -> f64 {
-        self.find(name)
-            .map_or(1.0, |index| self.states[index].slowness(now))
+        self.find(name).map_or(1.0, |index| self.states[index].slowness(now))
     }
 
     fn find(&self, name: &str) -> Option<usize> {
-        self.states
-            .binary_search_by(|state| (*state.name).cmp(name))
-            .ok()
+        self.states.binary_search_by(|state| (*state.name).cmp(name)).ok()
     }
 
     /// Fills `candidates`: own data centre first, then others, then ejected endpoints.
@@ -259,11 +245,7 @@
         }
         let mut second = self.draw(&mut bits, now);
         if second == first {
-            let at = self
-                .candidates
-                .iter()
-                .position(|&c| c == first)
-                .unwrap_or(0) as u64;
+            let at = self.candidates.iter().position(|&c| c == first).unwrap_or(0) as u64;
             let other = (at + 1 + bits.below(len - 1)) % len;
             second = self.candidates[other as usize];
         }
--- a/crates/core/src/balance/endpoint.rs
+++ b/crates/core/src/balance/endpoint.rs
@@ -170,9 +170,7 @@
             return 1.0;
         }
         let age = now.saturating_sub(self.latency.answered_at);
-        (ln * halved(age, SLOWNESS_HALF_LIFE))
-            .exp()
-            .max(MIN_SLOWNESS)
+        (ln * halved(age, SLOWNESS_HALF_LIFE)).exp().max(MIN_SLOWNESS)
     }
 
     /// Score; lower is better. The call to be sent counts too, as otherwise the score of an idle
--- a/crates/core/src/balance/outlier.rs
+++ b/crates/core/src/balance/outlier.rs
@@ -76,17 +76,12 @@
     /// The lower median: when half of the members are slow, the fast half is the standard.
     fn median(&mut self) -> f64 {
         let middle = (self.latencies.len() - 1) / 2;
-        *self
-            .latencies
-            .select_nth_unstable_by(middle, f64::total_cmp)
-            .1
+        *self.latencies.select_nth_unstable_by(middle, f64::total_cmp).1
     }
 }
 
 fn measured(states: &[State]) -> impl Iterator<Item = &State> {
-    states
-        .iter()
-        .filter(|state| state.present && state.latency.ln.is_some())
+    states.iter().filter(|state| state.present && state.latency.ln.is_some())
 }
 
 /// Smoothed latency in seconds without the additional distance of the endpoint's data centre.
@@ -128,10 +123,7 @@
 }
 
 fn eject(state: &mut State, now: Duration, cfg: &BalancerBuilder) {
-    let time = cfg
-        .eject_min
-        .saturating_mul(1 << state.ejection.level.min(20))
-        .min(cfg.eject_max);
+    let time = cfg.eject_min.saturating_mul(1 << state.ejection.level.min(20)).min(cfg.eject_max);
     state.ejection.until = now + time;
     state.ejection.level += 1;
     state.ejection.over = 0;
@@ -150,10 +142,7 @@
 }
 
 fn ejected(states: &[State], now: Duration) -> usize {
-    states
-        .iter()
-        .filter(|s| s.present && s.enabled && s.is_ejected(now))
-        .count()
+    states.iter().filter(|s| s.present && s.enabled && s.is_ejected(now)).count()
 }
 
 fn has_room(states: &[State], now: Duration, cfg: &BalancerBuilder) -> bool {
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -60,10 +60,7 @@
 impl ChangeSet {
     /// Keys of all records that the change set writes or removes.
     pub fn touched(&self) -> impl Iterator<Item = &RecordKey> {
-        self.upserts
-            .iter()
-            .map(|upsert| &upsert.key)
-            .chain(&self.deletes)
+        self.upserts.iter().map(|upsert| &upsert.key).chain(&self.deletes)
     }
 }
 
@@ -126,9 +123,7 @@
         struct Tag {
             r#type: String,
         }
-        let malformed = |e: serde_json::Error| ParseEntryError::Malformed {
-            detail: e.to_string(),
-        };
+        let malformed = |e: serde_json::Error| ParseEntryError::Malformed { detail: e.to_string() };
         let tag: Tag = serde_json::from_str(data).map_err(malformed)?;
         match tag.r#type.as_str() {
             "change_set" | "raise_level" => serde_json::from_str(data).map_err(malformed),
@@ -230,40 +225,23 @@
                 write!(f, "too large: {found} {what}, at most {limit}")
             }
             Self::BadName { key } => write!(f, "bad name: {key}"),
-            Self::Conflict {
-                key,
-                expected,
-                found,
-            } => write!(
+            Self::Conflict { key, expected, found } => write!(
                 f,
                 "conflict: {key} is at {}, expected {}",
                 revision(found),
                 revision(expected)
             ),
             Self::DanglingReference { from, to, level } => {
-                write!(
-                    f,
-                    "dangling reference: {from} points at absent {to} at schema {level}"
-                )
+                write!(f, "dangling reference: {from} points at absent {to} at schema {level}")
             }
-            Self::UnreadableForm {
-                key,
-                schema,
-                detail,
-            } => {
+            Self::UnreadableForm { key, schema, detail } => {
                 write!(f, "unreadable form: {key} schema {schema}: {detail}")
             }
             Self::NoBaseForm { key, level } => {
-                write!(
-                    f,
-                    "no base form: {key} has no form at or below schema {level}"
-                )
+                write!(f, "no base form: {key} has no form at or below schema {level}")
             }
             Self::Level { asked, current } => {
-                write!(
-                    f,
-                    "level: {asked} does not follow the current level {current}"
-                )
+                write!(f, "level: {asked} does not follow the current level {current}")
             }
         }
     }
--- a/crates/core/src/config/compiled.rs
+++ b/crates/core/src/config/compiled.rs
@@ -42,10 +42,7 @@
     /// Builds the view for a reader that understands schema versions up to `max_schema`.
     #[must_use]
     pub fn new(state: &ConfigState, max_schema: SchemaVersion) -> Self {
-        let mut view = Self {
-            version: state.version(),
-            ..Self::default()
-        };
+        let mut view = Self { version: state.version(), ..Self::default() };
         for (key, record) in state.records() {
             for (schema, form) in record.forms.range(..=max_schema).rev() {
                 match Spec::read(key, *schema, form) {
@@ -65,20 +62,14 @@
                     route.spec.method.is_some(),
                 )
             };
-            specificity(b)
-                .cmp(&specificity(a))
-                .then_with(|| a.name.cmp(&b.name))
+            specificity(b).cmp(&specificity(a)).then_with(|| a.name.cmp(&b.name))
         });
         view
     }
 
     fn insert(&mut self, key: &RecordKey, schema: SchemaVersion, spec: Spec) {
         match spec {
-            Spec::Route(spec) => self.routes.push(Route {
-                name: key.name.clone(),
-                schema,
-                spec,
-            }),
+            Spec::Route(spec) => self.routes.push(Route { name: key.name.clone(), schema, spec }),
             Spec::Service(spec) => {
                 self.services.insert(key.name.clone(), spec);
             }
@@ -97,10 +88,7 @@
                 .map(|service| (RecordKey::new(Kind::Route, route.name.clone()), service))
         });
         let servers = self.backend_servers.iter().map(|(name, policy)| {
-            (
-                RecordKey::new(Kind::BackendServer, name.clone()),
-                &policy.service,
-            )
+            (RecordKey::new(Kind::BackendServer, name.clone()), &policy.service)
         });
         routes
             .chain(servers)
--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -49,10 +49,7 @@
 impl RecordKey {
     /// Makes a key; the name is checked by [`RecordKey::is_valid`].
     pub fn new(kind: Kind, name: impl Into<String>) -> Self {
-        Self {
-            kind,
-            name: name.into(),
-        }
+        Self { kind, name: name.into() }
     }
 
     /// The key with at most the longest allowed name, for reports on names that break the rules.
@@ -68,9 +65,7 @@
         let plain = |b: &u8| b.is_ascii_lowercase() || b.is_ascii_digit();
         bytes.len() <= MAX_NAME_BYTES
             && bytes.first().is_some_and(plain)
-            && bytes
-                .iter()
-                .all(|b| plain(b) || matches!(b, b'.' | b'_' | b'-'))
+            && bytes.iter().all(|b| plain(b) || matches!(b, b'.' | b'_' | b'-'))
     }
 }
 
@@ -86,11 +81,7 @@
 
 impl fmt::Display for ParseKeyError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "`{}` is not `route/NAME`, `service/NAME` or `backend_server/NAME`",
-            self.0
-        )
+        write!(f, "`{}` is not `route/NAME`, `service/NAME` or `backend_server/NAME`", self.0)
     }
 }
 
@@ -148,10 +139,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (generation, offset) = text.split_once('.').unwrap_or((text, ""));
-        Ok(Self {
-            generation: generation.parse()?,
-            offset: offset.parse()?,
-        })
+        Ok(Self { generation: generation.parse()?, offset: offset.parse()? })
     }
 }
 
@@ -184,9 +172,6 @@
     /// Newest form at or below `level`.
     #[must_use]
     pub fn form_at(&self, level: SchemaVersion) -> Option<(SchemaVersion, &Form)> {
-        self.forms
-            .range(..=level)
-            .next_back()
-            .map(|(schema, form)| (*schema, form))
+        self.forms.range(..=level).next_back().map(|(schema, form)| (*schema, form))
     }
 }
--- a/crates/core/src/config/references.rs
+++ b/crates/core/src/config/references.rs
@@ -113,11 +113,6 @@
 
 /// Checks the references of all records.
 pub(super) fn check_all(records: &Records) -> Result<(), Rejection> {
-    let overlay = Overlay {
-        records,
-        touched: BTreeMap::new(),
-    };
-    records
-        .iter()
-        .try_for_each(|(from, record)| overlay.check_refs(from, &record.forms, |_| true))
+    let overlay = Overlay { records, touched: BTreeMap::new() };
+    records.iter().try_for_each(|(from, record)| overlay.check_refs(from, &record.forms, |_| true))
 }
--- a/crates/core/src/config/snapshot.rs
+++ b/crates/core/src/config/snapshot.rs
@@ -92,26 +92,15 @@
             Self::Beyond { level, max_schema } => {
                 write!(f, "schema level {level} is above {max_schema}")
             }
-            Self::Differs {
-                version,
-                own,
-                found,
-            } => write!(f, "digest {found} differs from own {own} at {version}"),
-            Self::NotAsNew {
-                own,
-                continued: Some(continued),
-            } => write!(
-                f,
-                "the new generation continues {continued}, which is before own {own}"
-            ),
-            Self::NotAsNew {
-                own,
-                continued: None,
-            } => write!(
-                f,
-                "the new generation does not continue own generation {}",
-                own.generation
-            ),
+            Self::Differs { version, own, found } => {
+                write!(f, "digest {found} differs from own {own} at {version}")
+            }
+            Self::NotAsNew { own, continued: Some(continued) } => {
+                write!(f, "the new generation continues {continued}, which is before own {own}")
+            }
+            Self::NotAsNew { own, continued: None } => {
+                write!(f, "the new generation does not continue own generation {}", own.generation)
+            }
         }
     }
 }
@@ -128,10 +117,7 @@
     /// Text for the stream of snapshots: the canonical JSON together with its digest.
     #[must_use]
     pub fn seal(&self) -> String {
-        let sealed = Sealed {
-            digest: self.digest(),
-            snapshot: self.clone(),
-        };
+        let sealed = Sealed { digest: self.digest(), snapshot: self.clone() };
         serde_json::to_string(&sealed).expect("a snapshot has only text keys")
     }
 
@@ -162,10 +148,7 @@
         if next.lineage.len() > MAX_LINEAGE {
             next.lineage.remove(0);
         }
-        next.version = Version {
-            generation,
-            offset: 0,
-        };
+        next.version = Version { generation, offset: 0 };
         next
     }
 }
@@ -230,10 +213,6 @@
     }
 
     fn differs(&self, own: &Digest, snapshot: &Snapshot) -> SnapshotError {
-        SnapshotError::Differs {
-            version: self.version(),
-            own: *own,
-            found: snapshot.digest(),
-        }
+        SnapshotError::Differs { version: self.version(), own: *own, found: snapshot.digest() }
     }
 }
--- a/crates/core/src/config/spec.rs
+++ b/crates/core/src/config/spec.rs
@@ -199,11 +199,7 @@
 
 impl From<RouteV1> for RouteSpec {
     fn from(route: RouteV1) -> Self {
-        let class = if route.idempotent {
-            Class::Lookup
-        } else {
-            Class::Command
-        };
+        let class = if route.idempotent { Class::Lookup } else { Class::Command };
         Self {
             host: None,
             path_prefix: route.path_prefix,
@@ -256,26 +252,15 @@
 
 impl From<BackendServerV1> for BackendServerPolicy {
     fn from(server: BackendServerV1) -> Self {
-        let state = if server.enabled {
-            BackendServerState::Enabled
-        } else {
-            BackendServerState::Disabled
-        };
-        Self {
-            service: server.service,
-            state,
-            max_slots: None,
-        }
+        let state =
+            if server.enabled { BackendServerState::Enabled } else { BackendServerState::Disabled };
+        Self { service: server.service, state, max_slots: None }
     }
 }
 
 impl From<BackendServerV2> for BackendServerPolicy {
     fn from(server: BackendServerV2) -> Self {
-        Self {
-            service: server.service,
-            state: server.state,
-            max_slots: server.max_slots,
-        }
+        Self { service: server.service, state: server.state, max_slots: server.max_slots }
     }
 }
 
@@ -289,9 +274,7 @@
     fn check(&self) -> Result<(), SpecError> {
         let visible = |text: &str| text.bytes().all(|b| b.is_ascii_graphic());
         let path = &self.path_prefix;
-        require(path.starts_with('/'), || {
-            "`path_prefix` does not start with `/`".to_owned()
-        })?;
+        require(path.starts_with('/'), || "`path_prefix` does not start with `/`".to_owned())?;
         require(visible(path) && !path.contains(['?', '#']), || {
             "`path_prefix` has characters that a path cannot have".to_owned()
         })?;
@@ -306,9 +289,7 @@
         require((1..=MAX_TIMEOUT_MS).contains(&self.timeout_ms), || {
             format!("`timeout_ms` is not between 1 and {MAX_TIMEOUT_MS}")
         })?;
-        require(self.retries <= MAX_RETRIES, || {
-            format!("`retries` is above {MAX_RETRIES}")
-        })?;
+        require(self.retries <= MAX_RETRIES, || format!("`retries` is above {MAX_RETRIES}"))?;
         require(!self.hedge || self.is_idempotent(), || {
             "`hedge` needs class `lookup` or `check`".to_owned()
         })
@@ -317,9 +298,7 @@
 
 impl ServiceSpec {
     fn check(&self) -> Result<(), SpecError> {
-        require(self.queue <= MAX_QUEUE, || {
-            format!("`queue` is above {MAX_QUEUE}")
-        })?;
+        require(self.queue <= MAX_QUEUE, || format!("`queue` is above {MAX_QUEUE}"))?;
         require(self.bulk_share > 0.0 && self.bulk_share <= 1.0, || {
             "`bulk_share` is not above 0 and at most 1".to_owned()
         })?;
@@ -330,11 +309,7 @@
 }
 
 fn require(holds: bool, fault: impl FnOnce() -> String) -> Result<(), SpecError> {
-    if holds {
-        Ok(())
-    } else {
-        Err(SpecError(fault()))
-    }
+    if holds { Ok(()) } else { Err(SpecError(fault())) }
 }
 
 impl Spec {
@@ -369,9 +344,7 @@
             (Kind::BackendServer, 1) => Self::BackendServer(get::<BackendServerV1>(body)?.into()),
             (Kind::BackendServer, 2) => Self::BackendServer(get::<BackendServerV2>(body)?.into()),
             _ => {
-                return Err(SpecError(format!(
-                    "schema {schema} is not one of 1 to {MAX_SCHEMA}"
-                )));
+                return Err(SpecError(format!("schema {schema} is not one of 1 to {MAX_SCHEMA}")));
             }
         })
     }
@@ -380,25 +353,23 @@
         match self {
             Self::Route(route) => route.check(),
             Self::Service(service) => service.check(),
-            Self::BackendServer(server) => require(server.max_slots != Some(0), || {
-                "`max_slots` is 0".to_owned()
-            }),
+            Self::BackendServer(server) => {
+                require(server.max_slots != Some(0), || "`max_slots` is 0".to_owned())
+            }
         }
     }
 
     /// Records that the body points at.
     pub fn refs(&self) -> impl Iterator<Item = RecordKey> + use<> {
         let services: Vec<&ServiceName> = match self {
-            Self::Route(route) => std::iter::once(&route.service)
-                .chain(route.fallback.as_ref())
-                .collect(),
+            Self::Route(route) => {
+                std::iter::once(&route.service).chain(route.fallback.as_ref()).collect()
+            }
             Self::Service(_) => Vec::new(),
             Self::BackendServer(server) => vec![&server.service],
         };
-        let keys: Vec<RecordKey> = services
-            .into_iter()
-            .map(|name| RecordKey::new(Kind::Service, name.clone()))
-            .collect();
+        let keys: Vec<RecordKey> =
+            services.into_iter().map(|name| RecordKey::new(Kind::Service, name.clone())).collect();
         keys.into_iter()
     }
 }
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -44,10 +44,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Gap { expected, found } => {
-                write!(
-                    f,
-                    "failed to fold offset {found}: expected offset {expected}"
-                )
+                write!(f, "failed to fold offset {found}: expected offset {expected}")
             }
             Self::Beyond { detail } => write!(f, "failed to judge an entry: {detail}"),
             Self::NewGeneration { generation } => write!(
@@ -106,10 +103,7 @@
     #[must_use]
     pub fn new(generation: u64) -> Self {
         Self {
-            version: Version {
-                generation,
-                offset: 0,
-            },
+            version: Version { generation, offset: 0 },
             level: INITIAL_LEVEL,
             lineage: Vec::new(),
             records: BTreeMap::new(),
@@ -235,10 +229,7 @@
     pub fn notice_generation(&mut self, generation: u64) {
         if generation > self.version.generation {
             self.hold = Some(Hold {
-                at: Version {
-                    generation,
-                    offset: 0,
-                },
+                at: Version { generation, offset: 0 },
                 cause: FoldError::NewGeneration { generation },
             });
         }
@@ -259,15 +250,9 @@
             return Err(hold.cause.clone());
         }
         if offset != expected {
-            return Err(FoldError::Gap {
-                expected,
-                found: offset,
-            });
+            return Err(FoldError::Gap { expected, found: offset });
         }
-        let version = Version {
-            offset,
-            ..self.version
-        };
+        let version = Version { offset, ..self.version };
         match self.judge(version, data) {
             Ok(verdict) => {
                 self.version = version;
@@ -301,9 +286,7 @@
             return Ok(rejected(reason));
         }
         if let Some(first) = self.verdict_of(entry.change_id()) {
-            return Ok(Verdict::Duplicate {
-                first: Box::new(first.clone()),
-            });
+            return Ok(Verdict::Duplicate { first: Box::new(first.clone()) });
         }
         let change_id = entry.change_id().clone();
         let verdict = match self.apply(version, entry)? {
@@ -343,10 +326,7 @@
         }
         for upsert in change.upserts {
             self.remove(&upsert.key);
-            let record = Record {
-                revision: version,
-                forms: upsert.forms,
-            };
+            let record = Record { revision: version, forms: upsert.forms };
             self.insert(upsert.key, record);
         }
         Ok(())
@@ -374,21 +354,15 @@
             };
             if *expected != found {
                 let (key, expected) = (key.clone(), *expected);
-                return Err(Rejection::Conflict {
-                    key,
-                    expected,
-                    found,
-                });
+                return Err(Rejection::Conflict { key, expected, found });
             }
         }
         Ok(())
     }
 
     fn check_size(&self, change: &ChangeSet) -> Result<(), Rejection> {
-        let present: Vec<&Record> = change
-            .touched()
-            .filter_map(|key| self.records.get(key))
-            .collect();
+        let present: Vec<&Record> =
+            change.touched().filter_map(|key| self.records.get(key)).collect();
         let freed: usize = present.iter().map(|r| forms_bytes(&r.forms)).sum();
         let added: usize = change.upserts.iter().map(|u| forms_bytes(&u.forms)).sum();
         // A change that makes the state no larger is always allowed.
@@ -405,10 +379,7 @@
         // Only the next level is possible: a release that does not know the level cannot judge the
         // entry and holds, so a mistyped level would otherwise hold every daemon for good.
         if level != self.level + 1 {
-            return Ok(Err(Rejection::Level {
-                asked: level,
-                current: self.level,
-            }));
+            return Ok(Err(Rejection::Level { asked: level, current: self.level }));
         }
         if level > self.max_schema {
             let detail = format!("schema level {level} is above {}", self.max_schema);
@@ -426,9 +397,7 @@
 
 fn check_change_id(change_id: &str) -> Result<(), Rejection> {
     if change_id.is_empty() {
-        return Err(Rejection::Malformed {
-            detail: "`change_id` is empty".to_owned(),
-        });
+        return Err(Rejection::Malformed { detail: "`change_id` is empty".to_owned() });
     }
     Bound::ChangeIdBytes.check(change_id.len())
 }
@@ -456,26 +425,17 @@
 
 fn check_form_bounds(forms: &Forms) -> Result<(), Rejection> {
     Bound::Forms.check(forms.len())?;
-    forms
-        .values()
-        .try_for_each(|form| Bound::Refs.check(form.refs.len()))
+    forms.values().try_for_each(|form| Bound::Refs.check(form.refs.len()))
 }
 
 fn check_forms(key: &RecordKey, forms: &Forms, level: SchemaVersion) -> Result<(), Rejection> {
     if forms.range(..=level).next().is_none() {
-        return Err(Rejection::NoBaseForm {
-            key: key.clone(),
-            level,
-        });
+        return Err(Rejection::NoBaseForm { key: key.clone(), level });
     }
     for (schema, form) in forms.range(..=level) {
         if let Err(e) = Spec::read(key, *schema, form) {
             let (key, schema, detail) = (key.clone(), *schema, e.to_string());
-            return Err(Rejection::UnreadableForm {
-                key,
-                schema,
-                detail,
-            });
+            return Err(Rejection::UnreadableForm { key, schema, detail });
         }
     }
     Ok(())
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -103,108 +103,31 @@
     retry_after_secs: u64,
 ) -> Answer {
     let retryable = retry_after_secs > 0;
-    let retry_after = if retryable {
-        Some(Duration::from_secs(retry_after_secs))
-    } else {
-        None
-    };
-    Answer {
-        kind,
-        name,
-        status,
-        outcome,
-        retryable,
-        retry_after,
-    }
+    let retry_after = if retryable { Some(Duration::from_secs(retry_after_secs)) } else { None };
+    Answer { kind, name, status, outcome, retryable, retry_after }
 }
 
 /// One row for each error kind, in the order of [`ErrorKind`].
 pub const TABLE: [Answer; 20] = [
-    row(
-        ErrorKind::BadRequest,
-        "bad_request",
-        400,
-        Outcome::NotRun,
-        0,
-    ),
+    row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
     row(ErrorKind::NoRoute, "no_route", 404, Outcome::NotRun, 0),
-    row(
-        ErrorKind::BodyTooLarge,
-        "body_too_large",
-        413,
-        Outcome::NotRun,
-        0,
-    ),
+    row(ErrorKind::BodyTooLarge, "body_too_large", 413, Outcome::NotRun, 0),
     row(ErrorKind::KeyReused, "key_reused", 422, Outcome::NotRun, 0),
-    row(
-        ErrorKind::HeaderTooLarge,
-        "header_too_large",
-        431,
-        Outcome::NotRun,
-        0,
-    ),
+    row(ErrorKind::HeaderTooLarge, "header_too_large", 431, Outcome::NotRun, 0),
     row(ErrorKind::NotReady, "not_ready", 503, Outcome::NotRun, 1),
     row(ErrorKind::Draining, "draining", 503, Outcome::NotRun, 1),
     row(ErrorKind::Overloaded, "overloaded", 503, Outcome::NotRun, 1),
-    row(
-        ErrorKind::DeadlineUnreachable,
-        "deadline_unreachable",
-        503,
-        Outcome::NotRun,
-        1,
-    ),
-    row(
-        ErrorKind::NoBackendServer,
-        "no_backend_server",
-        503,
-        Outcome::NotRun,
-        1,
-    ),
+    row(ErrorKind::DeadlineUnreachable, "deadline_unreachable", 503, Outcome::NotRun, 1),
+    row(ErrorKind::NoBackendServer, "no_backend_server", 503, Outcome::NotRun, 1),
     row(ErrorKind::NotOwner, "not_owner", 503, Outcome::NotRun, 2),
-    row(
-        ErrorKind::OwnerChanging,
-        "owner_changing",
-        503,
-        Outcome::Unknown,
-        2,
-    ),
-    row(
-        ErrorKind::InProgress,
-        "in_progress",
-        409,
-        Outcome::Unknown,
-        1,
-    ),
-    row(
-        ErrorKind::OutcomeUnknown,
-        "outcome_unknown",
-        502,
-        Outcome::Unknown,
-        0,
-    ),
-    row(
-        ErrorKind::AnswerNotKept,
-        "answer_not_kept",
-        410,
-        Outcome::Ran,
-        0,
-    ),
-    row(
-        ErrorKind::UpstreamLost,
-        "upstream_lost",
-        502,
-        Outcome::Unknown,
-        0,
-    ),
-    row(
-        ErrorKind::DeadlineExceeded,
-        "deadline_exceeded",
-        504,
-        Outcome::Unknown,
-        0,
-    ),
+    row(ErrorKind::OwnerChanging, "owner_changing", 503, Outcome::Unknown, 2),
+    row(ErrorKind::InProgress, "in_progress", 409, Outcome::Unknown, 1),
+    row(ErrorKind::OutcomeUnknown, "outcome_unknown", 502, Outcome::Unknown, 0),
+    row(ErrorKind::AnswerNotKept, "answer_not_kept", 410, Outcome::Ran, 0),
+    row(ErrorKind::UpstreamLost, "upstream_lost", 502, Outcome::Unknown, 0),
+    row(ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, Outcome::Unknown, 0),
     row(ErrorKind::Internal, "internal", 500, Outcome::Unknown, 0),
 ];
 
@@ -224,9 +147,6 @@
     /// Finds a kind by its name.
     #[must_use]
     pub fn from_name(name: &str) -> Option<Self> {
-        TABLE
-            .iter()
-            .find(|answer| answer.name == name)
-            .map(|answer| answer.kind)
+        TABLE.iter().find(|answer| answer.name == name).map(|answer| answer.kind)
     }
 }
--- a/crates/core/src/idempotency/decide.rs
+++ b/crates/core/src/idempotency/decide.rs
@@ -151,11 +151,7 @@
         return Ok(());
     }
     let gone = daemon.id == owner.me.id || !owner.registry.is_registered(daemon);
-    let otherwise = if gone {
-        ErrorKind::OutcomeUnknown
-    } else {
-        ErrorKind::OwnerChanging
-    };
+    let otherwise = if gone { ErrorKind::OutcomeUnknown } else { ErrorKind::OwnerChanging };
     Err(undecided(attempt, otherwise))
 }
 
@@ -199,11 +195,7 @@
             None => asked.push(from),
         }
     }
-    if asked.is_empty() {
-        Ok(())
-    } else {
-        Err(Decision::Ask(asked))
-    }
+    if asked.is_empty() { Ok(()) } else { Err(Decision::Ask(asked)) }
 }
 
 fn from_prior(known: Begin, attempt: Attempt) -> Decision {
@@ -254,11 +246,7 @@
                 margin: ISSUE_MARGIN_LEFT,
             },
         });
-    unknown
-        .map(|until| removed(None, until))
-        .into_iter()
-        .chain(known)
-        .collect()
+    unknown.map(|until| removed(None, until)).into_iter().chain(known).collect()
 }
 
 /// Refuses keys whose outcome may have been forgotten, or whose issue time cannot be right.
--- a/crates/core/src/idempotency/entry.rs
+++ b/crates/core/src/idempotency/entry.rs
@@ -46,10 +46,7 @@
             let Some(found) = registry.owner(request.service, key.as_str()) else {
                 return Route::Refuse(attempt.without_owner());
             };
-            let owner = Incarnate {
-                id: found.id.clone(),
-                incarnation: found.incarnation,
-            };
+            let owner = Incarnate { id: found.id.clone(), incarnation: found.incarnation };
             (owner, Some(found.peer_addr))
         }
     };
@@ -103,11 +100,7 @@
 /// this attempt is known not to have run.
 #[must_use]
 pub fn unreachable_owner(attempt: Attempt, sent: bool) -> ErrorKind {
-    if sent {
-        ErrorKind::UpstreamLost
-    } else {
-        attempt.without_owner()
-    }
+    if sent { ErrorKind::UpstreamLost } else { attempt.without_owner() }
 }
 
 /// Error for a keyed request that this daemon refuses with `kind` before it asks the owner.
--- a/crates/core/src/idempotency/key.rs
+++ b/crates/core/src/idempotency/key.rs
@@ -95,10 +95,7 @@
         } else {
             KeyForm::Opaque
         };
-        Ok(Self {
-            text: text.to_owned(),
-            form,
-        })
+        Ok(Self { text: text.to_owned(), form })
     }
 
     /// The key as the caller wrote it.
@@ -176,11 +173,7 @@
     let hyphen = |index: usize| matches!(index, 8 | 13 | 18 | 23);
     let well_formed = bytes.len() == UUID_BYTES
         && bytes.iter().enumerate().all(|(index, byte)| {
-            if hyphen(index) {
-                *byte == b'-'
-            } else {
-                byte.is_ascii_hexdigit()
-            }
+            if hyphen(index) { *byte == b'-' } else { byte.is_ascii_hexdigit() }
         });
     if !well_formed || bytes[14] != b'7' || !b"89abAB".contains(&bytes[19]) {
         return None;
--- a/crates/core/src/idempotency/lease.rs
+++ b/crates/core/src/idempotency/lease.rs
@@ -24,10 +24,7 @@
 
 impl Default for Fencing {
     fn default() -> Self {
-        Self {
-            lease: LEASE,
-            takeover_wait: TAKEOVER_WAIT,
-        }
+        Self { lease: LEASE, takeover_wait: TAKEOVER_WAIT }
     }
 }
 
@@ -119,8 +116,7 @@
     /// Whether the daemon has to append its `join` again.
     #[must_use]
     pub fn renewal_is_due(&self, now: Duration) -> bool {
-        self.joined_until
-            .is_none_or(|until| now + self.join_validity / 2 >= until)
+        self.joined_until.is_none_or(|until| now + self.join_validity / 2 >= until)
     }
 
     /// Ends the lease; to be called before `leave` is sent.
--- a/crates/core/src/idempotency/owner.rs
+++ b/crates/core/src/idempotency/owner.rs
@@ -96,9 +96,7 @@
         seen_at: Duration,
         now: Duration,
     ) -> Result<Folded, RegistryError> {
-        let folded = self
-            .registry
-            .fold(version.generation, version.offset, data, seen_at)?;
+        let folded = self.registry.fold(version.generation, version.offset, data, seen_at)?;
         self.lease.folded(self.registry.version());
         if matches!(folded, Folded::Changed | Folded::Unchanged)
             && self.is_own_join(data)
@@ -166,11 +164,7 @@
         reading: Reading,
         answers: &[(Incarnate, PriorAnswer)],
     ) -> Decision {
-        let owner = Owner {
-            me: &self.me,
-            registry: &self.registry,
-            lease: &self.lease,
-        };
+        let owner = Owner { me: &self.me, registry: &self.registry, lease: &self.lease };
         decide(&owner, request, reading, &mut self.table, answers)
     }
 
--- a/crates/core/src/idempotency/table.rs
+++ b/crates/core/src/idempotency/table.rs
@@ -30,11 +30,7 @@
 impl Default for Limits {
     /// 64 KB for each answer, 16 MB for all, and 65,536 entries.
     fn default() -> Self {
-        Self {
-            answer_bytes: 64 * 1024,
-            total_bytes: 16 * 1024 * 1024,
-            entries: 65_536,
-        }
+        Self { answer_bytes: 64 * 1024, total_bytes: 16 * 1024 * 1024, entries: 65_536 }
     }
 }
 
@@ -142,10 +138,7 @@
     /// Empty table.
     #[must_use]
     pub fn new(limits: Limits) -> Self {
-        Self {
-            limits,
-            ..Self::default()
-        }
+        Self { limits, ..Self::default() }
     }
 
     /// Count of keys.
@@ -169,9 +162,7 @@
     /// What is recorded for a key; `None` when nothing is.
     pub fn look_up(&mut self, key: &str, fingerprint: u128, now: Duration) -> Option<Begin> {
         self.expire(now);
-        self.entries
-            .get(key)
-            .map(|entry| entry.seen_by(fingerprint))
+        self.entries.get(key).map(|entry| entry.seen_by(fingerprint))
     }
 
     /// Records the key as running unless something is recorded for it.
@@ -182,11 +173,7 @@
         if self.entries.len() >= self.limits.entries {
             return Begin::Overloaded;
         }
-        let entry = Entry {
-            fingerprint,
-            state: State::Running,
-            expires_at: Duration::MAX,
-        };
+        let entry = Entry { fingerprint, state: State::Running, expires_at: Duration::MAX };
         self.entries.insert(Arc::from(key), entry);
         Begin::Run
     }
@@ -224,11 +211,7 @@
             Some(known) => return Some(known),
             None if self.entries.len() >= self.limits.entries => return Some(Begin::Overloaded),
             None => {
-                let entry = Entry {
-                    fingerprint,
-                    state: State::Ceded,
-                    expires_at: now,
-                };
+                let entry = Entry { fingerprint, state: State::Ceded, expires_at: now };
                 self.entries.insert(Arc::from(key), entry);
             }
         }
--- a/crates/core/src/membership/departed.rs
+++ b/crates/core/src/membership/departed.rs
@@ -38,11 +38,7 @@
         forget_at: Duration,
         propose_at: Duration,
     ) {
-        let entry = Entry {
-            departed_at,
-            forget_at,
-            propose_at,
-        };
+        let entry = Entry { departed_at, forget_at, propose_at };
         self.entries.insert(id.to_owned(), entry);
     }
 
@@ -114,8 +110,6 @@
     }
 
     pub(super) fn is_evicted(&self, id: &str, incarnation: Incarnation) -> bool {
-        self.evicted
-            .get(id)
-            .is_some_and(|seen| *seen >= incarnation)
+        self.evicted.get(id).is_some_and(|seen| *seen >= incarnation)
     }
 }
--- a/crates/core/src/membership/filter.rs
+++ b/crates/core/src/membership/filter.rs
@@ -67,11 +67,7 @@
 /// Part of a member in the digest of its table. Departed members have none, because daemons forget
 /// them at different times; a difference in that alone would start exchanges that cannot end it.
 pub(super) fn digest_part(member: &Member) -> u64 {
-    if member.is_departed() {
-        0
-    } else {
-        statement_hash(member)
-    }
+    if member.is_departed() { 0 } else { statement_hash(member) }
 }
 
 /// Service, slots and address change only together with the sequence number.
--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -93,8 +93,7 @@
             if let Some(Phase::OnBehalf { of, number }) = done.map(|o| o.phase) {
                 let target = Some(ack.from.clone());
                 let answer = ProbeAnswer { number, target };
-                step.actions
-                    .push(Action::SendProbeAnswer { to: of, answer });
+                step.actions.push(Action::SendProbeAnswer { to: of, answer });
             }
         }
         self.compare(ack.digest, &ack.from, step);
@@ -108,11 +107,7 @@
 
     fn on_probe_failed(&mut self, number: u64, step: &mut Step) {
         let waits = |phase: &Phase| !matches!(phase, Phase::Indirect { .. });
-        if self
-            .outstanding
-            .get(&number)
-            .is_some_and(|o| waits(&o.phase))
-        {
+        if self.outstanding.get(&number).is_some_and(|o| waits(&o.phase)) {
             self.probe_failed(number, step);
         }
     }
@@ -128,8 +123,7 @@
         } else {
             let target = None;
             let answer = ProbeAnswer { number, target };
-            step.actions
-                .push(Action::SendProbeAnswer { to: of, answer });
+            step.actions.push(Action::SendProbeAnswer { to: of, answer });
         }
     }
 
@@ -169,23 +163,15 @@
     }
 
     pub(super) fn is_joining(&self, now: Duration) -> bool {
-        self.started
-            .is_some_and(|at| now.saturating_sub(at) < JOINING_FOR)
+        self.started.is_some_and(|at| now.saturating_sub(at) < JOINING_FOR)
     }
 
     fn request_sync(&mut self, to: SocketAddr, step: &mut Step) {
         let joining = self.is_joining(step.now);
         let affordable = self.affords_filter(step);
-        let budget = if joining {
-            &mut self.joining_syncs
-        } else {
-            &mut self.syncs
-        };
+        let budget = if joining { &mut self.joining_syncs } else { &mut self.syncs };
         if affordable && budget.take_one(step.now) {
-            let request = SyncRequest {
-                from: self.own().clone(),
-                filter: self.filter(step),
-            };
+            let request = SyncRequest { from: self.own().clone(), filter: self.filter(step) };
             step.actions.push(Action::SendSyncRequest { to, request });
         }
     }
@@ -224,11 +210,7 @@
         if updates.is_empty() && filter.is_none() {
             return;
         }
-        let delta = Delta {
-            from: self.own().clone(),
-            updates,
-            filter,
-        };
+        let delta = Delta { from: self.own().clone(), updates, filter };
         step.actions.push(Action::SendDelta { to, delta });
     }
 
@@ -252,9 +234,7 @@
         let ids: Vec<DaemonId> = delta.updates.iter().map(|m| m.id.clone()).collect();
         self.learn_all(delta.updates, step);
         if self.is_joining(step.now) {
-            ids.iter()
-                .filter(|id| **id != self.id)
-                .for_each(|id| self.queue.remove(id));
+            ids.iter().filter(|id| **id != self.id).for_each(|id| self.queue.remove(id));
         }
         let Some(theirs) = delta.filter else {
             return;
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -138,7 +138,6 @@
 
     /// Members whose backend server belongs to `service`.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
-        self.iter()
-            .filter(move |member| member.service.as_deref() == Some(service))
+        self.iter().filter(move |member| member.service.as_deref() == Some(service))
     }
 }
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -78,9 +78,6 @@
     pub(super) fn new(now: Duration, lasting: Duration, draw: &mut Draw) -> Self {
         let sixth = lasting / 6;
         let spread = sixth * 3 * draw.below(1_000) as u32 / 1_000;
-        Self {
-            deadline: now + lasting,
-            check_at: Some(now + sixth * 2 + spread),
-        }
+        Self { deadline: now + lasting, check_at: Some(now + sixth * 2 + spread) }
     }
 }
--- a/crates/core/src/membership/queue.rs
+++ b/crates/core/src/membership/queue.rs
@@ -61,11 +61,7 @@
 
 impl Budget {
     pub(super) fn new(rate: u32) -> Self {
-        Self {
-            rate,
-            available: f64::from(rate),
-            at: Duration::ZERO,
-        }
+        Self { rate, available: f64::from(rate), at: Duration::ZERO }
     }
 
     /// Units that could be taken at `now`; negative after forced charges.
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -66,11 +66,7 @@
 
 impl Step {
     pub(super) fn new(now: Duration, random: u64) -> Self {
-        Self {
-            now,
-            draw: Draw(random),
-            actions: Vec::new(),
-        }
+        Self { now, draw: Draw(random), actions: Vec::new() }
     }
 }
 
@@ -152,9 +148,7 @@
     /// This daemon's statement about itself.
     #[must_use]
     pub fn own(&self) -> &Member {
-        self.members
-            .get(&self.id)
-            .expect("the own member is never removed")
+        self.members.get(&self.id).expect("the own member is never removed")
     }
 
     /// Lets time pass; to be called every 100 to 250 ms. A gap of more than 2 s counts as a pause of
@@ -184,12 +178,8 @@
                 _ => None,
             };
             let filter = filter.map_or(0, |filter| filter_bytes(filter.words()));
-            if !matches!(
-                action,
-                Action::StateChanged { .. } | Action::ProposeEvict { .. }
-            ) {
-                self.bytes
-                    .charge(MESSAGE_BYTES + self.statement_bytes + filter);
+            if !matches!(action, Action::StateChanged { .. } | Action::ProposeEvict { .. }) {
+                self.bytes.charge(MESSAGE_BYTES + self.statement_bytes + filter);
             }
         }
         step.actions
@@ -222,10 +212,7 @@
     }
 
     fn expire_probes(&mut self, step: &mut Step) {
-        let due = self
-            .outstanding
-            .iter()
-            .filter(|(_, o)| o.deadline <= step.now);
+        let due = self.outstanding.iter().filter(|(_, o)| o.deadline <= step.now);
         for number in due.map(|(number, _)| *number).collect::<Vec<_>>() {
             self.probe_failed(number, step);
         }
@@ -238,12 +225,8 @@
         };
         match (failed.phase, failed.target) {
             (Phase::OnBehalf { of, number }, _) => {
-                let answer = ProbeAnswer {
-                    number,
-                    target: None,
-                };
-                step.actions
-                    .push(Action::SendProbeAnswer { to: of, answer });
+                let answer = ProbeAnswer { number, target: None };
+                step.actions.push(Action::SendProbeAnswer { to: of, answer });
             }
             (Phase::Direct, Some(target)) => self.ask_others(number, &target, step),
             (Phase::Indirect { .. }, Some(target)) => self.suspect(&target, step),
@@ -315,10 +298,7 @@
     /// other updates for longer than that. In trials with 330 daemons, 5 % loss and a partition of
     /// 180 s, 4 seeds, this lowered the wrong conclusions of death from 172 to 69.
     fn check_suspects(&mut self, step: &mut Step) {
-        let due = self
-            .suspects
-            .iter()
-            .filter(|(_, s)| s.check_at.is_some_and(|at| at <= step.now));
+        let due = self.suspects.iter().filter(|(_, s)| s.check_at.is_some_and(|at| at <= step.now));
         for id in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             let target = Some(id.clone());
             let under_way = self.outstanding.values().any(|o| o.target == target);
@@ -340,11 +320,7 @@
         }
         let due = self.suspects.iter().filter(|(_, s)| s.deadline <= step.now);
         for id in due.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
-            let mut dead = self
-                .members
-                .get(&id)
-                .cloned()
-                .expect("suspects are members");
+            let mut dead = self.members.get(&id).cloned().expect("suspects are members");
             dead.state = MemberState::Dead;
             self.accept(dead, step);
         }
@@ -377,10 +353,8 @@
         if let Some(beside) = first(true) {
             return beside == self.id;
         }
-        let gone_for = self
-            .departed
-            .departed_at(&dead.id)
-            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let gone_for =
+            self.departed.departed_at(&dead.id).map_or(Duration::ZERO, |at| now.saturating_sub(at));
         gone_for >= self.settings.evict_data_centre_after && first(false) == Some(self.id.as_str())
     }
 
@@ -401,11 +375,8 @@
 
     fn probe_next(&mut self, step: &mut Step) {
         self.rounds += 1;
-        let contact_every = if self.is_joining(step.now) {
-            CONTACT_EVERY_JOINING
-        } else {
-            CONTACT_EVERY
-        };
+        let contact_every =
+            if self.is_joining(step.now) { CONTACT_EVERY_JOINING } else { CONTACT_EVERY };
         let contact_due = self.rounds.is_multiple_of(contact_every);
         if contact_due && self.probe_contact(step) {
             return;
@@ -426,11 +397,7 @@
         let id = &self.id;
         let own = self.members.get(id)?;
         let belongs = |m: &Member| m.id != *id && (m.data_centre != own.data_centre) == elsewhere;
-        let ring = if elsewhere {
-            &mut self.far
-        } else {
-            &mut self.near
-        };
+        let ring = if elsewhere { &mut self.far } else { &mut self.near };
         let next = ring.next(&self.members, belongs, &mut step.draw)?;
         Some((next.id.clone(), next.peer_addr))
     }
@@ -477,17 +444,10 @@
         let number = self.next_number;
         self.next_number += 1;
         updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
-        let probe = Probe {
-            number,
-            from: self.own().clone(),
-            digest: self.members.digest(),
-            updates,
-        };
-        let outstanding = Outstanding {
-            target,
-            phase,
-            deadline: step.now + self.settings.probe_timeout,
-        };
+        let probe =
+            Probe { number, from: self.own().clone(), digest: self.members.digest(), updates };
+        let outstanding =
+            Outstanding { target, phase, deadline: step.now + self.settings.probe_timeout };
         self.outstanding.insert(number, outstanding);
         step.actions.push(Action::SendProbe { to, probe });
     }
--- a/crates/core/src/registry/fold.rs
+++ b/crates/core/src/registry/fold.rs
@@ -48,10 +48,7 @@
 impl fmt::Display for RegistryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self::Gap { expected, found } = self;
-        write!(
-            f,
-            "failed to fold member entry {found}: expected offset {expected}"
-        )
+        write!(f, "failed to fold member entry {found}: expected offset {expected}")
     }
 }
 
@@ -120,8 +117,7 @@
     /// Whether exactly this incarnation is registered.
     #[must_use]
     pub fn is_registered(&self, daemon: &Incarnate) -> bool {
-        self.get(&daemon.id)
-            .is_some_and(|found| found.incarnation == daemon.incarnation)
+        self.get(&daemon.id).is_some_and(|found| found.incarnation == daemon.incarnation)
     }
 
     /// All registered daemons, ordered by id.
@@ -147,17 +143,11 @@
         }
         let expected = self.version.offset + 1;
         if generation == self.version.generation && offset != expected {
-            return Err(RegistryError::Gap {
-                expected,
-                found: offset,
-            });
+            return Err(RegistryError::Gap { expected, found: offset });
         }
         // An entry was appended after the one before it, so the later of the two times holds for it.
         let seen_at = seen_at.max(self.last.seen_at);
-        let mark = Mark {
-            sequence: self.last.sequence + 1,
-            seen_at,
-        };
+        let mark = Mark { sequence: self.last.sequence + 1, seen_at };
         self.last = mark;
         let replaced = self.enter_generation(version, mark);
         self.version = version;
@@ -167,11 +157,7 @@
             return Ok(Folded::Malformed);
         };
         let changed = self.apply(entry, mark) || replaced;
-        Ok(if changed {
-            Folded::Changed
-        } else {
-            Folded::Unchanged
-        })
+        Ok(if changed { Folded::Changed } else { Folded::Unchanged })
     }
 
     /// Ends all registrations when the log was replaced; they have to be made again there.
@@ -193,22 +179,9 @@
 
     fn apply(&mut self, entry: MemberEntry, mark: Mark) -> bool {
         match entry {
-            MemberEntry::Join {
-                id,
-                incarnation,
-                data_centre,
-                service,
-                peer_addr,
-            } => self.join(
-                Registered {
-                    id,
-                    incarnation,
-                    data_centre,
-                    service,
-                    peer_addr,
-                },
-                mark,
-            ),
+            MemberEntry::Join { id, incarnation, data_centre, service, peer_addr } => {
+                self.join(Registered { id, incarnation, data_centre, service, peer_addr }, mark)
+            }
             MemberEntry::Leave { id, incarnation } => {
                 self.remove(&id, incarnation, mark, StintEnd::Left)
             }
@@ -231,10 +204,7 @@
             self.end(&id, mark, StintEnd::Removed);
         }
         let tenure = Tenure::new(&joined.id, joined.incarnation, mark);
-        self.tenures
-            .entry(joined.service.clone())
-            .or_default()
-            .push(tenure);
+        self.tenures.entry(joined.service.clone()).or_default().push(tenure);
         self.by_id.insert(joined.id.clone(), joined);
         true
     }
--- a/crates/core/src/registry/history.rs
+++ b/crates/core/src/registry/history.rs
@@ -100,9 +100,7 @@
 impl Registry {
     fn open(&self, service: &str) -> impl Iterator<Item = &str> {
         let tenures = self.tenures.get(service).into_iter().flatten();
-        tenures
-            .filter(|tenure| tenure.until.is_none())
-            .map(|tenure| tenure.daemon.id.as_str())
+        tenures.filter(|tenure| tenure.until.is_none()).map(|tenure| tenure.daemon.id.as_str())
     }
 
     /// Registered daemons of `service` in rank order for `key`; the first one is the owner.
@@ -157,20 +155,14 @@
                     Some((mark, how)) if mark == *until => how,
                     _ => StintEnd::Removed,
                 };
-                Some(Stint {
-                    owner: tenure.daemon.clone(),
-                    ended_at: until.seen_at,
-                    end,
-                })
+                Some(Stint { owner: tenure.daemon.clone(), ended_at: until.seen_at, end })
             })
             .collect()
     }
 
     fn changed_since(&self, service: &str, horizon: Duration) -> bool {
         let tenures = self.tenures.get(service).into_iter().flatten();
-        tenures
-            .flat_map(Tenure::marks)
-            .any(|mark| mark.seen_at >= horizon)
+        tenures.flat_map(Tenure::marks).any(|mark| mark.seen_at >= horizon)
     }
 
     /// Owners of `key` in order, each with the entry that made it the owner, from the one that
@@ -190,10 +182,8 @@
             .filter(|tenure| !tenure.ended_before(horizon))
             .map(|tenure| (ranking.weight(tenure.hash), tenure))
             .collect();
-        ranked.sort_unstable_by(|a, b| {
-            b.0.cmp(&a.0)
-                .then_with(|| a.1.daemon.id.cmp(&b.1.daemon.id))
-        });
+        ranked
+            .sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.daemon.id.cmp(&b.1.daemon.id)));
         let mut owners: Vec<(Option<&Tenure>, Mark)> = Vec::new();
         for mark in change_marks(&ranked, horizon) {
             let owner = ranked
@@ -214,10 +204,7 @@
 
 /// Entries that changed the registrations, in order: the last one before `horizon` and all after.
 fn change_marks(ranked: &[(u64, &Tenure)], horizon: Duration) -> Vec<Mark> {
-    let mut marks: Vec<Mark> = ranked
-        .iter()
-        .flat_map(|(_, tenure)| tenure.marks())
-        .collect();
+    let mut marks: Vec<Mark> = ranked.iter().flat_map(|(_, tenure)| tenure.marks()).collect();
     marks.sort_unstable_by_key(|mark| mark.sequence);
     marks.dedup();
     let before = marks.partition_point(|mark| mark.seen_at < horizon);
--- a/crates/core/src/relay/confirmation.rs
+++ b/crates/core/src/relay/confirmation.rs
@@ -78,10 +78,7 @@
     /// Latest date that is certainly no later than the true date of the attested proof.
     #[must_use]
     pub fn date(&self, attestation: &Attestation, now: Duration) -> Option<Duration> {
-        let (_, sent) = self
-            .sent
-            .iter()
-            .find(|(nonce, _)| *nonce == attestation.nonce)?;
+        let (_, sent) = self.sent.iter().find(|(nonce, _)| *nonce == attestation.nonce)?;
         if now.saturating_sub(*sent) > CHALLENGE_LIFE {
             return None;
         }
@@ -91,11 +88,7 @@
         let shift = Duration::from_micros(since.unsigned_abs());
         // A date before the start of the clock cannot be expressed; rounding it up would make the
         // proof younger than it is.
-        let date = if since < 0 {
-            sent.checked_sub(shift)
-        } else {
-            sent.checked_add(shift)
-        };
+        let date = if since < 0 { sent.checked_sub(shift) } else { sent.checked_add(shift) };
         // A proof from the future shows that a clock runs wrong.
         date.filter(|date| *date <= now)
     }
@@ -118,11 +111,7 @@
     /// The daemon itself read the log up to its head. `requested_at` is the time before the request was
     /// sent; a long poll therefore proves nothing newer than its start.
     pub fn confirm(&mut self, generation: u64, head: Offset, requested_at: Duration) {
-        let proof = Proof {
-            generation,
-            head,
-            proven_at: requested_at,
-        };
+        let proof = Proof { generation, head, proven_at: requested_at };
         self.keep(proof);
     }
 
@@ -136,11 +125,7 @@
         let Some(proven_at) = challenges.date(attestation, now) else {
             return false;
         };
-        self.keep(Proof {
-            generation: attestation.generation,
-            head: attestation.head,
-            proven_at,
-        });
+        self.keep(Proof { generation: attestation.generation, head: attestation.head, proven_at });
         true
     }
 
--- a/crates/core/src/relay/pull.rs
+++ b/crates/core/src/relay/pull.rs
@@ -92,11 +92,7 @@
     /// Starts as if something had been heard at `now`.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self {
-            heard: now,
-            attempts: 0,
-            next: None,
-        }
+        Self { heard: now, attempts: 0, next: None }
     }
 
     /// A batch, a heartbeat or an answer to a pull was received.
--- a/crates/core/src/relay/tree.rs
+++ b/crates/core/src/relay/tree.rs
@@ -46,10 +46,7 @@
         member.is_live() && member.id != own.id && member.data_centre == own.data_centre
     });
     let own_live = own.is_live().then_some(own);
-    own_live
-        .into_iter()
-        .chain(others)
-        .map(|member| member.id.as_str())
+    own_live.into_iter().chain(others).map(|member| member.id.as_str())
 }
 
 /// Members to which the member at `own_index` of `order` passes a batch on.
--- a/crates/core/src/relay/window.rs
+++ b/crates/core/src/relay/window.rs
@@ -94,12 +94,7 @@
     /// An empty window; `next` is the first offset that is not known yet.
     #[must_use]
     pub fn new(generation: u64, next: Offset) -> Self {
-        Self {
-            generation,
-            next,
-            entries: VecDeque::new(),
-            bytes: 0,
-        }
+        Self { generation, next, entries: VecDeque::new(), bytes: 0 }
     }
 
     /// Generation of the log.
@@ -156,10 +151,7 @@
         for entry in new {
             self.append(Arc::clone(entry));
         }
-        Received::Applied {
-            first,
-            entries: new.len(),
-        }
+        Received::Applied { first, entries: new.len() }
     }
 
     fn append(&mut self, entry: Arc<str>) {
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -60,10 +60,8 @@
 #[must_use]
 pub fn rank<'a>(key: &[u8], candidates: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
     let ranking = Ranking::new(key);
-    let mut ranked: Vec<(u64, &str)> = candidates
-        .into_iter()
-        .map(|name| (ranking.weight_of(name), name))
-        .collect();
+    let mut ranked: Vec<(u64, &str)> =
+        candidates.into_iter().map(|name| (ranking.weight_of(name), name)).collect();
     ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
     ranked.into_iter().map(|(_, name)| name).collect()
 }
--- a/crates/core/src/retry/decision.rs
+++ b/crates/core/src/retry/decision.rs
@@ -85,7 +85,5 @@
     if !attempt.idempotent || attempt.number != 1 || obstacle(attempt).is_some() {
         return None;
     }
-    estimate
-        .p95()
-        .filter(|&delay| delay + MIN_REMAINING <= attempt.remaining)
+    estimate.p95().filter(|&delay| delay + MIN_REMAINING <= attempt.remaining)
 }
--- a/crates/core/src/retry/latency.rs
+++ b/crates/core/src/retry/latency.rs
@@ -20,10 +20,7 @@
 
 impl Default for LatencyEstimate {
     fn default() -> Self {
-        Self {
-            counts: [0; BUCKETS],
-            total: 0,
-        }
+        Self { counts: [0; BUCKETS], total: 0 }
     }
 }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -16,23 +16,14 @@
 /// Finds the most specific route that matches.
 #[must_use]
 pub fn find_route<'a>(config: &'a CompiledConfig, line: RequestLine<'_>) -> Option<&'a Route> {
-    config
-        .routes
-        .iter()
-        .find(|route| matches_route(route, line))
+    config.routes.iter().find(|route| matches_route(route, line))
 }
 
 fn matches_route(route: &Route, line: RequestLine<'_>) -> bool {
     let spec = &route.spec;
     has_prefix(line.path, &spec.path_prefix)
-        && spec
-            .method
-            .as_deref()
-            .is_none_or(|method| method == line.method)
-        && spec
-            .host
-            .as_deref()
-            .is_none_or(|host| Some(host) == line.host)
+        && spec.method.as_deref().is_none_or(|method| method == line.method)
+        && spec.host.as_deref().is_none_or(|host| Some(host) == line.host)
 }
 
 /// Whether `prefix` ends at a segment boundary of `path`.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -7,10 +7,8 @@
 use baobabreel_core::error::ErrorKind;
 use quickcheck::{Gen, QuickCheck};
 
-const UNREACHABLE: Decision = Decision::Refuse {
-    kind: ErrorKind::DeadlineUnreachable,
-    retry_after: Duration::from_secs(1),
-};
+const UNREACHABLE: Decision =
+    Decision::Refuse { kind: ErrorKind::DeadlineUnreachable, retry_after: Duration::from_secs(1) };
 
 const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
 
@@ -79,12 +77,7 @@
 
     fn offer(&mut self, class: Class, deadline: Duration) {
         let (id, route) = (self.tickets.len() as u64, "r");
-        let ticket = Ticket {
-            id,
-            class,
-            route,
-            deadline,
-        };
+        let ticket = Ticket { id, class, route, deadline };
         let lowest = self.with(Fate::Queued).map(|t| t.0).min();
         let offer = self.admission.offer(ticket, self.now);
         for action in &offer.evicted {
@@ -183,12 +176,7 @@
 /// Offers a request that must start within `wait`.
 fn offer(a: &mut Admission, id: u64, class: Class, route: &str, at: (u64, u64)) -> Decision {
     let deadline = ms(at.0 + at.1);
-    let ticket = Ticket {
-        id,
-        class,
-        route,
-        deadline,
-    };
+    let ticket = Ticket { id, class, route, deadline };
     a.offer(ticket, ms(at.0)).decision
 }
 
@@ -210,16 +198,8 @@
     // Two slots of 100 ms each: the first in the queue waits 50 ms, and each one ahead adds 50 ms.
     // The fourth goes ahead of the third by its deadline; the last is behind both by its class.
     let (lookup, bulk) = (Class::Lookup, Class::Bulk);
-    let offers = [
-        (lookup, 1, Start),
-        (lookup, 1, Start),
-        (lookup, 500, Queued),
-    ];
-    let late = [
-        (lookup, 51, Queued),
-        (lookup, 49, UNREACHABLE),
-        (bulk, 149, UNREACHABLE),
-    ];
+    let offers = [(lookup, 1, Start), (lookup, 1, Start), (lookup, 500, Queued)];
+    let late = [(lookup, 51, Queued), (lookup, 49, UNREACHABLE), (bulk, 149, UNREACHABLE)];
     for (id, (class, wait, expected)) in offers.into_iter().chain(late).enumerate() {
         let decision = offer(&mut a, id as u64, class, "r", (0, wait));
         assert_eq!(decision, expected, "ticket {id}");
@@ -264,10 +244,7 @@
     for (id, class) in [(0, Class::Bulk), (1, Class::Bulk), (2, Class::Check)] {
         let _ = offer(&mut a, id, class, "r", (0, 100 + id));
     }
-    assert_eq!(
-        (a.bulk_running(), a.finish(0, ms(1))),
-        (0, vec![Action::Start(1)])
-    );
+    assert_eq!((a.bulk_running(), a.finish(0, ms(1))), (0, vec![Action::Start(1)]));
 }
 
 /// Guards against a changed bulk share that takes effect only with the next event.
--- a/crates/core/tests/balance.rs
+++ b/crates/core/tests/balance.rs
@@ -199,10 +199,7 @@
     (0..12).for_each(|_| b.answered("e0", now, ms(30), None));
     b.update(&endpoints(3, 0)[1..], now);
     b.update(&endpoints(3, 0), now + ms(20_000));
-    assert!(
-        b.ejected("e0", now + ms(20_000)),
-        "absence ends no ejection"
-    );
+    assert!(b.ejected("e0", now + ms(20_000)), "absence ends no ejection");
 }
 
 /// Guards against a cold backend server getting its full share at once, new or returned.
@@ -266,10 +263,7 @@
     let mut now = ms(6_000);
     for time in [50, 100, 200, 400, 800, 1_000, 1_000] {
         b.failed("e0", now, Failure::Refused);
-        assert!(
-            !usable(&mut b, now + ms(time - 1)),
-            "unusable for {time} ms"
-        );
+        assert!(!usable(&mut b, now + ms(time - 1)), "unusable for {time} ms");
         now += ms(time);
         assert!(usable(&mut b, now), "usable after {time} ms");
     }
@@ -309,10 +303,7 @@
 /// endpoints, which would make the chosen policy look worse than it is.
 #[test]
 fn round_robin_takes_usable_endpoints_in_turn() {
-    let mut b = Balancer::builder()
-        .data_centre("a")
-        .round_robin(true)
-        .build();
+    let mut b = Balancer::builder().data_centre("a").round_robin(true).build();
     b.update(&endpoints(4, 2), ms(0));
     let chosen = drive(&mut b, 10_000, 10_800, &|name| {
         if name == "e0" { 200 } else { 2 }
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -88,9 +88,7 @@
 /// References that are open in the view of `level`, by brute force over all records.
 fn open_at(records: &BTreeMap<RecordKey, Record>, level: u32) -> BTreeSet<(RecordKey, RecordKey)> {
     let present = |key: &RecordKey| records.get(key).and_then(|r| r.form_at(level)).is_some();
-    let newest = records
-        .iter()
-        .filter_map(|(key, r)| Some((key, r.form_at(level)?.1)));
+    let newest = records.iter().filter_map(|(key, r)| Some((key, r.form_at(level)?.1)));
     newest
         .flat_map(|(from, form)| form.refs.iter().map(move |to| (from, to)))
         .filter(|(_, to)| !present(to))
@@ -211,10 +209,7 @@
 }
 
 fn service(change_id: &str, names: impl IntoIterator<Item = String>, body: &Value) -> String {
-    let keys: Vec<String> = names
-        .into_iter()
-        .map(|name| format!("service/{name}"))
-        .collect();
+    let keys: Vec<String> = names.into_iter().map(|name| format!("service/{name}")).collect();
     let expected: BTreeMap<_, Option<u64>> = keys.iter().map(|key| (key, None)).collect();
     let upsert = |key| json!({"key": key, "forms": {"1": {"body": body}}});
     let upserts: Vec<Value> = keys.iter().map(upsert).collect();
@@ -241,9 +236,7 @@
     let address = |state: &ConfigState, name: &str| {
         let key: RecordKey = format!("service/{name}").parse().expect("key");
         let body = &state.records()[&key].forms[&1].body;
-        body.as_object()
-            .and_then(|body| body.keys().next())
-            .map(|key| key.as_ptr())
+        body.as_object().and_then(|body| body.keys().next()).map(|key| key.as_ptr())
     };
     let before = address(&state, "s5000");
     let text = service("one", ["new".to_owned()], &json!({}));
@@ -263,16 +256,10 @@
     };
     let mut state = filled(MAX_RECORDS);
     let one_more = service("more", ["more".to_owned()], &json!({}));
-    assert_eq!(
-        reason(&mut state, &one_more),
-        "too large: 20001 records, at most 20000"
-    );
+    assert_eq!(reason(&mut state, &one_more), "too large: 20001 records, at most 20000");
     let mut state = ConfigState::new(1);
     let text = service(&"i".repeat(129), ["a".to_owned()], &json!({}));
-    assert_eq!(
-        reason(&mut state, &text),
-        "too large: 129 bytes in the change id, at most 128"
-    );
+    assert_eq!(reason(&mut state, &text), "too large: 129 bytes in the change id, at most 128");
     assert_eq!(
         reason(&mut state, &" ".repeat(262_145)),
         "too large: 262145 bytes in the entry, at most 262144"
@@ -280,17 +267,11 @@
     let text = service("big", ["a".to_owned()], &json!({}));
     let refs: Vec<String> = (0..33).map(|n| format!("service/r{n}")).collect();
     let text = text.replace("{\"body\"", &format!("{{\"refs\":{},\"body\"", json!(refs)));
-    assert_eq!(
-        reason(&mut state, &text),
-        "too large: 33 references of a form, at most 32"
-    );
+    assert_eq!(reason(&mut state, &text), "too large: 33 references of a form, at most 32");
     let forms: BTreeMap<u32, Value> = (1..=9).map(|n| (n, json!({"body": {}}))).collect();
     let text = json!({"type": "change_set", "change_id": "forms", "author": "t",
         "expected": {"service/a": null}, "upserts": [{"key": "service/a", "forms": forms}]});
-    assert_eq!(
-        reason(&mut state, &text.to_string()),
-        "too large: 9 forms of a record, at most 8"
-    );
+    assert_eq!(reason(&mut state, &text.to_string()), "too large: 9 forms of a record, at most 8");
 }
 
 /// Guards against a state whose records have few but large bodies.
@@ -303,20 +284,14 @@
         let forms = json!({"1": {"body": {}}, "2": {"body": {"filler": filler}}});
         let text = json!({"type": "change_set", "change_id": key, "author": "t",
             "expected": {&key: null}, "upserts": [{"key": key, "forms": forms}]});
-        state
-            .fold(n + 1, &text.to_string())
-            .expect("the entry follows")
+        state.fold(n + 1, &text.to_string()).expect("the entry follows")
     });
     let first = verdicts.find(|verdict| !verdict.is_accepted());
     let Some(Verdict::Rejected { reason, version }) = first else {
         panic!("{first:?}");
     };
     assert_eq!(version.offset, 42);
-    assert!(
-        reason
-            .to_string()
-            .ends_with("bytes in all records, at most 8388608")
-    );
+    assert!(reason.to_string().ends_with("bytes in all records, at most 8388608"));
 }
 
 /// Guards against numbers that change when a snapshot is read: a reader that started from it would
@@ -324,11 +299,7 @@
 #[test]
 fn floats_survive_snapshots() {
     for n in 0..2_000_u32 {
-        let share = format!(
-            "0.{}{:019}",
-            n % 9 + 1,
-            u64::from(n) * 4_999_999_999_999_937
-        );
+        let share = format!("0.{}{:019}", n % 9 + 1, u64::from(n) * 4_999_999_999_999_937);
         let body =
             format!("{{\"bulk_share\": {share}, \"far\": {share}e-285, \"big\": {share}e300}}");
         let text = service("f", ["a".to_owned()], &json!({})).replace(
@@ -336,11 +307,7 @@
             &format!("\"1\":{{\"body\":{{}}}},\"2\":{{\"body\":{body}}}"),
         );
         let mut state = ConfigState::new(1);
-        assert!(
-            state
-                .fold(1, &text)
-                .is_ok_and(|verdict| verdict.is_accepted())
-        );
+        assert!(state.fold(1, &text).is_ok_and(|verdict| verdict.is_accepted()));
         assert_eq!(restart(&state).digest(), state.digest(), "{share}");
     }
 }
@@ -351,10 +318,7 @@
     let sealed = filled(3).snapshot().seal();
     let damaged = sealed.replace("\"queue\":1", "\"queue\":2");
     let found = Snapshot::open(&damaged).map_err(|e| e.to_string().len());
-    assert_eq!(
-        found,
-        Err("failed to use a snapshot: digest is , stated is ".len() + 128)
-    );
+    assert_eq!(found, Err("failed to use a snapshot: digest is , stated is ".len() + 128));
     let mut open = filled(3).snapshot();
     open.level = 2;
     open.records.values_mut().for_each(|record| {
@@ -372,16 +336,11 @@
     let mut state = ConfigState::new(1);
     let raise = |n: u64| json!({"type": "raise_level", "change_id": format!("c{n}"), "author": "t", "level": 1});
     for n in 1..=4_097 {
-        state
-            .fold(n, &raise(n).to_string())
-            .expect("the entry follows");
+        state.fold(n, &raise(n).to_string()).expect("the entry follows");
     }
     assert_eq!(state.verdict_of("c1"), None);
     assert!(state.verdict_of("c2").is_some() && state.verdict_of("c4097").is_some());
-    let gap = FoldError::Gap {
-        expected: 4_098,
-        found: 4_100,
-    };
+    let gap = FoldError::Gap { expected: 4_098, found: 4_100 };
     assert_eq!(state.fold(4_100, "{}"), Err(gap));
     assert_eq!(state.hold(), None);
 }
--- a/crates/core/tests/config_replay.rs
+++ b/crates/core/tests/config_replay.rs
@@ -25,17 +25,11 @@
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 enum Step {
     /// Starts a reader, empty or from a snapshot.
-    Start {
-        max_schema: u32,
-        slot: Option<String>,
-    },
+    Start { max_schema: u32, slot: Option<String> },
     /// Folds an entry: an object, or the text of one.
     Fold { offset: u64, entry: Value },
     /// Writes a snapshot to a slot, for a new generation when one is named.
-    Save {
-        slot: String,
-        generation: Option<u64>,
-    },
+    Save { slot: String, generation: Option<u64> },
     /// Offers a snapshot to the reader.
     Adopt { slot: String },
     /// Tells the reader that the log has a generation.
@@ -84,9 +78,7 @@
         match step {
             Step::Start { .. } => Value::Null,
             Step::Fold { offset, entry } => {
-                let text = entry
-                    .as_str()
-                    .map_or_else(|| entry.to_string(), str::to_owned);
+                let text = entry.as_str().map_or_else(|| entry.to_string(), str::to_owned);
                 match state.fold(*offset, &text) {
                     Ok(verdict) => json!(verdict),
                     Err(e) => json!(e.to_string()),
@@ -117,9 +109,8 @@
 
 fn describe(state: &ConfigState, result: Value) -> Value {
     let records = state.records().iter();
-    let records: BTreeMap<_, _> = records
-        .map(|(key, record)| (key.to_string(), record.revision.to_string()))
-        .collect();
+    let records: BTreeMap<_, _> =
+        records.map(|(key, record)| (key.to_string(), record.revision.to_string())).collect();
     let view = CompiledConfig::new(state, state.max_schema());
     let schemas = view.routes.iter().map(|route| (&route.name, route.schema));
     json!({
@@ -145,9 +136,7 @@
 }
 
 fn replay(name: &str) {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("tests/config_traces")
-        .join(name);
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/config_traces").join(name);
     let text = std::fs::read_to_string(path).expect("the trace exists");
     let mut replay = Replay::default();
     for (number, text) in (1..).zip(text.lines()) {
--- a/crates/core/tests/config_support/mod.rs
+++ b/crates/core/tests/config_support/mod.rs
@@ -63,11 +63,8 @@
         }
         let stale = below(g, 20) == 0;
         let revision = state.records().get(&key).map(|record| record.revision);
-        let expects = if stale {
-            json!({"generation": 1, "offset": 9_999})
-        } else {
-            json!(revision)
-        };
+        let expects =
+            if stale { json!({"generation": 1, "offset": 9_999}) } else { json!(revision) };
         expected.insert(key.to_string(), expects);
         if below(g, 4) == 0 {
             deletes.push(key.to_string());
@@ -88,9 +85,7 @@
 fn forms(g: &mut Gen, key: &RecordKey) -> Value {
     let sets: [&[u32]; 6] = [&[1], &[1], &[1, 2], &[2], &[1, 2, 3], &[1, 3]];
     let schemas = sets[below(g, sets.len())];
-    let forms = schemas
-        .iter()
-        .map(|schema| (schema.to_string(), form(g, key, *schema)));
+    let forms = schemas.iter().map(|schema| (schema.to_string(), form(g, key, *schema)));
     Value::Object(forms.collect())
 }
 
@@ -112,10 +107,6 @@
         (Kind::BackendServer, _) => json!({"service": service, "state": "draining"}),
     };
     let none = key.kind == Kind::Service || below(g, 20) == 0;
-    let refs = if none {
-        vec![]
-    } else {
-        vec![format!("service/{service}")]
-    };
+    let refs = if none { vec![] } else { vec![format!("service/{service}")] };
     json!({"refs": refs, "body": body})
 }
--- a/crates/core/tests/errors.rs
+++ b/crates/core/tests/errors.rs
@@ -11,8 +11,7 @@
     let (_, section) = PAGE.split_once("### 4.1 Errors").expect("the section");
     let (section, _) = section.split_once("\n## ").expect("a later section");
     let rows = section.lines().filter(|line| line.starts_with("| `"));
-    rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect())
-        .collect()
+    rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect()).collect()
 }
 
 /// Guards against an answer that differs from the documented one, and against a kind that is
@@ -26,12 +25,7 @@
             let retryable = if answer.retryable { "yes" } else { "no" };
             let outcome = answer.outcome.as_str().replace('_', " ");
             let name = format!("`{}`", answer.name);
-            vec![
-                name,
-                answer.status.to_string(),
-                outcome,
-                retryable.to_owned(),
-            ]
+            vec![name, answer.status.to_string(), outcome, retryable.to_owned()]
         })
         .collect();
     assert_eq!(found, expected);
@@ -47,12 +41,7 @@
         assert_eq!(answer.kind as usize, index, "{}", answer.name);
         assert_eq!(answer.kind.answer(), answer);
         assert_eq!(ErrorKind::from_name(answer.name), Some(answer.kind));
-        assert_eq!(
-            answer.retry_after.is_some(),
-            answer.retryable,
-            "{}",
-            answer.name
-        );
+        assert_eq!(answer.retry_after.is_some(), answer.retryable, "{}", answer.name);
     }
 }
 
@@ -71,12 +60,7 @@
     ];
     for answer in &TABLE {
         let promises = answer.outcome == Outcome::NotRun;
-        assert_eq!(
-            promises,
-            !after_dispatch.contains(&answer.kind),
-            "{}",
-            answer.name
-        );
+        assert_eq!(promises, !after_dispatch.contains(&answer.kind), "{}", answer.name);
     }
     let words = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown].map(Outcome::as_str);
     assert_eq!(words, ["ran", "not_run", "unknown"]);
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -39,12 +39,7 @@
 
 fn call(key: &str) -> Call {
     let (key, body, first, id) = (key.to_owned(), 1, false, 0);
-    Call {
-        key,
-        body,
-        first,
-        id,
-    }
+    Call { key, body, first, id }
 }
 
 /// Sends the newest and an older key to every daemon, as a stubborn caller would.
@@ -106,10 +101,7 @@
         let world = play(seed, steps, Fencing::default());
         runs_once(&world) && world.broken_promises.is_empty() && !world.runs.is_empty()
     };
-    QuickCheck::new()
-        .rng(schedules())
-        .tests(SCHEDULES)
-        .quickcheck(prop);
+    QuickCheck::new().rng(schedules()).tests(SCHEDULES).quickcheck(prop);
 }
 
 // Guards against a checker that cannot see a fault: no wait, or no lease, must give a second run.
@@ -119,24 +111,11 @@
         let mut rng = schedules();
         (0..SCHEDULES).any(|_| {
             let (seed, steps) = (u64::arbitrary(&mut rng), Vec::arbitrary(&mut rng));
-            !runs_once(&play(
-                seed,
-                steps,
-                Fencing {
-                    lease,
-                    takeover_wait,
-                },
-            ))
+            !runs_once(&play(seed, steps, Fencing { lease, takeover_wait }))
         })
     };
-    assert!(
-        finds(LEASE, Duration::ZERO),
-        "no fault found without the wait"
-    );
-    assert!(
-        finds(Duration::MAX, TAKEOVER_WAIT),
-        "no fault found without the lease"
-    );
+    assert!(finds(LEASE, Duration::ZERO), "no fault found without the wait");
+    assert!(finds(Duration::MAX, TAKEOVER_WAIT), "no fault found without the lease");
 }
 
 const fn secs(secs: u64) -> Duration {
@@ -231,10 +210,9 @@
     let refusal = |attempt| refusal_before_owner(ErrorKind::Overloaded, attempt);
     assert_eq!(refusal(First), ErrorKind::Overloaded);
     assert_eq!(refusal(MayRepeat), changing);
-    for (kind, repeat) in [
-        (ErrorKind::NoRoute, changing),
-        (ErrorKind::BodyTooLarge, ErrorKind::BodyTooLarge),
-    ] {
+    for (kind, repeat) in
+        [(ErrorKind::NoRoute, changing), (ErrorKind::BodyTooLarge, ErrorKind::BodyTooLarge)]
+    {
         assert_eq!(refusal_before_owner(kind, First), kind);
         assert_eq!(refusal_before_owner(kind, MayRepeat), repeat);
     }
@@ -273,10 +251,7 @@
 fn an_older_incarnation_neither_runs_nor_vouches() {
     let mut owner = owner(1);
     let unsure = Decision::Refuse(ErrorKind::OwnerChanging);
-    assert_eq!(
-        decide_after(&mut owner, at(1, 1), 1, 2, "k1"),
-        Decision::Run
-    );
+    assert_eq!(decide_after(&mut owner, at(1, 1), 1, 2, "k1"), Decision::Run);
     assert_eq!(decide_after(&mut owner, at(1, 2), 2, 30, "k2"), unsure);
     let mut vouch = |asked, now| {
         let asked = Incarnate::new("a", asked);
@@ -298,10 +273,7 @@
         key.expect("it fits").as_str().to_owned()
     };
     let mut decide = |now, key: &str| decide_after(&mut owner, at(3, 1), 2, now, key);
-    assert_eq!(
-        decide(1, "early"),
-        Decision::Refuse(ErrorKind::OwnerChanging)
-    );
+    assert_eq!(decide(1, "early"), Decision::Refuse(ErrorKind::OwnerChanging));
     assert_eq!(decide(30, "opaque"), unknown);
     assert_eq!(decide(30, &uuid(10_900, 1)), unknown);
     assert_eq!(decide(30, &uuid(11_100, 1)), Decision::Run);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -15,11 +15,7 @@
 
 fn local(state: MemberState, slots: u32) -> Event {
     let service = Some("catalogue".to_owned());
-    Event::Local(LocalState {
-        state,
-        service,
-        slots,
-    })
+    Event::Local(LocalState { state, service, slots })
 }
 
 fn state(node: &Swim, i: usize) -> Option<MemberState> {
@@ -110,20 +106,12 @@
     let [(at, probe)] = checks.as_slice() else {
         panic!("{checks:?}");
     };
-    assert!(
-        (1_100..=2_600).contains(at) && probe.updates[0] == rumour,
-        "{at}"
-    );
+    assert!((1_100..=2_600).contains(at) && probe.updates[0] == rumour, "{at}");
     let mut refuted = member(150, 0);
     refuted.sequence = 1;
     let (number, digest, updates) = (probe.number, 0, Vec::new());
     let from = refuted;
-    let ack = Event::Ack(Ack {
-        number,
-        from,
-        digest,
-        updates,
-    });
+    let ack = Event::Ack(Ack { number, from, digest, updates });
     swim.handle(ack, MS(2_800), 0);
     swim.tick(MS(3_200), 0);
     assert_eq!(state(&swim, 150), Some(MemberState::Ready));
@@ -161,18 +149,12 @@
 fn assert_late_evictions(net: &Net, gone_at: u64, gone: &[usize], survivors: &[usize]) {
     for subject in gone {
         let id = &net.nodes[*subject].own().id;
-        let by = net
-            .evictions
-            .iter()
-            .filter(|(_, by, of)| survivors.contains(by) && of == id);
+        let by = net.evictions.iter().filter(|(_, by, of)| survivors.contains(by) && of == id);
         let (times, mut proposers): (Vec<u64>, Vec<usize>) =
             by.map(|(at, by, _)| (*at, *by)).unzip();
         proposers.dedup();
         assert_eq!(proposers.len(), 1, "{id}: proposers {proposers:?}");
-        assert!(
-            times.iter().all(|at| at - gone_at >= 60_000),
-            "{id}: {times:?}"
-        );
+        assert!(times.iter().all(|at| at - gone_at >= 60_000), "{id}: {times:?}");
     }
 }
 
@@ -193,9 +175,7 @@
         assert_eq!(net.nodes[n - 1].members().live().count(), n / 2);
         net.cut = Box::new(|_, _| false);
         net.run(60);
-        let own_side = net
-            .deaths()
-            .filter(|(i, subject)| side(*i) == side(*subject));
+        let own_side = net.deaths().filter(|(i, subject)| side(*i) == side(*subject));
         assert_eq!(own_side.count(), 0, "seed {seed}");
         assert!(net.agrees(), "seed {seed}: not healed after 60 s");
         net.evictions.clear();
@@ -362,21 +342,13 @@
     for number in 1..200 {
         let (from, digest, updates) = (member(number, 0), 0, Vec::new());
         let number = number as u64;
-        let probe = Event::Probe(Probe {
-            number,
-            from,
-            digest,
-            updates,
-        });
+        let probe = Event::Probe(Probe { number, from, digest, updates });
         let actions = seed.handle(probe, MS(1), number);
         let ack = actions.iter().find_map(|action| match action {
             Action::SendAck { ack, .. } => Some(ack.updates.len()),
             _ => None,
         });
-        assert!(
-            ack > Some(0),
-            "probe {number} taught the joining daemon nothing"
-        );
+        assert!(ack > Some(0), "probe {number} taught the joining daemon nothing");
     }
 }
 
@@ -396,12 +368,7 @@
                 counts[i] += 1;
                 let from = member(i, usize::from(i > 9));
                 let (number, digest, updates) = (probe.number, probe.digest, Vec::new());
-                let ack = Event::Ack(Ack {
-                    number,
-                    from,
-                    digest,
-                    updates,
-                });
+                let ack = Event::Ack(Ack { number, from, digest, updates });
                 swim.handle(ack, MS(second * 1_000 + 5), 0);
             }
         }
--- a/crates/core/tests/registry.rs
+++ b/crates/core/tests/registry.rs
@@ -30,9 +30,7 @@
 
 fn present(registry: &Registry) -> Vec<(&str, u64)> {
     let daemons = registry.iter();
-    daemons
-        .map(|found| (&*found.id, found.incarnation))
-        .collect()
+    daemons.map(|found| (&*found.id, found.incarnation)).collect()
 }
 
 // Guards against entries of old incarnations, repeats and malformed entries that change anything.
@@ -101,23 +99,13 @@
     let (all, _) = folded(1, &joins);
     let (mut ended, _) = folded(1, &[joins.as_slice(), &[end("leave", "b", 1)]].concat());
     for key in &keys {
-        let ranked: Vec<&str> = all
-            .owners("yard", key)
-            .iter()
-            .map(|found| &*found.id)
-            .collect();
+        let ranked: Vec<&str> = all.owners("yard", key).iter().map(|found| &*found.id).collect();
         let rank = |id: &str| ranked.iter().position(|ranked| *ranked == id);
         let owner = all.owner("yard", key).expect("three are registered");
         assert_eq!(owner.id, ranked[0]);
         // Each daemon joined after the ones before it in the alphabet.
-        let position = ids
-            .iter()
-            .position(|id| *id == owner.id)
-            .expect("it joined");
-        assert_eq!(
-            all.owned_since("yard", key),
-            Some(secs(position as u64 + 1))
-        );
+        let position = ids.iter().position(|id| *id == owner.id).expect("it joined");
+        assert_eq!(all.owned_since("yard", key), Some(secs(position as u64 + 1)));
         let mut expected: Vec<&str> = vec![];
         for id in ids[..position].iter().copied() {
             if expected.iter().all(|before| rank(before) > rank(id)) {
@@ -132,14 +120,7 @@
         let last = ended.previous_owners("yard", key, secs(4)).pop();
         let (owner, ended_at) = (Incarnate::new("b", 1), secs(4));
         let end = StintEnd::Left;
-        assert_eq!(
-            last == Some(Stint {
-                owner,
-                ended_at,
-                end
-            }),
-            moved
-        );
+        assert_eq!(last == Some(Stint { owner, ended_at, end }), moved);
         assert_eq!(ended.owned_since("yard", key) == Some(secs(4)), moved);
     }
     ended.fold(1, 5, "", secs(700)).expect("no gap");
@@ -165,8 +146,5 @@
     }
     // 2,000 are expected of each; 5 standard deviations are 218.
     assert_eq!(counts.len(), 66);
-    assert!(
-        counts.values().all(|n| (1_782..=2_218).contains(n)),
-        "{counts:?}"
-    );
+    assert!(counts.values().all(|n| (1_782..=2_218).contains(n)), "{counts:?}");
 }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -14,11 +14,7 @@
 
 fn batch(generation: u64, first: u64, texts: &[&str]) -> Batch {
     let entries = texts.iter().map(|text| Arc::from(*text)).collect();
-    Batch {
-        generation,
-        first,
-        entries,
-    }
+    Batch { generation, first, entries }
 }
 
 fn applied(first: u64, entries: usize) -> Received {
@@ -80,10 +76,7 @@
     let (gone, second) = (first[0].to_owned(), first[1].to_owned());
     for state in [Dead, Suspect] {
         let mut changed = members.clone();
-        let i = changed
-            .iter()
-            .position(|m| m.id == gone)
-            .unwrap_or_default();
+        let i = changed.iter().position(|m| m.id == gone).unwrap_or_default();
         changed[i].state = state;
         let own = &changed[usize::from(i == 0)];
         assert_eq!(relays(&changed, own)[0], second);
@@ -214,12 +207,7 @@
 }
 
 fn attestation(nonce: u64, since_us: i64) -> Attestation {
-    Attestation {
-        nonce,
-        generation: 1,
-        head: 5,
-        since_us,
-    }
+    Attestation { nonce, generation: 1, head: 5, since_us }
 }
 
 /// Guards against a lease on a proof that is older than it seems. The chain passes a proof over some
@@ -291,10 +279,7 @@
     assert_eq!(date(attestation(1, -2_000_000), MS(1_500)), None);
     assert_eq!(date(attestation(1, i64::MIN), MS(1_500)), None);
     assert_eq!(date(attestation(1, 1_000_000), MS(3_000)), Some(MS(1_999)));
-    assert_eq!(
-        date(attestation(1, -500_000), MS(3_000)),
-        Some(Duration::from_micros(499_500))
-    );
+    assert_eq!(date(attestation(1, -500_000), MS(3_000)), Some(Duration::from_micros(499_500)));
     assert_eq!(date(attestation(1, 2_010_000), MS(3_000)), None);
     assert_eq!(date(attestation(1, i64::MAX), MS(3_000)), None);
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -100,10 +100,7 @@
         call(&mut budgets, false, Duration::from_millis(n), &mut leaf);
     }
     let per_hop = 5 + (requests + leaf) / 10 + secs;
-    assert!(
-        leaf <= requests + 7 * per_hop && leaf < 3 * requests,
-        "{leaf}"
-    );
+    assert!(leaf <= requests + 7 * per_hop && leaf < 3 * requests, "{leaf}");
 }
 
 /// Guards against hedges of commands, of retries, before the 95th percentile or without data.
@@ -127,9 +124,6 @@
     for (count, latency) in [(10_000, 100), (3_000, 10)] {
         (0..count).for_each(|_| estimate.observe(ms(latency)));
         let moved = estimate.p95().expect("latencies are known");
-        assert!(
-            (ms(latency)..ms(latency * 6 / 5)).contains(&moved),
-            "{moved:?}"
-        );
+        assert!((ms(latency)..ms(latency * 6 / 5)).contains(&moved), "{moved:?}");
     }
 }
--- a/crates/core/tests/support/net.rs
+++ b/crates/core/tests/support/net.rs
@@ -71,10 +71,7 @@
                     self.handle(to, event);
                 }
             }
-            for i in (0..self.nodes.len())
-                .filter(|i| !self.frozen[*i])
-                .collect::<Vec<_>>()
-            {
+            for i in (0..self.nodes.len()).filter(|i| !self.frozen[*i]).collect::<Vec<_>>() {
                 let (now, random) = (Duration::from_millis(self.now), self.random());
                 let actions = self.nodes[i].tick(now, random);
                 self.carry_out(i, actions);
@@ -135,24 +132,15 @@
 
     /// Whether all running nodes see exactly the running nodes as live, in equal tables.
     pub fn agrees(&self) -> bool {
-        let running = self
-            .nodes
-            .iter()
-            .zip(&self.frozen)
-            .filter(|(_, frozen)| !**frozen);
+        let running = self.nodes.iter().zip(&self.frozen).filter(|(_, frozen)| !**frozen);
         let tables: Vec<_> = running.map(|(node, _)| node.members()).collect();
         let same = |digest| digest == tables[0].digest();
-        tables
-            .iter()
-            .all(|t| t.live().count() == tables.len() && same(t.digest()))
+        tables.iter().all(|t| t.live().count() == tables.len() && same(t.digest()))
     }
 
     /// Observer and subject of each death that was concluded.
     pub fn deaths(&self) -> impl Iterator<Item = (usize, usize)> {
-        let dead = self
-            .changes
-            .iter()
-            .filter(|(_, _, m)| m.state == MemberState::Dead);
+        let dead = self.changes.iter().filter(|(_, _, m)| m.state == MemberState::Dead);
         dead.map(|(_, i, m)| (*i, usize::from(m.peer_addr.port()) - 10_000))
     }
 }
@@ -166,12 +154,7 @@
         Event::Pushed(updates) => (1, updates.len(), 0, 1),
         Event::Delta(m) => (0, m.updates.len(), m.filter.as_ref().map_or(0, filter), 32),
         Event::SyncRequest(m) => (1, 0, filter(&m.filter), 0),
-        event => (
-            usize::from(matches!(event, Event::ProbeRequest(_))),
-            0,
-            40,
-            0,
-        ),
+        event => (usize::from(matches!(event, Event::ProbeRequest(_))), 0, 40, 0),
     };
     assert!(updates <= most, "{event:?}");
     [own, updates, 100 + STATEMENT_BYTES * (updates + 1) + digest]
--- a/crates/core/tests/traces.rs
+++ b/crates/core/tests/traces.rs
@@ -78,9 +78,7 @@
     let runs = world.runs.into_iter().map(|((key, _), runs)| (key, runs));
     let runs: BTreeMap<String, Vec<String>> = runs.collect();
     let stated_runs = stated.runs.iter();
-    let stated_runs = stated_runs
-        .map(|(label, ids)| (key(label), ids.clone()))
-        .collect();
+    let stated_runs = stated_runs.map(|(label, ids)| (key(label), ids.clone())).collect();
     assert_eq!(runs, stated_runs, "{path:?}: {}", stated.outcome);
     assert_eq!(world.broken_promises, [], "{path:?}: {}", stated.outcome);
 }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -52,12 +52,7 @@
     pub fn request<T>(&self, act: impl FnOnce(&Request<'_>) -> T) -> T {
         let key = &Key::parse(&self.key).expect("a key");
         let (fingerprint, attempt) = (self.body, self.attempt());
-        act(&Request {
-            service: SERVICE,
-            key,
-            fingerprint,
-            attempt,
-        })
+        act(&Request { service: SERVICE, key, fingerprint, attempt })
     }
 }
 
@@ -176,14 +171,7 @@
         let owner = KeyOwner::new(me, lease, Limits::default());
         let told = HashMap::new();
         let (paused_until, cut_until) = (0, 0);
-        let node = Node {
-            owner,
-            told,
-            skew,
-            rate,
-            paused_until,
-            cut_until,
-        };
+        let node = Node { owner, told, skew, rate, paused_until, cut_until };
         self.nodes.insert(id.to_owned(), node);
         self.fold(id, self.log.clone());
         self.join(id);
@@ -198,13 +186,7 @@
         let Incarnate { id, incarnation } = node.owner.me().clone();
         let (data_centre, service) = ("hobart-a".to_owned(), SERVICE.to_owned());
         let peer_addr = "127.0.0.1:9000".parse().expect("an address");
-        self.append(&MemberEntry::Join {
-            id,
-            incarnation,
-            data_centre,
-            service,
-            peer_addr,
-        });
+        self.append(&MemberEntry::Join { id, incarnation, data_centre, service, peer_addr });
     }
 
     fn evict(&mut self, id: &str) {
@@ -322,9 +304,7 @@
     fn tell(&mut self, to: &str, from: Incarnate, answer: PriorAnswer, call: Call) {
         let id = to.to_owned();
         self.send(to, move |world| {
-            world.with(&id, |node| {
-                node.told.entry(call.id).or_default().push((from, answer))
-            });
+            world.with(&id, |node| node.told.entry(call.id).or_default().push((from, answer)));
             world.handle(&id, call);
         });
     }
--- a/crates/daemon/src/context/clock.rs
+++ b/crates/daemon/src/context/clock.rs
@@ -12,9 +12,7 @@
     /// Starts the monotonic clock.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Monotonic time since the start; goes on while the process is paused.
@@ -26,9 +24,7 @@
     /// Time since the Unix epoch.
     #[must_use]
     pub fn wall(&self) -> Duration {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default()
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
     }
 }
 
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -62,10 +62,7 @@
     /// Entry that ends the registration of this daemon.
     #[must_use]
     pub fn leave(&self) -> MemberEntry {
-        MemberEntry::Leave {
-            id: self.id.clone(),
-            incarnation: self.incarnation,
-        }
+        MemberEntry::Leave { id: self.id.clone(), incarnation: self.incarnation }
     }
 }
 
@@ -197,16 +194,14 @@
         let Some(info) = self.host.info() else { return };
         if let Some(service) = config.services.get(&info.service) {
             let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
-            self.host
-                .set_policy(queue, service.bulk_share, self.clock.now());
+            self.host.set_policy(queue, service.bulk_share, self.clock.now());
         }
     }
 
     /// Takes over a new table of members.
     pub fn set_members(&self, members: &Members) {
         let view = MeshView::new(members.iter());
-        self.balance
-            .update(&self.config.load(), &view, self.clock.now());
+        self.balance.update(&self.config.load(), &view, self.clock.now());
         self.view.store(Arc::new(view));
         self.members.store(Arc::new(members.clone()));
     }
@@ -233,10 +228,8 @@
     /// Address of some live member, of the own data centre when there is one.
     pub fn random_peer(&self) -> Option<SocketAddr> {
         let members = self.members.load();
-        let others: Vec<&Member> = members
-            .live()
-            .filter(|member| member.id != self.identity.id)
-            .collect();
+        let others: Vec<&Member> =
+            members.live().filter(|member| member.id != self.identity.id).collect();
         let near: Vec<&&Member> = others
             .iter()
             .filter(|member| member.data_centre == self.identity.data_centre)
--- a/crates/daemon/src/context/view.rs
+++ b/crates/daemon/src/context/view.rs
@@ -19,10 +19,7 @@
         let mut by_service: BTreeMap<ServiceName, Vec<Member>> = BTreeMap::new();
         for member in members {
             if let Some(service) = &member.service {
-                by_service
-                    .entry(service.clone())
-                    .or_default()
-                    .push(member.clone());
+                by_service.entry(service.clone()).or_default().push(member.clone());
             }
         }
         Self { by_service }
@@ -37,16 +34,12 @@
     /// The member with this id among those of `service`.
     #[must_use]
     pub fn find(&self, service: &str, id: &str) -> Option<&Member> {
-        self.of_service(service)
-            .iter()
-            .find(|member| member.id == id)
+        self.of_service(service).iter().find(|member| member.id == id)
     }
 
     /// Services with their members.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Member])> {
-        self.by_service
-            .iter()
-            .map(|(service, members)| (service, members.as_slice()))
+        self.by_service.iter().map(|(service, members)| (service, members.as_slice()))
     }
 }
 
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -96,9 +96,7 @@
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             interval.tick().await;
-            let silent = self
-                .silent_for(cx.clock.now())
-                .is_some_and(|time| time >= SILENCE);
+            let silent = self.silent_for(cx.clock.now()).is_some_and(|time| time >= SILENCE);
             let Some(info) = cx.host.info().filter(|_| silent) else {
                 continue;
             };
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -207,9 +207,7 @@
             Ok(Adoption::Replaced) => {
                 let version = self.state.version();
                 tracing::info!(%version, "continued from a snapshot");
-                self.config
-                    .window
-                    .restart(version.generation, version.offset + 1);
+                self.config.window.restart(version.generation, version.offset + 1);
                 self.publish_config();
             }
             Ok(Adoption::Same | Adoption::Older) => {}
@@ -220,9 +218,7 @@
     fn publish_config(&mut self) {
         let view = CompiledConfig::new(&self.state, self.cx.settings.max_schema);
         let now = self.cx.clock.now();
-        self.cx
-            .metrics
-            .config(view.version.offset, self.state.hold().is_some());
+        self.cx.metrics.config(view.version.offset, self.state.hold().is_some());
         self.cx.set_config(view, now);
     }
 
@@ -295,9 +291,7 @@
         let version = self.state.version();
         let next = self.config.window.next();
         let confirmed =
-            self.config
-                .confirmation
-                .covers(version.generation, next, Duration::MAX, now);
+            self.config.confirmation.covers(version.generation, next, Duration::MAX, now);
         let by_peers = self.peer_answered && now >= PEERS_SUFFICE_AFTER;
         if version >= self.newest_seen && (confirmed || by_peers) {
             tracing::info!(%version, "serving");
@@ -325,11 +319,7 @@
 
 fn short_digest(state: &ConfigState) -> u64 {
     let digest = state.digest();
-    digest
-        .as_bytes()
-        .iter()
-        .take(8)
-        .fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
+    digest.as_bytes().iter().take(8).fold(0, |sum, byte| (sum << 8) | u64::from(*byte))
 }
 
 /// Result of a read of the log.
@@ -350,42 +340,25 @@
             ReadAnswer::Expired(retained) => {
                 match msg.stream {
                     Stream::Members => {
-                        self.members
-                            .window
-                            .restart(retained.generation, retained.first);
+                        self.members.window.restart(retained.generation, retained.first);
                     }
                     Stream::Config => self.cx.follower.need_snapshot(),
                 }
                 return;
             }
         };
-        let first = page
-            .records
-            .first()
-            .map_or(page.next, |record| record.offset);
+        let first = page.records.first().map_or(page.next, |record| record.offset);
         let batch = Batch {
             generation: page.generation,
             first,
-            entries: page
-                .records
-                .into_iter()
-                .map(|record| record.data.into())
-                .collect(),
+            entries: page.records.into_iter().map(|record| record.data.into()).collect(),
         };
         let new = self.take(msg.stream, &batch, None);
-        self.stream(msg.stream)
-            .confirmation
-            .confirm(page.generation, page.next, msg.requested_at);
+        self.stream(msg.stream).confirmation.confirm(page.generation, page.next, msg.requested_at);
         self.after_confirmation(msg.stream);
         let news = match msg.stream {
-            Stream::Config => News {
-                config: new,
-                members: None,
-            },
-            Stream::Members => News {
-                config: None,
-                members: new,
-            },
+            Stream::Config => News { config: new, members: None },
+            Stream::Members => News { config: None, members: new },
         };
         self.after_news(news);
     }
@@ -423,12 +396,7 @@
     ) -> PushReply {
         let push = msg.0;
         let now = self.cx.clock.now();
-        let from = self
-            .cx
-            .members
-            .load()
-            .get(&push.from)
-            .map(|member| member.peer_addr);
+        let from = self.cx.members.load().get(&push.from).map(|member| member.peer_addr);
         self.peer_answered = true;
         for followed in [&mut self.config, &mut self.members] {
             followed.staleness.heard(now);
@@ -456,10 +424,7 @@
 
     async fn handle(&mut self, msg: PushAnswered, _: &mut MessageContext<Self, Self::Reply>) {
         let received_at = self.cx.clock.now();
-        let challenge = ReceivedChallenge {
-            nonce: msg.answer.nonce,
-            received_at,
-        };
+        let challenge = ReceivedChallenge { nonce: msg.answer.nonce, received_at };
         self.children.insert(msg.child, challenge);
     }
 }
@@ -477,10 +442,7 @@
     ) -> PullReply {
         let now = self.cx.clock.now();
         let asked = msg.0;
-        let challenge = ReceivedChallenge {
-            nonce: asked.nonce,
-            received_at: now,
-        };
+        let challenge = ReceivedChallenge { nonce: asked.nonce, received_at: now };
         let blank = asked.generation == 0;
         let followed = self.stream(asked.stream);
         let proof = followed.confirmation.attest(challenge);
@@ -491,19 +453,12 @@
             return PullReply(self.answer_with_start(asked.stream, now));
         }
         let followed = self.stream(asked.stream);
-        let pull = Pull {
-            generation: wanted,
-            from: asked.from,
-        };
+        let pull = Pull { generation: wanted, from: asked.from };
         PullReply(match followed.window.answer(pull) {
-            PullAnswer::Entries(batch) => PullAnswerWire::Entries {
-                batch: (&batch).into(),
-                proof,
-            },
-            PullAnswer::UpToDate { .. } => PullAnswerWire::Entries {
-                batch: (&followed.heartbeat()).into(),
-                proof,
-            },
+            PullAnswer::Entries(batch) => PullAnswerWire::Entries { batch: (&batch).into(), proof },
+            PullAnswer::UpToDate { .. } => {
+                PullAnswerWire::Entries { batch: (&followed.heartbeat()).into(), proof }
+            }
             PullAnswer::TooOld { .. } | PullAnswer::OtherGeneration { .. } => {
                 self.answer_with_start(asked.stream, now)
             }
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -70,10 +70,7 @@
 
     /// Last error of the log, if the last read failed.
     pub fn error(&self) -> Option<String> {
-        self.error
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.error.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn set_error(&self, error: Option<String>) {
@@ -134,11 +131,7 @@
                 cx.follower.hints(stream).notify_one();
             }
             Err(e) => {
-                tracing::warn!(
-                    stream = stream.name(),
-                    error = format!("{e:#}"),
-                    "failed to read"
-                );
+                tracing::warn!(stream = stream.name(), error = format!("{e:#}"), "failed to read");
                 cx.follower.set_error(Some(format!("{e:#}")));
                 // Full jitter keeps the relays from returning together after an outage.
                 tokio::time::sleep(pause.mul_f64(rand::random())).await;
@@ -163,14 +156,7 @@
         ReadAnswer::Page(page) => page.records.len(),
         ReadAnswer::Expired(_) => 0,
     };
-    control
-        .distribution
-        .ask(FromLog {
-            stream,
-            requested_at,
-            answer,
-        })
-        .await?;
+    control.distribution.ask(FromLog { stream, requested_at, answer }).await?;
     Ok(records)
 }
 
@@ -179,19 +165,10 @@
     // A replaced log starts for all readers from its first snapshot; otherwise the newest saves
     // the most entries.
     let replaced = cx.position().config.generation > 0;
-    let read = if replaced {
-        snapshots::oldest(cx).await
-    } else {
-        snapshots::newest(cx).await
-    };
+    let read = if replaced { snapshots::oldest(cx).await } else { snapshots::newest(cx).await };
     match read {
         Ok(Some(record)) => {
-            if control
-                .distribution
-                .ask(SnapshotRead(record.data))
-                .await
-                .is_err()
-            {
+            if control.distribution.ask(SnapshotRead(record.data)).await.is_err() {
                 tracing::debug!("the distribution actor has stopped");
             }
         }
--- a/crates/daemon/src/control/gossip.rs
+++ b/crates/daemon/src/control/gossip.rs
@@ -52,25 +52,16 @@
 ) {
     let (cx, membership) = (Arc::clone(cx), membership.clone());
     tokio::spawn(async move {
-        let envelope = Envelope {
-            position: cx.position(),
-            message: Some(message),
-        };
-        let answer: Option<Envelope> = cx
-            .ask_peer(to, "/peer/v1/probe", &envelope, GOSSIP_TIMEOUT)
-            .await;
+        let envelope = Envelope { position: cx.position(), message: Some(message) };
+        let answer: Option<Envelope> =
+            cx.ask_peer(to, "/peer/v1/probe", &envelope, GOSSIP_TIMEOUT).await;
         let told = match (answer, probe) {
-            (Some(answer), _) => membership
-                .tell(Received {
-                    from: to,
-                    envelope: answer,
-                })
-                .await
-                .is_ok(),
-            (None, Some(number)) => membership
-                .tell(Happened(Event::ProbeFailed { number }))
-                .await
-                .is_ok(),
+            (Some(answer), _) => {
+                membership.tell(Received { from: to, envelope: answer }).await.is_ok()
+            }
+            (None, Some(number)) => {
+                membership.tell(Happened(Event::ProbeFailed { number })).await.is_ok()
+            }
             (None, None) => true,
         };
         if !told {
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -53,11 +53,7 @@
         };
         let settings = SwimSettings::new().seeds(cx.settings.seeds.clone());
         let swim = Swim::new(own, settings);
-        let local = LocalState {
-            state: MemberState::Cold,
-            service: None,
-            slots: 0,
-        };
+        let local = LocalState { state: MemberState::Cold, service: None, slots: 0 };
         let membership = Self {
             cx: Arc::clone(cx),
             swim,
@@ -82,9 +78,7 @@
 
     /// Carries out what needs no answer; returns the messages for the daemon that just sent one.
     fn carry_out(&mut self, mut actions: Vec<Action>, own: &ActorRef<Self>) -> Vec<Action> {
-        let changed = actions
-            .iter()
-            .any(|action| matches!(action, Action::StateChanged { .. }));
+        let changed = actions.iter().any(|action| matches!(action, Action::StateChanged { .. }));
         if changed {
             self.publish();
         }
@@ -122,10 +116,7 @@
                 self.next_entry = self.cx.clock.now();
             }
             Action::Superseded { incarnation } => {
-                tracing::error!(
-                    incarnation,
-                    "a newer incarnation of this daemon runs elsewhere"
-                );
+                tracing::error!(incarnation, "a newer incarnation of this daemon runs elsewhere");
                 self.cx.advance(Phase::Draining);
             }
             _ => {}
@@ -147,10 +138,7 @@
         };
         LocalState {
             state,
-            service: info
-                .as_ref()
-                .map(|info| info.service.clone())
-                .or(self.local.service.clone()),
+            service: info.as_ref().map(|info| info.service.clone()).or(self.local.service.clone()),
             slots: info.map_or(0, |info| info.slots),
         }
     }
@@ -271,12 +259,7 @@
 impl Membership {
     async fn note_position(&self, from: SocketAddr, envelope: &Envelope) {
         let position = envelope.position;
-        if self
-            .distribution
-            .tell(PeerPosition { from, position })
-            .await
-            .is_err()
-        {
+        if self.distribution.tell(PeerPosition { from, position }).await.is_err() {
             tracing::debug!("the distribution actor has stopped");
         }
     }
