--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -52,16 +52,9 @@
         let distribution = Distribution::spawn(Distribution::new(cx));
         let membership = Membership::spawn(Membership::new(cx, distribution.clone()));
         cx.set_actors(&distribution, &membership);
-        let control = Self {
-            distribution,
-            membership,
-        };
+        let control = Self { distribution, membership };
         tasks.spawn(follower::run(Arc::clone(cx), control.clone(), stop.clone()));
-        tasks.spawn(snapshots::run(
-            Arc::clone(cx),
-            control.clone(),
-            stop.clone(),
-        ));
+        tasks.spawn(snapshots::run(Arc::clone(cx), control.clone(), stop.clone()));
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
     }
--- a/crates/daemon/src/control/push.rs
+++ b/crates/daemon/src/control/push.rs
@@ -56,16 +56,8 @@
             from: own_id.clone(),
             root: root.clone(),
             round,
-            config: news
-                .config
-                .as_ref()
-                .unwrap_or(&distribution.config.heartbeat())
-                .into(),
-            members: news
-                .members
-                .as_ref()
-                .unwrap_or(&distribution.members.heartbeat())
-                .into(),
+            config: news.config.as_ref().unwrap_or(&distribution.config.heartbeat()).into(),
+            members: news.members.as_ref().unwrap_or(&distribution.members.heartbeat()).into(),
             config_proof: distribution.attest(Stream::Config, child),
             members_proof: distribution.attest(Stream::Members, child),
         };
@@ -76,9 +68,8 @@
 fn push_to(cx: &Cx, child: DaemonId, addr: SocketAddr, push: PushWire) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
-        let answer: Option<PushAnswer> = cx
-            .ask_peer(addr, "/peer/v1/entries", &push, PUSH_TIMEOUT)
-            .await;
+        let answer: Option<PushAnswer> =
+            cx.ask_peer(addr, "/peer/v1/entries", &push, PUSH_TIMEOUT).await;
         if let (Some(answer), Some(distribution)) = (answer, cx.distribution()) {
             tell(&distribution, PushAnswered { child, answer }).await;
         }
@@ -89,19 +80,10 @@
 pub fn pull_from(cx: &Cx, from: SocketAddr, pull: PullWire) {
     let cx = Arc::clone(cx);
     tokio::spawn(async move {
-        let answer: Option<PullAnswerWire> = cx
-            .ask_peer(from, "/peer/v1/pull", &pull, PULL_TIMEOUT)
-            .await;
+        let answer: Option<PullAnswerWire> =
+            cx.ask_peer(from, "/peer/v1/pull", &pull, PULL_TIMEOUT).await;
         if let Some(distribution) = cx.distribution() {
-            tell(
-                &distribution,
-                Pulled {
-                    stream: pull.stream,
-                    from,
-                    answer,
-                },
-            )
-            .await;
+            tell(&distribution, Pulled { stream: pull.stream, from, answer }).await;
         }
     });
 }
--- a/crates/daemon/src/control/registrations.rs
+++ b/crates/daemon/src/control/registrations.rs
@@ -20,10 +20,7 @@
 
 /// Tells membership what entries of stream `members` say, as far as it still holds.
 pub fn tell(cx: &Cx, membership: ActorRef<Membership>, entries: &[Arc<str>]) {
-    let events: Vec<Event> = entries
-        .iter()
-        .filter_map(|entry| event(cx, entry))
-        .collect();
+    let events: Vec<Event> = entries.iter().filter_map(|entry| event(cx, entry)).collect();
     if events.is_empty() {
         return;
     }
@@ -38,18 +35,8 @@
 
 fn event(cx: &Cx, entry: &str) -> Option<Event> {
     match MemberEntry::parse(entry)? {
-        MemberEntry::Join {
-            id,
-            incarnation,
-            data_centre,
-            service,
-            peer_addr,
-        } => {
-            let known = cx
-                .members
-                .load()
-                .get(&id)
-                .is_some_and(|m| m.incarnation >= incarnation);
+        MemberEntry::Join { id, incarnation, data_centre, service, peer_addr } => {
+            let known = cx.members.load().get(&id).is_some_and(|m| m.incarnation >= incarnation);
             if known || !cx.keys.is_registered(&id, incarnation) {
                 return None;
             }
@@ -82,8 +69,5 @@
         rendezvous::first(registered.id.as_bytes(), live) == Some(cx.identity.id.as_str())
     };
     let registered = cx.keys.registered();
-    registered
-        .into_iter()
-        .filter(|r| unknown(r) && is_proposer(r))
-        .collect()
+    registered.into_iter().filter(|r| unknown(r) && is_proposer(r)).collect()
 }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -74,39 +74,18 @@
 
 async fn probe(cx: &Cx, control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let envelope: Envelope = read(body)?;
-    let message = control
-        .membership
-        .ask(Asked(envelope))
-        .await
-        .map_err(stopped)?;
-    answer(&Envelope {
-        position: cx.position(),
-        message,
-    })
+    let message = control.membership.ask(Asked(envelope)).await.map_err(stopped)?;
+    answer(&Envelope { position: cx.position(), message })
 }
 
 async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let push: PushWire = read(body)?;
-    answer(
-        &control
-            .distribution
-            .ask(Pushed(push))
-            .await
-            .map_err(stopped)?
-            .0,
-    )
+    answer(&control.distribution.ask(Pushed(push)).await.map_err(stopped)?.0)
 }
 
 async fn pull(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let pull: PullWire = read(body)?;
-    answer(
-        &control
-            .distribution
-            .ask(PullAsked(pull))
-            .await
-            .map_err(stopped)?
-            .0,
-    )
+    answer(&control.distribution.ask(PullAsked(pull)).await.map_err(stopped)?.0)
 }
 
 fn outcome(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
--- a/crates/daemon/src/control/snapshots.rs
+++ b/crates/daemon/src/control/snapshots.rs
@@ -56,10 +56,7 @@
         _: PlanSnapshot,
         _: &mut MessageContext<Self, Self::Reply>,
     ) -> SnapshotPlan {
-        SnapshotPlan {
-            version: self.state.version(),
-            waiting: self.waiting_generation(),
-        }
+        SnapshotPlan { version: self.state.version(), waiting: self.waiting_generation() }
     }
 }
 
@@ -124,10 +121,7 @@
                 known.generation == plan.version.generation
                     && plan.version.offset < known.offset + SNAPSHOT_EVERY
             });
-            let age = cx
-                .clock
-                .wall()
-                .saturating_sub(Duration::from_millis(record.time_ms));
+            let age = cx.clock.wall().saturating_sub(Duration::from_millis(record.time_ms));
             // Readers compare the snapshots of others with their own state.
             control.distribution.ask(SnapshotRead(record.data)).await?;
             !behind || is_old(cx, age)
@@ -146,11 +140,7 @@
 async fn append(cx: &Cx, control: &Control, generation: Option<u64>) -> Result<()> {
     let text = control.distribution.ask(MakeSnapshot(generation)).await?;
     let appended = cx.log.append(SNAPSHOTS, &text).await?;
-    tracing::info!(
-        bytes = text.len(),
-        offset = appended.offset,
-        "appended a snapshot"
-    );
+    tracing::info!(bytes = text.len(), offset = appended.offset, "appended a snapshot");
     Ok(())
 }
 
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -71,9 +71,6 @@
         _: GetRecords,
         _: &mut MessageContext<Self, Self::Reply>,
     ) -> FoldedRecords {
-        FoldedRecords {
-            version: self.state.version(),
-            records: self.state.records().clone(),
-        }
+        FoldedRecords { version: self.state.version(), records: self.state.records().clone() }
     }
 }
--- a/crates/daemon/src/control/stream.rs
+++ b/crates/daemon/src/control/stream.rs
@@ -31,10 +31,7 @@
     /// Version of the last entry.
     #[must_use]
     pub fn version(&self) -> Version {
-        Version {
-            generation: self.window.generation(),
-            offset: self.window.next() - 1,
-        }
+        Version { generation: self.window.generation(), offset: self.window.next() - 1 }
     }
 
     /// Whether no entry and no generation is known.
@@ -46,11 +43,7 @@
     /// A batch without entries, or with those from `first` on.
     #[must_use]
     pub fn batch(&self, first: Offset, entries: &[std::sync::Arc<str>]) -> Batch {
-        Batch {
-            generation: self.window.generation(),
-            first,
-            entries: entries.to_vec(),
-        }
+        Batch { generation: self.window.generation(), first, entries: entries.to_vec() }
     }
 
     /// A batch that only tells where this daemon stands.
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -76,9 +76,7 @@
 
     fn addresses(&self) -> Result<Addresses> {
         let addr = |listener: &TcpListener| {
-            listener
-                .local_addr()
-                .wrap_err("failed to read the address of a listener")
+            listener.local_addr().wrap_err("failed to read the address of a listener")
         };
         Ok(Addresses {
             callers: addr(&self.callers)?,
@@ -98,9 +96,7 @@
     pub async fn start(settings: Settings) -> Result<Self> {
         let listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses()?;
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let identity = Identity {
             id: settings.daemon.clone(),
             incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
@@ -112,14 +108,7 @@
         let stop = CancellationToken::new();
         let stop_serving = CancellationToken::new();
         let control = Control::start(&cx, &tasks, &stop);
-        let daemon = Self {
-            cx,
-            control,
-            addresses,
-            tasks,
-            stop,
-            stop_serving,
-        };
+        let daemon = Self { cx, control, addresses, tasks, stop, stop_serving };
         daemon.serve(listeners);
         tracing::info!(
             daemon = daemon.cx.identity.id,
@@ -136,35 +125,21 @@
     fn serve(&self, listeners: Listeners) {
         let (cx, control) = (Arc::clone(&self.cx), self.control.clone());
         let stop_serving = self.stop_serving.clone();
-        self.tasks.spawn(serve_callers(
-            Arc::clone(&cx),
-            listeners.callers,
-            stop_serving.clone(),
-        ));
-        let peers = serve_peers(
-            Arc::clone(&cx),
-            control.clone(),
-            listeners.peers,
-            stop_serving,
-        );
+        self.tasks.spawn(serve_callers(Arc::clone(&cx), listeners.callers, stop_serving.clone()));
+        let peers = serve_peers(Arc::clone(&cx), control.clone(), listeners.peers, stop_serving);
         self.tasks.spawn(peers);
         let operators = {
             let (cx, control) = (Arc::clone(&cx), control.clone());
             move |req| serve_operators(Arc::clone(&cx), control.clone(), req)
         };
-        self.tasks.spawn(serve_small(
-            listeners.operators,
-            self.stop.clone(),
-            operators,
-        ));
+        self.tasks.spawn(serve_small(listeners.operators, self.stop.clone(), operators));
         let tracker = Arc::new(BackendTracker::default());
         let backend = {
             let (cx, control) = (Arc::clone(&cx), control.clone());
             let tracker = Arc::clone(&tracker);
             move |req| announce(Arc::clone(&cx), control.clone(), Arc::clone(&tracker), req)
         };
-        self.tasks
-            .spawn(serve_small(listeners.backend, self.stop.clone(), backend));
+        self.tasks.spawn(serve_small(listeners.backend, self.stop.clone(), backend));
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
@@ -208,10 +183,7 @@
         self.leave().await;
         self.stop.cancel();
         self.tasks.close();
-        if tokio::time::timeout(LEAVE_TIMEOUT, self.tasks.wait())
-            .await
-            .is_err()
-        {
+        if tokio::time::timeout(LEAVE_TIMEOUT, self.tasks.wait()).await.is_err() {
             tracing::warn!("connections were still open at the end");
         }
         tracing::info!(whole, "stopped");
@@ -233,10 +205,7 @@
         let limit = self.cx.settings.drain_limit;
         let whole = tokio::time::timeout(limit, idle).await.is_ok();
         if !whole {
-            tracing::warn!(
-                requests = self.cx.in_flight(),
-                "requests are cut at the drain limit"
-            );
+            tracing::warn!(requests = self.cx.in_flight(), "requests are cut at the drain limit");
         }
         whole
     }
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -47,17 +47,10 @@
     /// Starts without any registration or outcome; `retention` is that of the log.
     #[must_use]
     pub fn new(identity: &Identity, clock: Clock, retention: Duration) -> Self {
-        let me = Incarnate {
-            id: identity.id.clone(),
-            incarnation: identity.incarnation,
-        };
+        let me = Incarnate { id: identity.id.clone(), incarnation: identity.incarnation };
         let lease = Lease::new(Fencing::default(), retention);
         let owner = KeyOwner::new(me.clone(), lease, Limits::default());
-        Self {
-            me,
-            clock,
-            owner: Mutex::new(owner),
-        }
+        Self { me, clock, owner: Mutex::new(owner) }
     }
 
     fn lock(&self) -> MutexGuard<'_, KeyOwner> {
@@ -158,12 +151,7 @@
         let mut owner = self.lock();
         let reading = read_clocks(self.clock);
         let decision = owner.decide(request, reading, priors);
-        tracing::debug!(
-            key = request.key.as_str(),
-            ?decision,
-            ?priors,
-            "decided about a key"
-        );
+        tracing::debug!(key = request.key.as_str(), ?decision, ?priors, "decided about a key");
         decision
     }
 
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -48,9 +48,7 @@
         let builder = builder(&cx);
         let cx = Arc::clone(&cx);
         let service = service_fn(move |req| answer(Arc::clone(&cx), req));
-        let conn = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
+        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let conn = graceful.watch(conn);
         tokio::spawn(async move {
             if let Err(e) = conn.await {
@@ -97,14 +95,8 @@
         Some(key) if *method == Method::GET => {
             *res.body_mut() = ProxyBody::full(format!("{}\n", key.as_str()));
             let headers = res.headers_mut();
-            headers.insert(
-                http::header::CONTENT_TYPE,
-                HeaderValue::from_static("text/plain"),
-            );
-            headers.insert(
-                http::header::CACHE_CONTROL,
-                HeaderValue::from_static("no-store"),
-            );
+            headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+            headers.insert(http::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
         }
         Some(_) => *res.status_mut() = StatusCode::METHOD_NOT_ALLOWED,
         None => *res.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -25,9 +25,7 @@
 ///
 /// The address cannot be bound.
 pub async fn bind(name: &str, addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .wrap_err_with(|| format!("failed to listen for {name} on {addr}"))
+    TcpListener::bind(addr).await.wrap_err_with(|| format!("failed to listen for {name} on {addr}"))
 }
 
 /// Accepts the next connection.
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -46,9 +46,7 @@
         let (cx, control) = (Arc::clone(&cx), control.clone());
         let service = service_fn(move |req| answer(Arc::clone(&cx), control.clone(), req));
         let builder = builder(header_bytes);
-        let conn = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
+        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let conn = graceful.watch(conn);
         tokio::spawn(async move {
             if let Err(e) = conn.await {
@@ -61,10 +59,7 @@
 
 fn builder(header_bytes: usize) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .max_buf_size(header_bytes);
+    builder.http1().timer(TokioTimer::new()).max_buf_size(header_bytes);
     builder
         .http2()
         .timer(TokioTimer::new())
--- a/crates/daemon/src/listeners/small.rs
+++ b/crates/daemon/src/listeners/small.rs
@@ -37,11 +37,7 @@
     #[must_use]
     pub fn json<T: serde::Serialize>(document: &T) -> Self {
         match serde_json::to_string(document) {
-            Ok(body) => Self {
-                status: StatusCode::OK,
-                media_type: "application/json",
-                body,
-            },
+            Ok(body) => Self { status: StatusCode::OK, media_type: "application/json", body },
             Err(e) => Self::error(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
         }
     }
@@ -50,19 +46,14 @@
     #[must_use]
     pub fn error(status: StatusCode, detail: &str) -> Self {
         let body = serde_json::json!({ "error": detail }).to_string();
-        Self {
-            status,
-            media_type: "application/json",
-            body,
-        }
+        Self { status, media_type: "application/json", body }
     }
 
     fn into_response(self) -> Response<Full<Bytes>> {
         let mut res = Response::new(Full::from(self.body));
         *res.status_mut() = self.status;
         let media_type = HeaderValue::from_static(self.media_type);
-        res.headers_mut()
-            .insert(http::header::CONTENT_TYPE, media_type);
+        res.headers_mut().insert(http::header::CONTENT_TYPE, media_type);
         res
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -36,10 +36,7 @@
         }
     };
     if matches.opt_present("help") {
-        print!(
-            "{}",
-            opts.usage("Usage: baobabreeld --settings FILE [--check-settings]")
-        );
+        print!("{}", opts.usage("Usage: baobabreeld --settings FILE [--check-settings]"));
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("version") {
--- a/crates/daemon/src/operators/explain.rs
+++ b/crates/daemon/src/operators/explain.rs
@@ -22,11 +22,7 @@
     let host = parameter(query, "host")?.map(|host| host.to_ascii_lowercase());
     let key = parameter(query, "key")?;
     let config = cx.config.load();
-    let line = RequestLine {
-        host: host.as_deref(),
-        method: &method,
-        path: &path,
-    };
+    let line = RequestLine { host: host.as_deref(), method: &method, path: &path };
     let route = find_route(&config, line);
     let mut doc = ExplainDoc {
         daemon: cx.identity.id.clone(),
@@ -74,9 +70,7 @@
     let view = cx.view.load();
     for service in std::iter::once(&route.spec.service).chain(route.spec.fallback.as_ref()) {
         let members = view.of_service(service);
-        let docs = members
-            .iter()
-            .map(|member| candidate_doc(config, service, member));
+        let docs = members.iter().map(|member| candidate_doc(config, service, member));
         doc.candidates.extend(docs);
         if doc.chosen.is_none() {
             doc.chosen = candidate(cx, service);
--- a/crates/daemon/src/operators/mesh.rs
+++ b/crates/daemon/src/operators/mesh.rs
@@ -30,15 +30,11 @@
 pub async fn collect(cx: &Cx, control: &Control) -> Option<Vec<Result<StatusDoc, MemberDoc>>> {
     let own = status(cx, control).await?;
     let members = cx.members.load_full();
-    let others: Vec<Member> = members
-        .iter()
-        .filter(|m| !m.is_departed() && m.id != cx.identity.id)
-        .cloned()
-        .collect();
+    let others: Vec<Member> =
+        members.iter().filter(|m| !m.is_departed() && m.id != cx.identity.id).cloned().collect();
     let deadline = Instant::now() + COLLECT_TIMEOUT;
-    let answers = stream::iter(others)
-        .map(|member| ask(cx, member, deadline))
-        .buffer_unordered(CONCURRENCY);
+    let answers =
+        stream::iter(others).map(|member| ask(cx, member, deadline)).buffer_unordered(CONCURRENCY);
     let mut docs: Vec<_> = answers.collect().await;
     docs.push(Ok(own));
     docs.sort_by(|a, b| id(a).cmp(id(b)));
@@ -51,8 +47,7 @@
         None
     } else {
         let timeout = left.min(MEMBER_TIMEOUT);
-        cx.ask_peer(member.peer_addr, STATUS_PATH, &(), timeout)
-            .await
+        cx.ask_peer(member.peer_addr, STATUS_PATH, &(), timeout).await
     };
     answer.ok_or_else(|| member_doc(&cx.config.load(), &member))
 }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -46,11 +46,9 @@
             Err(detail) => Reply::error(StatusCode::BAD_REQUEST, &detail),
         },
         "/metrics" => match cx.metrics.render() {
-            Ok(body) => Reply {
-                status: StatusCode::OK,
-                media_type: "text/plain; version=0.0.4",
-                body,
-            },
+            Ok(body) => {
+                Reply { status: StatusCode::OK, media_type: "text/plain; version=0.0.4", body }
+            }
             Err(e) => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, &format!("{e:#}")),
         },
         _ => Reply::error(
@@ -107,12 +105,7 @@
     let in_use = |key: &baobabreel_core::config::RecordKey,
                   record: &baobabreel_core::config::Record| {
         let passed = |schema: &u32| config.passed_over.contains(&(key.clone(), *schema));
-        record
-            .forms
-            .range(..=max_schema)
-            .rev()
-            .map(|(schema, _)| *schema)
-            .find(|s| !passed(s))
+        record.forms.range(..=max_schema).rev().map(|(schema, _)| *schema).find(|s| !passed(s))
     };
     let records = folded
         .records
@@ -123,10 +116,7 @@
             schema_in_use: in_use(key, record),
         })
         .collect();
-    RecordsDoc {
-        version: folded.version,
-        records,
-    }
+    RecordsDoc { version: folded.version, records }
 }
 
 fn members(cx: &Cx) -> Vec<MemberDoc> {
@@ -144,9 +134,6 @@
         peer_addr: member.peer_addr.to_string(),
         state: member.state,
         slots: member.slots,
-        policy: config
-            .backend_servers
-            .get(&member.id)
-            .map(|policy| policy.state),
+        policy: config.backend_servers.get(&member.id).map(|policy| policy.state),
     }
 }
--- a/crates/daemon/src/operators/query.rs
+++ b/crates/daemon/src/operators/query.rs
@@ -25,12 +25,8 @@
             bytes.push(*first);
             continue;
         }
-        let digits = tail
-            .get(..2)
-            .and_then(|pair| std::str::from_utf8(pair).ok());
-        let byte = digits
-            .and_then(|pair| u8::from_str_radix(pair, 16).ok())
-            .ok_or_else(fault)?;
+        let digits = tail.get(..2).and_then(|pair| std::str::from_utf8(pair).ok());
+        let byte = digits.and_then(|pair| u8::from_str_radix(pair, 16).ok()).ok_or_else(fault)?;
         bytes.push(byte);
         rest = &tail[2..];
     }
--- a/crates/daemon/src/proxy/active.rs
+++ b/crates/daemon/src/proxy/active.rs
@@ -89,9 +89,6 @@
 impl Drop for ActiveCall<'_> {
     fn drop(&mut self) {
         let now = self.cx.clock.now();
-        self.cx
-            .calls
-            .lock()
-            .remember(self.id, CallState::Answered, now);
+        self.cx.calls.lock().remember(self.id, CallState::Answered, now);
     }
 }
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -83,10 +83,7 @@
         if let Some(after) = retry_after.filter(|_| answer.retryable) {
             // The header has whole seconds; 0 would ask for an immediate repeat.
             let secs = after.as_millis().div_ceil(1_000).max(1);
-            headers.insert(
-                RETRY_AFTER,
-                HeaderValue::from(u64::try_from(secs).unwrap_or(1)),
-            );
+            headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(secs).unwrap_or(1)));
         }
         if self.close {
             headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -123,14 +123,9 @@
             .data_centre(self.data_centre.clone())
             .round_robin(self.policy == Policy::Plain)
             .build();
-        let mut services = self
-            .services
-            .write()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(
-            services
-                .entry(name.to_owned())
-                .or_insert_with(|| Arc::new(Mutex::new(balancer))),
+            services.entry(name.to_owned()).or_insert_with(|| Arc::new(Mutex::new(balancer))),
         )
     }
 
@@ -147,9 +142,7 @@
         }
         drop(routes);
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-        let state = routes
-            .entry(name.to_owned())
-            .or_insert_with(|| Arc::new(RouteState::new()));
+        let state = routes.entry(name.to_owned()).or_insert_with(|| Arc::new(RouteState::new()));
         Arc::clone(state)
     }
 
@@ -208,10 +201,7 @@
 enum End {
     Cancelled,
     Failed(Failure),
-    Answered {
-        latency: Duration,
-        report: Option<LoadReport>,
-    },
+    Answered { latency: Duration, report: Option<LoadReport> },
 }
 
 /// Call to a backend server that counts as outstanding until it is dropped.
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -137,11 +137,7 @@
     #[must_use]
     pub fn full(data: impl Into<Bytes>) -> Self {
         let data = data.into();
-        if data.is_empty() {
-            Self::Empty
-        } else {
-            Self::Full(data)
-        }
+        if data.is_empty() { Self::Empty } else { Self::Full(data) }
     }
 }
 
@@ -149,9 +145,7 @@
     inner: &mut Incoming,
     cx: &mut Context<'_>,
 ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-    Pin::new(inner)
-        .poll_frame(cx)
-        .map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
+    Pin::new(inner).poll_frame(cx).map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
 }
 
 impl Body for ProxyBody {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -81,27 +81,18 @@
     headers::remove_hop_by_hop(res.headers_mut());
     // A backend server must not speak as a daemon.
     headers::remove_internal(res.headers_mut());
-    res.headers_mut().insert(
-        headers::OUTCOME,
-        HeaderValue::from_static(Outcome::Ran.as_str()),
-    );
+    res.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
     *res.version_mut() = Version::HTTP_11;
     let (parts, body) = res.into_parts();
     let guard = match host_guard {
         Some(host) => Guard::Both(host, guard),
         None => Guard::Entry(guard),
     };
-    Ok(Response::from_parts(
-        parts,
-        host::tracked(cx, body, deadline, guard),
-    ))
+    Ok(Response::from_parts(parts, host::tracked(cx, body, deadline, guard)))
 }
 
 fn report(load: LoadWire) -> LoadReport {
-    LoadReport {
-        running: load.running,
-        queued: load.queued,
-    }
+    LoadReport { running: load.running, queued: load.queued }
 }
 
 fn failed(mut guard: EntryGuard, e: CallError) -> CallError {
@@ -126,15 +117,9 @@
         .view
         .load()
         .find(&head.service, name)
-        .map(|member| Callee {
-            addr: member.peer_addr,
-            incarnation: member.incarnation,
-        });
+        .map(|member| Callee { addr: member.peer_addr, incarnation: member.incarnation });
     let Some(to) = to else {
-        return Err(CallError::new(
-            ErrorKind::NoBackendServer,
-            "the member is gone",
-        ));
+        return Err(CallError::new(ErrorKind::NoBackendServer, "the member is gone"));
     };
     send_call(cx, to, head, req, deadline).await
 }
@@ -154,10 +139,7 @@
 ) -> Result<PeerAnswer, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() = format!("{CALL_PREFIX}{path}").parse().map_err(|e| {
-        CallError::new(
-            ErrorKind::BadRequest,
-            format!("failed to pass the path: {e}"),
-        )
+        CallError::new(ErrorKind::BadRequest, format!("failed to pass the path: {e}"))
     })?;
     *req.version_mut() = Version::HTTP_11;
     let host = HeaderValue::try_from(to.addr.to_string())
@@ -166,12 +148,8 @@
         req.headers_mut().insert(headers::CALLER_HOST, host);
     }
     // Each sending has an identifier of its own, so that a question about it means no other one.
-    let head = CallHead {
-        id: rand::random(),
-        ..head.clone()
-    };
-    req.headers_mut()
-        .insert(headers::CALL, HeaderValue::from(&head));
+    let head = CallHead { id: rand::random(), ..head.clone() };
+    req.headers_mut().insert(headers::CALL, HeaderValue::from(&head));
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) = match watch::until(cx, to, head.id, deadline, exchange).await {
         Watched::Ended(Ok(answered)) => answered,
@@ -187,10 +165,7 @@
         }
         Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
         Watched::Late => {
-            return Err(CallError::new(
-                ErrorKind::DeadlineExceeded,
-                "the deadline passed",
-            ));
+            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
     };
     let answer = res
@@ -208,11 +183,7 @@
             None => e,
         });
     }
-    Ok(PeerAnswer {
-        response: res,
-        load: answer.load,
-        connection,
-    })
+    Ok(PeerAnswer { response: res, load: answer.load, connection })
 }
 
 fn read_retry_after(res: &Response<Incoming>) -> Option<Duration> {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -61,11 +61,7 @@
     let now = cx.clock.now();
     let ended = result.as_ref().map(|_| Outcome::Ran).map_err(|e| e.kind);
     cx.metrics.request(&route, ended, now.saturating_sub(start));
-    span.finish(
-        now,
-        &route,
-        ended.map_or_else(ErrorKind::name, Outcome::as_str),
-    );
+    span.finish(now, &route, ended.map_or_else(ErrorKind::name, Outcome::as_str));
     result.unwrap_or_else(CallError::into_response)
 }
 
@@ -88,10 +84,7 @@
     }
     let (parts, body) = req.into_parts();
     if parts.method == Method::CONNECT {
-        return Err(CallError::new(
-            ErrorKind::BadRequest,
-            "CONNECT is not supported",
-        ));
+        return Err(CallError::new(ErrorKind::BadRequest, "CONNECT is not supported"));
     }
     let config = cx.config.load_full();
     let route = match_route(&config, &parts)
@@ -106,22 +99,14 @@
     let closing = cx.phase() == Phase::Leaving;
     let mut res = call.serve(parts, body).await.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
-        res.headers_mut()
-            .insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok((name, res))
 }
 
 fn match_route<'a>(config: &'a CompiledConfig, parts: &Parts) -> Option<&'a Route> {
-    let header = parts
-        .headers
-        .get(HOST)
-        .and_then(|value| value.to_str().ok());
-    let host = parts
-        .uri
-        .host()
-        .or(header.map(without_port))
-        .map(str::to_ascii_lowercase);
+    let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = parts.uri.host().or(header.map(without_port)).map(str::to_ascii_lowercase);
     let line = RequestLine {
         host: host.as_deref(),
         method: parts.method.as_str(),
@@ -152,15 +137,7 @@
         let deadline = start + asked.map_or(most, |asked| asked.min(most));
         let marked_as_retry = parts.headers.contains_key(headers::RETRY);
         let state = cx.balance.route(&route.name);
-        Ok(Self {
-            cx,
-            config,
-            route,
-            state,
-            deadline,
-            marked_as_retry,
-            span,
-        })
+        Ok(Self { cx, config, route, state, deadline, marked_as_retry, span })
     }
 
     fn remaining(&self) -> Duration {
@@ -205,19 +182,14 @@
             let result = if number == 1 && self.route.spec.hedge {
                 self.hedged(req, service, guard, &mut tried).await
             } else {
-                self.attempt(req.attempt(), &service, guard, number > 1)
-                    .await
+                self.attempt(req.attempt(), &service, guard, number > 1).await
             };
             let e = match result {
                 Ok(res) => return Ok(res),
                 Err(e) => combine(earlier.take(), e),
             };
             let attempt = self.attempt_state(number, req);
-            let failure = if e.is_not_run() {
-                Failure::NotRun
-            } else {
-                Failure::MayHaveRun
-            };
+            let failure = if e.is_not_run() { Failure::NotRun } else { Failure::MayHaveRun };
             if decide(&attempt, failure) != RetryDecision::Retry
                 || !req.can_repeat()
                 || !is_worth_repeating(&e)
@@ -237,11 +209,7 @@
             number,
             marked_as_retry: self.marked_as_retry,
             remaining: self.remaining(),
-            max_retries: if req.can_repeat() {
-                self.route.spec.retries
-            } else {
-                0
-            },
+            max_retries: if req.can_repeat() { self.route.spec.retries } else { 0 },
         }
     }
 
@@ -363,10 +331,7 @@
             }
             KeyRoute::Send { owner, peer_addr } => {
                 head.key = Some(key_head(&owner));
-                let to = Callee {
-                    addr: peer_addr,
-                    incarnation: owner.incarnation,
-                };
+                let to = Callee { addr: peer_addr, incarnation: owner.incarnation };
                 let sent = dispatch::send_call(cx, to, &head, req.to_request(), self.deadline);
                 let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
                 Ok(pass_through(cx, answer, self.deadline))
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -96,9 +96,7 @@
     let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
     match millis {
         Some(millis) => Ok(Some(Duration::from_millis(millis))),
-        None => Err(format!(
-            "header `{TIMEOUT}` is not a number of milliseconds"
-        )),
+        None => Err(format!("header `{TIMEOUT}` is not a number of milliseconds")),
     }
 }
 
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -35,8 +35,7 @@
 /// Whether a path of the peers' listener is that of a call.
 #[must_use]
 pub fn is_call(path: &str) -> bool {
-    path.strip_prefix(CALL_PREFIX)
-        .is_some_and(|rest| rest.starts_with('/'))
+    path.strip_prefix(CALL_PREFIX).is_some_and(|rest| rest.starts_with('/'))
 }
 
 /// Time that is left for the way back when a queued request starts.
@@ -73,11 +72,7 @@
         for action in actions {
             let (id, result) = match action {
                 Action::Start(id) => (id, Ok(())),
-                Action::Refuse {
-                    id,
-                    kind,
-                    retry_after,
-                } => {
+                Action::Refuse { id, kind, retry_after } => {
                     let e = CallError::new(kind, "the request left the queue");
                     (id, Err(e.with_retry_after(retry_after)))
                 }
@@ -108,19 +103,12 @@
     #[must_use]
     pub fn new(connection_limit: usize, policy: Policy) -> Self {
         let gate = Gate {
-            admission: Admission::builder()
-                .class_aware(policy == Policy::Full)
-                .build(),
+            admission: Admission::builder().class_aware(policy == Policy::Full).build(),
             waiting: HashMap::new(),
             next_id: 0,
         };
         let gate = Arc::new(Mutex::new(gate));
-        Self {
-            backend: ArcSwapOption::empty(),
-            gate,
-            connection_limit,
-            policy,
-        }
+        Self { backend: ArcSwapOption::empty(), gate, connection_limit, policy }
     }
 
     /// Takes over an announcement, or that there is no backend server any more.
@@ -156,10 +144,7 @@
 
     /// The backend server as it announced itself last.
     pub fn info(&self) -> Option<BackendInfo> {
-        self.backend
-            .load()
-            .as_ref()
-            .map(|backend| backend.info.clone())
+        self.backend.load().as_ref().map(|backend| backend.info.clone())
     }
 
     /// Load as admission sees it.
@@ -167,11 +152,7 @@
         let gate = lock(&self.gate);
         let load = gate.admission.load();
         let slots = gate.admission.slots();
-        LoadWire {
-            running: load.running,
-            queued: load.queued,
-            slots,
-        }
+        LoadWire { running: load.running, queued: load.queued, slots }
     }
 
     /// Whether a request for `service` would start at once.
@@ -217,11 +198,7 @@
         };
         let offer = gate.admission.offer(ticket, now);
         gate.apply(offer.evicted);
-        let guard = || HostGuard {
-            cx: Arc::clone(cx),
-            id: Some(id),
-            connection: None,
-        };
+        let guard = || HostGuard { cx: Arc::clone(cx), id: Some(id), connection: None };
         match offer.decision {
             Decision::Start => Ok(Place::Slot(guard())),
             Decision::Queued => {
@@ -239,11 +216,8 @@
     fn release(&self, id: TicketId, whole: bool, now: Duration) {
         let mut gate = lock(&self.gate);
         gate.waiting.remove(&id);
-        let actions = if whole {
-            gate.admission.finish(id, now)
-        } else {
-            gate.admission.cancel(id, now)
-        };
+        let actions =
+            if whole { gate.admission.finish(id, now) } else { gate.admission.cancel(id, now) };
         gate.apply(actions);
     }
 
@@ -271,14 +245,10 @@
             guard.forget();
             Err(e)
         }
-        Ok(Err(_)) => Err(CallError::new(
-            ErrorKind::Overloaded,
-            "the queue was closed",
-        )),
-        Err(_) => Err(CallError::new(
-            ErrorKind::DeadlineUnreachable,
-            "the deadline passed in the queue",
-        )),
+        Ok(Err(_)) => Err(CallError::new(ErrorKind::Overloaded, "the queue was closed")),
+        Err(_) => {
+            Err(CallError::new(ErrorKind::DeadlineUnreachable, "the deadline passed in the queue"))
+        }
     }
 }
 
@@ -291,9 +261,7 @@
 
 impl std::fmt::Debug for HostGuard {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("HostGuard")
-            .field("id", &self.id)
-            .finish_non_exhaustive()
+        f.debug_struct("HostGuard").field("id", &self.id).finish_non_exhaustive()
     }
 }
 
@@ -345,8 +313,7 @@
     let remaining = deadline.saturating_sub(cx.clock.now());
     headers::write_timeout(req.headers_mut(), remaining);
     if head.retry {
-        req.headers_mut()
-            .insert(headers::RETRY, HeaderValue::from_static("1"));
+        req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
     }
     *req.version_mut() = Version::HTTP_11;
     if !req.headers().contains_key(HOST)
@@ -364,48 +331,29 @@
             return Err(CallError::new(ErrorKind::UpstreamLost, detail));
         }
         Err(_) => {
-            return Err(CallError::new(
-                ErrorKind::DeadlineExceeded,
-                "the deadline passed",
-            ));
+            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
     };
     guard.connection = Some(connection);
     check_answer(&response)?;
-    Ok(Admitted {
-        response,
-        guard,
-        deadline,
-    })
+    Ok(Admitted { response, guard, deadline })
 }
 
 fn able_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
     if cx.phase() == Phase::Draining {
-        return Err(CallError::new(
-            ErrorKind::Draining,
-            "the daemon is draining",
-        ));
+        return Err(CallError::new(ErrorKind::Draining, "the daemon is draining"));
     }
-    let none = || {
-        CallError::new(
-            ErrorKind::NoBackendServer,
-            "no backend server is announced here",
-        )
-    };
+    let none = || CallError::new(ErrorKind::NoBackendServer, "no backend server is announced here");
     let backend = cx.host.backend.load_full().ok_or_else(none)?;
     if backend.info.service != head.service {
         return Err(none());
     }
     match backend.info.state {
         MemberState::Ready => Ok(backend),
-        MemberState::Draining | MemberState::Left => Err(CallError::new(
-            ErrorKind::Draining,
-            "the backend server is draining",
-        )),
-        _ => Err(CallError::new(
-            ErrorKind::NotReady,
-            "the backend server is not ready",
-        )),
+        MemberState::Draining | MemberState::Left => {
+            Err(CallError::new(ErrorKind::Draining, "the backend server is draining"))
+        }
+        _ => Err(CallError::new(ErrorKind::NotReady, "the backend server is not ready")),
     }
 }
 
@@ -413,15 +361,9 @@
 fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
     let not_run = Outcome::NotRun.as_str();
     let shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
-        && res
-            .headers()
-            .get(headers::OUTCOME)
-            .is_some_and(|value| value == not_run);
+        && res.headers().get(headers::OUTCOME).is_some_and(|value| value == not_run);
     if shed {
-        return Err(CallError::new(
-            ErrorKind::Overloaded,
-            "the backend server shed the request",
-        ));
+        return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
     }
     let body = res.body();
     let delimited = body.is_end_stream()
@@ -430,10 +372,7 @@
     if delimited {
         return Ok(());
     }
-    Err(CallError::new(
-        ErrorKind::UpstreamLost,
-        "the answer has neither a length nor chunks",
-    ))
+    Err(CallError::new(ErrorKind::UpstreamLost, "the answer has neither a length nor chunks"))
 }
 
 /// Body of an answer that gives back its guard at its end.
@@ -463,17 +402,11 @@
         Some(Ok(head)) => {
             let result = match ActiveCalls::begin(&cx, head.id) {
                 Some(_active) => call(&cx, &head, req, &span).await,
-                None => Err(CallError::new(
-                    ErrorKind::NotReady,
-                    "the caller gave this call up",
-                )),
+                None => Err(CallError::new(ErrorKind::NotReady, "the caller gave this call up")),
             };
             (head.route, result)
         }
-        Some(Err(e)) => (
-            String::new(),
-            Err(CallError::new(ErrorKind::BadRequest, e.to_string())),
-        ),
+        Some(Err(e)) => (String::new(), Err(CallError::new(ErrorKind::BadRequest, e.to_string()))),
         None => {
             let e = CallError::new(ErrorKind::BadRequest, "the call has no head");
             (String::new(), Err(e))
@@ -486,13 +419,8 @@
             (e.into_response(), kind.answer().outcome, Some(kind))
         }
     };
-    let answer = AnswerHead {
-        outcome,
-        error,
-        load: cx.host.load(),
-    };
-    res.headers_mut()
-        .insert(headers::ANSWER, HeaderValue::from(&answer));
+    let answer = AnswerHead { outcome, error, load: cx.host.load() };
+    res.headers_mut().insert(headers::ANSWER, HeaderValue::from(&answer));
     let result = error.map_or("ran", ErrorKind::name);
     span.finish(cx.clock.now(), &route, result);
     res
@@ -517,21 +445,13 @@
     if let Some(key) = &head.key {
         let body = read_whole(body, head).await;
         let body = body.map_err(|e| keyed::before_owner(e, key.attempt()))?;
-        let req = WholeRequest {
-            method: parts.method,
-            uri,
-            headers,
-            body,
-        };
+        let req = WholeRequest { method: parts.method, uri, headers, body };
         return keyed::serve_as_owner(cx, head.clone(), key.clone(), req).await;
     }
     let body = if body.is_end_stream() {
         ProxyBody::Empty
     } else {
-        ProxyBody::Stream {
-            inner: body,
-            left: cx.settings.limits.body_bytes,
-        }
+        ProxyBody::Stream { inner: body, left: cx.settings.limits.body_bytes }
     };
     let mut inner = Request::new(body);
     *inner.method_mut() = parts.method;
--- a/crates/daemon/src/proxy/keyed.rs
+++ b/crates/daemon/src/proxy/keyed.rs
@@ -65,12 +65,7 @@
             let detail = "the body of a request with a key was not read";
             return Err(CallError::new(ErrorKind::Internal, detail));
         };
-        Ok(Self {
-            method: req.method,
-            uri: req.uri,
-            headers: req.headers,
-            body,
-        })
+        Ok(Self { method: req.method, uri: req.uri, headers: req.headers, body })
     }
 
     /// Hash of what makes it the same request: method, path, query and body.
@@ -78,10 +73,7 @@
     pub fn fingerprint(&self) -> u128 {
         let mut hasher = Xxh3::new();
         let target = self.uri.path_and_query();
-        for part in [
-            self.method.as_str(),
-            target.map_or("", |path| path.as_str()),
-        ] {
+        for part in [self.method.as_str(), target.map_or("", |path| path.as_str())] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
@@ -109,9 +101,7 @@
     if headers.get_all(headers::KEY).iter().count() > 1 {
         return Err(bad("more than one idempotency key".to_owned()));
     }
-    let text = value
-        .to_str()
-        .map_err(|e| bad(format!("failed to read idempotency key: {e}")))?;
+    let text = value.to_str().map_err(|e| bad(format!("failed to read idempotency key: {e}")))?;
     Key::parse(text).map(Some).map_err(|e| bad(e.to_string()))
 }
 
@@ -184,11 +174,7 @@
     if let Some(kept) = decide(cx, &request).await? {
         return restore(&kept);
     }
-    let recording = Recording {
-        cx,
-        request: &request,
-        ended: false,
-    };
+    let recording = Recording { cx, request: &request, ended: false };
     head.key = None;
     let result = run(cx, &head, wire.fallback.as_ref(), deadline, &req).await;
     recording.end(&result);
@@ -207,9 +193,7 @@
                 return Err(CallError::new(kind, "decided by the owner of the key"));
             }
             Decision::Ask(owners) => {
-                let answers = owners
-                    .into_iter()
-                    .map(|owner| ask_prior(cx, request, owner));
+                let answers = owners.into_iter().map(|owner| ask_prior(cx, request, owner));
                 priors.extend(join_all(answers).await);
             }
         }
@@ -284,11 +268,7 @@
     let sent = dispatch::dispatch_until(cx, head, fallback, deadline, || req.to_request());
     let (parts, body) = sent.await?.into_parts();
     let body = read_answer(body).await?;
-    Ok(WholeAnswer {
-        status: parts.status,
-        headers: parts.headers,
-        body,
-    })
+    Ok(WholeAnswer { status: parts.status, headers: parts.headers, body })
 }
 
 /// Reads an answer to its end; the part of it that is over the limit is not kept.
@@ -353,10 +333,7 @@
         *res.status_mut() = self.status;
         *res.headers_mut() = self.headers;
         let headers = res.headers_mut();
-        headers.insert(
-            headers::OUTCOME,
-            HeaderValue::from_static(Outcome::Ran.as_str()),
-        );
+        headers.insert(headers::OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
         if repeated {
             headers.insert(headers::REPLAYED, HeaderValue::from_static("true"));
         }
@@ -374,10 +351,5 @@
         headers.append(name, value);
     }
     let status = StatusCode::from_u16(kept.status).map_err(|e| fault(e.to_string()))?;
-    Ok(WholeAnswer {
-        status,
-        headers,
-        body: kept.body,
-    }
-    .into_response(true))
+    Ok(WholeAnswer { status, headers, body: kept.body }.into_response(true))
 }
--- a/crates/daemon/src/proxy/pool/http1.rs
+++ b/crates/daemon/src/proxy/pool/http1.rs
@@ -58,16 +58,8 @@
         if self.sender.is_closed() {
             return;
         }
-        let idle = Idle {
-            sender: self.sender,
-            permit: self.permit,
-            since: Instant::now(),
-        };
-        self.pool
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(idle);
+        let idle = Idle { sender: self.sender, permit: self.permit, since: Instant::now() };
+        self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner).push(idle);
     }
 }
 
@@ -75,11 +67,7 @@
     /// Makes a pool of at most `limit` connections.
     #[must_use]
     pub fn new(addr: SocketAddr, limit: usize) -> Self {
-        Self {
-            addr,
-            idle: Mutex::new(Vec::new()),
-            permits: Arc::new(Semaphore::new(limit)),
-        }
+        Self { addr, idle: Mutex::new(Vec::new()), permits: Arc::new(Semaphore::new(limit)) }
     }
 
     /// Takes the connection that was used last, so that the others can become idle.
@@ -151,10 +139,6 @@
         sender: SendRequest<ProxyBody>,
         permit: OwnedSemaphorePermit,
     ) -> Http1Connection {
-        Http1Connection {
-            pool: Arc::clone(self),
-            sender,
-            permit,
-        }
+        Http1Connection { pool: Arc::clone(self), sender, permit }
     }
 }
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -79,10 +79,7 @@
 impl PeerSlot {
     fn current(&self) -> Option<SendRequest<ProxyBody>> {
         let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
-        sender
-            .as_ref()
-            .filter(|sender| !sender.is_closed())
-            .cloned()
+        sender.as_ref().filter(|sender| !sender.is_closed()).cloned()
     }
 
     fn replace(&self, sender: SendRequest<ProxyBody>) {
@@ -103,11 +100,7 @@
     #[must_use]
     pub fn new(token: Option<String>) -> Self {
         let token = token.and_then(|token| HeaderValue::from_str(&token).ok());
-        Self {
-            slots: RwLock::default(),
-            calls: RwLock::default(),
-            token,
-        }
+        Self { slots: RwLock::default(), calls: RwLock::default(), token }
     }
 
     fn slot(&self, addr: SocketAddr) -> Arc<PeerSlot> {
@@ -151,22 +144,13 @@
 
     /// Closes the connections to a peer that is gone.
     pub fn forget(&self, addr: SocketAddr) {
-        self.calls
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&addr);
-        self.slots
-            .write()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&addr);
+        self.calls.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+        self.slots.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
     }
 
     /// Number of peers with a connection or an attempt to make one.
     pub fn len(&self) -> usize {
-        self.slots
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .len()
+        self.slots.read().unwrap_or_else(PoisonError::into_inner).len()
     }
 
     /// Whether there is no peer.
@@ -240,11 +224,8 @@
             if res.status() != StatusCode::OK {
                 return Err(PeerError::Refused(res.status()));
             }
-            let body = Limited::new(res.into_body(), MAX_CONTROL_BYTES)
-                .collect()
-                .await;
-            body.map(|body| body.to_bytes())
-                .map_err(|e| PeerError::Lost(e.to_string()))
+            let body = Limited::new(res.into_body(), MAX_CONTROL_BYTES).collect().await;
+            body.map(|body| body.to_bytes()).map_err(|e| PeerError::Lost(e.to_string()))
         };
         let answer = match tokio::time::timeout(timeout, exchange).await {
             Ok(answer) => answer,
@@ -252,10 +233,7 @@
         };
         if matches!(answer, Err(PeerError::Lost(_))) {
             // The connection may have gone silent; the next message makes a new one.
-            self.slots
-                .write()
-                .unwrap_or_else(PoisonError::into_inner)
-                .remove(&addr);
+            self.slots.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
         }
         answer
     }
--- a/crates/daemon/src/proxy/replay.rs
+++ b/crates/daemon/src/proxy/replay.rs
@@ -111,14 +111,8 @@
     match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(key_body_too_large()),
-        Ok(Err(_)) => Err(CallError::passing(
-            ErrorKind::BadRequest,
-            "the body broke off",
-        )),
-        Err(_) => Err(CallError::passing(
-            ErrorKind::BadRequest,
-            "the body did not come in time",
-        )),
+        Ok(Err(_)) => Err(CallError::passing(ErrorKind::BadRequest, "the body broke off")),
+        Err(_) => Err(CallError::passing(ErrorKind::BadRequest, "the body did not come in time")),
     }
 }
 
--- a/crates/daemon/src/proxy/watch.rs
+++ b/crates/daemon/src/proxy/watch.rs
@@ -60,11 +60,7 @@
     loop {
         let remaining = deadline.saturating_sub(cx.clock.now());
         // An unanswered question is put again at once, over a new connection.
-        let wait = if unanswered == 0 {
-            ASK_INTERVAL
-        } else {
-            Duration::ZERO
-        };
+        let wait = if unanswered == 0 { ASK_INTERVAL } else { Duration::ZERO };
         let wait = wait.min(remaining);
         if let Ok(result) = tokio::time::timeout(wait, &mut exchange).await {
             return Watched::Ended(result);
@@ -72,10 +68,7 @@
         if remaining <= wait {
             return Watched::Late;
         }
-        let query = CallQuery {
-            id,
-            incarnation: to.incarnation,
-        };
+        let query = CallQuery { id, incarnation: to.incarnation };
         let question = cx.ask_peer(to.addr, "/peer/v1/call-state", &query, ASK_TIMEOUT);
         let state: Option<CallState> = tokio::select! {
             result = &mut exchange => return Watched::Ended(result),
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -61,10 +61,7 @@
 ///
 /// All [`Faults`] of the text.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
-    let mut reader = Reader {
-        text,
-        faults: Vec::new(),
-    };
+    let mut reader = Reader { text, faults: Vec::new() };
     let settings = reader.settings();
     if reader.faults.is_empty()
         && let Some(settings) = settings
@@ -72,10 +69,7 @@
         return Ok(settings);
     }
     reader.faults.sort_by_key(|fault| fault.line);
-    Err(Faults {
-        file: file.to_owned(),
-        faults: reader.faults,
-    })
+    Err(Faults { file: file.to_owned(), faults: reader.faults })
 }
 
 /// Keys of one object that were not read yet.
@@ -140,20 +134,13 @@
         let log_retention = self.millis(top, "log_retention_ms", DAY_MS, 60_000..=366 * DAY_MS);
         let threads = self.integer(top, "threads", 1, 1..=64);
         let policy = self.policy(top);
-        let max_schema = self.integer(
-            top,
-            "max_schema",
-            u64::from(MAX_SCHEMA),
-            1..=u64::from(MAX_SCHEMA),
-        );
+        let max_schema =
+            self.integer(top, "max_schema", u64::from(MAX_SCHEMA), 1..=u64::from(MAX_SCHEMA));
         let trace_share = self.share(top, "trace_share", 0.0);
         let log_filter = self
-            .text(
-                top,
-                "log_filter",
-                "a filter like info,baobabreel_daemon=debug",
-                |text| EnvFilter::try_new(text).is_ok(),
-            )
+            .text(top, "log_filter", "a filter like info,baobabreel_daemon=debug", |text| {
+                EnvFilter::try_new(text).is_ok()
+            })
             .unwrap_or_else(|| "info".to_owned());
         Some(Settings {
             daemon: daemon?,
@@ -182,12 +169,7 @@
         let backend = self.address(&mut section, "backend");
         let operators = self.address(&mut section, "operators");
         self.finish(section);
-        Some(Listen {
-            callers: callers?,
-            peers: peers?,
-            backend: backend?,
-            operators: operators?,
-        })
+        Some(Listen { callers: callers?, peers: peers?, backend: backend?, operators: operators? })
     }
 
     fn limits(&mut self, top: &mut Section<'a>) -> Option<Limits> {
@@ -198,10 +180,7 @@
                 left: Vec::new(),
                 known: Vec::new(),
             },
-            Some(ObjectProp {
-                value: Value::Object(object),
-                ..
-            }) => self.section("limits", object),
+            Some(ObjectProp { value: Value::Object(object), .. }) => self.section("limits", object),
             Some(prop) => {
                 self.bad_value(top, &prop, "an object");
                 return None;
@@ -222,20 +201,14 @@
 
     fn section(&mut self, path: &str, object: Object<'a>) -> Section<'a> {
         let line = self.line_at(object.range.start);
-        Section {
-            path: path.to_owned(),
-            line,
-            left: object.properties,
-            known: Vec::new(),
-        }
+        Section { path: path.to_owned(), line, left: object.properties, known: Vec::new() }
     }
 
     fn required_section(&mut self, top: &mut Section<'a>, key: &str) -> Option<Section<'a>> {
         match self.take(top, key) {
-            Some(ObjectProp {
-                value: Value::Object(object),
-                ..
-            }) => Some(self.section(key, object)),
+            Some(ObjectProp { value: Value::Object(object), .. }) => {
+                Some(self.section(key, object))
+            }
             Some(prop) => {
                 self.bad_value(top, &prop, "an object");
                 None
@@ -260,12 +233,7 @@
             let prop = section.left.remove(i);
             if found.is_some() {
                 let line = self.line_at(prop.range.start);
-                self.fault(
-                    line,
-                    &join(&section.path, key),
-                    "given twice",
-                    "each key once",
-                );
+                self.fault(line, &join(&section.path, key), "given twice", "each key once");
             } else {
                 found = Some(prop);
             }
@@ -336,15 +304,10 @@
     }
 
     fn url(&mut self, section: &mut Section<'a>, key: &str) -> Option<String> {
-        self.parsed(
-            section,
-            key,
-            "an address like http://10.0.0.1:7000",
-            |text: &String| {
-                text.strip_prefix("http://")
-                    .is_some_and(|rest| rest.trim_end_matches('/').parse::<SocketAddr>().is_ok())
-            },
-        )
+        self.parsed(section, key, "an address like http://10.0.0.1:7000", |text: &String| {
+            text.strip_prefix("http://")
+                .is_some_and(|rest| rest.trim_end_matches('/').parse::<SocketAddr>().is_ok())
+        })
     }
 
     fn address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
@@ -352,11 +315,7 @@
     }
 
     fn optional_address(&mut self, section: &mut Section<'a>, key: &str) -> Option<SocketAddr> {
-        if section.has(key) {
-            self.address(section, key)
-        } else {
-            None
-        }
+        if section.has(key) { self.address(section, key) } else { None }
     }
 
     fn addresses(&mut self, section: &mut Section<'a>, key: &str) -> Vec<SocketAddr> {
@@ -370,9 +329,7 @@
         };
         let mut found = Vec::new();
         for element in &array.elements {
-            let parsed = element
-                .as_string_lit()
-                .and_then(|text| text.value.parse().ok());
+            let parsed = element.as_string_lit().and_then(|text| text.value.parse().ok());
             match parsed {
                 Some(addr) => found.push(addr),
                 None => {
@@ -411,10 +368,7 @@
         let Some(prop) = self.take(section, key) else {
             return default;
         };
-        let value = prop
-            .value
-            .as_number_lit()
-            .and_then(|number| number.value.parse().ok());
+        let value = prop.value.as_number_lit().and_then(|number| number.value.parse().ok());
         if let Some(value) = value.filter(|value| range.contains(value)) {
             return value;
         }
@@ -437,10 +391,7 @@
         let Some(prop) = self.take(section, key) else {
             return default;
         };
-        let value = prop
-            .value
-            .as_number_lit()
-            .and_then(|number| number.value.parse().ok());
+        let value = prop.value.as_number_lit().and_then(|number| number.value.parse().ok());
         if let Some(value) = value.filter(|value| (0.0..=1.0).contains(value)) {
             return value;
         }
@@ -484,10 +435,7 @@
     }
 
     fn line_at(&self, position: usize) -> usize {
-        self.text[..position.min(self.text.len())]
-            .matches('\n')
-            .count()
-            + 1
+        self.text[..position.min(self.text.len())].matches('\n').count() + 1
     }
 }
 
@@ -497,9 +445,5 @@
 const ADDRESS: &str = "an address like 10.0.0.1:7101";
 
 fn join(path: &str, key: &str) -> String {
-    if path.is_empty() {
-        key.to_owned()
-    } else {
-        format!("{path}.{key}")
-    }
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
 }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -10,9 +10,8 @@
 use prometheus::{Registry, TextEncoder};
 
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BOUNDS: [f64; 14] = [
-    0.000_1, 0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0, 30.0,
-];
+const LATENCY_BOUNDS: [f64; 14] =
+    [0.000_1, 0.000_25, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0, 30.0];
 
 /// Instruments of one daemon.
 #[derive(Debug)]
@@ -81,22 +80,18 @@
             Err(kind) => kind.name(),
         };
         let route = KeyValue::new("route", route.to_owned());
-        self.latency
-            .record(latency.as_secs_f64(), std::slice::from_ref(&route));
-        self.requests
-            .add(1, &[route, KeyValue::new("result", result)]);
+        self.latency.record(latency.as_secs_f64(), std::slice::from_ref(&route));
+        self.requests.add(1, &[route, KeyValue::new("result", result)]);
     }
 
     /// Counts a second try.
     pub fn retry(&self, route: &str) {
-        self.retries
-            .add(1, &[KeyValue::new("route", route.to_owned())]);
+        self.retries.add(1, &[KeyValue::new("route", route.to_owned())]);
     }
 
     /// Counts bytes of a control message.
     pub fn control(&self, direction: &'static str, bytes: usize) {
-        self.control_bytes
-            .add(bytes as u64, &[KeyValue::new("direction", direction)]);
+        self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
     }
 
     /// Records the configuration in force.
--- a/crates/daemon/src/telemetry/trace.rs
+++ b/crates/daemon/src/telemetry/trace.rs
@@ -32,21 +32,14 @@
         let trace_id = u128::from_str_radix(trace, 16).ok().filter(|id| *id != 0)?;
         let span_id = u64::from_str_radix(span, 16).ok().filter(|id| *id != 0)?;
         let sampled = u8::from_str_radix(flags, 16).ok()? & 1 == 1;
-        Some(Self {
-            trace_id,
-            span_id,
-            sampled,
-        })
+        Some(Self { trace_id, span_id, sampled })
     }
 
     /// Value of the header.
     #[must_use]
     pub fn to_header(self) -> Option<HeaderValue> {
         let flags = u8::from(self.sampled);
-        let text = format!(
-            "00-{:032x}-{:016x}-{flags:02x}",
-            self.trace_id, self.span_id
-        );
+        let text = format!("00-{:032x}-{:016x}-{flags:02x}", self.trace_id, self.span_id);
         HeaderValue::from_str(&text).ok()
     }
 }
@@ -75,19 +68,10 @@
             Some(parent) => TraceContext { span_id, ..parent },
             None => {
                 let sampled = share > 0.0 && rand::random::<f64>() < share;
-                TraceContext {
-                    trace_id: rand::random::<u128>() | 1,
-                    span_id,
-                    sampled,
-                }
+                TraceContext { trace_id: rand::random::<u128>() | 1, span_id, sampled }
             }
         };
-        Self {
-            context,
-            parent: parent.map(|parent| parent.span_id),
-            hop,
-            start,
-        }
+        Self { context, parent: parent.map(|parent| parent.span_id), hop, start }
     }
 
     /// Writes the span if the trace is sampled.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -79,14 +79,8 @@
 /// Guards against a file that is no settings file at all, and against keys that are missing.
 #[test]
 fn other_files_are_refused() {
-    assert_eq!(
-        faults(""),
-        "f.jsonc:1: is not an object; allowed: one object"
-    );
-    assert_eq!(
-        faults("[]"),
-        "f.jsonc:1: is not an object; allowed: one object"
-    );
+    assert_eq!(faults(""), "f.jsonc:1: is not an object; allowed: one object");
+    assert_eq!(faults("[]"), "f.jsonc:1: is not an object; allowed: one object");
     let expected = "\
 f.jsonc:1: `daemon` is missing; allowed: 1 to 26 characters of a-z 0-9 . _ -, the first a letter or digit
 f.jsonc:1: `data_centre` is missing; allowed: 1 to 128 characters of a-z 0-9 . _ -, the first a letter or digit
@@ -94,10 +88,7 @@
 f.jsonc:1: `listen` is missing; allowed: an object";
     assert_eq!(faults("{}"), expected);
     let broken = faults("{\n  \"daemon\": \"a1\",\n  \"log\" \"x\"\n}");
-    assert!(
-        broken.starts_with("f.jsonc:3: is not JSON with comments; allowed: "),
-        "{broken}"
-    );
+    assert!(broken.starts_with("f.jsonc:3: is not JSON with comments; allowed: "), "{broken}");
 }
 
 /// Guards against defaults that differ from the documented ones.
@@ -148,8 +139,5 @@
     let (output, _) = run("good.jsonc", &text, &[]);
     let stderr = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(1));
-    assert!(
-        stderr.contains("failed to listen for callers on"),
-        "{stderr}"
-    );
+    assert!(stderr.contains("failed to listen for callers on"), "{stderr}");
 }
--- a/crates/test-support/examples/backend.rs
+++ b/crates/test-support/examples/backend.rs
@@ -17,56 +17,16 @@
     options.optflag("h", "help", "print this help");
     options.optopt("", "name", "name (default the service)", "NAME");
     options.optopt("", "service", "service (required)", "NAME");
-    options.optopt(
-        "",
-        "listen",
-        "address to listen on (default 127.0.0.1:0)",
-        "ADDR",
-    );
-    options.optopt(
-        "",
-        "announce-url",
-        "base URL of the daemon's backend listener",
-        "URL",
-    );
-    options.optopt(
-        "",
-        "announce-ms",
-        "time between two announcements (default 1000)",
-        "MS",
-    );
-    options.optopt(
-        "",
-        "slots",
-        "requests that run at the same time (default 10)",
-        "N",
-    );
-    options.optopt(
-        "",
-        "shed-above",
-        "requests over the slots before shedding (default 10)",
-        "N",
-    );
-    options.optopt(
-        "",
-        "cold-ms",
-        "time that it stays cold after the start",
-        "MS",
-    );
+    options.optopt("", "listen", "address to listen on (default 127.0.0.1:0)", "ADDR");
+    options.optopt("", "announce-url", "base URL of the daemon's backend listener", "URL");
+    options.optopt("", "announce-ms", "time between two announcements (default 1000)", "MS");
+    options.optopt("", "slots", "requests that run at the same time (default 10)", "N");
+    options.optopt("", "shed-above", "requests over the slots before shedding (default 10)", "N");
+    options.optopt("", "cold-ms", "time that it stays cold after the start", "MS");
     options.optopt("", "work-us", "run time of a request (default 1000)", "US");
-    options.optopt(
-        "",
-        "drain-ms",
-        "least time between SIGTERM and exit (default 0)",
-        "MS",
-    );
+    options.optopt("", "drain-ms", "least time between SIGTERM and exit (default 0)", "MS");
     options.optopt("", "seed", "seed of the run times", "N");
-    options.optopt(
-        "",
-        "journal",
-        "file that gets the journal as JSON lines",
-        "FILE",
-    );
+    options.optopt("", "journal", "file that gets the journal as JSON lines", "FILE");
     options
 }
 
@@ -74,26 +34,18 @@
 where
     T: std::str::FromStr<Err: std::error::Error + Send + Sync + 'static>,
 {
-    matches
-        .opt_get(name)
-        .wrap_err_with(|| format!("failed to read option --{name}"))
+    matches.opt_get(name).wrap_err_with(|| format!("failed to read option --{name}"))
 }
 
 fn settings(matches: &Matches) -> eyre::Result<BackendSettings> {
-    let service = matches
-        .opt_str("service")
-        .ok_or_eyre("option --service is missing")?;
+    let service = matches.opt_str("service").ok_or_eyre("option --service is missing")?;
     let name = matches.opt_str("name").unwrap_or_else(|| service.clone());
     let work_us = value(matches, "work-us")?.unwrap_or(1_000);
     let mut settings = BackendSettings::new(name, service)
         .slots(value(matches, "slots")?.unwrap_or(10))
         .shed_above_slots_by(value(matches, "shed-above")?.unwrap_or(10))
-        .cold_start(Duration::from_millis(
-            value(matches, "cold-ms")?.unwrap_or(0),
-        ))
-        .announce_interval(Duration::from_millis(
-            value(matches, "announce-ms")?.unwrap_or(1_000),
-        ))
+        .cold_start(Duration::from_millis(value(matches, "cold-ms")?.unwrap_or(0)))
+        .announce_interval(Duration::from_millis(value(matches, "announce-ms")?.unwrap_or(1_000)))
         .work_time(WorkTime::Fixed(Duration::from_micros(work_us)))
         .seed(value(matches, "seed")?.unwrap_or(1));
     if let Some(listen) = value(matches, "listen")? {
@@ -111,9 +63,7 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let options = options();
-    let matches = options
-        .parse(std::env::args().skip(1))
-        .wrap_err("failed to read the options")?;
+    let matches = options.parse(std::env::args().skip(1)).wrap_err("failed to read the options")?;
     if matches.opt_present("help") {
         print!("{}", options.usage("backend [options]"));
         return Ok(());
@@ -121,10 +71,7 @@
     let drain_ms = value(&matches, "drain-ms")?.unwrap_or(0);
     let mut terminate = signal(SignalKind::terminate()).wrap_err("failed to wait for SIGTERM")?;
     let server = BackendServer::start(settings(&matches)?).await?;
-    println!(
-        "{}",
-        serde_json::json!({ "event": "ready", "address": server.addr().to_string() })
-    );
+    println!("{}", serde_json::json!({ "event": "ready", "address": server.addr().to_string() }));
     terminate.recv().await;
     server.drain();
     tokio::time::sleep(Duration::from_millis(drain_ms)).await;
--- a/crates/test-support/examples/log.rs
+++ b/crates/test-support/examples/log.rs
@@ -9,33 +9,13 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "print this help");
-    options.optopt(
-        "",
-        "listen",
-        "address to listen on (default 127.0.0.1:0)",
-        "ADDR",
-    );
+    options.optopt("", "listen", "address to listen on (default 127.0.0.1:0)", "ADDR");
     options.optopt("", "seed", "seed of the faults", "N");
     options.optopt("", "appends-per-second", "most appends a second", "N");
-    options.optopt(
-        "",
-        "retain-count",
-        "most records that a stream retains",
-        "N",
-    );
-    options.optopt(
-        "",
-        "retain-ms",
-        "longest time that a record is retained",
-        "MS",
-    );
+    options.optopt("", "retain-count", "most records that a stream retains", "N");
+    options.optopt("", "retain-ms", "longest time that a record is retained", "MS");
     options.optopt("", "delay-ms", "delay of every request", "MS");
-    options.optopt(
-        "",
-        "lose-probability",
-        "probability that an append's answer is lost",
-        "P",
-    );
+    options.optopt("", "lose-probability", "probability that an append's answer is lost", "P");
     options
 }
 
@@ -43,9 +23,7 @@
 where
     T: std::str::FromStr<Err: std::error::Error + Send + Sync + 'static>,
 {
-    matches
-        .opt_get(name)
-        .wrap_err_with(|| format!("failed to read option --{name}"))
+    matches.opt_get(name).wrap_err_with(|| format!("failed to read option --{name}"))
 }
 
 fn settings(matches: &Matches) -> eyre::Result<LogSettings> {
@@ -70,21 +48,14 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let options = options();
-    let matches = options
-        .parse(std::env::args().skip(1))
-        .wrap_err("failed to read the options")?;
+    let matches = options.parse(std::env::args().skip(1)).wrap_err("failed to read the options")?;
     if matches.opt_present("help") {
         print!("{}", options.usage("log [options]"));
         return Ok(());
     }
     let log = LogServer::start(settings(&matches)?).await?;
-    println!(
-        "{}",
-        serde_json::json!({ "event": "ready", "address": log.addr().to_string() })
-    );
-    tokio::signal::ctrl_c()
-        .await
-        .wrap_err("failed to wait for a signal")?;
+    println!("{}", serde_json::json!({ "event": "ready", "address": log.addr().to_string() }));
+    tokio::signal::ctrl_c().await.wrap_err("failed to wait for a signal")?;
     log.stop().await;
     Ok(())
 }
--- a/crates/test-support/src/backend/announce.rs
+++ b/crates/test-support/src/backend/announce.rs
@@ -38,11 +38,7 @@
     fn lagging(&mut self, running: u64, lag: Duration) -> u64 {
         let now = Instant::now();
         self.0.push_back((now, running));
-        while self
-            .0
-            .get(1)
-            .is_some_and(|(at, _)| now.duration_since(*at) >= lag)
-        {
+        while self.0.get(1).is_some_and(|(at, _)| now.duration_since(*at) >= lag) {
             self.0.pop_front();
         }
         self.0[0].1
--- a/crates/test-support/src/backend/journal.rs
+++ b/crates/test-support/src/backend/journal.rs
@@ -64,11 +64,7 @@
                 .wrap_err_with(|| format!("failed to create the journal {}", path.display()))
         };
         let file = path.map(open).transpose()?;
-        Ok(Journal {
-            since: Instant::now(),
-            entries: Vec::new(),
-            file,
-        })
+        Ok(Journal { since: Instant::now(), entries: Vec::new(), file })
     }
 
     fn now_us(&self) -> u64 {
@@ -118,8 +114,7 @@
     fn write(&mut self, entry: usize) {
         if let Some(file) = &mut self.file {
             let line = line(&self.entries[entry]);
-            file.write_all(&line)
-                .expect("failed to write to the journal file");
+            file.write_all(&line).expect("failed to write to the journal file");
         }
     }
 }
--- a/crates/test-support/src/backend/mod.rs
+++ b/crates/test-support/src/backend/mod.rs
@@ -70,11 +70,7 @@
         let backend = Arc::new(Backend::new(settings, addr)?);
         let server = Server::start(listener, Arc::clone(&backend)).await?;
         let announcer = tokio::spawn(announce::run(Arc::clone(&backend))).abort_handle();
-        Ok(BackendServer {
-            server,
-            backend,
-            announcer,
-        })
+        Ok(BackendServer { server, backend, announcer })
     }
 
     /// Address that it listens on.
@@ -99,11 +95,7 @@
 
     /// Makes work slower by `factor`, from `after` from now on and for the time `lasting`.
     pub fn slow_down(&self, factor: f64, after: Duration, lasting: Duration) {
-        self.backend.add_spell(SlowSpell {
-            factor,
-            after,
-            lasting,
-        });
+        self.backend.add_spell(SlowSpell { factor, after, lasting });
     }
 
     /// Ends all slow spells.
--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -94,11 +94,7 @@
 
 impl Backend {
     pub(super) fn new(settings: BackendSettings, addr: SocketAddr) -> eyre::Result<Self> {
-        let phase = if settings.cold_start.is_zero() {
-            Phase::Ready
-        } else {
-            Phase::Cold
-        };
+        let phase = if settings.cold_start.is_zero() { Phase::Ready } else { Phase::Cold };
         let state = State {
             phase,
             drained_at: None,
@@ -172,9 +168,7 @@
 
     pub(super) fn add_spell(&self, spell: SlowSpell) {
         let from = Instant::now() + spell.after;
-        lock(&self.state)
-            .spells
-            .push((from, from + spell.lasting, spell.factor));
+        lock(&self.state).spells.push((from, from + spell.lasting, spell.factor));
     }
 
     pub(super) fn journal(&self) -> Vec<JournalEntry> {
@@ -194,11 +188,7 @@
     }
 
     pub(super) fn count_announcement(&self, success: bool) {
-        let counter = if success {
-            &self.announced
-        } else {
-            &self.announce_failures
-        };
+        let counter = if success { &self.announced } else { &self.announce_failures };
         counter.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -215,10 +205,7 @@
     fn arrive(&self, headers: &HeaderMap, path: &str) -> Option<Job<'_>> {
         let text = |name| serve::header(headers, name).map(str::to_owned);
         let mut state = lock(&self.state);
-        if state
-            .drained_at
-            .is_some_and(|at| at.elapsed() > DRAIN_GRACE)
-        {
+        if state.drained_at.is_some_and(|at| at.elapsed() > DRAIN_GRACE) {
             state.late_work += 1;
         }
         let (id, key) = (text("x-request-id"), text("idempotency-key"));
@@ -230,12 +217,7 @@
         }
         state.waiting += 1;
         drop(state);
-        Some(Job {
-            backend: self,
-            entry,
-            result: WorkResult::Cancelled,
-            slot: None,
-        })
+        Some(Job { backend: self, entry, result: WorkResult::Cancelled, slot: None })
     }
 
     fn run_time(&self, headers: &HeaderMap) -> Duration {
@@ -245,10 +227,7 @@
             None => draw(self.settings.work_time, &mut state.rng),
         };
         let now = Instant::now();
-        let active = state
-            .spells
-            .iter()
-            .filter(|(from, to, _)| *from <= now && now < *to);
+        let active = state.spells.iter().filter(|(from, to, _)| *from <= now && now < *to);
         let factor: f64 = active.map(|(_, _, factor)| factor.max(0.0)).product();
         time.mul_f64(factor)
     }
@@ -265,19 +244,12 @@
         let limit = serve::number(&parts.headers, "baobabreel-timeout-ms")
             .map_or(Duration::MAX, Duration::from_millis);
         let ran = tokio::time::timeout(limit, async {
-            let slot = self
-                .slots
-                .acquire()
-                .await
-                .expect("the semaphore is never closed");
+            let slot = self.slots.acquire().await.expect("the semaphore is never closed");
             job.start(slot);
             timer::sleep(self.run_time(&parts.headers)).await;
         });
         if ran.await.is_err() {
-            return Ok(serve::error(
-                StatusCode::GATEWAY_TIMEOUT,
-                "deadline exceeded",
-            ));
+            return Ok(serve::error(StatusCode::GATEWAY_TIMEOUT, "deadline exceeded"));
         }
         job.result = WorkResult::Finished;
         let entry = job.entry;
@@ -315,9 +287,7 @@
         let mut answer = Response::new(serve::full(content));
         for (name, value) in headers {
             let value = HeaderValue::try_from(value).expect("values are visible ASCII");
-            answer
-                .headers_mut()
-                .insert(HeaderName::from_static(name), value);
+            answer.headers_mut().insert(HeaderName::from_static(name), value);
         }
         answer
     }
@@ -386,9 +356,9 @@
 
 /// Bytes that differ from request to request, so that swapped answers are found.
 fn pattern(request_id: &str, length: usize) -> Bytes {
-    let seed = request_id.bytes().fold(7_u64, |seed, byte| {
-        seed.wrapping_mul(31).wrapping_add(u64::from(byte))
-    });
+    let seed = request_id
+        .bytes()
+        .fold(7_u64, |seed, byte| seed.wrapping_mul(31).wrapping_add(u64::from(byte)));
     let mut content = vec![0; length];
     rand::Rng::fill_bytes(&mut SmallRng::seed_from_u64(seed), &mut content);
     Bytes::from(content)
--- a/crates/test-support/src/load/plan.rs
+++ b/crates/test-support/src/load/plan.rs
@@ -51,12 +51,7 @@
     /// POST requests of weight 1 that must run at most once.
     pub fn command(class: impl Into<String>, path: impl Into<String>, key: Key) -> Self {
         let lookup = Self::lookup(class, path);
-        RequestTemplate {
-            method: Method::POST,
-            at_most_once: true,
-            key,
-            ..lookup
-        }
+        RequestTemplate { method: Method::POST, at_most_once: true, key, ..lookup }
     }
 
     /// Sets the method.
@@ -185,9 +180,5 @@
 /// Interval in seconds; endless at rate zero.
 fn exponential_interval(rate: f64, rng: &mut SmallRng) -> f64 {
     let uniform: f64 = rng.random();
-    if rate > 0.0 {
-        -(1.0 - uniform).ln() / rate
-    } else {
-        f64::INFINITY
-    }
+    if rate > 0.0 { -(1.0 - uniform).ln() / rate } else { f64::INFINITY }
 }
--- a/crates/test-support/src/load/report.rs
+++ b/crates/test-support/src/load/report.rs
@@ -57,24 +57,12 @@
 impl CallEnd {
     /// Whether the request was answered with success.
     pub fn succeeded(&self) -> bool {
-        matches!(
-            self,
-            CallEnd::Answered {
-                status: 200..=299,
-                ..
-            }
-        )
+        matches!(self, CallEnd::Answered { status: 200..=299, .. })
     }
 
     /// Whether the caller was told that the request did not run.
     pub fn refused_as_not_run(&self) -> bool {
-        matches!(
-            self,
-            CallEnd::Answered {
-                outcome: Outcome::NotRun,
-                ..
-            }
-        )
+        matches!(self, CallEnd::Answered { outcome: Outcome::NotRun, .. })
     }
 
     /// Whether the caller knows neither that the request ran nor that it did not.
@@ -134,21 +122,14 @@
             histogram
         };
         let (latency, service_time) = (histogram(), histogram());
-        ClassReport {
-            latency,
-            service_time,
-            succeeded: 0,
-            not_run: 0,
-            failed: 0,
-        }
+        ClassReport { latency, service_time, succeeded: 0, not_run: 0, failed: 0 }
     }
 
     fn add(&mut self, call: &Call) {
         if call.end.succeeded() {
             self.succeeded += 1;
             self.latency.saturating_record(micros(call.latency));
-            self.service_time
-                .saturating_record(micros(call.service_time));
+            self.service_time.saturating_record(micros(call.service_time));
         } else if call.end.refused_as_not_run() {
             self.not_run += 1;
         } else {
@@ -198,16 +179,9 @@
     }
 
     fn add(&mut self, call: &Call) {
-        self.classes
-            .entry(call.class.clone())
-            .or_insert_with(ClassReport::new)
-            .add(call);
+        self.classes.entry(call.class.clone()).or_insert_with(ClassReport::new).add(call);
         match call.end {
-            CallEnd::Answered {
-                status,
-                outcome,
-                mismatch,
-            } => {
+            CallEnd::Answered { status, outcome, mismatch } => {
                 *self.by_status.entry(status).or_default() += 1;
                 *self.by_outcome.entry(outcome).or_default() += 1;
                 if let Some(mismatch) = mismatch {
--- a/crates/test-support/src/load/run.rs
+++ b/crates/test-support/src/load/run.rs
@@ -41,18 +41,9 @@
     /// # Errors
     /// The plan has no target, template or step, or a template makes no valid request.
     pub async fn run(self) -> eyre::Result<LoadReport> {
-        ensure!(
-            !self.targets.is_empty(),
-            "failed to run a load plan without targets"
-        );
-        ensure!(
-            !self.templates.is_empty(),
-            "failed to run a load plan without templates"
-        );
-        ensure!(
-            !self.steps.is_empty(),
-            "failed to run a load plan without steps"
-        );
+        ensure!(!self.targets.is_empty(), "failed to run a load plan without targets");
+        ensure!(!self.templates.is_empty(), "failed to run a load plan without templates");
+        ensure!(!self.steps.is_empty(), "failed to run a load plan without steps");
         let planned = self.plan_calls();
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -65,10 +56,7 @@
         for planned in planned {
             timer::sleep_until(start + planned.intended).await;
             let permits = Arc::clone(&permits);
-            let permit = permits
-                .acquire_owned()
-                .await
-                .wrap_err("failed to wait for a permit")?;
+            let permit = permits.acquire_owned().await.wrap_err("failed to wait for a permit")?;
             let (plan, http) = (Arc::clone(&plan), http.clone());
             tasks.spawn(async move {
                 let call = plan.call(&http, start, planned).await;
@@ -138,10 +126,7 @@
             .method(template.method.clone())
             .uri(format!("http://{target}{}", template.path))
             .header("x-request-id", &call.request_id)
-            .header(
-                "baobabreel-timeout-ms",
-                self.deadline.as_millis().to_string(),
-            );
+            .header("baobabreel-timeout-ms", self.deadline.as_millis().to_string());
         if let Some(key) = &call.idempotency_key {
             req = req.header("idempotency-key", key);
         }
@@ -152,8 +137,7 @@
             req = req.header(name, value);
         }
         let body = request_body(&call.request_id, template.body_bytes);
-        req.body(Full::new(body))
-            .wrap_err("failed to make a request from its template")
+        req.body(Full::new(body)).wrap_err("failed to make a request from its template")
     }
 
     async fn send(
@@ -170,9 +154,7 @@
                 Err(_) => CallEnd::Broken,
             }
         };
-        tokio::time::timeout(self.deadline + GRACE, exchange)
-            .await
-            .unwrap_or(CallEnd::TimedOut)
+        tokio::time::timeout(self.deadline + GRACE, exchange).await.unwrap_or(CallEnd::TimedOut)
     }
 }
 
@@ -195,11 +177,7 @@
         true => find_mismatch(&parts.headers, &body.to_bytes(), template, request_id),
         false => None,
     };
-    CallEnd::Answered {
-        status: parts.status.as_u16(),
-        outcome,
-        mismatch,
-    }
+    CallEnd::Answered { status: parts.status.as_u16(), outcome, mismatch }
 }
 
 fn find_mismatch(
@@ -211,10 +189,7 @@
     if header(headers, "x-request-id") != Some(request_id) {
         return Some(Mismatch::Foreign);
     }
-    if template
-        .response_bytes
-        .is_some_and(|length| length != body.len())
-    {
+    if template.response_bytes.is_some_and(|length| length != body.len()) {
         return Some(Mismatch::Length);
     }
     if header(headers, "x-body-fnv") != Some(&checksum(body)) {
@@ -228,12 +203,7 @@
 
 /// Body that differs from request to request.
 fn request_body(request_id: &str, length: usize) -> Bytes {
-    request_id
-        .bytes()
-        .chain(*b"/")
-        .cycle()
-        .take(length)
-        .collect()
+    request_id.bytes().chain(*b"/").cycle().take(length).collect()
 }
 
 fn new_key(key: Key, request_id: &str, rng: &mut SmallRng) -> Option<String> {
@@ -241,9 +211,7 @@
         Key::None => None,
         Key::Untimed => Some(format!("key-{request_id}-{:016x}", rng.random::<u64>())),
         Key::UuidV7 => {
-            let since = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default();
+            let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let time = since.as_millis() & 0xffff_ffff_ffff;
             let random = rng.random::<u128>() & 0x0fff_3fff_ffff_ffff_ffff;
             Some(uuid_text(time << 80 | 0x7000_8000_0000_0000_0000 | random))
@@ -253,12 +221,6 @@
 
 fn uuid_text(uuid: u128) -> String {
     let hex = format!("{uuid:032x}");
-    let parts = [
-        &hex[..8],
-        &hex[8..12],
-        &hex[12..16],
-        &hex[16..20],
-        &hex[20..],
-    ];
+    let parts = [&hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..]];
     parts.join("-")
 }
--- a/crates/test-support/src/log/api.rs
+++ b/crates/test-support/src/log/api.rs
@@ -86,10 +86,7 @@
 
 impl State {
     fn retention(&self) -> Retention {
-        Retention {
-            count: self.faults.retain_count,
-            age: self.faults.retain_age,
-        }
+        Retention { count: self.faults.retain_count, age: self.faults.retain_age }
     }
 
     fn take_append_token(&mut self) -> bool {
@@ -166,10 +163,7 @@
     pub(super) fn records(&self, stream: &str) -> Vec<StoredRecord> {
         let mut state = lock(&self.state);
         let retention = state.retention();
-        state
-            .store
-            .read(stream, None, usize::MAX, retention)
-            .records
+        state.store.read(stream, None, usize::MAX, retention).records
     }
 
     pub(super) fn counters(&self) -> LogCounters {
@@ -204,9 +198,7 @@
 
     async fn route(&self, client: &str, req: Request<Incoming>) -> Answer {
         let path = req.uri().path().to_owned();
-        let stream = path
-            .strip_prefix("/streams/")
-            .and_then(|rest| rest.strip_suffix("/records"));
+        let stream = path.strip_prefix("/streams/").and_then(|rest| rest.strip_suffix("/records"));
         let Some(stream) = stream.filter(|name| !name.is_empty() && !name.contains('/')) else {
             return Ok(serve::error(StatusCode::NOT_FOUND, "unknown path"));
         };
@@ -214,15 +206,9 @@
             Method::POST => self.post(client, stream, req).await,
             Method::GET => match Query::parse(req.uri().query().unwrap_or_default()) {
                 Some(query) => self.get(client, stream, query).await,
-                None => Ok(serve::error(
-                    StatusCode::BAD_REQUEST,
-                    "failed to read the query",
-                )),
+                None => Ok(serve::error(StatusCode::BAD_REQUEST, "failed to read the query")),
             },
-            _ => Ok(serve::error(
-                StatusCode::METHOD_NOT_ALLOWED,
-                "unknown method",
-            )),
+            _ => Ok(serve::error(StatusCode::METHOD_NOT_ALLOWED, "unknown method")),
         }
     }
 
@@ -230,15 +216,11 @@
         let body = match Limited::new(req.into_body(), MAX_RECORD).collect().await {
             Ok(body) => body.to_bytes(),
             Err(cause) if cause.is::<LengthLimitError>() => {
-                return Ok(serve::error(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "record over 1 MiB",
-                ));
+                return Ok(serve::error(StatusCode::PAYLOAD_TOO_LARGE, "record over 1 MiB"));
             }
             Err(_) => return Err(CloseConnection),
         };
-        self.bytes_in
-            .fetch_add(body.len() as u64, Ordering::Relaxed);
+        self.bytes_in.fetch_add(body.len() as u64, Ordering::Relaxed);
         let Ok(data) = String::from_utf8(body.into()) else {
             return Ok(serve::error(StatusCode::BAD_REQUEST, "record is not UTF-8"));
         };
@@ -258,10 +240,7 @@
         if lost {
             return Err(CloseConnection);
         }
-        Ok(serve::json(
-            StatusCode::OK,
-            &json!({ "generation": generation, "offset": offset }),
-        ))
+        Ok(serve::json(StatusCode::OK, &json!({ "generation": generation, "offset": offset })))
     }
 
     async fn get(&self, client: &str, stream: &str, query: Query) -> Answer {
@@ -313,9 +292,7 @@
     }
 
     async fn handle(&self, req: Request<Incoming>) -> Answer {
-        let client = serve::header(req.headers(), "x-client")
-            .unwrap_or_default()
-            .to_owned();
+        let client = serve::header(req.headers(), "x-client").unwrap_or_default().to_owned();
         self.check_reach(&client).await?;
         let (delay, refuse) = {
             let faults = &lock(&self.state).faults;
@@ -340,10 +317,7 @@
 
 fn too_many() -> Response<Body> {
     let mut answer = serve::error(StatusCode::TOO_MANY_REQUESTS, "too many appends");
-    answer.headers_mut().insert(
-        http::header::RETRY_AFTER,
-        http::HeaderValue::from_static("1"),
-    );
+    answer.headers_mut().insert(http::header::RETRY_AFTER, http::HeaderValue::from_static("1"));
     answer
 }
 
--- a/crates/test-support/src/log/mod.rs
+++ b/crates/test-support/src/log/mod.rs
@@ -28,11 +28,7 @@
 impl Default for LogSettings {
     fn default() -> Self {
         let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        LogSettings {
-            listen,
-            seed: 1,
-            faults: LogFaults::default(),
-        }
+        LogSettings { listen, seed: 1, faults: LogFaults::default() }
     }
 }
 
--- a/crates/test-support/src/log/store.rs
+++ b/crates/test-support/src/log/store.rs
@@ -24,10 +24,7 @@
 
 impl Default for Stream {
     fn default() -> Self {
-        Stream {
-            next: 1,
-            records: VecDeque::new(),
-        }
+        Stream { next: 1, records: VecDeque::new() }
     }
 }
 
@@ -43,11 +40,7 @@
             }
         }
         if let Some(age) = retention.age {
-            while self
-                .records
-                .front()
-                .is_some_and(|(at, _)| at.elapsed() > age)
-            {
+            while self.records.front().is_some_and(|(at, _)| at.elapsed() > age) {
                 self.records.pop_front();
             }
         }
@@ -79,10 +72,7 @@
 
 impl Store {
     pub(super) fn new() -> Self {
-        Store {
-            generation: 1,
-            streams: BTreeMap::new(),
-        }
+        Store { generation: 1, streams: BTreeMap::new() }
     }
 
     pub(super) fn generation(&self) -> u64 {
@@ -98,11 +88,7 @@
     pub(super) fn append(&mut self, name: &str, data: String, retention: Retention) -> u64 {
         let stream = self.streams.entry(name.to_owned()).or_default();
         let offset = stream.next;
-        let record = StoredRecord {
-            offset,
-            time_ms: now_ms(),
-            data,
-        };
+        let record = StoredRecord { offset, time_ms: now_ms(), data };
         stream.next += 1;
         stream.records.push_back((Instant::now(), record));
         stream.expire(retention);
@@ -118,12 +104,7 @@
     ) -> Page {
         let generation = self.generation;
         let Some(stream) = self.streams.get_mut(name) else {
-            return Page {
-                generation,
-                first: 1,
-                next: 1,
-                records: Vec::new(),
-            };
+            return Page { generation, first: 1, next: 1, records: Vec::new() };
         };
         stream.expire(retention);
         let (first, next) = (stream.first(), stream.next);
@@ -131,18 +112,11 @@
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
         let found = stream.records.iter().skip(skip).take(limit);
         let records = found.map(|(_, record)| record.clone()).collect();
-        Page {
-            generation,
-            first,
-            next,
-            records,
-        }
+        Page { generation, first, next, records }
     }
 }
 
 fn now_ms() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
+    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/test-support/src/mesh/mod.rs
+++ b/crates/test-support/src/mesh/mod.rs
@@ -94,12 +94,7 @@
         let addresses = daemon.addresses();
         let announce = format!("http://{}", addresses.backend);
         let backend = BackendServer::start(spec.backend.clone().announce_url(announce)).await?;
-        Ok(Self {
-            spec,
-            daemon: Some(daemon),
-            backend,
-            addresses,
-        })
+        Ok(Self { spec, daemon: Some(daemon), backend, addresses })
     }
 
     /// Addresses of the daemon.
@@ -117,10 +112,7 @@
 }
 
 fn parse(spec: &NodeSpec, log_url: &str, seeds: &[SocketAddr]) -> Result<Settings> {
-    Ok(settings::parse(
-        &spec.name,
-        &settings_text(spec, log_url, seeds),
-    )?)
+    Ok(settings::parse(&spec.name, &settings_text(spec, log_url, seeds))?)
 }
 
 /// Several daemons with their backend servers and a log in one process.
@@ -169,11 +161,7 @@
     /// It is not so within `limit`.
     pub async fn wait_ready(&self, offset: u64, limit: Duration) -> Result<Duration> {
         let start = Instant::now();
-        let running = self
-            .nodes
-            .iter()
-            .filter(|node| node.daemon.is_some())
-            .count();
+        let running = self.nodes.iter().filter(|node| node.daemon.is_some()).count();
         loop {
             let lagging = self.lagging(offset, running);
             if lagging.is_empty() {
@@ -193,21 +181,9 @@
             let cx = daemon.context();
             let version = cx.config.load().version;
             let members = cx.members.load();
-            let known = members
-                .iter()
-                .filter(|m| m.state == MemberState::Ready)
-                .count();
-            if version
-                < (Version {
-                    generation: version.generation,
-                    offset,
-                })
-                || known < ready
-            {
-                lagging.push(format!(
-                    "{} at {version}, knows {known} ready",
-                    node.spec.name
-                ));
+            let known = members.iter().filter(|m| m.state == MemberState::Ready).count();
+            if version < (Version { generation: version.generation, offset }) || known < ready {
+                lagging.push(format!("{} at {version}, knows {known} ready", node.spec.name));
             }
         }
         lagging
@@ -226,10 +202,7 @@
                 return Ok(start.elapsed());
             }
             if start.elapsed() > limit {
-                bail!(
-                    "version not in force within {limit:?}: {}",
-                    lagging.join("; ")
-                );
+                bail!("version not in force within {limit:?}: {}", lagging.join("; "));
             }
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
--- a/crates/test-support/src/mesh/records.rs
+++ b/crates/test-support/src/mesh/records.rs
@@ -27,9 +27,7 @@
     /// Expects a record at this revision; without a call it is expected to be absent.
     #[must_use]
     pub fn expect(mut self, kind: Kind, name: &str, revision: Option<Version>) -> Self {
-        self.change
-            .expected
-            .insert(RecordKey::new(kind, name), revision);
+        self.change.expected.insert(RecordKey::new(kind, name), revision);
         self
     }
 
--- a/crates/test-support/src/net/mod.rs
+++ b/crates/test-support/src/net/mod.rs
@@ -76,24 +76,13 @@
         let listener = TcpListener::bind(listen)
             .await
             .wrap_err_with(|| format!("failed to listen on {listen}"))?;
-        let addr = listener
-            .local_addr()
-            .wrap_err("failed to read the listening address")?;
+        let addr = listener.local_addr().wrap_err("failed to read the listening address")?;
         let (rules, rules_rx) = watch::channel(Rules::default());
         let (listening_tx, listening) = watch::channel(true);
         let counters = Arc::new(Counters::default());
-        let acceptor = Acceptor {
-            addr,
-            target,
-            counters: Arc::clone(&counters),
-        };
+        let acceptor = Acceptor { addr, target, counters: Arc::clone(&counters) };
         tokio::spawn(acceptor.run(listener, rules_rx, listening_tx));
-        Ok(Relay {
-            addr,
-            rules,
-            listening,
-            counters,
-        })
+        Ok(Relay { addr, rules, listening, counters })
     }
 
     /// Address that stands for the target.
--- a/crates/test-support/src/net/pump.rs
+++ b/crates/test-support/src/net/pump.rs
@@ -81,10 +81,8 @@
 ) -> io::Result<()> {
     while let Some((deliver_at, chunk)) = chunks.recv().await {
         timer::sleep_until(deliver_at).await;
-        let passing = rules
-            .wait_for(|rules| !rules.hold && id > rules.silenced_up_to)
-            .await
-            .is_ok();
+        let passing =
+            rules.wait_for(|rules| !rules.hold && id > rules.silenced_up_to).await.is_ok();
         if !passing {
             return Err(io::Error::other("relay stopped"));
         }
--- a/crates/test-support/src/process/mod.rs
+++ b/crates/test-support/src/process/mod.rs
@@ -112,18 +112,13 @@
     pub async fn start(settings: ChildSettings) -> eyre::Result<ChildProcess> {
         let folder = tempfile::tempdir().wrap_err("failed to create a temporary folder")?;
         let mut command = Command::new(&settings.binary);
-        command
-            .args(&settings.args)
-            .envs(settings.envs.iter().cloned());
+        command.args(&settings.args).envs(settings.envs.iter().cloned());
         if let Some((option, text)) = &settings.settings {
             let path = folder.path().join("settings.jsonc");
             std::fs::write(&path, text).wrap_err("failed to write the settings")?;
             command.arg(option).arg(path);
         }
-        command
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped());
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
         let mut child = command
             .kill_on_drop(true)
             .spawn()
@@ -131,13 +126,7 @@
         let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
         let pid = pid.ok_or_eyre("the child has no process id")?;
         let output = Output::read(child.stdout.take(), child.stderr.take());
-        let mut child = ChildProcess {
-            child,
-            pid,
-            output,
-            folder,
-            ready: Value::Null,
-        };
+        let mut child = ChildProcess { child, pid, output, folder, ready: Value::Null };
         if let Some(limit) = settings.ready_limit {
             let line = child.wait_for_line(limit, is_ready).await?;
             child.ready = line.json().unwrap_or_default();
@@ -183,10 +172,7 @@
     /// The child has ended.
     pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
         // The id of a child that was waited for may belong to another process by now.
-        eyre::ensure!(
-            self.child.id().is_some(),
-            "failed to send {signal:?}: the child has ended"
-        );
+        eyre::ensure!(self.child.id().is_some(), "failed to send {signal:?}: the child has ended");
         rustix::process::kill_process(self.pid, signal.into())
             .wrap_err_with(|| format!("failed to send {signal:?} to {}", self.pid()))
     }
@@ -211,9 +197,7 @@
     let Some(line) = line.json() else {
         return false;
     };
-    ["event", "message"]
-        .iter()
-        .any(|name| field(&line, name).is_some_and(|text| text == "ready"))
+    ["event", "message"].iter().any(|name| field(&line, name).is_some_and(|text| text == "ready"))
 }
 
 /// Path of a binary or example of this workspace, in the target folder of the running test.
@@ -223,10 +207,7 @@
 /// package or of the whole workspace.
 pub fn target_binary(name: &str) -> eyre::Result<PathBuf> {
     let exe = std::env::current_exe().wrap_err("failed to find the running test")?;
-    let folder = exe
-        .parent()
-        .and_then(Path::parent)
-        .ok_or_eyre("the test has no target folder")?;
+    let folder = exe.parent().and_then(Path::parent).ok_or_eyre("the test has no target folder")?;
     [folder.join(name), folder.join("examples").join(name)]
         .into_iter()
         .find(|path| path.is_file())
--- a/crates/test-support/src/process/output.rs
+++ b/crates/test-support/src/process/output.rs
@@ -77,10 +77,7 @@
             (None, Some(line)) => Ok(line),
             (failure, _) => {
                 let failure = failure.unwrap_or_default();
-                eyre::bail!(
-                    "failed to wait for a line: {failure}; output:\n{}",
-                    self.excerpt()
-                )
+                eyre::bail!("failed to wait for a line: {failure}; output:\n{}", self.excerpt())
             }
         }
     }
@@ -107,9 +104,7 @@
     let mut reader = BufReader::new(stream);
     let mut buf = Vec::new();
     while matches!(reader.read_until(b'\n', &mut buf).await, Ok(length) if length > 0) {
-        let text = String::from_utf8_lossy(&buf)
-            .trim_end_matches(['\r', '\n'])
-            .to_owned();
+        let text = String::from_utf8_lossy(&buf).trim_end_matches(['\r', '\n']).to_owned();
         output.send_modify(|lines| lines.push(OutputLine { source, text }));
         buf.clear();
     }
--- a/crates/test-support/src/serve.rs
+++ b/crates/test-support/src/serve.rs
@@ -64,15 +64,10 @@
         listener: TcpListener,
         handler: H,
     ) -> eyre::Result<Server> {
-        let addr = listener
-            .local_addr()
-            .wrap_err("failed to read the listening address")?;
+        let addr = listener.local_addr().wrap_err("failed to read the listening address")?;
         let (stop_tx, stop_rx) = oneshot::channel();
         let task = tokio::spawn(accept_loop(listener, handler, stop_rx));
-        Ok(Server {
-            addr,
-            running: Mutex::new(Some((stop_tx, task))),
-        })
+        Ok(Server { addr, running: Mutex::new(Some((stop_tx, task))) })
     }
 
     /// Address that it listens on.
@@ -93,9 +88,7 @@
 
 /// Binds a listener of a stand-in.
 pub(crate) async fn bind(listen: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(listen)
-        .await
-        .wrap_err_with(|| format!("failed to listen on {listen}"))
+    TcpListener::bind(listen).await.wrap_err_with(|| format!("failed to listen on {listen}"))
 }
 
 async fn accept_loop<H: Handler>(
@@ -138,9 +131,7 @@
 
 /// Body that holds `bytes`.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never: Infallible| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
 /// Answer with a JSON body.
@@ -148,10 +139,9 @@
     let text = serde_json::to_vec(value).expect("answers of stand-ins are plain JSON values");
     let mut answer = Response::new(full(text));
     *answer.status_mut() = status;
-    answer.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("application/json"),
-    );
+    answer
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
     answer
 }
 
@@ -163,14 +153,8 @@
 /// Turns an answer into one that announces its whole length and breaks off after half of it.
 pub(crate) async fn cut_in_the_middle(answer: Response<Body>) -> Response<Body> {
     let (mut parts, body) = answer.into_parts();
-    let bytes = body
-        .collect()
-        .await
-        .map(|all| all.to_bytes())
-        .unwrap_or_default();
-    parts
-        .headers
-        .insert(http::header::CONTENT_LENGTH, bytes.len().into());
+    let bytes = body.collect().await.map(|all| all.to_bytes()).unwrap_or_default();
+    parts.headers.insert(http::header::CONTENT_LENGTH, bytes.len().into());
     let half = bytes.slice(..bytes.len() / 2);
     let frames = futures_util::stream::unfold(Some(half), |half| async move {
         match half {
@@ -196,9 +180,7 @@
 
 /// Locks a mutex, also after a panic of another holder.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 /// 64-bit FNV-1a checksum, in hexadecimal.
--- a/crates/test-support/src/timer.rs
+++ b/crates/test-support/src/timer.rs
@@ -69,9 +69,7 @@
                     let _ = sleeper.wake.send(());
                 }
             }
-            let wait = sleepers
-                .peek()
-                .map_or(IDLE_WAIT, |Reverse(next)| next.at - now);
+            let wait = sleepers.peek().map_or(IDLE_WAIT, |Reverse(next)| next.at - now);
             let waited = self.earlier.wait_timeout(sleepers, wait);
             sleepers = waited.unwrap_or_else(PoisonError::into_inner).0;
         }
--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -12,24 +12,14 @@
 /// Guards against answers whose length or checksum does not fit their body.
 #[tokio::test]
 async fn an_answer_carries_its_checksum_and_request_id() {
-    let server = BackendServer::start(BackendSettings::new("b1", "bidding"))
-        .await
-        .unwrap();
+    let server = BackendServer::start(BackendSettings::new("b1", "bidding")).await.unwrap();
     let headers = [("x-request-id", "r1"), ("x-work-us", "0")];
     let url = format!("{}/bids", server.url());
-    let answer = send(&client(), "POST", &url, &headers, "12345")
-        .await
-        .unwrap();
+    let answer = send(&client(), "POST", &url, &headers, "12345").await.unwrap();
     let echo = answer.json();
-    assert_eq!(
-        (&echo["method"], &echo["path"]),
-        (&"POST".into(), &"/bids".into())
-    );
+    assert_eq!((&echo["method"], &echo["path"]), (&"POST".into(), &"/bids".into()));
     assert_eq!(echo["body_bytes"], 5);
-    assert_eq!(
-        answer.headers["x-body-fnv"],
-        checksum(answer.text.as_bytes()).as_str()
-    );
+    assert_eq!(answer.headers["x-body-fnv"], checksum(answer.text.as_bytes()).as_str());
     assert_eq!(answer.headers["x-request-id"], "r1");
     let journal = server.journal();
     assert_eq!(journal[0].request_id.as_deref(), Some("r1"));
@@ -39,14 +29,10 @@
 /// Guards against work that goes on, or is journalled as finished, after its caller has gone.
 #[tokio::test]
 async fn a_closed_connection_cancels_the_work() {
-    let server = BackendServer::start(BackendSettings::new("b1", "bidding"))
-        .await
-        .unwrap();
+    let server = BackendServer::start(BackendSettings::new("b1", "bidding")).await.unwrap();
     let url = format!("{}/long", server.url());
     let call = tokio::spawn(async move {
-        send(&client(), "GET", &url, &[("x-work-us", "60000000")], "")
-            .await
-            .is_ok()
+        send(&client(), "GET", &url, &[("x-work-us", "60000000")], "").await.is_ok()
     });
     until(|| server.counters().running == 1).await;
     call.abort();
@@ -58,47 +44,33 @@
 /// Guards against shed work that is counted as having run, and against more work than slots.
 #[tokio::test]
 async fn work_over_the_limit_is_shed_without_running() {
-    let settings = BackendSettings::new("b1", "bidding")
-        .slots(1)
-        .shed_above_slots_by(1);
+    let settings = BackendSettings::new("b1", "bidding").slots(1).shed_above_slots_by(1);
     let server = BackendServer::start(settings).await.unwrap();
     let url = format!("{}/w", server.url());
     let mut calls = Vec::new();
     for _ in 0..2 {
         let url = url.clone();
         calls.push(tokio::spawn(async move {
-            send(&client(), "GET", &url, &[("x-work-us", "200000")], "")
-                .await
-                .unwrap()
-                .status
+            send(&client(), "GET", &url, &[("x-work-us", "200000")], "").await.unwrap().status
         }));
     }
     until(|| server.counters().running + server.counters().waiting == 2).await;
-    let shed = send(&client(), "GET", &url, &[("x-work-us", "200000")], "")
-        .await
-        .unwrap();
+    let shed = send(&client(), "GET", &url, &[("x-work-us", "200000")], "").await.unwrap();
     assert_eq!(shed.status, 503);
     for call in calls {
         assert_eq!(call.await.unwrap(), 200);
     }
     assert_eq!(server.counters().peak_running, 1);
     let journal = server.journal();
-    assert_eq!(
-        (journal[2].result, journal[2].ran()),
-        (WorkResult::Shed, false)
-    );
+    assert_eq!((journal[2].result, journal[2].ran()), (WorkResult::Shed, false));
 }
 
 /// Guards against a deadline that the backend server ignores.
 #[tokio::test]
 async fn a_deadline_stops_the_work() {
-    let server = BackendServer::start(BackendSettings::new("b1", "bidding"))
-        .await
-        .unwrap();
+    let server = BackendServer::start(BackendSettings::new("b1", "bidding")).await.unwrap();
     let headers = [("x-work-us", "60000000"), ("baobabreel-timeout-ms", "20")];
-    let answer = send(&client(), "GET", &server.url(), &headers, "")
-        .await
-        .unwrap();
+    let answer = send(&client(), "GET", &server.url(), &headers, "").await.unwrap();
     assert_eq!(answer.status, 504);
     assert_eq!(server.journal()[0].result, WorkResult::Cancelled);
 }
@@ -116,10 +88,7 @@
     until(|| sink.received().len() == 2).await;
     let url = server.url();
     let call = tokio::spawn(async move {
-        send(&client(), "GET", &url, &[("x-work-us", "300000")], "")
-            .await
-            .unwrap()
-            .status
+        send(&client(), "GET", &url, &[("x-work-us", "300000")], "").await.unwrap().status
     });
     until(|| server.counters().running == 1).await;
     server.drain();
@@ -129,34 +98,25 @@
         json!({"service": "bidding", "address": server.addr().to_string(), "slots": 10,
             "state": state, "running": running, "load": load})
     };
-    let expected = [
-        announced("cold", 0, 0.0),
-        announced("ready", 0, 0.0),
-        announced("draining", 1, 0.1),
-    ];
+    let expected =
+        [announced("cold", 0, 0.0), announced("ready", 0, 0.0), announced("draining", 1, 0.1)];
     assert_eq!(sink.received(), expected);
 }
 
 /// Guards against faults of the backend server that do not reach the caller or never end.
 #[tokio::test]
 async fn frozen_requests_wait_and_slow_spells_lengthen_the_work() {
-    let server = BackendServer::start(BackendSettings::new("b1", "bidding"))
-        .await
-        .unwrap();
+    let server = BackendServer::start(BackendSettings::new("b1", "bidding")).await.unwrap();
     server.set_faults(|faults| faults.freeze = true);
     let (http, url) = (client(), format!("{}/health", server.url()));
     let mut health = Box::pin(send(&http, "GET", &url, &[], ""));
-    tokio::time::timeout(Duration::from_millis(100), &mut health)
-        .await
-        .unwrap_err();
+    tokio::time::timeout(Duration::from_millis(100), &mut health).await.unwrap_err();
     server.set_faults(|faults| faults.freeze = false);
     assert_eq!(health.await.unwrap().json(), json!({"state": "ready"}));
 
     server.slow_down(20.0, Duration::ZERO, Duration::from_secs(3_600));
     let headers = [("x-work-us", "5000")];
-    send(&http, "GET", &format!("{}/w", server.url()), &headers, "")
-        .await
-        .unwrap();
+    send(&http, "GET", &format!("{}/w", server.url()), &headers, "").await.unwrap();
     let ran = &server.journal()[0];
     assert!(ran.ended_us.unwrap() - ran.started_us.unwrap() >= 100_000);
 }
@@ -171,31 +131,20 @@
         .announce_interval(Duration::from_millis(5));
     let server = BackendServer::start(settings).await.unwrap();
     server.set_faults(|faults| faults.false_load = Some(0.5));
-    until(|| {
-        sink.received()
-            .last()
-            .is_some_and(|last| last["load"] == 0.5)
-    })
-    .await;
+    until(|| sink.received().last().is_some_and(|last| last["load"] == 0.5)).await;
     assert_eq!(sink.received().last().unwrap()["running"], 5);
 
     let (http, url) = (client(), server.url());
     let call = tokio::spawn(async move {
-        send(&http, "GET", &url, &[("x-work-us", "60000000")], "")
-            .await
-            .is_err()
+        send(&http, "GET", &url, &[("x-work-us", "60000000")], "").await.is_err()
     });
     until(|| server.counters().running == 1).await;
     server.kill().await;
     let announced = sink.received().len();
-    let broken = tokio::time::timeout(Duration::from_secs(30), call)
-        .await
-        .unwrap();
+    let broken = tokio::time::timeout(Duration::from_secs(30), call).await.unwrap();
     assert!(broken.unwrap());
     assert_eq!(server.journal()[0].result, WorkResult::Cancelled);
-    let refused = tokio::net::TcpStream::connect(server.addr())
-        .await
-        .unwrap_err();
+    let refused = tokio::net::TcpStream::connect(server.addr()).await.unwrap_err();
     assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
     tokio::time::sleep(Duration::from_millis(50)).await;
     // One announcement may have been on its way.
--- a/crates/test-support/tests/log.rs
+++ b/crates/test-support/tests/log.rs
@@ -23,17 +23,9 @@
         let answer = send(&http, "POST", &url, &[], text).await.unwrap();
         assert_eq!(answer.json(), json!({"generation": 1, "offset": offset}));
     }
-    let page = send(&http, "GET", &format!("{url}?from=2&limit=1"), &[], "")
-        .await
-        .unwrap()
-        .json();
+    let page = send(&http, "GET", &format!("{url}?from=2&limit=1"), &[], "").await.unwrap().json();
     assert_eq!(
-        (
-            &page["first"],
-            &page["next"],
-            &page["records"][0]["data"],
-            &page["records"][1]
-        ),
+        (&page["first"], &page["next"], &page["records"][0]["data"], &page["records"][1]),
         (&json!(1), &json!(4), &json!("b"), &json!(null))
     );
     assert_eq!((log.counters().appends, log.counters().bytes_in), (3, 3));
@@ -47,14 +39,9 @@
     for text in ["a", "b", "c"] {
         log.append("config", text);
     }
-    let answer = send(&client(), "GET", &format!("{url}?from=1"), &[], "")
-        .await
-        .unwrap();
+    let answer = send(&client(), "GET", &format!("{url}?from=1"), &[], "").await.unwrap();
     assert_eq!(answer.status, 410);
-    assert_eq!(
-        answer.json(),
-        json!({"generation": 1, "first": 2, "next": 4})
-    );
+    assert_eq!(answer.json(), json!({"generation": 1, "first": 2, "next": 4}));
 }
 
 /// Guards against a long poll that sleeps through an append.
@@ -62,23 +49,12 @@
 async fn an_append_wakes_a_long_poll() {
     let (log, url) = start().await;
     let poll = tokio::spawn(async move {
-        send(
-            &client(),
-            "GET",
-            &format!("{url}?from=1&wait_ms=60000"),
-            &[],
-            "",
-        )
-        .await
-        .unwrap()
+        send(&client(), "GET", &format!("{url}?from=1&wait_ms=60000"), &[], "").await.unwrap()
     });
     until(|| log.counters().open_polls == 1).await;
     log.append("config", "late");
     // Without the wake-up the answer comes only at the end of the wait, after 60 s.
-    let answer = tokio::time::timeout(Duration::from_secs(30), poll)
-        .await
-        .unwrap()
-        .unwrap();
+    let answer = tokio::time::timeout(Duration::from_secs(30), poll).await.unwrap().unwrap();
     assert_eq!(answer.json()["records"][0]["data"], "late");
     assert_eq!(log.counters().open_polls, 0);
 }
@@ -92,10 +68,7 @@
     let failure = send(&http, "POST", &url, &[], "a").await.unwrap_err();
     assert_eq!(failure.to_string(), "failed to send");
     assert_eq!(log.records("config")[0].data, "a");
-    assert_eq!(
-        send(&http, "POST", &url, &[], "b").await.unwrap().json()["offset"],
-        2
-    );
+    assert_eq!(send(&http, "POST", &url, &[], "b").await.unwrap().json()["offset"], 2);
 }
 
 /// Guards against a partition that leaves an open long poll of the cut client working.
@@ -104,22 +77,16 @@
     let (log, url) = start().await;
     let poll_url = format!("{url}?from=1&wait_ms=60000");
     let poll = tokio::spawn(async move {
-        send(&client(), "GET", &poll_url, &[("x-client", "d1")], "")
-            .await
-            .is_err()
+        send(&client(), "GET", &poll_url, &[("x-client", "d1")], "").await.is_err()
     });
     until(|| log.counters().open_polls == 1).await;
     log.set_faults(|faults| {
         faults.cut_clients.insert("d1".to_owned());
     });
     assert!(poll.await.unwrap());
-    let failure = send(&client(), "POST", &url, &[("x-client", "d1")], "a")
-        .await
-        .unwrap_err();
+    let failure = send(&client(), "POST", &url, &[("x-client", "d1")], "a").await.unwrap_err();
     assert_eq!(failure.to_string(), "failed to send");
-    let other = send(&client(), "POST", &url, &[("x-client", "d2")], "a")
-        .await
-        .unwrap();
+    let other = send(&client(), "POST", &url, &[("x-client", "d2")], "a").await.unwrap();
     assert_eq!(other.json()["offset"], 1);
 }
 
@@ -137,9 +104,7 @@
     assert_eq!(failure.to_string(), "failed to send");
     log.set_faults(|faults| faults.outage = Outage::Silent);
     let silent = send(&http, "POST", &url, &[], "a");
-    tokio::time::timeout(Duration::from_millis(100), silent)
-        .await
-        .unwrap_err();
+    tokio::time::timeout(Duration::from_millis(100), silent).await.unwrap_err();
     log.set_faults(|faults| faults.outage = Outage::None);
     assert!(log.records("config").is_empty());
 
@@ -148,10 +113,7 @@
     assert_eq!(cut.to_string(), "failed to read the answer");
 
     log.set_faults(|faults| faults.appends_per_second = Some(1));
-    assert_eq!(
-        send(&http, "POST", &url, &[], "a").await.unwrap().status,
-        200
-    );
+    assert_eq!(send(&http, "POST", &url, &[], "a").await.unwrap().status, 200);
     let limited = send(&http, "POST", &url, &[], "b").await.unwrap();
     assert_eq!(
         (limited.status.as_u16(), &limited.headers["retry-after"]),
--- a/crates/test-support/tests/net.rs
+++ b/crates/test-support/tests/net.rs
@@ -14,9 +14,7 @@
 const LIMIT: Duration = Duration::from_secs(30);
 
 async fn within<T>(wait: impl Future<Output = T>) -> T {
-    tokio::time::timeout(LIMIT, wait)
-        .await
-        .expect("the relay acts in time")
+    tokio::time::timeout(LIMIT, wait).await.expect("the relay acts in time")
 }
 
 async fn start() -> Relay {
@@ -48,10 +46,7 @@
     assert_eq!(within(echo(&mut stream)).await.unwrap(), 7);
     assert!(sent.elapsed() >= Duration::from_millis(60));
     let counters = relay.counters();
-    assert_eq!(
-        (counters.to_target, counters.from_target, counters.open),
-        (1, 1, 1)
-    );
+    assert_eq!((counters.to_target, counters.from_target, counters.open), (1, 1, 1));
 }
 
 /// Guards against a silent connection that is closed, which clients would notice at once.
@@ -61,9 +56,7 @@
     let mut old = TcpStream::connect(relay.addr()).await.unwrap();
     assert_eq!(within(echo(&mut old)).await.unwrap(), 7);
     relay.silence_existing();
-    tokio::time::timeout(SILENCE, echo(&mut old))
-        .await
-        .unwrap_err();
+    tokio::time::timeout(SILENCE, echo(&mut old)).await.unwrap_err();
     let mut new = TcpStream::connect(relay.addr()).await.unwrap();
     assert_eq!(within(echo(&mut new)).await.unwrap(), 7);
 }
@@ -75,9 +68,7 @@
     let mut stream = TcpStream::connect(relay.addr()).await.unwrap();
     relay.hold(true);
     stream.write_u8(9).await.unwrap();
-    tokio::time::timeout(SILENCE, stream.read_u8())
-        .await
-        .unwrap_err();
+    tokio::time::timeout(SILENCE, stream.read_u8()).await.unwrap_err();
     relay.hold(false);
     assert_eq!(within(stream.read_u8()).await.unwrap(), 9);
 }
--- a/crates/test-support/tests/process.rs
+++ b/crates/test-support/tests/process.rs
@@ -31,17 +31,13 @@
     let http = client();
     child.signal(Signal::Stop).unwrap();
     let mut answer = Box::pin(send(&http, "GET", &url, &[], ""));
-    tokio::time::timeout(Duration::from_millis(200), &mut answer)
-        .await
-        .unwrap_err();
+    tokio::time::timeout(Duration::from_millis(200), &mut answer).await.unwrap_err();
     child.signal(Signal::Continue).unwrap();
     assert_eq!((&mut answer).await.unwrap().status, 200);
     drop(answer);
 
     let call = tokio::spawn(async move {
-        send(&http, "GET", &url, &[("x-work-us", "60000000")], "")
-            .await
-            .is_err()
+        send(&http, "GET", &url, &[("x-work-us", "60000000")], "").await.is_err()
     });
     let journal = || parse_journal(&std::fs::read_to_string(&path).unwrap()).unwrap();
     until(|| journal().len() == 2).await;
@@ -62,10 +58,7 @@
     let mut child = start_backend(&path).await;
     let url = format!("http://{}/w", child.ready_field("address").unwrap());
     let call = tokio::spawn(async move {
-        send(&client(), "GET", &url, &[("x-work-us", "300000")], "")
-            .await
-            .unwrap()
-            .status
+        send(&client(), "GET", &url, &[("x-work-us", "300000")], "").await.unwrap().status
     });
     until(|| !std::fs::read_to_string(&path).unwrap().is_empty()).await;
     child.signal(Signal::Terminate).unwrap();
--- a/crates/test-support/tests/support/mod.rs
+++ b/crates/test-support/tests/support/mod.rs
@@ -42,9 +42,7 @@
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
     };
-    tokio::time::timeout(LIMIT, wait)
-        .await
-        .expect("the condition is met in time");
+    tokio::time::timeout(LIMIT, wait).await.expect("the condition is met in time");
 }
 
 pub fn client() -> Http {
@@ -63,22 +61,10 @@
         req = req.header(*name, *value);
     }
     let req = req.body(Full::new(Bytes::copy_from_slice(body.as_bytes())))?;
-    let (parts, body) = http
-        .request(req)
-        .await
-        .wrap_err("failed to send")?
-        .into_parts();
-    let body = body
-        .collect()
-        .await
-        .wrap_err("failed to read the answer")?
-        .to_bytes();
+    let (parts, body) = http.request(req).await.wrap_err("failed to send")?.into_parts();
+    let body = body.collect().await.wrap_err("failed to read the answer")?.to_bytes();
     let text = String::from_utf8_lossy(&body).into_owned();
-    Ok(Answer {
-        status: parts.status,
-        headers: parts.headers,
-        text,
-    })
+    Ok(Answer { status: parts.status, headers: parts.headers, text })
 }
 
 /// Listener that keeps the announcements that it gets, in place of a daemon.
@@ -110,15 +96,9 @@
         let service = service_fn(move |req: Request<Incoming>| {
             let received = Arc::clone(&received);
             async move {
-                assert_eq!(
-                    (req.method().as_str(), req.uri().path()),
-                    ("POST", "/announce")
-                );
+                assert_eq!((req.method().as_str(), req.uri().path()), ("POST", "/announce"));
                 let body = req.into_body().collect().await.unwrap().to_bytes();
-                received
-                    .lock()
-                    .unwrap()
-                    .push(serde_json::from_slice(&body).unwrap());
+                received.lock().unwrap().push(serde_json::from_slice(&body).unwrap());
                 Ok::<_, Infallible>(Response::new(Full::new(Bytes::new())))
             }
         });
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -77,10 +77,7 @@
     assert_eq!(report.check(journals), Default::default(), "{summary}");
     assert!(report.mismatches.is_empty(), "{:?}", report.mismatches);
     let succeeded = report.calls.iter().filter(|call| call.end.succeeded());
-    assert!(
-        succeeded.count() * 2 > report.calls.len(),
-        "most requests succeed: {summary}"
-    );
+    assert!(succeeded.count() * 2 > report.calls.len(), "most requests succeed: {summary}");
 }
 
 /// Checks that callers' connections broke only for calls that were running at some time between
@@ -107,10 +104,7 @@
 ///
 /// They are not ready within [`LIMIT`].
 pub async fn raw_mesh() -> (Mesh, RawBackend) {
-    let mute = BackendFaults {
-        mute: true,
-        ..BackendFaults::default()
-    };
+    let mute = BackendFaults { mute: true, ..BackendFaults::default() };
     let specs = vec![
         NodeSpec::new("a1", "hobart-a", "yard").backend(|backend| backend.faults(mute)),
         NodeSpec::new("a2", "hobart-a", "yard"),
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -61,21 +61,11 @@
                 }
             }
         }
-        Self {
-            status: Some(parts.status),
-            headers: parts.headers,
-            body: Bytes::from(data),
-            whole,
-        }
+        Self { status: Some(parts.status), headers: parts.headers, body: Bytes::from(data), whole }
     }
 
     fn none() -> Self {
-        Self {
-            status: None,
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            whole: false,
-        }
+        Self { status: None, headers: HeaderMap::new(), body: Bytes::new(), whole: false }
     }
 }
 
@@ -111,9 +101,7 @@
 ) -> RawAnswer {
     let mut req = request(to, path, headers, body.into());
     let authority = to.to_string();
-    req.headers_mut()
-        .entry("host")
-        .or_insert(authority.parse().expect("a host"));
+    req.headers_mut().entry("host").or_insert(authority.parse().expect("a host"));
     let exchange = async {
         let stream = TcpStream::connect(to).await.ok()?;
         let io = TokioIo::new(stream);
@@ -217,9 +205,7 @@
 
     /// Sets the parts of the answer, each with the pause after it.
     pub fn answer_with(&self, parts: &[(&str, Duration)]) {
-        let parts = parts
-            .iter()
-            .map(|(text, pause)| (text.as_bytes().to_vec(), *pause));
+        let parts = parts.iter().map(|(text, pause)| (text.as_bytes().to_vec(), *pause));
         lock(&self.shared).answer = parts.collect();
     }
 
--- a/crates/testsuite/tests/bad_input.rs
+++ b/crates/testsuite/tests/bad_input.rs
@@ -20,37 +20,21 @@
 fn assert_kind(answer: &RawAnswer, kind: ErrorKind, what: &str) {
     let row = kind.answer();
     assert_eq!(answer.code(), row.status, "{what}: {answer:?}");
-    assert_eq!(
-        answer.header("baobabreel-outcome"),
-        row.outcome.as_str(),
-        "{what}"
-    );
+    assert_eq!(answer.header("baobabreel-outcome"), row.outcome.as_str(), "{what}");
     let body = String::from_utf8_lossy(&answer.body);
-    assert!(
-        body.contains(&format!("\"error\":\"{}\"", row.name)),
-        "{what}: {body}"
-    );
+    assert!(body.contains(&format!("\"error\":\"{}\"", row.name)), "{what}: {body}");
 }
 
 async fn assert_serves(node: &FleetNode, after: &str) {
     let answer = h1(node.callers, "/lots/1", &[], "").await;
     assert_eq!(answer.code(), 200, "after {after}: {answer:?}");
-    assert!(
-        node.memory_kib() < MEMORY_KIB,
-        "after {after}: {} KiB",
-        node.memory_kib()
-    );
+    assert!(node.memory_kib() < MEMORY_KIB, "after {after}: {} KiB", node.memory_kib());
 }
 
 async fn limited_fleet() -> Fleet {
     let limit = format!("\"limits\": {{\"body_bytes\": {BODY_LIMIT}}}");
     let specs = specs().into_iter().take(2);
-    Fleet::ready(
-        specs
-            .map(|spec| (spec.setting(&limit), "catalogue"))
-            .collect(),
-    )
-    .await
+    Fleet::ready(specs.map(|spec| (spec.setting(&limit), "catalogue")).collect()).await
 }
 
 /// Guards against requests over the limits that run or that are answered without an outcome, and
@@ -63,41 +47,18 @@
     let long = "x".repeat(17_000);
     let longest = "x".repeat(200_000);
     for headers in [[("x-long", long.as_str())], [("x-long", longest.as_str())]] {
-        for answer in [
-            h1(to, "/lots", &headers, "").await,
-            h2(to, "/lots", &headers, "").await,
-        ] {
+        for answer in [h1(to, "/lots", &headers, "").await, h2(to, "/lots", &headers, "").await] {
             assert!(matches!(answer.code(), 0 | 431), "{}", answer.code());
         }
     }
     let large = vec![b'x'; BODY_LIMIT + 1];
     let key = "k".repeat(65);
     let cases: [Case<'_>; 7] = [
-        (
-            "/lots",
-            &[("x-long", &long)],
-            b"",
-            ErrorKind::HeaderTooLarge,
-        ),
+        ("/lots", &[("x-long", &long)], b"", ErrorKind::HeaderTooLarge),
         ("/lots", &[], &large, ErrorKind::BodyTooLarge),
-        (
-            "/lots",
-            &[("baobabreel-timeout-ms", "soon")],
-            b"",
-            ErrorKind::BadRequest,
-        ),
-        (
-            "/bids",
-            &[("idempotency-key", &key)],
-            b"bid",
-            ErrorKind::BadKey,
-        ),
-        (
-            "/bids",
-            &[("idempotency-key", "bk1.a1.x")],
-            b"bid",
-            ErrorKind::BadKey,
-        ),
+        ("/lots", &[("baobabreel-timeout-ms", "soon")], b"", ErrorKind::BadRequest),
+        ("/bids", &[("idempotency-key", &key)], b"bid", ErrorKind::BadKey),
+        ("/bids", &[("idempotency-key", "bk1.a1.x")], b"bid", ErrorKind::BadKey),
         ("/peer/v1/call/lots", &[], b"", ErrorKind::NoRoute),
         ("/%2e%2e/lots", &[], b"", ErrorKind::NoRoute),
     ];
@@ -117,22 +78,13 @@
     assert!(expected, "{answer}");
     let ran = fleet.journals().concat();
     assert!(!ran.iter().any(JournalEntry::ran), "nothing ran: {ran:?}");
-    for path in [
-        "/lots/../bids",
-        "/lots//7",
-        "/lots/%00",
-        "/lots/%2e%2e/bids",
-        "/lots?a=%zz",
-    ] {
+    for path in ["/lots/../bids", "/lots//7", "/lots/%00", "/lots/%2e%2e/bids", "/lots?a=%zz"] {
         let answer = h1(to, path, &[], "").await;
         assert_eq!(answer.code(), 200, "{path}: {answer:?}");
     }
     assert_serves(node, "faults of callers").await;
     let ran = fleet.journals().concat();
-    assert!(
-        ran.iter().any(|entry| entry.path == "/lots/../bids"),
-        "paths stay as they are"
-    );
+    assert!(ran.iter().any(|entry| entry.path == "/lots/../bids"), "paths stay as they are");
 }
 
 /// Bytes that are no request, or one without an end.
@@ -185,13 +137,7 @@
     let nested = "91".repeat(4_000);
     let bins = format!("{}{}", "c6ffffffff", "00".repeat(8));
     for head in ["", "9", "zz", "c0", "a57468657265", &nested, &bins] {
-        let answer = h2(
-            node.peers,
-            "/peer/v1/call/lots",
-            &[("baobabreel-call", head)],
-            "",
-        )
-        .await;
+        let answer = h2(node.peers, "/peer/v1/call/lots", &[("baobabreel-call", head)], "").await;
         assert_kind(&answer, ErrorKind::BadRequest, head);
     }
     let answer = h2(node.peers, "/peer/v1/call/lots", &[], "").await;
@@ -199,27 +145,15 @@
     let nested = vec![0x91; 1_000_000];
     let length = b"\xdd\xff\xff\xff\xff".to_vec();
     for path in ["probe", "entries", "pull", "outcome"] {
-        for body in [
-            b"x".to_vec(),
-            nested.clone(),
-            length.clone(),
-            vec![0; 9_000_000],
-        ] {
+        for body in [b"x".to_vec(), nested.clone(), length.clone(), vec![0; 9_000_000]] {
             let bytes = body.len();
             let answer = h2(node.peers, &format!("/peer/v1/{path}"), &[], body).await;
             // A body over the limit may be refused before it was sent.
-            assert!(
-                matches!(answer.code(), 0 | 400),
-                "{path} {bytes}: {answer:?}"
-            );
+            assert!(matches!(answer.code(), 0 | 400), "{path} {bytes}: {answer:?}");
             assert_serves(node, path).await;
         }
     }
-    assert_kind(
-        &h2(node.peers, "/lots/7", &[], "").await,
-        ErrorKind::Forbidden,
-        "peers",
-    );
+    assert_kind(&h2(node.peers, "/lots/7", &[], "").await, ErrorKind::Forbidden, "peers");
     assert_kind(
         &h1(node.peers, "/lots/7", &[], "").await,
         ErrorKind::Forbidden,
@@ -229,12 +163,7 @@
         (node.operators, "/lots/7", String::new(), 404),
         (node.operators, "/status", "x".to_owned(), 405),
         (node.announce, "/lots/7", String::new(), 404),
-        (
-            node.announce,
-            "/announce",
-            "{\"service\": 1}".to_owned(),
-            400,
-        ),
+        (node.announce, "/announce", "{\"service\": 1}".to_owned(), 400),
         (node.announce, "/announce", "[".repeat(60_000), 400),
         (node.announce, "/announce", "x".repeat(70_000), 413),
     ] {
@@ -250,14 +179,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn peers_and_operators_need_the_token() {
     let specs = specs().into_iter().take(2);
-    let specs: Vec<NodeSpec> = specs
-        .map(|spec| spec.setting("\"token\": \"secret\""))
-        .collect();
+    let specs: Vec<NodeSpec> = specs.map(|spec| spec.setting("\"token\": \"secret\"")).collect();
     let mesh = Mesh::start(specs).await.expect("mesh starts");
     let offset = mesh.publish(first_change());
-    mesh.wait_ready(offset, LIMIT)
-        .await
-        .expect("daemons with the token accept each other");
+    mesh.wait_ready(offset, LIMIT).await.expect("daemons with the token accept each other");
     let addr = mesh.nodes[0].addresses();
     for (headers, forbidden) in [
         (&[][..], true),
@@ -271,11 +196,7 @@
             false => assert_eq!(answer.code(), 400, "{answer:?}"),
         }
         let answer = h1(addr.operators, "/status", headers, "").await;
-        assert_eq!(
-            answer.code(),
-            if forbidden { 403 } else { 200 },
-            "{headers:?}"
-        );
+        assert_eq!(answer.code(), if forbidden { 403 } else { 200 }, "{headers:?}");
     }
     assert_eq!(h1(addr.callers, "/lots/7", &[], "").await.code(), 200);
 }
@@ -303,39 +224,15 @@
     ];
     for to in mesh.callers() {
         let answer = h1(to, "/lots/7", &sent, "").await;
-        assert!(
-            answer.code() == 200 && answer.body == "ok",
-            "{to}: {answer:?}"
-        );
+        assert!(answer.code() == 200 && answer.body == "ok", "{to}: {answer:?}");
         assert_eq!(answer.header("baobabreel-outcome"), "ran");
-        for name in [
-            "baobabreel-answer",
-            "baobabreel-call",
-            "x-hop",
-            "baobabreel-token",
-        ] {
-            assert!(
-                !answer.headers.contains_key(name),
-                "{name} reaches the caller"
-            );
+        for name in ["baobabreel-answer", "baobabreel-call", "x-hop", "baobabreel-token"] {
+            assert!(!answer.headers.contains_key(name), "{name} reaches the caller");
         }
         let head = backend.last_head();
-        for text in [
-            "baobabreel-call",
-            "baobabreel-answer",
-            "guess",
-            "evil",
-            "x-hop",
-            "outcome",
-        ] {
-            assert!(
-                !head.contains(text),
-                "{text} reaches the backend server: {head}"
-            );
+        for text in ["baobabreel-call", "baobabreel-answer", "guess", "evil", "x-hop", "outcome"] {
+            assert!(!head.contains(text), "{text} reaches the backend server: {head}");
         }
-        assert!(
-            head.contains("host: shop.example\r\n") && head.contains("x-pad"),
-            "{head}"
-        );
+        assert!(head.contains("host: shop.example\r\n") && head.contains("x-pad"), "{head}");
     }
 }
--- a/crates/testsuite/tests/cli.rs
+++ b/crates/testsuite/tests/cli.rs
@@ -22,9 +22,7 @@
 
 impl Desk {
     async fn ready() -> Self {
-        let log = LogServer::start(LogSettings::new())
-            .await
-            .expect("log starts");
+        let log = LogServer::start(LogSettings::new()).await.expect("log starts");
         let (mut processes, mut operators, mut seeds) = (Vec::new(), Vec::new(), Vec::new());
         for (name, site) in [("a1", "hobart-a"), ("b1", "hobart-b")] {
             let spec = NodeSpec::new(name, site, "catalogue");
@@ -33,14 +31,9 @@
             let settings = settings.settings("--settings", text).ready_limit(None);
             let daemon = ChildProcess::start(settings).await.expect("daemon starts");
             let addresses = daemon.wait_for_line(LIMIT, |line| {
-                line.json()
-                    .is_some_and(|json| json["operators"].is_string())
+                line.json().is_some_and(|json| json["operators"].is_string())
             });
-            let line = addresses
-                .await
-                .expect("daemon listens")
-                .json()
-                .expect("JSON");
+            let line = addresses.await.expect("daemon listens").json().expect("JSON");
             let addr = |field: &str| line[field].as_str().expect("an address").to_owned();
             operators.push(format!("http://{}", addr("operators")));
             seeds.push(addr("peers").parse().expect("an address"));
@@ -53,12 +46,7 @@
         }
         log.append("config", &entry_text(first_change()));
         let folder = tempfile::tempdir().expect("a folder");
-        let desk = Self {
-            log,
-            _processes: processes,
-            operators,
-            folder,
-        };
+        let desk = Self { log, _processes: processes, operators, folder };
         wait_until("all daemons are ready", async || {
             let (_, members, _) = desk.run("members").await;
             members.matches(" ready ").count() == 2
@@ -69,10 +57,7 @@
 
     /// Runs a command in the folder, with the log and one daemon.
     async fn run(&self, line: &str) -> Ran {
-        let addresses = [
-            ("--log", self.log.url()),
-            ("--daemon", self.operators[0].clone()),
-        ];
+        let addresses = [("--log", self.log.url()), ("--daemon", self.operators[0].clone())];
         run(self.folder.path(), line, &addresses).await
     }
 
@@ -117,9 +102,7 @@
     let judged = "note: judged on top of version 1.1\n1 records, 0 faults\n";
     assert_done(desk.run("check queue.json").await, judged);
     assert_done(desk.run("diff queue.json").await, CHANGED);
-    let ran = desk
-        .run("publish queue.json --change-id second --wait")
-        .await;
+    let ran = desk.run("publish queue.json --change-id second --wait").await;
     let text = "accepted as version 1.2\nversion 1.2 is in force on 2 of 2 daemons\n";
     assert_done(ran, &format!("{CHANGED}{text}"));
     assert_done(desk.run("status").await, STATUS);
@@ -151,16 +134,11 @@
     let (code, text, progress) = desk.run("publish queue.json --change-id second").await;
     let accepted = format!("{CHANGED}accepted as version 1.2\n");
     assert_eq!((code, text), (0, accepted));
-    assert!(
-        progress.contains("looking for change id second in the log"),
-        "{progress}"
-    );
+    assert!(progress.contains("looking for change id second in the log"), "{progress}");
     assert_eq!(desk.log.records("config").len(), 2, "it is appended once");
     let entry = desk.log.records("config")[1].data.clone();
     desk.log.append("config", &entry);
-    let ran = desk
-        .run("publish queue.json --change-id second --wait")
-        .await;
+    let ran = desk.run("publish queue.json --change-id second --wait").await;
     let text = "change id second was published before\naccepted as version 1.2\n\
         version 1.2 is in force on 2 of 2 daemons\n";
     assert_done(ran, text);
@@ -180,11 +158,7 @@
     let text = "~ service/catalogue\n    1.queue: 16 -> 4\nnot published, it would be rejected: \
         conflict: service/catalogue is at 1.2, expected 1.1\n";
     assert_eq!(desk.run(line).await, (1, text.to_owned(), String::new()));
-    assert_eq!(
-        desk.log.records("config").len(),
-        3,
-        "no rejected change is in the log"
-    );
+    assert_eq!(desk.log.records("config").len(), 3, "no rejected change is in the log");
     let (_, history, _) = desk.run("history service/catalogue").await;
     let last = history.lines().last().unwrap_or_default();
     assert!(last.ends_with("duplicate of 1.2"), "{history}");
--- a/crates/testsuite/tests/drain.rs
+++ b/crates/testsuite/tests/drain.rs
@@ -26,10 +26,7 @@
     }
     let start = Instant::now();
     let load = tokio::spawn(plan.run());
-    wait_until("the leaver works", async || {
-        mesh.nodes[LEAVER].backend.journal().len() > 20
-    })
-    .await;
+    wait_until("the leaver works", async || mesh.nodes[LEAVER].backend.journal().len() > 20).await;
     let left = start.elapsed();
     leave(mesh).await;
     let report = load.await.expect("no panic").expect("load runs");
@@ -50,10 +47,7 @@
     assert!(leaver.wait_idle(LIMIT).await);
     assert_eq!(leaver.counters().late_work, 0);
     assert_eq!(report.unreached, 0);
-    let unkeyed = report
-        .calls
-        .iter()
-        .filter(|call| call.idempotency_key.is_none());
+    let unkeyed = report.calls.iter().filter(|call| call.idempotency_key.is_none());
     for call in unkeyed {
         let known = call.end.succeeded() || call.end.refused_as_not_run();
         assert!(known, "{call:?}");
--- a/crates/testsuite/tests/keyed.rs
+++ b/crates/testsuite/tests/keyed.rs
@@ -37,10 +37,7 @@
         assert_eq!(kind(&again), "replayed");
         assert_eq!(again.body(), ran[0].body());
         let other = send(&http, to[i % 4], &key, "another bid", &[]).await;
-        assert_eq!(
-            (other.status().as_u16(), &*kind(&other)),
-            (422, "key_reused")
-        );
+        assert_eq!((other.status().as_u16(), &*kind(&other)), (422, "key_reused"));
     }
     let large = "x".repeat(65 * 1024);
     let res = send(&http, to[0], &uuid_v7(99), &large, &FIRST).await;
@@ -62,10 +59,8 @@
         let res = post(&http, to[1], &key).await;
         assert_eq!((res.status().as_u16(), &*kind(&res)), (409, "in_progress"));
         first.abort();
-        wait_until("the outcome is recorded", async || {
-            ask(&http, to[2], &key).await == "replayed"
-        })
-        .await;
+        wait_until("the outcome is recorded", async || ask(&http, to[2], &key).await == "replayed")
+            .await;
         let res = post(&http, to[3], &key).await;
         assert_eq!(header(&res, "traceparent"), "", "{res:?}");
     }
@@ -111,20 +106,12 @@
     let before = run_keys(&http, to[0], 4).await;
     let uri = format!("http://{}/.well-known/baobabreel/key", to[0]);
     let issued = http.get(uri.parse().expect("uri")).await.expect("a key");
-    let issued = issued
-        .into_body()
-        .collect()
-        .await
-        .expect("a key")
-        .to_bytes();
+    let issued = issued.into_body().collect().await.expect("a key").to_bytes();
     let issued = std::str::from_utf8(&issued).expect("text").trim();
     mesh.log.set_faults(|faults| faults.outage = Outage::Close);
     tokio::time::sleep(Duration::from_secs(6)).await;
     let refused = post(&http, to[1], "during").await;
-    assert_eq!(
-        (refused.status().as_u16(), &*kind(&refused)),
-        (503, "owner_changing")
-    );
+    assert_eq!((refused.status().as_u16(), &*kind(&refused)), (503, "owner_changing"));
     assert_eq!(header(&refused, "retry-after"), "2");
     let first = send(&http, to[1], "during", "bid", &FIRST).await;
     assert_eq!(kind(&first), "not_owner");
@@ -175,11 +162,7 @@
     assert!(!leaving.is_finished(), "it still drains");
     assert_eq!(ask(&http, others[1], &long).await, "in_progress");
     let kinds = repeat(&http, others, &keys, Duration::from_millis(500)).await;
-    assert_eq!(
-        kinds,
-        ["replayed"],
-        "the next owner asks the one that leaves"
-    );
+    assert_eq!(kinds, ["replayed"], "the next owner asks the one that leaves");
     let job = job.await.expect("no panic");
     assert_eq!(kind(&job), "ran", "{job:?}");
     assert!(leaving.await.expect("no panic"), "nothing is cut");
@@ -228,10 +211,7 @@
     assert!(leaving.shutdown().await);
     warm_up(&http, to[1], &NAMES[1..]).await;
     let kinds = repeat(&http, &to[1..], &keys, Duration::from_secs(2)).await;
-    assert!(
-        kinds.iter().all(|kind| kind != "owner_changing"),
-        "{kinds:?}"
-    );
+    assert!(kinds.iter().all(|kind| kind != "owner_changing"), "{kinds:?}");
     let entries = mesh.log.records("members").len();
     assert!(entries < 20, "{entries} entries");
     runs_once(&journals(&mesh));
@@ -298,8 +278,7 @@
     for (i, key) in before.iter().enumerate() {
         assert_eq!(ask(&http, to[i], key).await, "ran");
     }
-    mesh.log
-        .set_faults(|faults| faults.cut_clients.extend(["b1".to_owned()]));
+    mesh.log.set_faults(|faults| faults.cut_clients.extend(["b1".to_owned()]));
     for relay in &relays {
         relay.refuse(true).await;
         relay.cut();
@@ -321,10 +300,8 @@
         relay.refuse(false).await;
     }
     let all = [before, during].concat();
-    wait_until("both sides agree", async || {
-        repeat(&http, &to, &all, SHORT).await == ["replayed"]
-    })
-    .await;
+    wait_until("both sides agree", async || repeat(&http, &to, &all, SHORT).await == ["replayed"])
+        .await;
     let mut journals = journals(&mesh);
     journals.push(backend.journal());
     runs_once(&journals);
--- a/crates/testsuite/tests/large_entries.rs
+++ b/crates/testsuite/tests/large_entries.rs
@@ -26,9 +26,7 @@
     }
     let last = mesh.publish(ChangeBuilder::new("last").service("bidding").build());
     mesh.log.set_faults(|faults| faults.outage = Outage::None);
-    mesh.wait_version(last, LIMIT)
-        .await
-        .expect("the last change is in force");
+    mesh.wait_version(last, LIMIT).await.expect("the last change is in force");
     let daemon = mesh.nodes[0].daemon.as_ref().expect("daemon runs");
     let config = daemon.context().config.load();
     assert!(config.services.contains_key("bidding"));
--- a/crates/testsuite/tests/operators.rs
+++ b/crates/testsuite/tests/operators.rs
@@ -34,9 +34,7 @@
     let asked_at = Instant::now();
     let all = operator.mesh_status().await.expect("daemon answers");
     assert!(asked_at.elapsed() < Duration::from_secs(3));
-    let unreachable: Vec<&str> = all
-        .iter()
-        .filter_map(|doc| doc.as_ref().err().map(|member| &*member.id))
-        .collect();
+    let unreachable: Vec<&str> =
+        all.iter().filter_map(|doc| doc.as_ref().err().map(|member| &*member.id)).collect();
     assert_eq!((all.len(), unreachable), (3, vec!["a1"]));
 }
--- a/crates/testsuite/tests/outage.rs
+++ b/crates/testsuite/tests/outage.rs
@@ -35,20 +35,11 @@
     loop {
         for (node, seen) in mesh.nodes.iter().zip(&mut seen) {
             let version = version(mesh, &node.spec.name);
-            assert!(
-                version >= *seen,
-                "{} went back to {version}",
-                node.spec.name
-            );
+            assert!(version >= *seen, "{} went back to {version}", node.spec.name);
             *seen = version;
             let uri = format!("http://{}/lots/7", node.addresses().callers);
             let reply = http.get(&uri, LIMIT).await.expect("an answer");
-            assert!(
-                reply.status.is_success(),
-                "{}: {}",
-                node.spec.name,
-                reply.status
-            );
+            assert!(reply.status.is_success(), "{}: {}", node.spec.name, reply.status);
         }
         if start.elapsed() >= lasting {
             return;
@@ -66,22 +57,12 @@
 /// Waits until the version is in force everywhere while daemons serve and no version goes back.
 async fn assert_converges(mesh: &Mesh, offset: u64, what: &str) {
     let start = Instant::now();
-    let in_force = || {
-        mesh.nodes
-            .iter()
-            .all(|node| version(mesh, &node.spec.name).offset >= offset)
-    };
+    let in_force = || mesh.nodes.iter().all(|node| version(mesh, &node.spec.name).offset >= offset);
     while !in_force() {
         watch(mesh, Duration::ZERO).await;
-        assert!(
-            start.elapsed() < CONVERGENCE,
-            "{what}: not within {CONVERGENCE:?}"
-        );
+        assert!(start.elapsed() < CONVERGENCE, "{what}: not within {CONVERGENCE:?}");
     }
-    println!(
-        "{what}: in force everywhere after {} ms",
-        start.elapsed().as_millis()
-    );
+    println!("{what}: in force everywhere after {} ms", start.elapsed().as_millis());
 }
 
 /// Cuts the daemons of a list off from the log.
@@ -100,10 +81,7 @@
         watch(&mesh, OUTAGE).await;
         let offset = mesh.publish(change(name));
         watch(&mesh, QUIET).await;
-        assert!(
-            version(&mesh, "a1").offset < offset,
-            "nobody reads during the outage"
-        );
+        assert!(version(&mesh, "a1").offset < offset, "nobody reads during the outage");
         mesh.log.set_faults(|faults| faults.outage = Outage::None);
         assert_converges(&mesh, offset, name).await;
     }
@@ -114,8 +92,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn slow_and_cut_answers_delay_a_change_only() {
     let mesh = ready_mesh(specs()).await;
-    mesh.log
-        .set_faults(|faults| faults.delay = Duration::from_secs(2));
+    mesh.log.set_faults(|faults| faults.delay = Duration::from_secs(2));
     watch(&mesh, QUIET).await;
     let offset = mesh.publish(change("slow"));
     assert_converges(&mesh, offset, "answers slow by 2 s").await;
@@ -131,8 +108,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn limited_appends_are_told_from_lost_ones() {
     let mesh = ready_mesh(specs()).await;
-    mesh.log
-        .set_faults(|faults| faults.appends_per_second = Some(4));
+    mesh.log.set_faults(|faults| faults.appends_per_second = Some(4));
     let client = LogClient::new(HttpClient::new(), mesh.log.url());
     let (mut offset, mut refused) = (0, 0);
     for i in 0..8 {
@@ -148,11 +124,7 @@
     }
     assert!(refused > 0, "the limit was not reached");
     assert_converges(&mesh, offset, "4 appends a second").await;
-    let config = mesh.nodes[0]
-        .daemon
-        .as_ref()
-        .expect("daemon runs")
-        .context();
+    let config = mesh.nodes[0].daemon.as_ref().expect("daemon runs").context();
     let folded = config.config.load().services.len();
     assert_eq!(folded, 9, "each change is in force once");
 }
@@ -217,9 +189,7 @@
 /// and all others, and against one that does not catch up afterwards.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn isolated_data_centre_serves_and_catches_up() {
-    let log = LogServer::start(LogSettings::new())
-        .await
-        .expect("log starts");
+    let log = LogServer::start(LogSettings::new()).await.expect("log starts");
     let at = [free_port(), free_port()].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
     let spec = |name, site| NodeSpec::new(name, site, "catalogue");
     let a = Remote::start(spec("a1", "hobart-a"), &log.url(), at[0], &[]).await;
@@ -257,9 +227,6 @@
     // Only its peers can tell the data centre, since it is still cut off from the log.
     let start = Instant::now();
     wait_until("the data centre catches up", async || b.offset() == change).await;
-    println!(
-        "isolated: in force after {} ms",
-        start.elapsed().as_millis()
-    );
+    println!("isolated: in force after {} ms", start.elapsed().as_millis());
     assert!(start.elapsed() < CONVERGENCE, "{:?}", start.elapsed());
 }
--- a/crates/testsuite/tests/path.rs
+++ b/crates/testsuite/tests/path.rs
@@ -44,11 +44,7 @@
             assert_eq!(reply.status, 200, "{uri}: {body}");
         }
     }
-    let ran: usize = mesh
-        .nodes
-        .iter()
-        .map(|node| node.backend.journal().len())
-        .sum();
+    let ran: usize = mesh.nodes.iter().map(|node| node.backend.journal().len()).sum();
     assert_eq!(ran, 6);
 }
 
@@ -61,13 +57,8 @@
     mesh.wait_ready(offset, LIMIT).await.expect("mesh is ready");
     let http = Client::builder(TokioExecutor::new()).build_http();
     let uri = format!("http://{}/bids/7", mesh.callers()[0]);
-    let req = Request::post(uri)
-        .header("x-work-us", "4000000")
-        .body(Empty::<Bytes>::new());
-    let res = http
-        .request(req.expect("a request"))
-        .await
-        .expect("an answer");
+    let req = Request::post(uri).header("x-work-us", "4000000").body(Empty::<Bytes>::new());
+    let res = http.request(req.expect("a request")).await.expect("an answer");
     assert_eq!(res.status(), 200);
     assert_eq!(mesh.nodes[2].backend.journal().len(), 1);
 }
--- a/crates/testsuite/tests/processes.rs
+++ b/crates/testsuite/tests/processes.rs
@@ -49,10 +49,7 @@
     let ran_at_victim = |fleet: &Fleet| fleet.nodes[VICTIM].journal().len();
     wait_until("the victim works", async || ran_at_victim(&fleet) > 20).await;
     let killed = start.elapsed();
-    fleet.nodes[VICTIM]
-        .daemon
-        .signal(Signal::Kill)
-        .expect("it runs");
+    fleet.nodes[VICTIM].daemon.signal(Signal::Kill).expect("it runs");
     let status = fleet.nodes[VICTIM].daemon.wait(LIMIT).await;
     assert!(!status.expect("it ends").success());
     let report = load.await.expect("no panic").expect("load runs");
@@ -60,13 +57,8 @@
     // Callers of other daemons get an answer; one whose body was on the way cannot end whole.
     assert_cut_only(&report, killed, killed + MARGIN);
     // Keys move to another owner only 8 s after the eviction.
-    let unkeyed = report
-        .calls
-        .iter()
-        .filter(|call| call.idempotency_key.is_none());
-    let late: Vec<_> = unkeyed
-        .filter(|call| call.intended > killed + DEATH)
-        .collect();
+    let unkeyed = report.calls.iter().filter(|call| call.idempotency_key.is_none());
+    let late: Vec<_> = unkeyed.filter(|call| call.intended > killed + DEATH).collect();
     assert!(late.len() > 50, "{} late requests", late.len());
     let failed: Vec<_> = late.iter().filter(|call| !call.end.succeeded()).collect();
     assert!(failed.is_empty(), "traffic moves: {failed:?}");
@@ -102,11 +94,7 @@
         let Some(status) = victim.status().await else {
             return false;
         };
-        assert!(
-            status.version >= newest,
-            "{} after {newest}",
-            status.version
-        );
+        assert!(status.version >= newest, "{} after {newest}", status.version);
         newest = status.version;
         newest.offset >= offset
     })
@@ -116,10 +104,7 @@
         h1(victim.callers, "/stock/1", &[], "").await.code() == 200
     })
     .await;
-    wait_until("it gets work again", async || {
-        victim.journal().len() > ran + 20
-    })
-    .await;
+    wait_until("it gets work again", async || victim.journal().len() > ran + 20).await;
     let report = load.await.expect("no panic").expect("load runs");
     assert_consistent(&report, &fleet.journals());
     let paused = paused - start;
@@ -144,15 +129,8 @@
         async move { h1(to, "/lots/long", &[("x-work-us", "4900000")], "").await }
     });
     wait_until("the long request runs", async || {
-        victim
-            .journal()
-            .iter()
-            .any(|entry| entry.path == "/lots/long")
-            || fleet
-                .journals()
-                .iter()
-                .flatten()
-                .any(|entry| entry.path == "/lots/long")
+        victim.journal().iter().any(|entry| entry.path == "/lots/long")
+            || fleet.journals().iter().flatten().any(|entry| entry.path == "/lots/long")
     })
     .await;
     let terminated = Instant::now();
--- a/crates/testsuite/tests/recovery.rs
+++ b/crates/testsuite/tests/recovery.rs
@@ -8,10 +8,7 @@
 const LIMIT: Duration = Duration::from_secs(40);
 
 fn specs() -> Vec<NodeSpec> {
-    vec![
-        NodeSpec::new("a1", "hobart-a", "catalogue"),
-        NodeSpec::new("b1", "hobart-b", "catalogue"),
-    ]
+    vec![NodeSpec::new("a1", "hobart-a", "catalogue"), NodeSpec::new("b1", "hobart-b", "catalogue")]
 }
 
 fn publish_many(mesh: &Mesh, count: u64) -> u64 {
@@ -19,9 +16,7 @@
     for i in 1..count {
         let route = format!("r{i}");
         let prefix = format!("/r{i}");
-        let change = ChangeBuilder::new(&route)
-            .route(&route, &prefix, "catalogue", true)
-            .build();
+        let change = ChangeBuilder::new(&route).route(&route, &prefix, "catalogue", true).build();
         offset = mesh.publish(change);
     }
     offset
@@ -49,9 +44,7 @@
     for index in 0..2 {
         mesh.restart(index).await.expect("node starts");
     }
-    mesh.wait_version(offset, LIMIT)
-        .await
-        .expect("both are at the last version");
+    mesh.wait_version(offset, LIMIT).await.expect("both are at the last version");
     for node in &mesh.nodes {
         let cx = node.daemon.as_ref().expect("daemon runs").context();
         assert_eq!(cx.config.load().routes.len(), 519);
@@ -66,32 +59,17 @@
     let offset = publish_many(&mesh, 5);
     mesh.wait_ready(offset, LIMIT).await.expect("mesh is ready");
     let generation = mesh.log.replace_generation();
-    wait_until("a snapshot of the new generation", || {
-        !mesh.log.records("snapshots").is_empty()
-    })
-    .await;
+    wait_until("a snapshot of the new generation", || !mesh.log.records("snapshots").is_empty())
+        .await;
     let change = ChangeBuilder::new("later")
-        .delete(
-            Kind::Route,
-            "r1",
-            Version {
-                generation: 1,
-                offset: 2,
-            },
-        )
+        .delete(Kind::Route, "r1", Version { generation: 1, offset: 2 })
         .build();
     let later = mesh.publish(change);
     mesh.restart(1).await.expect("node starts");
     for node in &mesh.nodes {
         let cx = node.daemon.as_ref().expect("daemon runs").context();
-        let expected = Version {
-            generation,
-            offset: later,
-        };
-        wait_until("the new generation", || {
-            cx.config.load().version == expected
-        })
-        .await;
+        let expected = Version { generation, offset: later };
+        wait_until("the new generation", || cx.config.load().version == expected).await;
         assert_eq!(cx.config.load().routes.len(), 3);
     }
 }
--- a/crates/testsuite/tests/silent.rs
+++ b/crates/testsuite/tests/silent.rs
@@ -33,22 +33,14 @@
         let relay = Relay::start(peers).await.expect("relay starts");
         let spec = NodeSpec::new(name, "hobart-a", service)
             .setting(format!("\"advertise_peers\": \"{}\"", relay.addr()));
-        let text = settings_text(&spec, &log.url(), seeds).replace(
-            "\"peers\": \"127.0.0.1:0\"",
-            &format!("\"peers\": \"{peers}\""),
-        );
+        let text = settings_text(&spec, &log.url(), seeds)
+            .replace("\"peers\": \"127.0.0.1:0\"", &format!("\"peers\": \"{peers}\""));
         let settings = settings::parse(name, &text).expect("good settings");
         let daemon = Daemon::start(settings).await.expect("daemon starts");
         let announce = format!("http://{}", daemon.addresses().backend);
-        let backend = BackendSettings::new(name, service)
-            .announce_url(announce)
-            .slots(100);
+        let backend = BackendSettings::new(name, service).announce_url(announce).slots(100);
         let backend = BackendServer::start(backend).await.expect("backend starts");
-        Self {
-            daemon,
-            backend,
-            relay,
-        }
+        Self { daemon, backend, relay }
     }
 }
 
@@ -88,37 +80,23 @@
     // An answer whose body was on the connection cannot end whole.
     assert_cut_only(&report, silenced, silenced + DETECTION + MARGIN);
     assert!(first.relay.counters().accepted > accepted, "it is replaced");
-    let struck = report
-        .calls
-        .iter()
-        .filter(|call| call.service_time > Duration::from_secs(1));
+    let struck = report.calls.iter().filter(|call| call.service_time > Duration::from_secs(1));
     assert!(struck.clone().count() > 0, "some requests are struck");
     for call in struck {
         assert!(call.service_time < DETECTION + work + MARGIN, "{call:?}");
     }
     // Only the requests on the silent connection end without an answer of the backend server.
-    for call in report
-        .calls
-        .iter()
-        .filter(|call| call.idempotency_key.is_none())
-    {
+    for call in report.calls.iter().filter(|call| call.idempotency_key.is_none()) {
         let late = call.intended > silenced + DETECTION + MARGIN;
         assert!(call.end.succeeded() || !late, "{call:?}");
     }
-    assert!(
-        report.by_outcome.contains_key(&Outcome::Unknown),
-        "{:?}",
-        report.by_outcome
-    );
-    let again = report
-        .calls
-        .iter()
-        .filter(|call| call.intended > silenced + DETECTION + MARGIN)
-        .filter(|call| {
-            journals[0]
-                .iter()
-                .any(|entry| entry.request_id.as_ref() == Some(&call.request_id))
-        });
+    assert!(report.by_outcome.contains_key(&Outcome::Unknown), "{:?}", report.by_outcome);
+    let again =
+        report.calls.iter().filter(|call| call.intended > silenced + DETECTION + MARGIN).filter(
+            |call| {
+                journals[0].iter().any(|entry| entry.request_id.as_ref() == Some(&call.request_id))
+            },
+        );
     let again = again.count();
     assert!(again > 10, "{again} requests after {silenced:?}");
 }
--- a/crates/testsuite/tests/whole_answers.rs
+++ b/crates/testsuite/tests/whole_answers.rs
@@ -30,10 +30,7 @@
 const CASES: [Case; 14] = [
     (
         "good length",
-        &[(
-            "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello",
-            NO_PAUSE,
-        )],
+        &[("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello", NO_PAUSE)],
         Whole("hello"),
     ),
     (
@@ -46,26 +43,17 @@
     ),
     (
         "shorter than announced",
-        &[(
-            "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
-            NO_PAUSE,
-        )],
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello", NO_PAUSE)],
         Cut,
     ),
     (
         "cut later",
-        &[(
-            "HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello",
-            Duration::from_millis(100),
-        )],
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nhello", Duration::from_millis(100))],
         Cut,
     ),
     (
         "chunks without an end",
-        &[(
-            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
-            NO_PAUSE,
-        )],
+        &[("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", NO_PAUSE)],
         Cut,
     ),
     (
@@ -84,22 +72,11 @@
         )],
         Cut,
     ),
-    (
-        "ended by the close",
-        &[("HTTP/1.1 200 OK\r\n\r\nhello", NO_PAUSE)],
-        Unknown,
-    ),
-    (
-        "HTTP/1.0",
-        &[("HTTP/1.0 200 OK\r\n\r\nhello", NO_PAUSE)],
-        Unknown,
-    ),
+    ("ended by the close", &[("HTTP/1.1 200 OK\r\n\r\nhello", NO_PAUSE)], Unknown),
+    ("HTTP/1.0", &[("HTTP/1.0 200 OK\r\n\r\nhello", NO_PAUSE)], Unknown),
     (
         "longer than announced",
-        &[(
-            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello, and more",
-            NO_PAUSE,
-        )],
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello, and more", NO_PAUSE)],
         Whole("hello"),
     ),
     (
@@ -112,30 +89,17 @@
     ),
     (
         "slow body",
-        &[
-            (
-                "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello",
-                LONG_PAUSE,
-            ),
-            ("world", NO_PAUSE),
-        ],
+        &[("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello", LONG_PAUSE), ("world", NO_PAUSE)],
         Cut,
     ),
-    (
-        "cut head",
-        &[("HTTP/1.1 200 OK\r\ncontent-len", NO_PAUSE)],
-        Unknown,
-    ),
+    ("cut head", &[("HTTP/1.1 200 OK\r\ncontent-len", NO_PAUSE)], Unknown),
     ("no answer", &[("", NO_PAUSE)], Unknown),
 ];
 
 fn check(name: &str, answer: &RawAnswer, expected: &Expected) {
     let success = answer.code() == 200 && answer.whole;
     match expected {
-        Whole(body) => assert!(
-            success && answer.body == body.as_bytes(),
-            "{name}: {answer:?}"
-        ),
+        Whole(body) => assert!(success && answer.body == body.as_bytes(), "{name}: {answer:?}"),
         Cut => {
             // The connection may break before the head has left the daemon.
             let broken = !answer.whole && matches!(answer.code(), 0 | 200);
