Move the folds into a module of their own and let the stand-in say that a shed request did not run

The stand-in's sheds carried no outcome, so daemons passed them on as run instead of trying another backend server.

--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -7,9 +7,7 @@
 
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::wire::{Position, PullAnswerWire, PullWire, PushAnswer, PushWire, Stream};
-use baobabreel_core::config::{
-    Adoption, CompiledConfig, ConfigState, FoldError, Snapshot, Version,
-};
+use baobabreel_core::config::{ConfigState, Version};
 use baobabreel_core::id::DaemonId;
 use baobabreel_core::registry::FIRST_GENERATION;
 use baobabreel_core::relay::{
@@ -21,7 +19,6 @@
 
 use super::follower::FollowerHint;
 use super::push;
-use super::registrations;
 use super::stream::Followed;
 use crate::context::{Cx, Phase};
 
@@ -50,7 +47,7 @@
     pub(super) rounds: HashMap<DaemonId, u64>,
     pub(super) round: u64,
     newest_seen: Version,
-    replaced_at: Option<Duration>,
+    pub(super) replaced_at: Option<Duration>,
     peer_answered: bool,
     last_heartbeat: Duration,
     pulls: PullLimiter,
@@ -121,115 +118,6 @@
         }
     }
 
-    /// Starts to follow the first generation of the log that this daemon sees.
-    fn enter_generation(&mut self, stream: Stream, batch: &Batch) {
-        let generation = batch.generation;
-        match stream {
-            Stream::Config => {
-                self.state =
-                    ConfigState::new(generation).with_max_schema(self.cx.settings.max_schema);
-                self.config.window.restart(generation, 1);
-            }
-            // The registry accepts any first entry, since registrations are renewed.
-            Stream::Members => {
-                self.members.window.restart(generation, batch.first);
-            }
-        }
-    }
-
-    fn log_was_replaced(&mut self, stream: Stream, batch: &Batch, generation: u64) {
-        match stream {
-            Stream::Config => {
-                if self.replaced_at.is_none() {
-                    self.replaced_at = Some(self.cx.clock.now());
-                    self.state.notice_generation(generation);
-                    self.report_hold();
-                }
-                self.cx.follower.need_snapshot();
-            }
-            Stream::Members => {
-                self.members.window.restart(generation, batch.first);
-            }
-        }
-    }
-
-    /// Generation of the log that waits to be continued, and for how long it has waited.
-    pub(super) fn waiting_generation(&self) -> Option<(u64, Duration)> {
-        let since = self.replaced_at?;
-        match &self.state.hold()?.cause {
-            FoldError::NewGeneration { generation } => {
-                Some((*generation, self.cx.clock.now().saturating_sub(since)))
-            }
-            _ => None,
-        }
-    }
-
-    fn report_hold(&self) {
-        if let Some(hold) = self.state.hold() {
-            let version = self.state.version();
-            tracing::error!(%version, at = %hold.at, cause = %hold.cause, "configuration is held");
-            self.cx.metrics.config(version.offset, true);
-        }
-    }
-
-    fn fold_config(&mut self, first: u64, entries: &[Arc<str>]) {
-        for (offset, entry) in (first..).zip(entries) {
-            match self.state.fold(offset, entry) {
-                Ok(verdict) => {
-                    let version = self.state.version();
-                    tracing::info!(%version, verdict = ?verdict, "folded a change");
-                }
-                Err(e @ FoldError::Gap { .. }) => {
-                    tracing::error!(error = %e, "configuration entries are out of order");
-                    return;
-                }
-                Err(_) => {
-                    self.report_hold();
-                    break;
-                }
-            }
-        }
-        self.publish_config();
-    }
-
-    /// Takes over a snapshot that is newer than the own state.
-    fn restore(&mut self, text: &str) {
-        let max_schema = self.cx.settings.max_schema;
-        let blank = self.config.is_blank();
-        let adopted = Snapshot::open(text).and_then(|snapshot| {
-            if blank {
-                self.state = ConfigState::restore(snapshot, max_schema)?;
-                return Ok(Adoption::Replaced);
-            }
-            self.state.adopt(snapshot)
-        });
-        match adopted {
-            Ok(Adoption::Replaced) => {
-                let version = self.state.version();
-                tracing::info!(%version, "continued from a snapshot");
-                self.config.window.restart(version.generation, version.offset + 1);
-                self.publish_config();
-            }
-            Ok(Adoption::Same | Adoption::Older) => {}
-            Err(e) => tracing::error!(error = %e, "a snapshot was refused"),
-        }
-    }
-
-    fn publish_config(&mut self) {
-        let view = CompiledConfig::new(&self.state, self.cx.settings.max_schema);
-        let now = self.cx.clock.now();
-        self.cx.metrics.config(view.version.offset, self.state.hold().is_some());
-        self.cx.set_config(view, now);
-    }
-
-    fn fold_members(&mut self, first: u64, entries: &[Arc<str>]) {
-        let generation = self.members.window.generation();
-        self.cx.keys.fold(generation, first, entries);
-        if let Some(membership) = self.cx.membership() {
-            registrations::tell(&self.cx, membership, entries);
-        }
-    }
-
     /// Asks a peer for the entries that are missing, unless it was asked a moment ago.
     fn pull(&mut self, stream: Stream, from: SocketAddr) {
         let now = self.cx.clock.now();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod announce;
 mod distribution;
+mod folds;
 mod follower;
 mod gossip;
 mod membership;
--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -334,6 +334,7 @@
     let headers = answer.headers_mut();
     headers.insert(http::header::RETRY_AFTER, HeaderValue::from_static("1"));
     headers.insert("x-shed", HeaderValue::from_static("1"));
+    headers.insert("baobabreel-outcome", HeaderValue::from_static("not_run"));
     answer
 }
 
