--- a/crates/testsuite/tests/processes.rs
+++ b/crates/testsuite/tests/processes.rs
@@ -4,10 +4,11 @@
 
 use baobabreel_test_support::load::{Call, CallEnd};
 use baobabreel_test_support::mesh::ChangeBuilder;
-use baobabreel_test_support::process::Signal;
+use baobabreel_test_support::process::{Signal, target_binary};
 use baobabreel_testsuite::{
     Fleet, LIMIT, assert_consistent, assert_cut_only, h1, mixed_load, specs, wait_until,
 };
+use serde_json::json;
 
 /// Node that the tests harm; it is in data centre `hobart-b`.
 const VICTIM: usize = 3;
@@ -34,11 +35,33 @@
     Fleet::ready(specs().into_iter().zip(services).collect()).await
 }
 
-/// Guards against requests that run twice or vanish when a daemon is killed, and against traffic
-/// that does not move away from it.
+/// Publishes route `/stock` with the command line and waits until every daemon has it.
+async fn publish_with_command_line(fleet: &Fleet) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("change.json");
+    let body = json!({
+        "path_prefix": "/stock", "service": "catalogue", "idempotent": true, "timeout_ms": 5000,
+    });
+    let forms = json!({ "1": { "refs": ["service/catalogue"], "body": body } });
+    let change = json!({ "upserts": [{ "key": "route/stock", "forms": forms }] });
+    std::fs::write(&file, change.to_string()).expect("the file is written");
+    let binary = target_binary("baobabreel").expect("built with the workspace");
+    let daemon = format!("http://{}", fleet.nodes[0].operators);
+    let mut command = tokio::process::Command::new(binary);
+    command.arg("publish").arg(&file).args(["--wait", "--log", &fleet.log.url()]);
+    let output = command.args(["--daemon", &daemon]).output().await.expect("it runs");
+    assert!(output.status.success(), "{output:?}");
+}
+
+/// Guards against requests that run twice or vanish when a daemon is killed, against traffic that
+/// does not move away from it, and against a change of the command line that some daemon lacks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn killed_daemon_loses_and_doubles_nothing() {
     let mut fleet = fleet().await;
+    publish_with_command_line(&fleet).await;
+    for node in &fleet.nodes {
+        assert_eq!(h1(node.callers, "/stock/1", &[], "").await.code(), 200);
+    }
     let work = Duration::from_millis(150);
     let mut plan = mixed_load(11, Duration::from_secs(14), 80.0, work);
     for node in &fleet.nodes[..VICTIM] {
