--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -225,22 +225,16 @@
         relays(members.live(), own).contains(&self.identity.id.as_str())
     }
 
-    /// Address of some live member, of the own data centre when there is one.
+    /// Address of some live member, of another data centre when there is one: whoever has heard
+    /// nothing shares this with its whole data centre more often than not.
     pub fn random_peer(&self) -> Option<SocketAddr> {
         let members = self.members.load();
-        let others: Vec<&Member> =
-            members.live().filter(|member| member.id != self.identity.id).collect();
-        let near: Vec<&&Member> = others
-            .iter()
-            .filter(|member| member.data_centre == self.identity.data_centre)
-            .collect();
-        let pick = |len: usize| rand::random_range(0..len);
-        // A peer of another data centre can have what the whole own data centre lacks.
-        let far = rand::random_range(0..4) == 0;
-        if near.is_empty() || far {
-            return (!others.is_empty()).then(|| others[pick(others.len())].peer_addr);
-        }
-        Some(near[pick(near.len())].peer_addr)
+        let own = &self.identity;
+        let others: Vec<&Member> = members.live().filter(|member| member.id != own.id).collect();
+        let far: Vec<&Member> =
+            others.iter().copied().filter(|m| m.data_centre != own.data_centre).collect();
+        let from = if far.is_empty() { others } else { far };
+        (!from.is_empty()).then(|| from[rand::random_range(0..from.len())].peer_addr)
     }
 
     /// Actor that owns the folds; absent before the start and after the end of the control plane.
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -12,7 +12,7 @@
 use baobabreel_core::registry::FIRST_GENERATION;
 use baobabreel_core::relay::{
     Ask, Attestation, Batch, Challenges, Pull, PullAdmission, PullAnswer, PullLimiter, Received,
-    ReceivedChallenge,
+    ReceivedChallenge, STALE_AFTER,
 };
 use kameo::Actor;
 use kameo::message::{Context as MessageContext, Message};
@@ -286,13 +286,16 @@
         let now = self.cx.clock.now();
         let from = self.cx.members.load().get(&push.from).map(|member| member.peer_addr);
         self.peer_answered = true;
-        for followed in [&mut self.config, &mut self.members] {
-            followed.staleness.heard(now);
-        }
         let config = self.take(Stream::Config, &push.config.into(), from);
         let members = self.take(Stream::Members, &push.members.into(), from);
         self.accept(Stream::Config, push.config_proof.as_ref());
         self.accept(Stream::Members, push.members_proof.as_ref());
+        // The heartbeat of a relay that is itself cut off from the log is no news.
+        for followed in [&mut self.config, &mut self.members] {
+            if followed.confirmation.age(now).is_some_and(|age| age < STALE_AFTER) {
+                followed.staleness.heard(now);
+            }
+        }
         self.publish_position();
         self.check_ready();
         push::pass_on(self, &push.root, push.round, &News { config, members });
