Fold the registry from its first entry, never from the position of a peer

Cause: a daemon without entries of stream `members` took the offset of the first batch that it got as the start of its fold. When that was a push or a heartbeat of a peer, or a page of a replaced log, the owners registered before it were unknown. Their keys were not asked about and ran again.

Ruled out: dating of the lease, takeover waits, the decision itself and answers of previous owners; the pure code with complete folds never showed a second run.

Change: the fold starts at offset 1 of each generation. Only the log's own answer that entries have expired moves the start. A peer that no longer keeps the wanted entries sends the asker to the log. A daemon that is no relay reads on until it has reached the head.

The new test fails without either half of the change ("replayed" instead of "outcome_unknown"; a key of an owner in the replaced log is not known).

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -165,11 +165,11 @@
         /// Text of the snapshot.
         data: String,
     },
-    /// The entries are no longer kept; the stream starts here.
+    /// This peer does not keep the entries; the log may still have them.
     Start {
         /// Generation of the log.
         generation: u64,
-        /// First kept offset.
+        /// First offset that this peer keeps.
         first: Offset,
     },
     /// The peer is busy; ask again later.
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -8,7 +8,7 @@
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::wire::{Position, PullAnswerWire, PullWire, PushAnswer, PushWire, Stream};
 use baobabreel_core::config::{ConfigState, Version};
-use baobabreel_core::id::DaemonId;
+use baobabreel_core::id::{DaemonId, Offset};
 use baobabreel_core::registry::FIRST_GENERATION;
 use baobabreel_core::relay::{
     Ask, Attestation, Batch, Challenges, Pull, PullAdmission, PullAnswer, PullLimiter, Received,
@@ -111,8 +111,12 @@
                 None
             }
             Received::NewerGeneration { generation } => {
-                self.log_was_replaced(stream, batch, generation);
-                None
+                self.log_was_replaced(stream, generation);
+                match stream {
+                    Stream::Config => None,
+                    // It follows the new generation now, so this ends.
+                    Stream::Members => self.take(stream, batch, from),
+                }
             }
             Received::Duplicate | Received::OlderGeneration => None,
         }
@@ -218,21 +222,24 @@
 }
 
 impl Message<FromLog> for Distribution {
-    type Reply = ();
+    /// Whether the log certainly has more entries that this daemon can read now.
+    type Reply = bool;
 
-    async fn handle(&mut self, msg: FromLog, _: &mut MessageContext<Self, Self::Reply>) {
+    async fn handle(&mut self, msg: FromLog, _: &mut MessageContext<Self, Self::Reply>) -> bool {
         let now = self.cx.clock.now();
         self.stream(msg.stream).staleness.heard(now);
         let page = match msg.answer {
             ReadAnswer::Page(page) => page,
             ReadAnswer::Expired(retained) => {
-                match msg.stream {
+                return match msg.stream {
                     Stream::Members => {
-                        self.members.window.restart(retained.generation, retained.first);
+                        self.members.window.restart(retained.generation, retained.first)
                     }
-                    Stream::Config => self.cx.follower.need_snapshot(),
-                }
-                return;
+                    Stream::Config => {
+                        self.cx.follower.need_snapshot();
+                        false
+                    }
+                };
             }
         };
         let first = page.records.first().map_or(page.next, |record| record.offset);
@@ -241,6 +248,7 @@
             first,
             entries: page.records.into_iter().map(|record| record.data.into()).collect(),
         };
+        let before = self.stream(msg.stream).version();
         let new = self.take(msg.stream, &batch, None);
         self.stream(msg.stream).confirmation.confirm(page.generation, page.next, msg.requested_at);
         self.after_confirmation(msg.stream);
@@ -249,6 +257,8 @@
             Stream::Members => News { config: None, members: new },
         };
         self.after_news(news);
+        let followed = self.stream(msg.stream);
+        followed.version() != before && followed.window.next() < page.next
     }
 }
 
@@ -358,6 +368,27 @@
 }
 
 impl Distribution {
+    fn read_members(&self) {
+        self.cx.follower.hint(FollowerHint::ReadOnce(Stream::Members));
+    }
+
+    /// Goes on when a peer does not keep the wanted entries of stream `members`, but those from
+    /// `first` on.
+    fn continue_members(&mut self, generation: u64, first: Offset, from: SocketAddr) {
+        if generation < self.members.window.generation() {
+            return;
+        }
+        if generation > self.members.window.generation() {
+            self.start_members(generation);
+        }
+        if first <= self.members.window.next() {
+            self.pull(Stream::Members, from);
+        } else {
+            // Only the log knows whether the entries before `first` have expired.
+            self.read_members();
+        }
+    }
+
     fn answer_with_start(&mut self, stream: Stream, now: Duration) -> PullAnswerWire {
         if stream == Stream::Members {
             let window = &self.members.window;
@@ -411,8 +442,8 @@
                 }
             }
             PullAnswerWire::Start { generation, first } => {
-                if msg.stream == Stream::Members && self.members.window.restart(generation, first) {
-                    self.pull(Stream::Members, msg.from);
+                if msg.stream == Stream::Members {
+                    self.continue_members(generation, first, msg.from);
                 }
             }
             PullAnswerWire::Snapshot { data } => self.restore(&data),
--- a/crates/daemon/src/control/folds.rs
+++ b/crates/daemon/src/control/folds.rs
@@ -8,11 +8,15 @@
 
 use baobabreel_client::wire::Stream;
 use baobabreel_core::config::{Adoption, CompiledConfig, ConfigState, FoldError, Snapshot};
+use baobabreel_core::id::Offset;
 use baobabreel_core::relay::Batch;
 
 use super::distribution::Distribution;
 use super::registrations;
 
+/// Offset of the first entry of a stream.
+const FIRST_OFFSET: Offset = 1;
+
 impl Distribution {
     /// Starts to follow the first generation of the log that this daemon sees.
     pub(super) fn enter_generation(&mut self, stream: Stream, batch: &Batch) {
@@ -21,16 +25,13 @@
             Stream::Config => {
                 self.state =
                     ConfigState::new(generation).with_max_schema(self.cx.settings.max_schema);
-                self.config.window.restart(generation, 1);
-            }
-            // The registry accepts any first entry, since registrations are renewed.
-            Stream::Members => {
-                self.members.window.restart(generation, batch.first);
+                self.config.window.restart(generation, FIRST_OFFSET);
             }
+            Stream::Members => self.start_members(generation),
         }
     }
 
-    pub(super) fn log_was_replaced(&mut self, stream: Stream, batch: &Batch, generation: u64) {
+    pub(super) fn log_was_replaced(&mut self, stream: Stream, generation: u64) {
         match stream {
             Stream::Config => {
                 if self.replaced_at.is_none() {
@@ -40,12 +41,18 @@
                 }
                 self.cx.follower.need_snapshot();
             }
-            Stream::Members => {
-                self.members.window.restart(generation, batch.first);
-            }
+            Stream::Members => self.start_members(generation),
         }
     }
 
+    /// Starts to follow stream `members` of a generation, at its first entry.
+    ///
+    /// Only the log tells that earlier entries have expired. A fold that began where a peer stands
+    /// lacked owners that were registered before, so that their keys ran again.
+    pub(super) fn start_members(&mut self, generation: u64) {
+        self.members.window.restart(generation, FIRST_OFFSET);
+    }
+
     /// Generation of the log that waits to be continued, and for how long it has waited.
     pub(super) fn waiting_generation(&self) -> Option<(u64, Duration)> {
         let since = self.replaced_at?;
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -117,12 +117,16 @@
             read_snapshot(cx, control).await;
         }
         match read(cx, control, stream, limit, wait).await {
-            Ok(records) => {
+            Ok(read) => {
                 cx.follower.set_error(None);
                 pause = RETRY_PAUSE;
-                if records < limit {
+                if read.records < limit {
                     limit = READ_LIMIT;
                 }
+                if read.more {
+                    // A daemon that is no relay was asked for one read only.
+                    cx.follower.hints(stream).notify_one();
+                }
             }
             Err(e) if is_too_large(&e) && limit > 1 => {
                 limit /= 2;
@@ -141,14 +145,21 @@
     }
 }
 
-/// Reads once; returns the number of records.
+/// What one read brought.
+struct Read {
+    records: usize,
+    /// Whether the log certainly has more.
+    more: bool,
+}
+
+/// Reads once.
 async fn read(
     cx: &Cx,
     control: &Control,
     stream: Stream,
     limit: usize,
     wait: Duration,
-) -> eyre::Result<usize> {
+) -> eyre::Result<Read> {
     let from = control.distribution.ask(NextOffset(stream)).await?;
     let requested_at = cx.clock.now();
     let answer = cx.log.read(stream.name(), from, limit, wait).await?;
@@ -156,8 +167,8 @@
         ReadAnswer::Page(page) => page.records.len(),
         ReadAnswer::Expired(_) => 0,
     };
-    control.distribution.ask(FromLog { stream, requested_at, answer }).await?;
-    Ok(records)
+    let more = control.distribution.ask(FromLog { stream, requested_at, answer }).await?;
+    Ok(Read { records, more })
 }
 
 /// Reads the snapshot that the configuration goes on from.
--- a/crates/testsuite/tests/keyed.rs
+++ b/crates/testsuite/tests/keyed.rs
@@ -7,13 +7,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use baobabreel_client::wire::{BatchWire, PushWire, encode};
 use baobabreel_daemon::{Daemon, settings};
 use baobabreel_test_support::backend::{BackendServer, JournalEntry, WorkResult};
 use baobabreel_test_support::log::{LogServer, LogSettings, Outage};
 use baobabreel_test_support::mesh::{Mesh, NodeSpec, settings_text};
 use baobabreel_test_support::net::Relay;
 use baobabreel_test_support::process::{Signal, free_port};
-use baobabreel_testsuite::{Fleet, LIMIT, first_change, journals, ready_mesh, specs, wait_until};
+use baobabreel_testsuite::{
+    Fleet, LIMIT, first_change, h2, journals, ready_mesh, specs, wait_until,
+};
 use http_body_util::BodyExt;
 use keyed_support::*;
 
@@ -306,3 +309,64 @@
     journals.push(backend.journal());
     runs_once(&journals);
 }
+
+/// Tells a daemon, as a peer would, that stream `members` has reached `next`.
+async fn push_position(to: SocketAddr, generation: u64, next: u64) {
+    let nothing = |generation, first| BatchWire { generation, first, entries: Vec::new() };
+    let push = PushWire {
+        from: "b1".to_owned(),
+        root: "b1".to_owned(),
+        round: 1,
+        config: nothing(0, 1),
+        members: nothing(generation, next),
+        config_proof: None,
+        members_proof: None,
+    };
+    let body = encode(&push).expect("it can be encoded");
+    let answer = h2(to, "/peer/v1/entries", &[], body).await;
+    assert_eq!(answer.code(), 200, "{answer:?}");
+}
+
+fn append_member(log: &LogServer, entry: &str, name: &str, incarnation: u64) {
+    let address = format!("127.0.0.1:{}", free_port());
+    let place = r#""data_centre":"hobart-b","service":"catalogue""#;
+    let what = format!(r#""type":"{entry}","id":"{name}","incarnation":{incarnation}"#);
+    log.append("members", &format!(r#"{{{what},{place},"peer_addr":"{address}"}}"#));
+}
+
+/// Guards against a fold of the registry that begins where a peer stands: the owners registered
+/// before that were not asked, and their keys ran again after restarts and pauses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn registry_is_folded_from_the_first_entry() {
+    let log = LogServer::start(LogSettings::new()).await.expect("log starts");
+    append_member(&log, "join", "a1", 1);
+    log.set_faults(|faults| faults.refuse = true);
+    let spec = NodeSpec::new("a1", "hobart-a", "catalogue");
+    let mesh = Mesh::start_with(log, vec![spec]).await.expect("mesh starts");
+    let peers = mesh.nodes[0].addresses().peers;
+    push_position(peers, 1, 2).await;
+    mesh.log.set_faults(|faults| faults.refuse = false);
+    let offset = mesh.publish(first_change());
+    mesh.wait_ready(offset, LIMIT).await.expect("mesh is ready");
+    let (http, to) = (client(), mesh.callers());
+    let before = key_of("a1", &["a1"]);
+    warm_up(&http, to[0], &["a1"]).await;
+    assert_eq!(ask(&http, to[0], &before).await, "outcome_unknown", "the first a1 may have run it");
+    // Another owner comes and goes in the log that replaces this one.
+    mesh.log.set_faults(|faults| faults.refuse = true);
+    let generation = mesh.log.replace_generation();
+    wait_until("its lease ends", async || {
+        ask(&http, to[0], &key_of("a1", &["a1"])).await == "owner_changing"
+    })
+    .await;
+    append_member(&mesh.log, "join", "b1", 1);
+    let during = key_of("b1", &["a1", "b1"]);
+    append_member(&mesh.log, "evict", "b1", 1);
+    push_position(peers, generation, 3).await;
+    mesh.log.set_faults(|faults| faults.refuse = false);
+    wait_until("it knows that b1 may have run it", async || {
+        repeat(&http, &to, std::slice::from_ref(&during), SHORT).await == ["outcome_unknown"]
+    })
+    .await;
+    runs_once(&journals(&mesh));
+}
