Bound the connections of all listeners and find the relays once per change of members

`is_relay` ranked all live members five times a second and at each look of the two followers, although it changes with members only.

Change: one bounded listener for all four; `limits.peer_connections` (8,192) and 128 each for operators and the backend server. The relays are found when the members change. Part `path` measures with one thread, the default of the settings. The settings tests cover `policy`, the new limit and the longest name of a daemon.

After: at most 384 more than before the connections, and the daemon answers again when they end.

--- a/crates/bench/examples/measure.rs
+++ b/crates/bench/examples/measure.rs
@@ -19,7 +19,7 @@
 const RATES: [f64; 3] = [500.0, 2_000.0, 6_000.0];
 
 /// Threads of each daemon of part `path`, the default of the daemon's settings.
-const DAEMON_THREADS: usize = 2;
+const DAEMON_THREADS: usize = 1;
 
 /// Exit status for bad usage.
 const USAGE: u8 = 2;
@@ -28,7 +28,7 @@
     let mut opts = Options::new();
     opts.optopt("", "part", "run one part only: scale, pure, path or policy", "NAME");
     opts.optopt("", "seed", "seed of all random choices (default 1)", "N");
-    opts.optopt("", "threads", "threads of a daemon in part path (default 2)", "N");
+    opts.optopt("", "threads", "threads of a daemon in part path (default 1)", "N");
     opts.optflag(
         "",
         "quick",
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -7,7 +7,7 @@
 mod view;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -117,6 +117,7 @@
     distribution: OnceLock<WeakActorRef<Distribution>>,
     membership: OnceLock<WeakActorRef<Membership>>,
     phase: AtomicU8,
+    relay: AtomicBool,
     requests: AtomicUsize,
 }
 
@@ -146,6 +147,7 @@
             distribution: OnceLock::new(),
             membership: OnceLock::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
+            relay: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             settings,
             identity,
@@ -204,6 +206,10 @@
         self.balance.update(&self.config.load(), &view, self.clock.now());
         self.view.store(Arc::new(view));
         self.members.store(Arc::new(members.clone()));
+        let own_id = self.identity.id.as_str();
+        let own = members.get(own_id);
+        let is_relay = own.is_some_and(|own| relays(members.live(), own).contains(&own_id));
+        self.relay.store(is_relay, Ordering::Release);
     }
 
     /// Where this daemon stands in the streams.
@@ -218,11 +224,7 @@
 
     /// Whether this daemon tails the log for its data centre.
     pub fn is_relay(&self) -> bool {
-        let members = self.members.load();
-        let Some(own) = members.get(&self.identity.id) else {
-            return false;
-        };
-        relays(members.live(), own).contains(&self.identity.id.as_str())
+        self.relay.load(Ordering::Acquire)
     }
 
     /// Address of some live member, of another data centre when there is one: whoever has heard
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -12,10 +12,9 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use super::accept;
+use super::BoundedListener;
 use crate::context::Cx;
 use crate::proxy::{CallError, ProxyBody, section_bytes, serve_caller};
 
@@ -35,15 +34,11 @@
 /// Serves callers until `stop`; then lets the open connections end.
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(cx.settings.limits.caller_connections));
+    let listener = BoundedListener::new(listener, cx.settings.limits.caller_connections);
     loop {
-        let permit = tokio::select! {
+        let (stream, permit) = tokio::select! {
             () = stop.cancelled() => break,
-            permit = Arc::clone(&permits).acquire_owned() => permit,
-        };
-        let stream = tokio::select! {
-            () = stop.cancelled() => break,
-            stream = accept(&listener) => stream,
+            accepted = listener.accept() => accepted,
         };
         let builder = builder(&cx);
         let cx = Arc::clone(&cx);
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -11,10 +11,12 @@
 pub use small::{Reply, serve_small};
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Pause after a failed accept, for example when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -28,19 +30,32 @@
     TcpListener::bind(addr).await.wrap_err_with(|| format!("failed to listen for {name} on {addr}"))
 }
 
-/// Accepts the next connection.
-async fn accept(listener: &TcpListener) -> TcpStream {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(e) = stream.set_nodelay(true) {
-                    tracing::debug!(error = %e, "failed to set TCP_NODELAY");
+/// Listener with a bounded number of connections at once; more wait in the queue of the kernel.
+struct BoundedListener {
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+}
+
+impl BoundedListener {
+    fn new(listener: TcpListener, connections: usize) -> Self {
+        Self { listener, permits: Arc::new(Semaphore::new(connections)) }
+    }
+
+    /// Accepts the next connection, which counts until its permit is dropped.
+    async fn accept(&self) -> (TcpStream, Option<OwnedSemaphorePermit>) {
+        let permit = Arc::clone(&self.permits).acquire_owned().await.ok();
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    if let Err(e) = stream.set_nodelay(true) {
+                        tracing::debug!(error = %e, "failed to set TCP_NODELAY");
+                    }
+                    return (stream, permit);
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "failed to accept a connection");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
-                return stream;
-            }
-            Err(e) => {
-                tracing::warn!(error = %e, "failed to accept a connection");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::accept;
+use super::BoundedListener;
 use crate::context::Cx;
 use crate::control::{Control, serve_control};
 use crate::proxy::{CallError, ProxyBody, has_token, is_call, serve_peer_call};
@@ -38,10 +38,11 @@
 pub async fn serve_peers(cx: Cx, control: Control, listener: TcpListener, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
     let header_bytes = cx.settings.limits.header_bytes * HEADER_FACTOR;
+    let listener = BoundedListener::new(listener, cx.settings.limits.peer_connections);
     loop {
-        let stream = tokio::select! {
+        let (stream, permit) = tokio::select! {
             () = stop.cancelled() => break,
-            stream = accept(&listener) => stream,
+            accepted = listener.accept() => accepted,
         };
         let (cx, control) = (Arc::clone(&cx), control.clone());
         let service = service_fn(move |req| answer(Arc::clone(&cx), control.clone(), req));
@@ -52,6 +53,7 @@
             if let Err(e) = conn.await {
                 tracing::debug!(error = %e, "connection of a peer ended");
             }
+            drop(permit);
         });
     }
     graceful.shutdown().await;
--- a/crates/daemon/src/listeners/small.rs
+++ b/crates/daemon/src/listeners/small.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::accept;
+use super::BoundedListener;
 
 /// Time in which the head of a request must be whole.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -21,6 +21,12 @@
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// Connections at once; one that sends no request ends after [`HEADER_TIMEOUT`].
+///
+/// A backend server needs one and operators need a few. Without a limit, connections that send
+/// nothing took all file descriptors of the daemon.
+const MAX_CONNECTIONS: usize = 128;
+
 /// Answer with a short document.
 #[derive(Debug)]
 pub struct Reply {
@@ -64,10 +70,11 @@
     F: Fn(Request<Bytes>) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Reply> + Send + 'static,
 {
+    let listener = BoundedListener::new(listener, MAX_CONNECTIONS);
     loop {
-        let stream = tokio::select! {
+        let (stream, permit) = tokio::select! {
             () = stop.cancelled() => return,
-            stream = accept(&listener) => stream,
+            accepted = listener.accept() => accepted,
         };
         let handle = handle.clone();
         let service = service_fn(move |req| answer(handle.clone(), req));
@@ -85,6 +92,7 @@
                     }
                 }
             }
+            drop(permit);
         });
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -34,6 +34,8 @@
     pub header_bytes: usize,
     /// Most connections of callers.
     pub caller_connections: usize,
+    /// Most connections of other daemons at once.
+    pub peer_connections: usize,
     /// Most connections to the backend server.
     pub backend_connections: usize,
 }
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -189,12 +189,14 @@
         let body_bytes = self.integer(&mut section, "body_bytes", 64 << 20, 1..=1 << 30);
         let header_bytes = self.integer(&mut section, "header_bytes", 16 << 10, 8192..=1 << 20);
         let callers = self.integer(&mut section, "caller_connections", 4_096, 1..=65_536);
+        let peers = self.integer(&mut section, "peer_connections", 8_192, 1..=65_536);
         let backend = self.integer(&mut section, "backend_connections", 100, 1..=65_536);
         self.finish(section);
         Some(Limits {
             body_bytes,
             header_bytes: usize::try_from(header_bytes).ok()?,
             caller_connections: usize::try_from(callers).ok()?,
+            peer_connections: usize::try_from(peers).ok()?,
             backend_connections: usize::try_from(backend).ok()?,
         })
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output};
 use std::time::Duration;
 
-use baobabreel_daemon::settings::parse;
+use baobabreel_daemon::settings::{Policy, parse};
 
 const GOOD: &str = r#"{
   // Comments are allowed.
@@ -28,7 +28,7 @@
 #[test]
 fn every_fault_is_reported_with_its_place() {
     let text = r#"{
-  "daemon": "Lower Case",
+  "daemon": "a-name-of-27-characters-abc",
   "data_centre": 7,
   "log": "https://log",
   "listen": {
@@ -44,7 +44,7 @@
   "drain_limit_ms": -1,
   "drain_notice_ms": 1.5,
   "log_retention_ms": 59999,
-  "threads": 65,
+  "threads": 65, "policy": "best",
   "max_schema": 3,
   "trace_share": 1.1,
   "log_filter": "daemon=loud",
@@ -52,7 +52,7 @@
   "threads": 3
 }"#;
     let expected = "\
-f.jsonc:2: `daemon` is \"Lower Case\"; allowed: 1 to 26 characters of a-z 0-9 . _ -, the first a letter or digit
+f.jsonc:2: `daemon` is \"a-name-of-27-characters-abc\"; allowed: 1 to 26 characters of a-z 0-9 . _ -, the first a letter or digit
 f.jsonc:3: `data_centre` is 7; allowed: 1 to 128 characters of a-z 0-9 . _ -, the first a letter or digit
 f.jsonc:4: `log` is \"https://log\"; allowed: an address like http://10.0.0.1:7000
 f.jsonc:5: `listen.operators` is missing; allowed: an address like 10.0.0.1:7101
@@ -68,6 +68,7 @@
 f.jsonc:16: `drain_notice_ms` is 1.5; allowed: an integer from 0 to 60000
 f.jsonc:17: `log_retention_ms` is 59999; allowed: an integer from 60000 to 31622400000
 f.jsonc:18: `threads` is 65; allowed: an integer from 1 to 64
+f.jsonc:18: `policy` is \"best\"; allowed: `full`, or `plain` for measurements
 f.jsonc:19: `max_schema` is 3; allowed: an integer from 1 to 2
 f.jsonc:20: `trace_share` is 1.1; allowed: a number from 0 to 1
 f.jsonc:21: `log_filter` is \"daemon=loud\"; allowed: a filter like info,baobabreel_daemon=debug
@@ -99,6 +100,10 @@
     assert_eq!(settings.drain_limit, Duration::from_secs(30));
     assert_eq!(settings.drain_notice, Duration::from_secs(1));
     assert_eq!(settings.limits.backend_connections, 100);
+    assert_eq!(settings.limits.peer_connections, 8_192);
+    assert_eq!(settings.policy, Policy::Full);
+    let plain = GOOD.replace("{\n  //", "{\n  \"policy\": \"plain\",\n  //");
+    assert_eq!(parse("f.jsonc", &plain).expect("good settings").policy, Policy::Plain);
     assert_eq!((settings.token, settings.advertise_peers), (None, None));
 }
 
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -76,6 +76,17 @@
         parse_journal(&text.expect("a journal")).expect("a journal")
     }
 
+    /// File descriptors that the daemon has open.
+    ///
+    /// # Panics
+    ///
+    /// The daemon has ended.
+    #[must_use]
+    pub fn open_files(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.daemon.pid());
+        std::fs::read_dir(path).expect("the daemon runs").count()
+    }
+
     /// Memory that the daemon holds, in KiB.
     ///
     /// # Panics
--- a/crates/testsuite/tests/bad_input.rs
+++ b/crates/testsuite/tests/bad_input.rs
@@ -1,12 +1,15 @@
 //! Hostile and malformed input on every listener.
 
+use std::time::Duration;
+
 use baobabreel_core::error::ErrorKind;
 use baobabreel_test_support::backend::JournalEntry;
 use baobabreel_test_support::mesh::{Mesh, NodeSpec};
 use baobabreel_testsuite::LIMIT;
 use baobabreel_testsuite::{
-    Fleet, FleetNode, RawAnswer, exchange, first_change, h1, h2, raw_mesh, specs,
+    Fleet, FleetNode, RawAnswer, exchange, first_change, h1, h2, raw_mesh, specs, wait_until,
 };
+use tokio::net::TcpStream;
 
 /// Memory of one daemon at the target size, in KiB.
 const MEMORY_KIB: u64 = 128 * 1024;
@@ -128,6 +131,30 @@
     assert!(status.serving && status.members == 2, "{status:?}");
 }
 
+/// Guards against connections that send nothing and take all file descriptors of a daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_connections_are_bounded() {
+    let specs = specs().into_iter().take(2);
+    let limit = "\"limits\": {\"peer_connections\": 64, \"caller_connections\": 64}";
+    let fleet = specs.map(|spec| (spec.setting(limit), "catalogue")).collect();
+    let fleet = Fleet::ready(fleet).await;
+    let node = &fleet.nodes[0];
+    let before = node.open_files();
+    let mut idle = Vec::new();
+    for to in [node.callers, node.peers, node.announce, node.operators] {
+        // Over the limits by less than the 128 that wait in the queue of the kernel.
+        for _ in 0..180 {
+            idle.push(TcpStream::connect(to).await.expect("the kernel accepts it"));
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let most = before + 2 * 64 + 2 * 128;
+    assert!(node.open_files() <= most, "{} after {before}", node.open_files());
+    drop(idle);
+    wait_until("it answers again", async || node.status().await.is_some()).await;
+    assert_serves(node, "idle connections").await;
+}
+
 /// Guards against malformed heads and messages of peers that are taken for good ones, and against
 /// callers' requests on listeners that are not for them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -208,7 +235,7 @@
     let (mesh, backend) = raw_mesh().await;
     let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nbaobabreel-outcome: not_run\r\n\
                   baobabreel-answer: 00\r\nconnection: close, x-hop\r\nx-hop: 1\r\n\r\nok";
-    backend.answer_with(&[(answer, std::time::Duration::ZERO)]);
+    backend.answer_with(&[(answer, Duration::ZERO)]);
     let call = "96a46c6f7473";
     let pad = "x".repeat(15_900);
     let sent = [
