Let requests wait for a connection to the backend server, and call a full pool overload

Cause: admission counted the announced slots only. A further attempt that found no other backend server hid the refusal of the first one in the same way.

Change: admission has at most as many slots as there are connections, a guard gives its connection back before its slot, and a full pool is its own error, answered as overloaded. When no other backend server is left for a further attempt, the caller gets the earlier refusal. A keyed call that found no connection to its owner stays undecided, as before.

--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -128,7 +128,7 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::NoBackendServer`] when nothing was sent, the error that the daemon answered, or
+/// [`ErrorKind::NoBackendServer`] or [`ErrorKind::Overloaded`] when nothing was sent, the error that the daemon answered, or
 /// one that leaves open whether the request ran.
 pub async fn send_call(
     cx: &Cx,
@@ -156,6 +156,10 @@
         Watched::Ended(Err(SendError::NotSent(detail))) => {
             return Err(CallError::new(ErrorKind::NoBackendServer, detail));
         }
+        Watched::Ended(Err(SendError::Full)) => {
+            let detail = "all connections to the daemon are in use";
+            return Err(CallError::new(ErrorKind::Overloaded, detail));
+        }
         Watched::Ended(Err(SendError::Lost(detail))) => {
             return Err(CallError::new(ErrorKind::UpstreamLost, detail));
         }
@@ -208,8 +212,12 @@
     let mut tried = Vec::new();
     let state = cx.balance.route(&head.route);
     let may_retry = !head.retry;
+    let mut earlier: Option<CallError> = None;
     loop {
-        let (service, guard) = choose_of(cx, &head.service, fallback, &tried)?;
+        let (service, guard) = match choose_of(cx, &head.service, fallback, &tried) {
+            Ok(chosen) => chosen,
+            Err(e) => return Err(earlier.unwrap_or(e)),
+        };
         tried.push(guard.name().to_owned());
         let mut head = head.clone();
         head.service = service;
@@ -228,6 +236,7 @@
             return Err(e);
         }
         cx.metrics.retry(&head.route);
+        earlier = Some(e);
     }
 }
 
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -176,7 +176,8 @@
         loop {
             let (service, guard) = match self.choose(&tried) {
                 Ok(chosen) => chosen,
-                Err(e) => return Err(combine(earlier, e)),
+                // That no other one is left says less than the refusal of the one that was asked.
+                Err(e) => return Err(earlier.unwrap_or(e)),
             };
             tried.push(guard.name().to_owned());
             let result = if number == 1 && self.route.spec.hedge {
@@ -342,8 +343,8 @@
 
 /// Error for a caller whose request could not be handed to the owner of its key.
 fn owner_error(mut e: CallError, attempt: KeyAttempt) -> CallError {
-    // The owner itself never answers with this kind for a key that may have run before.
-    if e.kind == ErrorKind::NoBackendServer && e.is_local {
+    // Nothing was sent, so the owner has not decided; another attempt may have run.
+    if matches!(e.kind, ErrorKind::NoBackendServer | ErrorKind::Overloaded) && e.is_local {
         e.kind = unreachable_owner(attempt, false);
     }
     e
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -124,7 +124,10 @@
         };
         let mut gate = lock(&self.gate);
         let slots = match self.policy {
-            Policy::Full => info.slots,
+            // A slot without a connection would end in a refusal; the queue is the place to wait.
+            Policy::Full => {
+                info.slots.min(u32::try_from(self.connection_limit).unwrap_or(u32::MAX))
+            }
             Policy::Plain => u32::MAX,
         };
         if gate.admission.slots() != slots {
@@ -284,6 +287,8 @@
 
 impl Drop for HostGuard {
     fn drop(&mut self) {
+        // The next request starts with the slot, so its connection has to be free by then.
+        self.connection = None;
         if let Some(id) = self.id.take() {
             self.cx.host.release(id, false, self.cx.clock.now());
         }
@@ -327,6 +332,10 @@
         Ok(Err(SendError::NotSent(detail))) => {
             return Err(CallError::new(ErrorKind::NoBackendServer, detail));
         }
+        Ok(Err(SendError::Full)) => {
+            let detail = "all connections to the backend server are in use";
+            return Err(CallError::new(ErrorKind::Overloaded, detail));
+        }
         Ok(Err(SendError::Lost(detail))) => {
             return Err(CallError::new(ErrorKind::UpstreamLost, detail));
         }
--- a/crates/daemon/src/proxy/pool/http1.rs
+++ b/crates/daemon/src/proxy/pool/http1.rs
@@ -25,6 +25,8 @@
 pub enum SendError {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, since all connections of the pool are in use.
+    Full,
     /// The request may have been received.
     Lost(String),
 }
@@ -81,9 +83,7 @@
 
     async fn connect(&self) -> Result<(SendRequest<ProxyBody>, OwnedSemaphorePermit), SendError> {
         let not_sent = |what: &str| SendError::NotSent(what.to_owned());
-        let permit = Arc::clone(&self.permits)
-            .try_acquire_owned()
-            .map_err(|e| not_sent(&format!("no connection is free: {e}")))?;
+        let permit = Arc::clone(&self.permits).try_acquire_owned().ok().ok_or(SendError::Full)?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotSent`] only when the server cannot have seen the request.
+    /// [`SendError::NotSent`] or [`SendError::Full`] only when the server cannot have seen the request.
     pub async fn send(
         self: &Arc<Self>,
         mut req: Request<ProxyBody>,
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -130,7 +130,7 @@
     ///
     /// # Errors
     ///
-    /// [`SendError::NotSent`] only when the peer cannot have seen the request.
+    /// [`SendError::NotSent`] or [`SendError::Full`] only when the peer cannot have seen the request.
     pub async fn call(
         &self,
         addr: SocketAddr,
