Let an entry daemon call a backend server over a granted connection

An entry daemon with a grant sends idempotent lookups to the backend server itself. Setting direct_lookups, off by default. Not measured yet.

--- a/crates/bench/src/path.rs
+++ b/crates/bench/src/path.rs
@@ -54,6 +54,8 @@
     OneDaemon,
     /// Through another daemon first.
     TwoDaemons,
+    /// Through another daemon that holds a grant of the daemon beside the backend server.
+    Granted,
 }
 
 /// Figures of one way at one rate; times in ms.
@@ -134,9 +136,11 @@
         let offset = log.append("config", &entry_text(change));
         let (mut daemons, mut backends) = (Vec::new(), Vec::new());
         let mut running = Vec::new();
-        for (name, service) in [("host", "echo"), ("entry", "other")] {
+        let nodes = [("host", "echo", true), ("entry", "other", false), ("granted", "other", true)];
+        for (name, service, direct) in nodes {
             let spec = NodeSpec::new(name, "hobart-a", service)
                 .setting("\"log_filter\": \"off\"")
+                .setting(format!("\"direct_lookups\": {direct}"))
                 .backend(|b| b.slots(SLOTS).work_time(WorkTime::Fixed(Duration::ZERO)));
             let seeds: Vec<SocketAddr> =
                 daemons.iter().map(|d: &Daemon| d.addresses().peers).collect();
@@ -175,6 +179,7 @@
             Way::Direct => self.backends[0].addr(),
             Way::OneDaemon => self.daemons[0].addresses().callers,
             Way::TwoDaemons => self.daemons[1].addresses().callers,
+            Way::Granted => self.daemons[2].addresses().callers,
         }
     }
 
@@ -257,7 +262,7 @@
 pub fn run(rates: &[f64], rounds: usize, threads: usize, seed: u64) -> Result<Report> {
     let load_average = load_average();
     let bed = Bed::start(threads)?;
-    let ways = [Way::Direct, Way::OneDaemon, Way::TwoDaemons];
+    let ways = [Way::Direct, Way::OneDaemon, Way::TwoDaemons, Way::Granted];
     let mut points = Vec::new();
     // Connections are opened and slow starts end before anything is counted.
     for way in ways {
@@ -265,7 +270,7 @@
     }
     for rate in rates {
         eprintln!("path: {rate} a second");
-        let mut measured: [Vec<Point>; 3] = Default::default();
+        let mut measured: [Vec<Point>; 4] = Default::default();
         for round in 0..rounds {
             for (way, measured) in ways.into_iter().zip(&mut measured) {
                 let (report, cpu) = bed.load(way, *rate, ROUND, 1_000, seed + round as u64)?;
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod control;
 mod gossip;
+mod grant;
 mod keys;
 mod log;
 mod operator;
@@ -13,6 +14,7 @@
     Stream, decode, encode,
 };
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
+pub use grant::{GrantAnswer, GrantQuery};
 pub use keys::{Fingerprint, PriorWire, QueryWire};
 pub use log::{Appended, LogRecord, ReadPage, Retained};
 pub use operator::{
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -22,6 +22,7 @@
     cfg: AdmissionBuilder,
     running: Vec<Running>,
     bulk_running: u32,
+    reserved: u32,
     queue: Queue,
     arrivals: u64,
     routes: Routes,
@@ -51,6 +52,7 @@
             cfg,
             running: Vec::new(),
             bulk_running: 0,
+            reserved: 0,
             queue: Queue::default(),
             arrivals: 0,
             routes: Routes::default(),
@@ -95,6 +97,19 @@
         self.start_queued(now)
     }
 
+    /// Sets how many slots are used by others, who call the backend server without admission.
+    #[must_use]
+    pub fn set_reserved(&mut self, reserved: u32, now: Duration) -> Vec<Action> {
+        self.reserved = reserved;
+        self.start_queued(now)
+    }
+
+    /// Slots that are not reserved.
+    #[must_use]
+    pub fn open_slots(&self) -> u32 {
+        self.cfg.slots.saturating_sub(self.reserved)
+    }
+
     /// Sets the places in the queue and the bulk share when the configuration changes. Requests that
     /// wait keep their places when there are fewer.
     #[must_use]
@@ -206,7 +221,7 @@
     }
 
     fn may_start(&self, bulk: bool) -> bool {
-        (self.running.len() as u64) < u64::from(self.cfg.slots)
+        (self.running.len() as u64) < u64::from(self.open_slots())
             && (!bulk || self.bulk_running < self.bulk_slots())
     }
 
@@ -267,7 +282,7 @@
     fn estimated_wait(&self, item: &Waiting) -> Duration {
         let ahead = self.queue.ahead_of(item);
         let running = self.running.iter().map(|running| running.class);
-        let mut secs = self.run_times.wait_secs(running, ahead.iter(), self.cfg.slots);
+        let mut secs = self.run_times.wait_secs(running, ahead.iter(), self.open_slots());
         if item.bulk {
             let running = self.running.iter().filter(|running| running.bulk);
             let behind_bulk = self.run_times.wait_secs(
@@ -284,7 +299,7 @@
     fn drain_time(&self) -> Duration {
         let running = self.running.iter().map(|running| running.class);
         let waiting = self.queue.all().iter();
-        let secs = self.run_times.wait_secs(running, waiting, self.cfg.slots);
+        let secs = self.run_times.wait_secs(running, waiting, self.open_slots());
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod balance;
 pub mod config;
 pub mod error;
+pub mod grant;
 pub mod id;
 pub mod idempotency;
 pub mod membership;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::control::{Distribution, Follower, Membership, encoded};
 use crate::keys::Keys;
-use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
+use crate::proxy::{ActiveCalls, Balance, Direct, Host, PeerPool};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -99,6 +99,8 @@
     pub peers: PeerPool,
     /// Calls of other daemons.
     pub calls: ActiveCalls,
+    /// Grants of connections to backend servers.
+    pub direct: Direct,
     /// Choice of backend servers.
     pub balance: Balance,
     /// Instruments.
@@ -135,6 +137,7 @@
             host: Host::new(settings.limits.backend_connections, settings.policy),
             peers: PeerPool::new(settings.token.clone()),
             calls: ActiveCalls::default(),
+            direct: Direct::default(),
             balance: Balance::new(&identity, settings.policy),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
@@ -179,7 +182,7 @@
 
     /// Requests, calls and slots that have not ended.
     pub fn in_flight(&self) -> usize {
-        let held = usize::try_from(self.host.in_flight()).unwrap_or(usize::MAX);
+        let held = usize::try_from(self.host.in_flight(self.clock.now())).unwrap_or(usize::MAX);
         self.requests.load(Ordering::Acquire) + self.balance.outstanding() + held
     }
 
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,7 +1,7 @@
 //! Control messages of other daemons over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallState, Envelope, PullWire, PushWire, QueryWire, decode,
+    CallQuery, CallState, Envelope, GrantQuery, PullWire, PushWire, QueryWire, decode,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -15,7 +15,7 @@
 use super::push::encoded;
 use crate::context::Cx;
 use crate::operators::{STATUS_PATH, status as status_doc};
-use crate::proxy::ProxyBody;
+use crate::proxy::{GRANT_PATH, ProxyBody};
 
 /// Largest control message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
@@ -37,6 +37,7 @@
         "/peer/v1/entries" => entries(control, &body).await,
         "/peer/v1/pull" => pull(control, &body).await,
         "/peer/v1/call-state" => call_state(cx, &body),
+        GRANT_PATH => grant(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
         _ => return status(StatusCode::NOT_FOUND),
@@ -93,6 +94,11 @@
     answer(&cx.keys.answer_prior(&query))
 }
 
+fn grant(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: GrantQuery = read(body)?;
+    answer(&cx.host.grant(cx, &query))
+}
+
 fn call_state(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let query: CallQuery = read(body)?;
     if query.incarnation != cx.identity.incarnation {
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 use crate::control::{Announcement, BackendTracker, Control, Leave, LocalChanged};
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_small};
 use crate::operators::serve_operators;
+use crate::proxy::Direct;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -140,6 +141,15 @@
             move |req| announce(Arc::clone(&cx), control.clone(), Arc::clone(&tracker), req)
         };
         self.tasks.spawn(serve_small(listeners.backend, self.stop.clone(), backend));
+        if self.cx.settings.direct_lookups {
+            let (stop, grants) = (self.stop.clone(), Direct::keep(Arc::clone(&self.cx)));
+            self.tasks.spawn(async move {
+                tokio::select! {
+                    () = stop.cancelled() => {}
+                    () = grants => {}
+                }
+            });
+        }
         let stop = self.stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -13,6 +13,7 @@
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
+use super::direct::DirectCall;
 use super::pool::Http1Connection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 use crate::settings::Policy;
@@ -184,16 +185,44 @@
         };
         balancer.dispatched(&name, now);
         drop(balancer);
+        Some(self.guard(shared, name, clock))
+    }
+
+    /// Whether a backend server is neither ejected nor slower than its peers.
+    pub fn is_fit(&self, service: &str, name: &str, now: Duration) -> bool {
+        self.find(service).is_some_and(|shared| {
+            let balancer = lock(&shared);
+            !balancer.ejected(name, now) && balancer.slowness(name, now) < OWN_SLOWNESS_LIMIT
+        })
+    }
+
+    /// Counts a call to the backend server of a grant.
+    pub fn choose_granted(
+        &self,
+        service: &str,
+        direct: DirectCall,
+        clock: Clock,
+    ) -> Option<EntryGuard> {
+        let shared = self.find(service)?;
+        let name = Arc::from(direct.host());
+        lock(&shared).dispatched(&name, clock.now());
+        let mut guard = self.guard(shared, name, clock);
+        guard.direct = Some(direct);
+        Some(guard)
+    }
+
+    fn guard(&self, balancer: ServiceBalancer, name: Arc<str>, clock: Clock) -> EntryGuard {
         self.outstanding.fetch_add(1, Ordering::AcqRel);
-        Some(EntryGuard {
-            balancer: shared,
+        EntryGuard {
+            balancer,
             name,
             clock,
-            started: now,
+            started: clock.now(),
             end: End::Cancelled,
             outstanding: Arc::clone(&self.outstanding),
             connection: None,
-        })
+            direct: None,
+        }
     }
 }
 
@@ -214,6 +243,7 @@
     end: End,
     outstanding: Arc<AtomicUsize>,
     connection: Option<Http1Connection>,
+    direct: Option<DirectCall>,
 }
 
 impl EntryGuard {
@@ -229,6 +259,12 @@
         }
     }
 
+    /// Granted connection that the call goes over, if it does.
+    #[must_use]
+    pub fn direct(&self) -> Option<&DirectCall> {
+        self.direct.as_ref()
+    }
+
     /// Name of the backend server.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -13,6 +13,7 @@
 use super::answer::CallError;
 use super::balance::EntryGuard;
 use super::body::{Guard, ProxyBody};
+use super::direct::Direct;
 use super::headers;
 use super::host::{self, CALL_PREFIX};
 use super::pool::{Http1Connection, SendError};
@@ -41,6 +42,18 @@
     cx.balance.choose(service, own_is_free, &exclude, cx.clock)
 }
 
+/// Takes a granted connection to a backend server of `service` and counts a call to it.
+///
+/// The own backend server costs no hop more, and is preferred.
+#[must_use]
+pub fn choose_granted(cx: &Cx, service: &str) -> Option<EntryGuard> {
+    if cx.host.is_free(service) && own_is_able(cx, service) {
+        return None;
+    }
+    let direct = Direct::take(cx, service)?;
+    cx.balance.choose_granted(service, direct, cx.clock)
+}
+
 fn own_is_able(cx: &Cx, service: &str) -> bool {
     let view = cx.view.load();
     let own = view.find(service, &cx.identity.id);
@@ -59,7 +72,16 @@
     mut guard: EntryGuard,
     deadline: Duration,
 ) -> Result<Response<ProxyBody>, CallError> {
-    let (mut res, host_guard) = if guard.name() == cx.identity.id {
+    let (mut res, host_guard) = if let Some(direct) = guard.direct() {
+        match direct.send(head, req, deadline).await {
+            Ok((response, connection)) => {
+                guard.answered(None);
+                guard.hold(connection);
+                (response, None)
+            }
+            Err(e) => return Err(failed(guard, e)),
+        }
+    } else if guard.name() == cx.identity.id {
         match host::run(cx, head, req).await {
             Ok(admitted) => {
                 guard.answered(Some(report(cx.host.load())));
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, KeyHead};
-use baobabreel_core::config::{CompiledConfig, Route};
+use baobabreel_core::config::{Class, CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::idempotency::{
@@ -21,6 +21,7 @@
 use super::answer::CallError;
 use super::balance::{EntryGuard, RouteState};
 use super::body::{Guard, ProxyBody};
+use super::direct::Direct;
 use super::dispatch::PeerAnswer;
 use super::keyed::{self, WholeRequest};
 use super::replay::CallerRequest;
@@ -174,7 +175,10 @@
         let mut earlier: Option<CallError> = None;
         let mut number = 1;
         loop {
-            let (service, guard) = match self.choose(&tried) {
+            let granted = if number == 1 { self.choose_granted(req) } else { None };
+            let is_direct = granted.is_some();
+            let chosen = granted.map_or_else(|| self.choose(&tried), Ok);
+            let (service, guard) = match chosen {
                 Ok(chosen) => chosen,
                 Err(e) => return Err(combine(earlier, e)),
             };
@@ -185,9 +189,16 @@
                 self.attempt(req.attempt(), &service, guard, number > 1).await
             };
             let e = match result {
-                Ok(res) => return Ok(res),
+                Ok(res) => {
+                    self.want_grant(&tried);
+                    return Ok(res);
+                }
                 Err(e) => combine(earlier.take(), e),
             };
+            if is_direct && e.is_not_run() {
+                // The daemon beside the same backend server may have room or a connection.
+                tried.remove(0);
+            }
             let attempt = self.attempt_state(number, req);
             let failure = if e.is_not_run() { Failure::NotRun } else { Failure::MayHaveRun };
             if decide(&attempt, failure) != RetryDecision::Retry
@@ -219,6 +230,32 @@
         dispatch::choose_of(self.cx, &spec.service, spec.fallback.as_ref(), tried)
     }
 
+    /// Whether the backend server may be called without the daemon beside it.
+    fn may_be_direct(&self) -> bool {
+        let spec = &self.route.spec;
+        self.cx.settings.direct_lookups
+            && spec.is_idempotent()
+            && matches!(spec.class, Class::Lookup | Class::Check)
+    }
+
+    /// Takes a granted connection, if there is one for the request.
+    fn choose_granted(&self, req: &CallerRequest) -> Option<(ServiceName, EntryGuard)> {
+        if !self.may_be_direct() || !req.can_repeat() {
+            return None;
+        }
+        let service = &self.route.spec.service;
+        Some((service.clone(), dispatch::choose_granted(self.cx, service)?))
+    }
+
+    /// Asks for a grant of the backend server that has answered.
+    fn want_grant(&self, tried: &[String]) {
+        if let [host] = tried
+            && self.may_be_direct()
+        {
+            Direct::want(self.cx, &self.route.spec.service, host);
+        }
+    }
+
     /// Sends a second copy to another backend server when the first is slower than usual.
     async fn hedged(
         &self,
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
+use baobabreel_client::wire::{AnswerHead, CallHead, GrantAnswer, GrantQuery, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
 use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::grant::{Asked, Conditions, Ledger};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::membership::MemberState;
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use super::active::ActiveCalls;
 use super::answer::CallError;
@@ -65,6 +66,9 @@
     admission: Admission,
     waiting: HashMap<TicketId, oneshot::Sender<Result<(), CallError>>>,
     next_id: TicketId,
+    ledger: Ledger,
+    /// Connections of the pool that grants use instead.
+    granted: Vec<OwnedSemaphorePermit>,
 }
 
 impl Gate {
@@ -106,6 +110,8 @@
             admission: Admission::builder().class_aware(policy == Policy::Full).build(),
             waiting: HashMap::new(),
             next_id: 0,
+            ledger: Ledger::default(),
+            granted: Vec::new(),
         };
         let gate = Arc::new(Mutex::new(gate));
         Self { backend: ArcSwapOption::empty(), gate, connection_limit, policy }
@@ -162,7 +168,7 @@
         });
         ready && {
             let load = self.load();
-            load.queued == 0 && load.running < load.slots
+            load.queued == 0 && load.running < lock(&self.gate).admission.open_slots()
         }
     }
 
@@ -221,10 +227,73 @@
         gate.apply(actions);
     }
 
-    /// Number of requests that hold a slot or wait for one.
-    pub fn in_flight(&self) -> u32 {
+    /// Number of requests that hold a slot or wait for one, and of connections that are granted.
+    pub fn in_flight(&self, now: Duration) -> u32 {
         let load = self.load();
-        load.running + load.queued
+        load.running + load.queued + self.granted(now)
+    }
+
+    /// Connections that are granted; gives back those of grants that have ended.
+    pub fn granted(&self, now: Duration) -> u32 {
+        let mut gate = lock(&self.gate);
+        gate.ledger.expire(now);
+        self.reserve_granted(&mut gate, now);
+        gate.ledger.reserved(now)
+    }
+
+    /// Answers a question about a grant.
+    pub fn grant(&self, cx: &Cx, query: &GrantQuery) -> GrantAnswer {
+        let none = GrantAnswer { connections: 0, address: None };
+        if query.incarnation != cx.identity.incarnation {
+            return none;
+        }
+        let now = cx.clock.now();
+        let backend = self.backend.load_full();
+        let backend = backend.filter(|backend| {
+            let info = &backend.info;
+            // A loopback address, for example, means another server at the holder.
+            let is_reachable = info.address.ip() == cx.identity.peer_addr.ip();
+            info.state == MemberState::Ready && info.service == query.service && is_reachable
+        });
+        let mut gate = lock(&self.gate);
+        let load = gate.admission.load();
+        let conditions = Conditions {
+            able: cx.settings.direct_lookups
+                && self.policy == Policy::Full
+                && cx.phase() == Phase::Serving
+                && backend.is_some(),
+            slots: gate.admission.slots(),
+            running: load.running,
+            queued: load.queued,
+        };
+        let asked = Asked {
+            holder: &query.holder,
+            incarnation: query.holder_incarnation,
+            sequence: query.sequence,
+            want: query.want,
+            busy: query.busy,
+        };
+        let connections = gate.ledger.ask(asked, conditions, now);
+        let whole = self.reserve_granted(&mut gate, now);
+        match backend.filter(|_| connections > 0 && whole) {
+            Some(backend) => GrantAnswer { connections, address: Some(backend.info.address) },
+            None => none,
+        }
+    }
+
+    /// Keeps the slots and connections of grants from other requests; whether there were enough.
+    fn reserve_granted(&self, gate: &mut Gate, now: Duration) -> bool {
+        let reserved = gate.ledger.reserved(now);
+        let actions = gate.admission.set_reserved(reserved, now);
+        gate.apply(actions);
+        let wanted = usize::try_from(reserved).unwrap_or(usize::MAX);
+        gate.granted.truncate(wanted);
+        let pool = self.backend.load_full().map(|backend| Arc::clone(&backend.pool));
+        while gate.granted.len() < wanted {
+            let Some(permit) = pool.as_ref().and_then(|pool| pool.reserve()) else { return false };
+            gate.granted.push(permit);
+        }
+        true
     }
 }
 
@@ -302,14 +371,30 @@
 }
 
 /// Admits a request and passes it to the backend server.
-pub async fn run(
-    cx: &Cx,
-    head: &CallHead,
-    mut req: Request<ProxyBody>,
-) -> Result<Admitted, CallError> {
+pub async fn run(cx: &Cx, head: &CallHead, req: Request<ProxyBody>) -> Result<Admitted, CallError> {
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = able_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
+    let address = backend.info.address;
+    let (response, connection) = send(cx, head, req, &backend.pool, address, deadline).await?;
+    guard.connection = Some(connection);
+    check_answer(&response)?;
+    Ok(Admitted { response, guard, deadline })
+}
+
+/// Passes a request to a backend server as it expects it from a daemon.
+///
+/// # Errors
+///
+/// [`ErrorKind::NoBackendServer`] when nothing was sent, or one that leaves open whether it ran.
+pub async fn send(
+    cx: &Cx,
+    head: &CallHead,
+    mut req: Request<ProxyBody>,
+    pool: &Arc<Http1Pool>,
+    address: SocketAddr,
+    deadline: Duration,
+) -> Result<(Response<Incoming>, Http1Connection), CallError> {
     let remaining = deadline.saturating_sub(cx.clock.now());
     headers::write_timeout(req.headers_mut(), remaining);
     if head.retry {
@@ -317,26 +402,19 @@
     }
     *req.version_mut() = Version::HTTP_11;
     if !req.headers().contains_key(HOST)
-        && let Ok(host) = HeaderValue::from_str(&backend.info.address.to_string())
+        && let Ok(host) = HeaderValue::from_str(&address.to_string())
     {
         req.headers_mut().insert(HOST, host);
     }
-    let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
-    let (response, connection) = match sent {
-        Ok(Ok(answered)) => answered,
+    let sent = tokio::time::timeout(remaining, pool.send(req)).await;
+    match sent {
+        Ok(Ok(answered)) => Ok(answered),
         Ok(Err(SendError::NotSent(detail))) => {
-            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-        }
-        Ok(Err(SendError::Lost(detail))) => {
-            return Err(CallError::new(ErrorKind::UpstreamLost, detail));
+            Err(CallError::new(ErrorKind::NoBackendServer, detail))
         }
-        Err(_) => {
-            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
-        }
-    };
-    guard.connection = Some(connection);
-    check_answer(&response)?;
-    Ok(Admitted { response, guard, deadline })
+        Ok(Err(SendError::Lost(detail))) => Err(CallError::new(ErrorKind::UpstreamLost, detail)),
+        Err(_) => Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed")),
+    }
 }
 
 fn able_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
@@ -358,7 +436,11 @@
 }
 
 /// Refuses answers that are sheds, and answers whose end cannot be told from a broken connection.
-fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
+///
+/// # Errors
+///
+/// [`ErrorKind::Overloaded`] for a shed, [`ErrorKind::UpstreamLost`] for an answer without an end.
+pub fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
     let not_run = Outcome::NotRun.as_str();
     let shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
         && res.headers().get(headers::OUTCOME).is_some_and(|value| value == not_run);
--- a/crates/daemon/src/proxy/pool/http1.rs
+++ b/crates/daemon/src/proxy/pool/http1.rs
@@ -70,6 +70,11 @@
         Self { addr, idle: Mutex::new(Vec::new()), permits: Arc::new(Semaphore::new(limit)) }
     }
 
+    /// Takes a connection away from the pool until the permit is dropped.
+    pub fn reserve(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.permits).try_acquire_owned().ok()
+    }
+
     /// Takes the connection that was used last, so that the others can become idle.
     fn take_idle(&self) -> Option<(SendRequest<ProxyBody>, OwnedSemaphorePermit)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -77,6 +77,8 @@
     pub threads: usize,
     /// How requests are balanced, admitted and tried again.
     pub policy: Policy,
+    /// Whether grants of connections to backend servers are asked for and given.
+    pub direct_lookups: bool,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -134,6 +134,7 @@
         let log_retention = self.millis(top, "log_retention_ms", DAY_MS, 60_000..=366 * DAY_MS);
         let threads = self.integer(top, "threads", 1, 1..=64);
         let policy = self.policy(top);
+        let direct_lookups = self.boolean(top, "direct_lookups", false);
         let max_schema =
             self.integer(top, "max_schema", u64::from(MAX_SCHEMA), 1..=u64::from(MAX_SCHEMA));
         let trace_share = self.share(top, "trace_share", 0.0);
@@ -156,6 +157,7 @@
             log_retention,
             threads: usize::try_from(threads).ok()?,
             policy,
+            direct_lookups,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
             log_filter,
@@ -399,6 +401,17 @@
         default
     }
 
+    fn boolean(&mut self, section: &mut Section<'a>, key: &str, default: bool) -> bool {
+        let Some(prop) = self.take(section, key) else {
+            return default;
+        };
+        if let Value::BooleanLit(value) = &prop.value {
+            return value.value;
+        }
+        self.bad_value(section, &prop, "true or false");
+        default
+    }
+
     fn policy(&mut self, top: &mut Section<'a>) -> Policy {
         let allowed = "`full`, or `plain` for measurements";
         match self.string(top, "policy", allowed) {
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -21,6 +21,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     retries: Counter<u64>,
+    direct: Counter<u64>,
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
@@ -55,6 +56,10 @@
                 .u64_counter("baobabreel.retries")
                 .with_description("Second tries by route")
                 .build(),
+            direct: meter
+                .u64_counter("baobabreel.direct")
+                .with_description("Calls answered over granted connections to backend servers")
+                .build(),
             control_bytes: meter
                 .u64_counter("baobabreel.control.bytes")
                 .with_unit("By")
@@ -89,6 +94,11 @@
         self.retries.add(1, &[KeyValue::new("route", route.to_owned())]);
     }
 
+    /// Counts a call that was answered over a granted connection.
+    pub fn direct(&self) {
+        self.direct.add(1, &[]);
+    }
+
     /// Counts bytes of a control message.
     pub fn control(&self, direction: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -71,7 +71,7 @@
 f.jsonc:19: `max_schema` is 3; allowed: an integer from 1 to 2
 f.jsonc:20: `trace_share` is 1.1; allowed: a number from 0 to 1
 f.jsonc:21: `log_filter` is \"daemon=loud\"; allowed: a filter like info,baobabreel_daemon=debug
-f.jsonc:22: `treads` is an unknown key; allowed: daemon, data_centre, log, listen, advertise_peers, seeds, token, limits, drain_limit_ms, drain_notice_ms, log_retention_ms, threads, policy, max_schema, trace_share, log_filter
+f.jsonc:22: `treads` is an unknown key; allowed: daemon, data_centre, log, listen, advertise_peers, seeds, token, limits, drain_limit_ms, drain_notice_ms, log_retention_ms, threads, policy, direct_lookups, max_schema, trace_share, log_filter
 f.jsonc:23: `threads` is given twice; allowed: each key once";
     assert_eq!(faults(text), expected);
 }
