Bound the harm of a granted connection that fails or goes silent

Cause: slots of a holder that ended were kept until the next question; a backend server that only its daemon can reach was taken for gone; a pool of one connection refused a request when the connection was given back but not ready; nobody can be asked about a call over a silent granted connection.

--- a/crates/core/src/grant/holder.rs
+++ b/crates/core/src/grant/holder.rs
@@ -141,14 +141,15 @@
         }
     }
 
-    /// Makes no further calls with the grant of `host`, for example after a failed one.
-    pub fn give_up(&mut self, host: &str, now: Duration) {
+    /// Makes no further calls with the grant of `host` after a failed one, and does not ask for another
+    /// before `until`.
+    pub fn give_up(&mut self, host: &str, until: Duration) {
         if let Some(held) = self.held.get_mut(host) {
             held.until = Duration::ZERO;
-            held.due = now;
+            held.due = Duration::ZERO;
             // An answer that is under way would put the grant in force again.
             held.answered = self.sequence;
-            self.paused.insert(host.to_owned(), now + REFUSED_PAUSE);
+            self.paused.insert(host.to_owned(), until);
         }
     }
 
--- a/crates/daemon/src/proxy/direct.rs
+++ b/crates/daemon/src/proxy/direct.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, GrantAnswer, GrantQuery};
+use baobabreel_core::error::ErrorKind;
 use baobabreel_core::grant::{Ask, Holder};
 use baobabreel_core::id::{DaemonId, Incarnation};
 use http::{Request, Response};
@@ -29,6 +30,13 @@
 /// Time for an answer to a question; a renewal may be lost once before a grant ends.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without a grant of a backend server after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time without a grant of a backend server that cannot be connected to; only its daemon may be able
+/// to reach it.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(60);
+
 #[derive(Debug)]
 struct Target {
     incarnation: Incarnation,
@@ -88,10 +96,11 @@
         }
     }
 
-    /// Renews and returns grants; never ends.
+    /// Renews and returns grants, and takes back the slots of those that have ended; never ends.
     pub async fn keep(cx: Cx) {
         loop {
             tokio::time::sleep(TICK).await;
+            cx.host.granted(cx.clock.now());
             let asks = {
                 let mut state = cx.direct.lock();
                 let state = &mut *state;
@@ -170,10 +179,16 @@
     ) -> Result<(Response<Incoming>, Http1Connection), CallError> {
         let sent = host::send(&self.cx, head, req, &self.pool, self.address, deadline).await;
         let answered = sent.and_then(|answered| host::check_answer(&answered.0).map(|()| answered));
-        if answered.is_err() {
-            self.cx.direct.lock().holder.give_up(&self.host, self.cx.clock.now());
-        } else {
-            self.cx.metrics.direct();
+        match &answered {
+            Ok(_) => self.cx.metrics.direct(),
+            Err(e) => {
+                let pause = match e.kind {
+                    ErrorKind::NoBackendServer => UNREACHABLE_PAUSE,
+                    _ => FAILED_PAUSE,
+                };
+                let until = self.cx.clock.now() + pause;
+                self.cx.direct.lock().holder.give_up(&self.host, until);
+            }
         }
         answered
     }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -79,6 +79,8 @@
                 guard.hold(connection);
                 (response, None)
             }
+            // The daemon beside the backend server may still reach it.
+            Err(e) if e.kind == ErrorKind::NoBackendServer => return Err(e),
             Err(e) => return Err(failed(guard, e)),
         }
     } else if guard.name() == cx.identity.id {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -30,6 +30,9 @@
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
+/// Time without an answer after which a granted connection may have gone silent.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Decision about one request; pins one version of the configuration.
 struct Call<'a> {
     cx: &'a Cx,
@@ -183,7 +186,7 @@
                 Err(e) => return Err(combine(earlier, e)),
             };
             tried.push(guard.name().to_owned());
-            let result = if number == 1 && self.route.spec.hedge {
+            let result = if number == 1 && (is_direct || self.route.spec.hedge) {
                 self.hedged(req, service, guard, &mut tried).await
             } else {
                 self.attempt(req.attempt(), &service, guard, number > 1).await
@@ -257,6 +260,9 @@
     }
 
     /// Sends a second copy to another backend server when the first is slower than usual.
+    ///
+    /// Nobody can be asked about a call over a granted connection, which may have gone silent, so a
+    /// second copy goes through the daemon of any backend server after a while.
     async fn hedged(
         &self,
         req: &mut CallerRequest,
@@ -264,7 +270,12 @@
         guard: EntryGuard,
         tried: &mut Vec<String>,
     ) -> Result<Response<ProxyBody>, CallError> {
-        let delay = hedge_after(&self.attempt_state(1, req), &self.state.latency());
+        let is_direct = guard.direct().is_some();
+        let hedge = Some(self.attempt_state(1, req)).filter(|_| self.route.spec.hedge);
+        let hedge = hedge.and_then(|state| hedge_after(&state, &self.state.latency()));
+        let silence = Some(SILENCE)
+            .filter(|silence| is_direct && !self.marked_as_retry && *silence < self.remaining());
+        let delay = hedge.into_iter().chain(silence).min();
         let first = self.attempt(req.attempt(), &service, guard, false);
         let Some(delay) = delay.filter(|_| req.can_repeat()) else {
             return first.await;
@@ -277,7 +288,7 @@
             }
             Err(_) => {}
         }
-        let Ok((service, guard)) = self.choose(tried) else {
+        let Ok((service, guard)) = self.choose(if is_direct { &[] } else { tried }) else {
             return first.await;
         };
         tried.push(guard.name().to_owned());
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -167,8 +167,9 @@
             backend.info.state == MemberState::Ready && backend.info.service == service
         });
         ready && {
-            let load = self.load();
-            load.queued == 0 && load.running < lock(&self.gate).admission.open_slots()
+            let gate = lock(&self.gate);
+            let load = gate.admission.load();
+            load.queued == 0 && load.running < gate.admission.open_slots()
         }
     }
 
--- a/crates/daemon/src/proxy/pool/http1.rs
+++ b/crates/daemon/src/proxy/pool/http1.rs
@@ -76,10 +76,13 @@
     }
 
     /// Takes the connection that was used last, so that the others can become idle.
+    ///
+    /// One that is not ready yet is taken only when no further one may be opened.
     fn take_idle(&self) -> Option<(SendRequest<ProxyBody>, OwnedSemaphorePermit)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|conn| !conn.sender.is_closed() && conn.since.elapsed() < IDLE_TIMEOUT);
-        let found = idle.iter().rposition(|conn| conn.sender.is_ready())?;
+        let last = idle.len().checked_sub(1).filter(|_| self.permits.available_permits() == 0);
+        let found = idle.iter().rposition(|conn| conn.sender.is_ready()).or(last)?;
         let conn = idle.swap_remove(found);
         Some((conn.sender, conn.permit))
     }
@@ -120,7 +123,9 @@
         self: &Arc<Self>,
         mut req: Request<ProxyBody>,
     ) -> Result<(Response<Incoming>, Http1Connection), SendError> {
-        if let Some((mut sender, permit)) = self.take_idle() {
+        if let Some((mut sender, permit)) = self.take_idle()
+            && sender.ready().await.is_ok()
+        {
             match sender.try_send_request(req).await {
                 Ok(res) => return Ok((res, self.connection(sender, permit))),
                 Err(mut e) => match e.take_message() {
