Test grants of several connections, returned grants and reserved slots

Cause: without them a holder could use a connection after it had reported the grant as returned, and no test failed.

Change: schedules with grants of 1, 2 and 4 connections; a test of the return of a grant with a call in flight, and one of reserved slots.

Conclusion: no fault was found in the code.

--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -255,3 +255,19 @@
     assert_eq!(decisions, [Decision::Start, Decision::Queued]);
     assert_eq!(a.set_policy(32, 1.0, ms(1)), vec![Action::Start(1)]);
 }
+
+/// Guards against requests on slots that are reserved for calls without admission, and against a
+/// queue that waits on although such slots were given back.
+#[test]
+fn starts_nothing_on_reserved_slots() {
+    let mut admission = Admission::builder().slots(4).build();
+    assert_eq!(admission.set_reserved(1, ms(0)), []);
+    let mut offer = |id| {
+        let ticket = Ticket { id, class: Class::Check, route: "r", deadline: ms(1_000) };
+        admission.offer(ticket, ms(0)).decision
+    };
+    let decisions: Vec<Decision> = (1..=4).map(&mut offer).collect();
+    let start = Decision::Start;
+    assert_eq!(decisions, [start, start, start, Decision::Queued]);
+    assert_eq!(admission.set_reserved(0, ms(1)), [Action::Start(4)]);
+}
--- a/crates/core/tests/grant.rs
+++ b/crates/core/tests/grant.rs
@@ -3,9 +3,12 @@
 
 use std::time::Duration;
 
-use baobabreel_core::grant::{Ask, Asked, Conditions, GRANT_TIME, Holder, Ledger};
+use baobabreel_core::grant::{Ask, Asked, Conditions, GRANT_TIME, Holder, Ledger, RENEW_INTERVAL};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
+/// Slots that allow grants of 1, 2 and 4 connections.
+const SLOTS: [u32; 3] = [10, 64, 128];
+
 const HOLDERS: [&str; 3] = ["h0", "h1", "h2"];
 
 /// Most time that a message takes to arrive, longer than a grant lasts.
@@ -123,7 +126,12 @@
         holders: (0..3).map(|_| Holder::default()).collect(),
         calls: vec![0; 3],
         messages: Vec::new(),
-        conditions: Conditions { able: true, slots: 10, running: 0, queued: 0 },
+        conditions: Conditions {
+            able: true,
+            slots: SLOTS[seed as usize % 3],
+            running: 0,
+            queued: 0,
+        },
         unable_since: None,
         granted: 0,
     };
@@ -167,3 +175,29 @@
     }
     QuickCheck::new().tests(2_000).quickcheck(check as fn(u16, u16) -> bool);
 }
+
+/// Guards against a further call on a grant whose return was announced while a call was in flight:
+/// the granting daemon keeps the slots of the calls that it was told of only.
+#[test]
+fn a_returned_grant_takes_no_further_call() {
+    let free = Conditions { able: true, slots: 128, running: 0, queued: 0 };
+    let (mut holder, mut ledger) = (Holder::default(), Ledger::default());
+    let mut now = Duration::from_secs(1);
+    let first = holder.want("catalogue", "host", 1, now).expect("a question");
+    let connections = ledger.ask(ask_of(&first), free, now);
+    assert_eq!(connections, 4);
+    holder.answered(&first, connections, now);
+    let taken = holder.take("catalogue", now, |_, _| true);
+    assert_eq!(taken, Some(("host".to_owned(), 1)));
+    for (want, kept) in [(true, 4), (false, 1)] {
+        now += RENEW_INTERVAL;
+        let asks = holder.tick(now);
+        assert_eq!((asks.len(), asks[0].want, asks[0].busy), (1, want, 1));
+        let connections = ledger.ask(ask_of(&asks[0]), free, now);
+        assert_eq!(ledger.granted_to("h0", now), kept);
+        if want {
+            holder.answered(&asks[0], connections, now);
+        }
+    }
+    assert_eq!(holder.take("catalogue", now, |_, _| true), None);
+}
