--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -177,9 +177,11 @@
         let mut tried: Vec<String> = Vec::new();
         let mut earlier: Option<CallError> = None;
         let mut number = 1;
+        let mut may_be_direct = self.may_be_direct();
         loop {
-            let granted = if number == 1 { self.choose_granted(req) } else { None };
+            let granted = if may_be_direct { self.choose_granted(req) } else { None };
             let is_direct = granted.is_some();
+            may_be_direct = false;
             let chosen = granted.map_or_else(|| self.choose(&tried), Ok);
             let (service, guard) = match chosen {
                 Ok(chosen) => chosen,
@@ -202,6 +204,10 @@
                 // The daemon beside the same backend server may have room or a connection.
                 tried.remove(0);
             }
+            if is_direct && e.kind == ErrorKind::NoBackendServer {
+                // Nothing was sent, and the way through a daemon is no further try.
+                continue;
+            }
             let attempt = self.attempt_state(number, req);
             let failure = if e.is_not_run() { Failure::NotRun } else { Failure::MayHaveRun };
             if decide(&attempt, failure) != RetryDecision::Retry
@@ -243,7 +249,7 @@
 
     /// Takes a granted connection, if there is one for the request.
     fn choose_granted(&self, req: &CallerRequest) -> Option<(ServiceName, EntryGuard)> {
-        if !self.may_be_direct() || !req.can_repeat() {
+        if !req.can_repeat() {
             return None;
         }
         let service = &self.route.spec.service;
