Keep seeds within their budget while many daemons join

Apart from that, seeds were the first members in every ring of probes, and all joining daemons asked them for deltas. Acks were sent in any case.

Change: rounds begin at a random number; daemons leave out the seeds in turn for their first 20 s and fetch deltas from a member beside the seed; a seed in debt does not answer a daemon that knows nobody, which cannot suspect it and tries another seed a second later. The seeds are then added to the rounds under way: in a trial without that the seeds of other data centres were not probed for minutes, found by `lost_data_centre_causes_no_storm`.

--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -48,8 +48,13 @@
 
     fn on_probe(&mut self, probe: Probe, step: &mut Step) {
         self.last_heard = step.now;
+        // Such a probe is to a seed, and when it gets no ack the sender tries another one.
+        let refused = probe.knows_nobody() && self.bytes.available(step.now) <= 0.0;
         self.learn_sender(probe.from.clone(), step);
         self.learn_all(probe.updates, step);
+        if refused {
+            return;
+        }
         let mut updates: Vec<Member> = self.objection(&probe.from).into_iter().collect();
         updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
         if updates.is_empty() && probe.digest != self.members.digest() {
@@ -163,7 +168,19 @@
         if !joining && self.mismatches < MISMATCHES_BEFORE_SYNC {
             return;
         }
-        self.request_sync(from.peer_addr, step);
+        let to = if joining { self.beside_seed(from, step) } else { from.peer_addr };
+        self.request_sync(to, step);
+    }
+
+    /// Address to fetch the table from in place of a seed, which all joining daemons ask.
+    fn beside_seed(&self, from: &Member, step: &mut Step) -> SocketAddr {
+        let seeds = &self.settings.seeds;
+        let mut others = self.others(&from.id);
+        others.retain(|member| !seeds.contains(&member.peer_addr));
+        if others.is_empty() || !seeds.contains(&from.peer_addr) {
+            return from.peer_addr;
+        }
+        others[step.draw.below(others.len())].peer_addr
     }
 
     pub(super) fn is_joining(&self, now: Duration) -> bool {
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::filter::Filter;
+use super::filter::{Filter, digest_part};
 use super::member::{Member, MemberState};
 use crate::id::{DaemonId, Incarnation, ServiceName};
 
@@ -21,6 +21,13 @@
     pub updates: Vec<Member>,
 }
 
+impl Probe {
+    /// Whether the sender has no other member in its table, so that it cannot suspect the receiver.
+    pub(super) fn knows_nobody(&self) -> bool {
+        self.digest == digest_part(&self.from)
+    }
+}
+
 /// Answers a [`Probe`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ack {
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -51,6 +51,16 @@
         })
     }
 
+    /// Adds members that the present round left out.
+    pub(super) fn add(&mut self, members: Vec<&Member>, draw: &mut Draw) {
+        if members.is_empty() {
+            return;
+        }
+        self.ids.extend(members.into_iter().map(|member| member.id.clone()));
+        let count = self.ids.len();
+        draw.shuffle(&mut self.ids, count);
+    }
+
     fn pop<'a>(&mut self, members: &'a Members) -> Option<&'a Member> {
         while let Some(id) = self.ids.pop() {
             let member = members.get(&id).filter(|member| !member.is_departed());
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -54,6 +54,9 @@
 const CONTACT_EVERY_JOINING: u64 = 5;
 /// Time after its start in which a daemon fetches the table at the higher rate.
 pub(super) const JOINING_FOR: Duration = Duration::from_secs(60);
+/// Time after its start in which a daemon leaves out the seeds when it probes in turn: after a mass restart
+/// they are the first that all others know.
+const SPARES_SEEDS_FOR: Duration = Duration::from_secs(20);
 /// Silence of all members after which a daemon takes itself to be cut off.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
 /// Silence after which it concludes that the others are dead all the same.
@@ -94,6 +97,8 @@
     pub(super) mismatches: u32,
     pub(super) last_heard: Duration,
     pub(super) started: Option<Duration>,
+    /// Whether probes in turn leave out the seeds.
+    spares_seeds: bool,
     near: Ring,
     far: Ring,
     next_number: u64,
@@ -132,6 +137,7 @@
             mismatches: 0,
             last_heard: Duration::ZERO,
             started: None,
+            spares_seeds: true,
             near: Ring::default(),
             far: Ring::default(),
             next_number: 0,
@@ -158,6 +164,10 @@
     /// this daemon.
     pub fn tick(&mut self, now: Duration, random: u64) -> Vec<Action> {
         let mut step = Step::new(now, random);
+        if self.started.is_none() {
+            // Daemons that start together would otherwise all probe the seeds in the same second.
+            self.rounds = step.draw.next() % CONTACT_EVERY;
+        }
         self.notice_pause(now);
         self.last_tick = now;
         self.expire_probes(&mut step);
@@ -333,6 +343,11 @@
 
     fn probe_next(&mut self, step: &mut Step) {
         self.rounds += 1;
+        let started = self.started.unwrap_or_default();
+        if self.spares_seeds && step.now.saturating_sub(started) >= SPARES_SEEDS_FOR {
+            self.spares_seeds = false;
+            self.add_seeds_to_rounds(step);
+        }
         let contact_every =
             if self.is_joining(step.now) { CONTACT_EVERY_JOINING } else { CONTACT_EVERY };
         let contact_due = self.rounds.is_multiple_of(contact_every);
@@ -351,10 +366,25 @@
         }
     }
 
+    /// A round of the ring of the other data centres that began without the seeds can last for hours.
+    fn add_seeds_to_rounds(&mut self, step: &mut Step) {
+        let own = &self.own().data_centre;
+        let seeds = self.members.iter().filter(|m| self.settings.seeds.contains(&m.peer_addr));
+        let others = seeds.filter(|member| member.id != self.id);
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            others.partition(|member| member.data_centre == *own);
+        self.near.add(near, &mut step.draw);
+        self.far.add(far, &mut step.draw);
+    }
+
     fn next_target(&mut self, elsewhere: bool, step: &mut Step) -> Option<(DaemonId, SocketAddr)> {
         let id = &self.id;
         let own = self.members.get(id)?;
-        let belongs = |m: &Member| m.id != *id && (m.data_centre != own.data_centre) == elsewhere;
+        let avoided: &[SocketAddr] = if self.spares_seeds { &self.settings.seeds } else { &[] };
+        let belongs = |m: &Member| {
+            let apart = m.data_centre != own.data_centre;
+            m.id != *id && apart == elsewhere && !avoided.contains(&m.peer_addr)
+        };
         let ring = if elsewhere { &mut self.far } else { &mut self.near };
         let next = ring.next(&self.members, belongs, &mut step.draw)?;
         Some((next.id.clone(), next.peer_addr))
