--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -4,9 +4,9 @@
 //! tell each other about themselves. [`Swim`] probes members in random order, spreads statements
 //! about them on probes and acks, and gives each suspect time to refute the suspicion. Three rules go
 //! beyond that:
-//! - Each daemon concludes a death only from its own suspicion timer; a rumour of a death makes it probe
-//!   the member. A pause of the daemon itself
-//!   re-arms its timers, and a daemon that hears from nobody suspects nobody for 30 s.
+//! - Each daemon concludes a death only from its own suspicion timer and its own failed probes; a rumour
+//!   of a death makes it probe the member. A pause of the daemon itself re-arms its timers, and a daemon
+//!   that hears from nobody suspects nobody for 30 s.
 //! - Updates are sent within [`BYTES_PER_SECOND`], and each kind of message that a daemon sends of its
 //!   own accord has a limit, so no failure can raise its traffic far above its budget.
 //! - Probes carry a digest of the table. When tables differ for longer than updates take to spread,
