--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -8,8 +8,12 @@
 use super::message::{
     Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
-use super::probing::{Phase, Suspicion};
-use super::swim::{JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim, filter_bytes};
+use super::probing::Phase;
+use super::queue::Rank;
+use super::suspicion::Suspicion;
+use super::swim::{
+    CHECKS_PER_SECOND, JOINING_FOR, MAX_DELTA, MAX_UPDATES, PUSH_FANOUT, Step, Swim, filter_bytes,
+};
 use crate::id::{DaemonId, Incarnation};
 
 /// Contacts in a row with a differing digest before a daemon asks for a delta; updates that are
@@ -44,8 +48,13 @@
 
     fn on_probe(&mut self, probe: Probe, step: &mut Step) {
         self.last_heard = step.now;
-        self.learn(probe.from.clone(), step);
+        // Such a probe is to a seed, and when it gets no ack the sender tries another one.
+        let refused = probe.knows_nobody() && self.bytes.available(step.now) <= 0.0;
+        self.learn_sender(probe.from.clone(), step);
         self.learn_all(probe.updates, step);
+        if refused {
+            return;
+        }
         let mut updates: Vec<Member> = self.objection(&probe.from).into_iter().collect();
         updates.extend(self.take_updates(MAX_UPDATES - updates.len(), step.now));
         if updates.is_empty() && probe.digest != self.members.digest() {
@@ -83,7 +92,7 @@
 
     fn on_ack(&mut self, ack: Ack, step: &mut Step) {
         self.last_heard = step.now;
-        self.learn(ack.from.clone(), step);
+        self.learn_sender(ack.from.clone(), step);
         self.learn_all(ack.updates, step);
         self.object(&ack.from, step);
         let waiting = self.outstanding.get(&ack.number);
@@ -116,7 +125,7 @@
         self.last_heard = step.now;
         let of = request.from.peer_addr;
         let number = request.number;
-        self.learn(request.from, step);
+        self.learn_sender(request.from, step);
         if self.relayed.take_one(step.now) {
             let phase = Phase::OnBehalf { of, number };
             self.send_probe(request.target_addr, Some(request.target), phase, step);
@@ -159,7 +168,19 @@
         if !joining && self.mismatches < MISMATCHES_BEFORE_SYNC {
             return;
         }
-        self.request_sync(from.peer_addr, step);
+        let to = if joining { self.beside_seed(from, step) } else { from.peer_addr };
+        self.request_sync(to, step);
+    }
+
+    /// Address to fetch the table from in place of a seed, which all joining daemons ask.
+    fn beside_seed(&self, from: &Member, step: &mut Step) -> SocketAddr {
+        let seeds = &self.settings.seeds;
+        let mut others = self.others(&from.id);
+        others.retain(|member| !seeds.contains(&member.peer_addr));
+        if others.is_empty() || !seeds.contains(&from.peer_addr) {
+            return from.peer_addr;
+        }
+        others[step.draw.below(others.len())].peer_addr
     }
 
     pub(super) fn is_joining(&self, now: Duration) -> bool {
@@ -188,7 +209,7 @@
     fn on_sync_request(&mut self, request: SyncRequest, step: &mut Step) {
         self.last_heard = step.now;
         let to = request.from.peer_addr;
-        self.learn(request.from, step);
+        self.learn_sender(request.from, step);
         if self.affords_filter(step) && self.deltas.take_one(step.now) {
             let filter = Some(self.filter(step));
             self.send_delta(to, &request.filter, filter, step);
@@ -229,7 +250,7 @@
     fn on_delta(&mut self, delta: Delta, step: &mut Step) {
         self.last_heard = step.now;
         let to = delta.from.peer_addr;
-        self.learn(delta.from, step);
+        self.learn_sender(delta.from, step);
         // What a joining daemon is told is known elsewhere; to spread it would only use up the budget.
         let ids: Vec<DaemonId> = delta.updates.iter().map(|m| m.id.clone()).collect();
         self.learn_all(delta.updates, step);
@@ -285,6 +306,12 @@
         }
     }
 
+    /// Takes the statement of a sender about itself; whatever it says, the sender runs.
+    fn learn_sender(&mut self, from: Member, step: &mut Step) {
+        self.heard_from(&from.id, step.now);
+        self.learn(from, step);
+    }
+
     /// Judges a statement by whomever. Death is only ever concluded from the own suspicion timer, and
     /// a rumour that a live member is dead only makes this daemon probe it. If such rumours counted as
     /// suspicions, those of a healed partition would name the whole other side at once, more than can
@@ -303,6 +330,8 @@
             self.accept(member, step);
         } else if known.is_live() {
             self.verify(member, step);
+        } else {
+            self.confirm(&member.id);
         }
     }
 
@@ -314,7 +343,7 @@
             return;
         };
         let to = known.peer_addr;
-        if under_way || !self.verifications.take_one(step.now) {
+        if under_way || !self.checks.take_all(CHECKS_PER_SECOND, step.now) {
             return;
         }
         let updates = vec![rumour];
@@ -353,7 +382,9 @@
 
     /// Takes a newer statement into the table and spreads it.
     pub(super) fn accept(&mut self, member: Member, step: &mut Step) {
-        let before = self.members.get(&member.id).map(|m| m.state);
+        let known = self.members.get(&member.id);
+        let before = known.map(|m| m.state);
+        let rank = rank(&member, known);
         if !self.members.merge(member.clone()) {
             return;
         }
@@ -372,7 +403,7 @@
         } else {
             self.departed.revive(id);
         }
-        self.queue.add(id, self.members.len());
+        self.queue.add(id, rank, self.members.len());
         if before != Some(member.state) {
             match member.state {
                 MemberState::Draining | MemberState::Left => self.push(&member, 0, step),
@@ -423,3 +454,16 @@
         }
     }
 }
+
+/// A refutation differs from what it refutes only in its sequence number, also for a daemon that has not
+/// heard of the suspicion.
+fn rank(member: &Member, known: Option<&Member>) -> Rank {
+    let repeats = |known: &Member| {
+        known.incarnation == member.incarnation && (known.state == member.state || !known.is_live())
+    };
+    match member.state {
+        MemberState::Dead => Rank::Death,
+        _ if member.is_live() && known.is_some_and(repeats) => Rank::Refutation,
+        _ => Rank::Change,
+    }
+}
