Use one type for probes and acks

Cause: `Probe` and `Ack` had the same fields, and the wire type had four conversions for the two.

Change: an ack is a `Probe`; the event and the action tell which it is. Nothing changes on the wire.

--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -7,9 +7,7 @@
 use baobabreel_core::admission::{Admission, Ticket};
 use baobabreel_core::balance::{Balancer, Endpoint};
 use baobabreel_core::config::{Class, CompiledConfig, ConfigState};
-use baobabreel_core::membership::{
-    Ack, Action, Event, Member, MemberState, Probe, Swim, SwimSettings,
-};
+use baobabreel_core::membership::{Action, Event, Member, MemberState, Probe, Swim, SwimSettings};
 use baobabreel_core::registry::{MemberEntry, Registry};
 use baobabreel_daemon::context::MeshView;
 use baobabreel_test_support::mesh::{ChangeBuilder, entry_text};
@@ -107,7 +105,7 @@
         for action in &actions {
             // All probes succeed, as in a healthy mesh.
             if let Action::SendProbe { probe, .. } = action {
-                let ack = Ack {
+                let ack = Probe {
                     number: probe.number,
                     from: member(1),
                     digest: probe.digest,
--- a/crates/client/src/wire/gossip.rs
+++ b/crates/client/src/wire/gossip.rs
@@ -4,7 +4,7 @@
 
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{
-    Ack, Delta, Filter, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+    Delta, Filter, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 use serde::{Deserialize, Serialize};
 
@@ -94,20 +94,6 @@
     }
 }
 
-impl From<Ack> for ProbeWire {
-    fn from(ack: Ack) -> Self {
-        let Ack { number, from, digest, updates } = ack;
-        Self { number, from: from.into(), digest, updates: to_wire(updates) }
-    }
-}
-
-impl From<ProbeWire> for Ack {
-    fn from(ack: ProbeWire) -> Self {
-        let ProbeWire { number, from, digest, updates } = ack;
-        Self { number, from: from.into(), digest, updates: from_wire(updates) }
-    }
-}
-
 /// A membership message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum GossipWire {
--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -6,7 +6,7 @@
 use super::filter::Filter;
 use super::member::{Member, MemberState};
 use super::message::{
-    Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+    Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 use super::probing::Phase;
 use super::queue::Rank;
@@ -60,7 +60,7 @@
         if updates.is_empty() && probe.digest != self.members.digest() {
             updates.extend(self.refer(&probe.from, step));
         }
-        let ack = Ack {
+        let ack = Probe {
             number: probe.number,
             from: self.own().clone(),
             digest: self.members().digest(),
@@ -90,7 +90,7 @@
         known.supersedes(from).then(|| known.clone())
     }
 
-    fn on_ack(&mut self, ack: Ack, step: &mut Step) {
+    fn on_ack(&mut self, ack: Probe, step: &mut Step) {
         self.last_heard = step.now;
         self.learn_sender(ack.from.clone(), step);
         self.learn_all(ack.updates, step);
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -8,7 +8,7 @@
 use super::member::{Member, MemberState};
 use crate::id::{DaemonId, Incarnation, ServiceName};
 
-/// Asks a daemon whether it runs.
+/// Asks a daemon whether it runs, or answers that (an ack).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Probe {
     /// Number of the probe at its sender; the ack repeats it.
@@ -28,19 +28,6 @@
     }
 }
 
-/// Answers a [`Probe`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ack {
-    /// Number of the probe.
-    pub number: u64,
-    /// The sender's statement about itself.
-    pub from: Member,
-    /// Digest of the sender's table.
-    pub digest: u64,
-    /// News about members.
-    pub updates: Vec<Member>,
-}
-
 /// Asks a daemon to probe another one that did not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeRequest {
@@ -100,7 +87,7 @@
     /// A probe was received.
     Probe(Probe),
     /// An ack was received.
-    Ack(Ack),
+    Ack(Probe),
     /// A probe was refused or timed out in the carrier; `tick` also times probes out by itself.
     ProbeFailed {
         /// Number of the probe.
@@ -144,7 +131,7 @@
         /// Address of the listener for peers.
         to: SocketAddr,
         /// Message.
-        ack: Ack,
+        ack: Probe,
     },
     /// Ask a third daemon for an indirect probe.
     SendProbeRequest {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,7 +26,7 @@
 pub use filter::Filter;
 pub use member::{Member, MemberState, Members};
 pub use message::{
-    Ack, Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
+    Action, Delta, Event, LocalState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
 pub use settings::SwimSettings;
 pub use swim::{
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -111,7 +111,7 @@
     refuted.sequence = 1;
     let (number, digest, updates) = (probe.number, 0, Vec::new());
     let from = refuted;
-    let ack = Event::Ack(Ack { number, from, digest, updates });
+    let ack = Event::Ack(Probe { number, from, digest, updates });
     swim.handle(ack, MS(2_800), 0);
     swim.tick(MS(3_200), 0);
     assert_eq!(state(&swim, 150), Some(MemberState::Ready));
@@ -368,7 +368,7 @@
                 counts[i] += 1;
                 let from = member(i, usize::from(i > 9));
                 let (number, digest, updates) = (probe.number, probe.digest, Vec::new());
-                let ack = Event::Ack(Ack { number, from, digest, updates });
+                let ack = Event::Ack(Probe { number, from, digest, updates });
                 swim.handle(ack, MS(second * 1_000 + 5), 0);
             }
         }
