Call backend servers over HTTP/2 when they announce it

Change: an announcement may have `"protocol": "http2"`. The pool of connections speaks either protocol, with one request at a time on a connection, so that limits, proofs of "not sent" and the harm of a broken connection stay the same. The health endpoint is asked through the pool, in the announced protocol; a pool without a free connection counts as well. The stand-in serves both and tells which one a request came by.

The test of the stand-in's announcements compares whole messages, which now have the protocol: it expects that too.

--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -11,7 +11,7 @@
 use super::Control;
 use super::membership::LocalChanged;
 use crate::context::Cx;
-use crate::proxy::BackendInfo;
+use crate::proxy::{BackendInfo, Protocol};
 
 /// Time after the last announcement from which the health endpoint is asked: three announcements.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -31,11 +31,22 @@
     Draining,
 }
 
+/// Protocol that a backend server announces.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum AnnouncedProtocol {
+    #[default]
+    Http1,
+    Http2,
+}
+
 /// Announcement of a backend server.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Announcement {
     service: ServiceName,
     address: SocketAddr,
+    #[serde(default)]
+    protocol: AnnouncedProtocol,
     slots: u32,
     state: AnnouncedState,
 }
@@ -47,9 +58,14 @@
             AnnouncedState::Ready => MemberState::Ready,
             AnnouncedState::Draining => MemberState::Draining,
         };
+        let protocol = match announcement.protocol {
+            AnnouncedProtocol::Http1 => Protocol::Http1,
+            AnnouncedProtocol::Http2 => Protocol::Http2,
+        };
         Self {
             service: announcement.service,
             address: announcement.address,
+            protocol,
             slots: announcement.slots,
             state,
         }
@@ -100,13 +116,7 @@
             let Some(info) = cx.host.info().filter(|_| silent) else {
                 continue;
             };
-            let uri = format!("http://{}/health", info.address);
-            let healthy = cx
-                .http
-                .get(&uri, HEALTH_TIMEOUT)
-                .await
-                .is_ok_and(|reply| reply.status.is_success());
-            if !healthy {
+            if !cx.host.is_healthy(HEALTH_TIMEOUT).await {
                 tracing::warn!(address = %info.address, "the backend server is gone");
                 cx.host.set_backend(None, cx.clock.now());
                 self.tell(control).await;
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -13,7 +13,7 @@
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
-use super::pool::Http1Connection;
+use super::pool::PooledConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 use crate::settings::Policy;
 
@@ -213,12 +213,12 @@
     started: Duration,
     end: End,
     outstanding: Arc<AtomicUsize>,
-    connection: Option<Http1Connection>,
+    connection: Option<PooledConnection>,
 }
 
 impl EntryGuard {
     /// Keeps the connection of the call until the answer is whole.
-    pub fn hold(&mut self, connection: Http1Connection) {
+    pub fn hold(&mut self, connection: PooledConnection) {
         self.connection = Some(connection);
     }
 
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -12,7 +12,7 @@
 
 use super::balance::EntryGuard;
 use super::host::HostGuard;
-use super::pool::Http1Connection;
+use super::pool::PooledConnection;
 
 /// A body could not be passed on.
 #[derive(Debug)]
@@ -55,7 +55,7 @@
     /// Outstanding call at the entry daemon.
     Entry(EntryGuard),
     /// Connection to the daemon that answers.
-    Connection(Option<Http1Connection>),
+    Connection(Option<PooledConnection>),
     /// Both, when the entry daemon is the host daemon.
     Both(HostGuard, EntryGuard),
 }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -15,7 +15,7 @@
 use super::body::{Guard, ProxyBody};
 use super::headers;
 use super::host::{self, CALL_PREFIX};
-use super::pool::{Http1Connection, SendError};
+use super::pool::{PooledConnection, SendError};
 use super::watch::{self, Callee, Watched};
 use crate::context::{Cx, is_able};
 
@@ -30,7 +30,7 @@
     /// Load at the daemon.
     pub load: LoadWire,
     /// Connection that the body comes over.
-    pub connection: Http1Connection,
+    pub connection: PooledConnection,
 }
 
 /// Chooses a backend server of `service` and counts a call to it.
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -23,7 +23,7 @@
 use super::body::{Guard, ProxyBody, Tracked};
 use super::headers;
 use super::keyed::{self, WholeRequest};
-use super::pool::{Http1Connection, Http1Pool, SendError};
+use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
 use super::replay::MAX_REPLAY_BYTES;
 use crate::context::{Cx, Phase};
 use crate::settings::Policy;
@@ -32,6 +32,9 @@
 /// Path of calls; the path of the request follows it.
 pub const CALL_PREFIX: &str = "/peer/v1/call";
 
+/// Path of the health endpoint of a backend server.
+const HEALTH_PATH: &str = "/health";
+
 /// Whether a path of the peers' listener is that of a call.
 #[must_use]
 pub fn is_call(path: &str) -> bool {
@@ -48,6 +51,8 @@
     pub service: ServiceName,
     /// Its address.
     pub address: SocketAddr,
+    /// Protocol that it speaks.
+    pub protocol: Protocol,
     /// Its slots.
     pub slots: u32,
     /// Its state.
@@ -57,7 +62,7 @@
 #[derive(Debug)]
 struct Backend {
     info: BackendInfo,
-    pool: Arc<Http1Pool>,
+    pool: Arc<ConnectionPool>,
 }
 
 #[derive(Debug)]
@@ -118,9 +123,13 @@
             return;
         };
         let known = self.backend.load_full();
-        let pool = match known.filter(|known| known.info.address == info.address) {
+        let is_same = |known: &Arc<Backend>| {
+            known.info.address == info.address && known.info.protocol == info.protocol
+        };
+        let limit = self.connection_limit;
+        let pool = match known.filter(is_same) {
             Some(known) => Arc::clone(&known.pool),
-            None => Arc::new(Http1Pool::new(info.address, self.connection_limit)),
+            None => Arc::new(ConnectionPool::new(info.address, info.protocol, limit)),
         };
         let mut gate = lock(&self.gate);
         let slots = match self.policy {
@@ -150,6 +159,24 @@
         self.backend.load().as_ref().map(|backend| backend.info.clone())
     }
 
+    /// Whether the backend server answers its health endpoint within `timeout`, or is so busy that no
+    /// connection is left to ask it.
+    pub async fn is_healthy(&self, timeout: Duration) -> bool {
+        let Some(backend) = self.backend.load_full() else {
+            return false;
+        };
+        let mut req = Request::new(ProxyBody::Empty);
+        *req.uri_mut() = Uri::from_static(HEALTH_PATH);
+        if let Ok(host) = HeaderValue::from_str(&backend.info.address.to_string()) {
+            req.headers_mut().insert(HOST, host);
+        }
+        match tokio::time::timeout(timeout, backend.pool.send(req)).await {
+            Ok(Ok((res, _))) => res.status().is_success(),
+            Ok(Err(SendError::Full)) => true,
+            Ok(Err(_)) | Err(_) => false,
+        }
+    }
+
     /// Load as admission sees it.
     pub fn load(&self) -> LoadWire {
         let gate = lock(&self.gate);
@@ -259,7 +286,7 @@
 pub struct HostGuard {
     cx: Cx,
     id: Option<TicketId>,
-    connection: Option<Http1Connection>,
+    connection: Option<PooledConnection>,
 }
 
 impl std::fmt::Debug for HostGuard {
@@ -375,7 +402,8 @@
         return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
     }
     let body = res.body();
-    let delimited = body.is_end_stream()
+    let delimited = res.version() == Version::HTTP_2
+        || body.is_end_stream()
         || body.size_hint().exact().is_some()
         || res.headers().contains_key(http::header::TRANSFER_ENCODING);
     if delimited {
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -25,4 +25,4 @@
 pub use entry::serve_caller;
 pub use headers::{has_token, section_bytes};
 pub use host::{BackendInfo, Host, is_call, serve_peer_call};
-pub use pool::{PeerError, PeerPool};
+pub use pool::{PeerError, PeerPool, Protocol};
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -2,9 +2,10 @@
 //!
 //! Control messages share one HTTP/2 connection per pair of daemons. It is pinged while a message
 //! waits for its answer, and replaced when one does not come. Pings of idle connections, from both
-//! ends and once a second, took 115 to 135 KB a second at 960 daemons against a budget of 9 KB. Calls go over pooled HTTP/1.1 connections: with HTTP/2 each
-//! call passed through two more tasks on either side and took more system calls. A call whose
-//! connection went silent is found by asking the other daemon about it.
+//! ends and once a second, took 115 to 135 KB a second at 960 daemons against a budget of 9 KB. Calls
+//! go over pooled HTTP/1.1 connections: with HTTP/2 each call passed through two more tasks on either
+//! side and took more system calls. A call whose connection went silent is found by asking the other
+//! daemon about it.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -16,30 +17,18 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http2::{self, SendRequest};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper::client::conn::http2::SendRequest;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::describe;
-use super::http1::{Http1Connection, Http1Pool, SendError};
+use super::pooled::{ConnectionPool, PooledConnection, Protocol, SendError};
+use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::TOKEN;
 
 /// Time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time between pings.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Time in which a ping must be answered.
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Receive window of one stream; bounds what is buffered for a slow reader.
-const STREAM_WINDOW: u32 = 256 * 1024;
-
-/// Receive window of one connection.
-const CONNECTION_WINDOW: u32 = 1024 * 1024;
-
 /// Connections for calls to one peer.
 const MAX_CALL_CONNECTIONS: usize = 128;
 
@@ -91,7 +80,7 @@
 #[derive(Debug)]
 pub struct PeerPool {
     slots: RwLock<HashMap<SocketAddr, Arc<PeerSlot>>>,
-    calls: RwLock<HashMap<SocketAddr, Arc<Http1Pool>>>,
+    calls: RwLock<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     token: Option<HeaderValue>,
 }
 
@@ -113,16 +102,16 @@
         Arc::clone(slots.entry(addr).or_default())
     }
 
-    fn calls_to(&self, addr: SocketAddr) -> Arc<Http1Pool> {
+    fn calls_to(&self, addr: SocketAddr) -> Arc<ConnectionPool> {
         let pools = self.calls.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(pool) = pools.get(&addr) {
             return Arc::clone(pool);
         }
         drop(pools);
         let mut pools = self.calls.write().unwrap_or_else(PoisonError::into_inner);
-        let pool = pools
-            .entry(addr)
-            .or_insert_with(|| Arc::new(Http1Pool::new(addr, MAX_CALL_CONNECTIONS)));
+        let pool = pools.entry(addr).or_insert_with(|| {
+            Arc::new(ConnectionPool::new(addr, Protocol::Http1, MAX_CALL_CONNECTIONS))
+        });
         Arc::clone(pool)
     }
 
@@ -135,7 +124,7 @@
         &self,
         addr: SocketAddr,
         mut req: Request<ProxyBody>,
-    ) -> Result<(Response<Incoming>, Http1Connection), SendError> {
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         if let Some(value) = &self.token {
             req.headers_mut().insert(TOKEN, value.clone());
         }
@@ -253,16 +242,7 @@
     let connecting = async {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
-            .keep_alive_while_idle(false)
-            .initial_stream_window_size(STREAM_WINDOW)
-            .initial_connection_window_size(CONNECTION_WINDOW)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| e.to_string())
+        http2_builder().handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok((sender, conn))) => {
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -1,17 +1,22 @@
-//! Pool of HTTP/1.1 connections to a backend server or to another daemon.
+//! Pool of connections to a backend server or to another daemon.
+//!
+//! A connection carries one request at a time, with HTTP/2 too: the limit of connections is then the
+//! same for both protocols, and a connection that breaks takes no other request with it.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use http::{Request, Response};
+use http::header::HOST;
+use http::uri::{Authority, Scheme};
+use http::{Request, Response, Uri, Version};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::{TrySendError, http1, http2};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use super::describe;
+use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
 
 /// Time for a connection to be established.
@@ -31,30 +36,72 @@
     Lost(String),
 }
 
+/// Protocol of the connections of a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1.
+    Http1,
+    /// HTTP/2 without TLS and without an upgrade.
+    Http2,
+}
+
+#[derive(Debug)]
+enum Sender {
+    Http1(http1::SendRequest<ProxyBody>),
+    Http2(http2::SendRequest<ProxyBody>),
+}
+
+impl Sender {
+    fn is_closed(&self) -> bool {
+        match self {
+            Self::Http1(sender) => sender.is_closed(),
+            Self::Http2(sender) => sender.is_closed(),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        match self {
+            Self::Http1(sender) => sender.is_ready(),
+            Self::Http2(sender) => sender.is_ready(),
+        }
+    }
+
+    async fn try_send_request(
+        &mut self,
+        req: Request<ProxyBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<ProxyBody>>> {
+        match self {
+            Self::Http1(sender) => sender.try_send_request(req).await,
+            Self::Http2(sender) => sender.try_send_request(req).await,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<ProxyBody>,
+    sender: Sender,
     permit: OwnedSemaphorePermit,
     since: Instant,
 }
 
 /// Pool of connections to one server.
 #[derive(Debug)]
-pub struct Http1Pool {
+pub struct ConnectionPool {
     addr: SocketAddr,
+    protocol: Protocol,
     idle: Mutex<Vec<Idle>>,
     permits: Arc<Semaphore>,
 }
 
 /// Connection that is in use; goes back to its pool when the answer is whole.
 #[derive(Debug)]
-pub struct Http1Connection {
-    pool: Arc<Http1Pool>,
-    sender: SendRequest<ProxyBody>,
+pub struct PooledConnection {
+    pool: Arc<ConnectionPool>,
+    sender: Sender,
     permit: OwnedSemaphorePermit,
 }
 
-impl Http1Connection {
+impl PooledConnection {
     /// Gives the connection back.
     pub fn release(self) {
         if self.sender.is_closed() {
@@ -65,15 +112,16 @@
     }
 }
 
-impl Http1Pool {
+impl ConnectionPool {
     /// Makes a pool of at most `limit` connections.
     #[must_use]
-    pub fn new(addr: SocketAddr, limit: usize) -> Self {
-        Self { addr, idle: Mutex::new(Vec::new()), permits: Arc::new(Semaphore::new(limit)) }
+    pub fn new(addr: SocketAddr, protocol: Protocol, limit: usize) -> Self {
+        let permits = Arc::new(Semaphore::new(limit));
+        Self { addr, protocol, idle: Mutex::new(Vec::new()), permits }
     }
 
     /// Takes the connection that was used last, so that the others can become idle.
-    fn take_idle(&self) -> Option<(SendRequest<ProxyBody>, OwnedSemaphorePermit)> {
+    fn take_idle(&self) -> Option<(Sender, OwnedSemaphorePermit)> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|conn| !conn.sender.is_closed() && conn.since.elapsed() < IDLE_TIMEOUT);
         let found = idle.iter().rposition(|conn| conn.sender.is_ready())?;
@@ -81,7 +129,7 @@
         Some((conn.sender, conn.permit))
     }
 
-    async fn connect(&self) -> Result<(SendRequest<ProxyBody>, OwnedSemaphorePermit), SendError> {
+    async fn connect(&self) -> Result<(Sender, OwnedSemaphorePermit), SendError> {
         let not_sent = |what: &str| SendError::NotSent(what.to_owned());
         let permit = Arc::clone(&self.permits).try_acquire_owned().ok().ok_or(SendError::Full)?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
@@ -93,17 +141,39 @@
         if let Err(e) = stream.set_nodelay(true) {
             tracing::debug!(error = %e, "failed to set TCP_NODELAY");
         }
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| not_sent(&format!("failed to start HTTP/1.1: {e}")))?;
-        tokio::spawn(async move {
-            if let Err(e) = conn.await {
-                tracing::debug!(error = %e, "connection to a server ended");
+        let failed = |e| not_sent(&format!("failed to start a connection: {e}"));
+        let sender = match self.protocol {
+            Protocol::Http1 => {
+                let (sender, conn) =
+                    http1::handshake(TokioIo::new(stream)).await.map_err(failed)?;
+                tokio::spawn(drive(conn));
+                Sender::Http1(sender)
             }
-        });
+            Protocol::Http2 => {
+                let handshake = http2_builder().handshake(TokioIo::new(stream));
+                let (sender, conn) = handshake.await.map_err(failed)?;
+                tokio::spawn(drive(conn));
+                Sender::Http2(sender)
+            }
+        };
         Ok((sender, permit))
     }
 
+    /// HTTP/2 has the host in the URI and no header for it.
+    fn prepare(&self, req: &mut Request<ProxyBody>) {
+        if self.protocol == Protocol::Http1 {
+            return;
+        }
+        let host = req.headers_mut().remove(HOST);
+        let named = host.and_then(|host| Authority::try_from(host.as_bytes()).ok());
+        let mut parts = std::mem::take(req.uri_mut()).into_parts();
+        parts.scheme = Some(Scheme::HTTP);
+        parts.authority = named.or_else(|| self.addr.to_string().parse().ok());
+        // All three parts are there, so that they always make a URI.
+        *req.uri_mut() = Uri::from_parts(parts).unwrap_or_default();
+        *req.version_mut() = Version::HTTP_2;
+    }
+
     /// Sends a request on an idle or a new connection.
     ///
     /// An idle connection that closed before the first byte was sent is replaced once.
@@ -114,7 +184,8 @@
     pub async fn send(
         self: &Arc<Self>,
         mut req: Request<ProxyBody>,
-    ) -> Result<(Response<Incoming>, Http1Connection), SendError> {
+    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        self.prepare(&mut req);
         if let Some((mut sender, permit)) = self.take_idle() {
             match sender.try_send_request(req).await {
                 Ok(res) => return Ok((res, self.connection(sender, permit))),
@@ -136,9 +207,16 @@
 
     fn connection(
         self: &Arc<Self>,
-        sender: SendRequest<ProxyBody>,
+        sender: Sender,
         permit: OwnedSemaphorePermit,
-    ) -> Http1Connection {
-        Http1Connection { pool: Arc::clone(self), sender, permit }
+    ) -> PooledConnection {
+        PooledConnection { pool: Arc::clone(self), sender, permit }
+    }
+}
+
+/// Runs a connection to its end.
+async fn drive(conn: impl Future<Output = hyper::Result<()>>) {
+    if let Err(e) = conn.await {
+        tracing::debug!(error = %e, "connection to a server ended");
     }
 }
--- a/crates/test-support/src/backend/announce.rs
+++ b/crates/test-support/src/backend/announce.rs
@@ -23,6 +23,7 @@
 struct Announcement<'a> {
     service: &'a str,
     address: String,
+    protocol: &'static str,
     slots: u32,
     state: Phase,
     running: u64,
@@ -92,6 +93,7 @@
     let announcement = Announcement {
         service: &backend.settings.service,
         address: backend.addr.to_string(),
+        protocol: if backend.settings.http2 { "http2" } else { "http1" },
         slots,
         state: backend.phase(),
         running,
--- a/crates/test-support/src/backend/settings.rs
+++ b/crates/test-support/src/backend/settings.rs
@@ -60,6 +60,7 @@
     pub(super) cold_start: Duration,
     pub(super) work_time: WorkTime,
     pub(super) announce_url: Option<String>,
+    pub(super) http2: bool,
     pub(super) announce_interval: Duration,
     pub(super) seed: u64,
     pub(super) journal_file: Option<PathBuf>,
@@ -78,6 +79,7 @@
             cold_start: Duration::ZERO,
             work_time: WorkTime::Fixed(Duration::from_millis(1)),
             announce_url: None,
+            http2: false,
             announce_interval: Duration::from_secs(1),
             seed: 1,
             journal_file: None,
@@ -121,6 +123,12 @@
         self
     }
 
+    /// Sets whether HTTP/2 is announced in place of HTTP/1.1; both are served.
+    pub fn http2(mut self, http2: bool) -> Self {
+        self.http2 = http2;
+        self
+    }
+
     /// Sets the time between two announcements (default 1 s).
     pub fn announce_interval(mut self, interval: Duration) -> Self {
         self.announce_interval = interval;
--- a/crates/test-support/src/backend/work.rs
+++ b/crates/test-support/src/backend/work.rs
@@ -279,6 +279,7 @@
             ("x-body-fnv", checksum(&content)),
             ("x-request-bytes", body.len().to_string()),
             ("x-request-fnv", checksum(body)),
+            ("x-request-version", format!("{:?}", parts.version)),
             ("x-served-by", self.settings.name.clone()),
         ];
         if !request_id.is_empty() {
--- a/crates/test-support/src/serve.rs
+++ b/crates/test-support/src/serve.rs
@@ -14,7 +14,8 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, JoinSet};
@@ -121,10 +122,9 @@
         let handler = handler.clone();
         async move { handler.handle(req).await }
     });
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new());
+    let served = builder.serve_connection(TokioIo::new(stream), service).await;
     // Broken connections are part of what the stand-ins are for.
     drop(served);
 }
--- a/crates/test-support/tests/backend.rs
+++ b/crates/test-support/tests/backend.rs
@@ -95,8 +95,8 @@
     until(|| sink.received().len() == 3).await;
     assert_eq!(call.await.unwrap(), 200);
     let announced = |state: &str, running: u64, load: f64| {
-        json!({"service": "bidding", "address": server.addr().to_string(), "slots": 10,
-            "state": state, "running": running, "load": load})
+        json!({"service": "bidding", "address": server.addr().to_string(), "protocol": "http1",
+            "slots": 10, "state": state, "running": running, "load": load})
     };
     let expected =
         [announced("cold", 0, 0.0), announced("ready", 0, 0.0), announced("draining", 1, 0.1)];
