Look at a leaving daemon's backend server while the daemon still drains

Cause: the test counted the work 3 s after the start of the drain, but only after the shutdown had returned, which takes 6 s when keys were owned. New work in between went unseen.

Change: the shutdown runs beside the test, which counts at 3 s.

Before: not seen to fail. After: without the refusal of new work (`Phase::Draining`) it fails with 2 lost requests; with it, it passes.

--- a/crates/testsuite/tests/drain.rs
+++ b/crates/testsuite/tests/drain.rs
@@ -65,9 +65,11 @@
     let (report, _) = leave_under_load(&mut mesh, 22, async |mesh| {
         let daemon = mesh.nodes[LEAVER].daemon.take().expect("it runs");
         let start = Instant::now();
-        assert!(daemon.shutdown().await, "no request is cut");
+        let leaving = tokio::spawn(daemon.shutdown());
+        // It stays longer than this for the keys that it owned.
         tokio::time::sleep_until((start + DRAINED).into()).await;
         ran = mesh.nodes[LEAVER].backend.journal().len();
+        assert!(leaving.await.expect("no panic"), "no request is cut");
     })
     .await;
     assert_eq!(mesh.nodes[LEAVER].backend.journal().len(), ran);
