Let one piece of code name servers, map send errors and read options

Cause: the read-through found the same code twice: the header for the host in two places beside the pool, the errors of a request that was not answered in two matches, the options of the two stand-in programs, and the member of the membership tests in the example that measures them. `enter_generation` took a batch only for its generation.

Change: the pool names the server when the caller named none; `CallError::from_send`; `test-support` has a module `options`; the example uses the support module of the tests.

Behaviour is the same; no test changed.

--- a/crates/core/examples/membership_scale.rs
+++ b/crates/core/examples/membership_scale.rs
@@ -17,28 +17,9 @@
 #[path = "../tests/support/net.rs"]
 mod net;
 
-mod support {
-    use std::net::SocketAddr;
-
-    use baobabreel_core::membership::{Member, MemberState};
-
-    pub(crate) fn addr(i: usize) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], 10_000 + i as u16))
-    }
-
-    pub(crate) fn member(i: usize, data_centre: usize) -> Member {
-        Member {
-            id: format!("tas-south-daemon-{i:04}"),
-            incarnation: 1_000,
-            sequence: 0,
-            data_centre: format!("kingston-{data_centre}"),
-            service: Some("catalogue".to_owned()),
-            peer_addr: addr(i),
-            state: MemberState::Ready,
-            slots: 10,
-        }
-    }
-}
+#[expect(dead_code, reason = "property checks are used by tests")]
+#[path = "../tests/support/mod.rs"]
+mod support;
 
 /// Seconds until all tables are equal and complete, at most `limit`.
 fn run_until_agreed(net: &mut Net, limit: u64) -> Option<u64> {
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -93,7 +93,7 @@
                 self.cx.follower.need_snapshot();
                 return None;
             }
-            self.enter_generation(stream, batch);
+            self.enter_generation(stream, batch.generation);
         }
         match self.stream(stream).window.receive(batch) {
             Received::Applied { first, entries } => {
--- a/crates/daemon/src/control/folds.rs
+++ b/crates/daemon/src/control/folds.rs
@@ -9,7 +9,6 @@
 use baobabreel_client::wire::Stream;
 use baobabreel_core::config::{Adoption, CompiledConfig, ConfigState, FoldError, Snapshot};
 use baobabreel_core::id::Offset;
-use baobabreel_core::relay::Batch;
 
 use super::distribution::Distribution;
 use super::registrations;
@@ -19,8 +18,7 @@
 
 impl Distribution {
     /// Starts to follow the first generation of the log that this daemon sees.
-    pub(super) fn enter_generation(&mut self, stream: Stream, batch: &Batch) {
-        let generation = batch.generation;
+    pub(super) fn enter_generation(&mut self, stream: Stream, generation: u64) {
         match stream {
             Stream::Config => {
                 self.state =
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -9,6 +9,7 @@
 
 use super::body::ProxyBody;
 use super::headers::OUTCOME;
+use super::pool::SendError;
 
 /// A request that ends with an answer of the daemon itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +44,18 @@
         }
     }
 
+    /// Makes the error of a request that got no answer from `server`.
+    pub fn from_send(e: SendError, server: &str) -> Self {
+        match e {
+            SendError::NotSent(detail) => Self::new(ErrorKind::NoBackendServer, detail),
+            SendError::Full => {
+                let detail = format!("all connections to {server} are in use");
+                Self::new(ErrorKind::Overloaded, detail)
+            }
+            SendError::Lost(detail) => Self::new(ErrorKind::UpstreamLost, detail),
+        }
+    }
+
     /// Makes an error that says nothing about other attempts of the same request.
     pub fn passing(kind: ErrorKind, detail: impl Into<String>) -> Self {
         let mut e = Self::new(kind, detail);
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -15,7 +15,7 @@
 use super::body::{Guard, ProxyBody};
 use super::headers;
 use super::host::{self, CALL_PREFIX};
-use super::pool::{PooledConnection, SendError};
+use super::pool::PooledConnection;
 use super::watch::{self, Callee, Watched};
 use crate::context::{Cx, is_able};
 
@@ -128,8 +128,8 @@
 ///
 /// # Errors
 ///
-/// [`ErrorKind::NoBackendServer`] or [`ErrorKind::Overloaded`] when nothing was sent, the error that the daemon answered, or
-/// one that leaves open whether the request ran.
+/// [`ErrorKind::NoBackendServer`] or [`ErrorKind::Overloaded`] when nothing was sent, the error that
+/// the daemon answered, or one that leaves open whether the request ran.
 pub async fn send_call(
     cx: &Cx,
     to: Callee,
@@ -153,16 +153,7 @@
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) = match watch::until(cx, to, head.id, deadline, exchange).await {
         Watched::Ended(Ok(answered)) => answered,
-        Watched::Ended(Err(SendError::NotSent(detail))) => {
-            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-        }
-        Watched::Ended(Err(SendError::Full)) => {
-            let detail = "all connections to the daemon are in use";
-            return Err(CallError::new(ErrorKind::Overloaded, detail));
-        }
-        Watched::Ended(Err(SendError::Lost(detail))) => {
-            return Err(CallError::new(ErrorKind::UpstreamLost, detail));
-        }
+        Watched::Ended(Err(e)) => return Err(CallError::from_send(e, "the daemon")),
         Watched::NotRun => {
             let detail = "the connection to the daemon went silent before the call arrived";
             return Err(CallError::new(ErrorKind::NoBackendServer, detail));
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -167,9 +167,6 @@
         };
         let mut req = Request::new(ProxyBody::Empty);
         *req.uri_mut() = Uri::from_static(HEALTH_PATH);
-        if let Ok(host) = HeaderValue::from_str(&backend.info.address.to_string()) {
-            req.headers_mut().insert(HOST, host);
-        }
         match tokio::time::timeout(timeout, backend.pool.send(req)).await {
             Ok(Ok((res, _))) => res.status().is_success(),
             Ok(Err(SendError::Full)) => true,
@@ -348,24 +345,10 @@
         req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
     }
     *req.version_mut() = Version::HTTP_11;
-    if !req.headers().contains_key(HOST)
-        && let Ok(host) = HeaderValue::from_str(&backend.info.address.to_string())
-    {
-        req.headers_mut().insert(HOST, host);
-    }
     let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
-        Ok(Err(SendError::NotSent(detail))) => {
-            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-        }
-        Ok(Err(SendError::Full)) => {
-            let detail = "all connections to the backend server are in use";
-            return Err(CallError::new(ErrorKind::Overloaded, detail));
-        }
-        Ok(Err(SendError::Lost(detail))) => {
-            return Err(CallError::new(ErrorKind::UpstreamLost, detail));
-        }
+        Ok(Err(e)) => return Err(CallError::from_send(e, "the backend server")),
         Err(_) => {
             return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -9,7 +9,7 @@
 
 use http::header::HOST;
 use http::uri::{Authority, Scheme};
-use http::{Request, Response, Uri, Version};
+use http::{HeaderValue, Request, Response, Uri, Version};
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1, http2};
 use hyper_util::rt::TokioIo;
@@ -159,9 +159,14 @@
         Ok((sender, permit))
     }
 
-    /// HTTP/2 has the host in the URI and no header for it.
+    /// Names the server where the caller named none. HTTP/2 has the host in the URI and no header for it.
     fn prepare(&self, req: &mut Request<ProxyBody>) {
         if self.protocol == Protocol::Http1 {
+            if !req.headers().contains_key(HOST)
+                && let Ok(host) = HeaderValue::from_str(&self.addr.to_string())
+            {
+                req.headers_mut().insert(HOST, host);
+            }
             return;
         }
         let host = req.headers_mut().remove(HOST);
--- a/crates/test-support/examples/backend.rs
+++ b/crates/test-support/examples/backend.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use baobabreel_test_support::backend::{BackendServer, BackendSettings, WorkTime};
+use baobabreel_test_support::options::{self, value};
 use eyre::{OptionExt, WrapErr};
 use getopts::{Matches, Options};
 use tokio::signal::unix::{SignalKind, signal};
@@ -30,13 +31,6 @@
     options
 }
 
-fn value<T>(matches: &Matches, name: &str) -> eyre::Result<Option<T>>
-where
-    T: std::str::FromStr<Err: std::error::Error + Send + Sync + 'static>,
-{
-    matches.opt_get(name).wrap_err_with(|| format!("failed to read option --{name}"))
-}
-
 fn settings(matches: &Matches) -> eyre::Result<BackendSettings> {
     let service = matches.opt_str("service").ok_or_eyre("option --service is missing")?;
     let name = matches.opt_str("name").unwrap_or_else(|| service.clone());
@@ -62,12 +56,9 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
-    let options = options();
-    let matches = options.parse(std::env::args().skip(1)).wrap_err("failed to read the options")?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage("backend [options]"));
+    let Some(matches) = options::parse(&options(), "backend")? else {
         return Ok(());
-    }
+    };
     let drain_ms = value(&matches, "drain-ms")?.unwrap_or(0);
     let mut terminate = signal(SignalKind::terminate()).wrap_err("failed to wait for SIGTERM")?;
     let server = BackendServer::start(settings(&matches)?).await?;
--- a/crates/test-support/examples/log.rs
+++ b/crates/test-support/examples/log.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use baobabreel_test_support::log::{LogFaults, LogServer, LogSettings};
+use baobabreel_test_support::options::{self, value};
 use eyre::WrapErr;
 use getopts::{Matches, Options};
 
@@ -19,13 +20,6 @@
     options
 }
 
-fn value<T>(matches: &Matches, name: &str) -> eyre::Result<Option<T>>
-where
-    T: std::str::FromStr<Err: std::error::Error + Send + Sync + 'static>,
-{
-    matches.opt_get(name).wrap_err_with(|| format!("failed to read option --{name}"))
-}
-
 fn settings(matches: &Matches) -> eyre::Result<LogSettings> {
     let faults = LogFaults {
         appends_per_second: value(matches, "appends-per-second")?,
@@ -47,12 +41,9 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
-    let options = options();
-    let matches = options.parse(std::env::args().skip(1)).wrap_err("failed to read the options")?;
-    if matches.opt_present("help") {
-        print!("{}", options.usage("log [options]"));
+    let Some(matches) = options::parse(&options(), "log")? else {
         return Ok(());
-    }
+    };
     let log = LogServer::start(settings(&matches)?).await?;
     println!("{}", serde_json::json!({ "event": "ready", "address": log.addr().to_string() }));
     tokio::signal::ctrl_c().await.wrap_err("failed to wait for a signal")?;
