--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -19,6 +19,16 @@
 /// Time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Silence of a connection after which the kernel probes it; a connection can go silent for good
+/// while an answer is awaited.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time between two such probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Probes without an answer after which the connection is closed.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// The answer is larger than 16 MiB.
 #[derive(Debug)]
 pub struct AnswerTooLarge;
@@ -67,6 +77,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_keepalive(Some(KEEPALIVE_IDLE));
+        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(15))
--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use baobabreel_core::config::Version;
+use baobabreel_core::config::{DocumentVersion, Version};
 use baobabreel_core::id::{DaemonId, Offset};
 use baobabreel_core::relay::{Attestation, Batch};
 use serde::de::DeserializeOwned;
@@ -40,6 +40,13 @@
     rmp_serde::from_slice(data).map_err(|e| CodecError(format!("failed to decode: {e}")))
 }
 
+/// Question for the configuration document of a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentQuery {
+    /// Version that the asking daemon has.
+    pub known: Option<DocumentVersion>,
+}
+
 /// Streams that daemons fold and pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stream {
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -123,10 +123,17 @@
     #[must_use]
     pub fn drain(&mut self, now: Duration) -> Vec<Action> {
         self.draining = true;
+        self.refuse_waiting(ErrorKind::Draining, now)
+    }
+
+    /// Refuses what waits; what runs ends.
+    #[must_use]
+    pub fn refuse_waiting(&mut self, kind: ErrorKind, now: Duration) -> Vec<Action> {
         let mut actions = self.expire(now);
-        let retry_after = default_retry_after(ErrorKind::Draining);
+        let retry_after = default_retry_after(kind);
         let refused = self.queue.take_all();
-        actions.extend(refused.map(|item| refusal(&item, ErrorKind::Draining, retry_after)));
+        actions.extend(refused.map(|item| refusal(&item, kind, retry_after)));
+        self.observe_queue(now);
         actions
     }
 
--- a/crates/core/src/config/compiled.rs
+++ b/crates/core/src/config/compiled.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use super::caller_limits::CallerLimits;
 use super::record::{Kind, RecordKey, Version};
 use super::spec::{BackendServerPolicy, RouteSpec, ServiceSpec, Spec};
 use super::state::ConfigState;
@@ -36,6 +37,8 @@
     pub backend_servers: BTreeMap<BackendServerName, BackendServerPolicy>,
     /// Records whose newest understood form could not be read, so that a lower one is in use.
     pub passed_over: Vec<(RecordKey, SchemaVersion)>,
+    /// Bounds on callers that the configuration sets instead of the daemon's settings.
+    pub limits: Option<CallerLimits>,
 }
 
 impl CompiledConfig {
@@ -54,7 +57,13 @@
                 }
             }
         }
-        view.routes.sort_by(|a, b| {
+        view.sort_routes();
+        view
+    }
+
+    /// Brings the most specific routes to the front.
+    pub(super) fn sort_routes(&mut self) {
+        self.routes.sort_by(|a, b| {
             let specificity = |route: &Route| {
                 (
                     route.spec.path_prefix.len(),
@@ -64,7 +73,6 @@
             };
             specificity(b).cmp(&specificity(a)).then_with(|| a.name.cmp(&b.name))
         });
-        view
     }
 
     fn insert(&mut self, key: &RecordKey, schema: SchemaVersion, spec: Spec) {
--- /dev/null
+++ b/crates/core/src/config/document.rs
@@ -0,0 +1,137 @@
+//! Whole configurations from a source that orders and checks them itself.
+//!
+//! Where the platform keeps the newest configuration as one record, there are no conflicting changes
+//! to fold: the document with the highest version replaces the one before it as a whole. Daemons pass
+//! documents on to each other in this form.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::MAX_SCHEMA;
+use super::caller_limits::CallerLimits;
+use super::compiled::{CompiledConfig, Route};
+use super::record::Version;
+use super::spec::{Class, RouteSpec, ServiceSpec, WeightedService};
+use crate::id::{RouteName, ServiceName};
+
+/// Generation of all versions that are made from documents.
+const DOCUMENT_GENERATION: u64 = 1;
+
+/// Places in the queue at each backend server.
+const QUEUE: u32 = 128;
+
+/// Time in which a new backend server is brought to full load, in milliseconds.
+const SLOW_START_MS: u64 = 3_000;
+
+/// Version of a document; a higher one is newer.
+pub type DocumentVersion = u64;
+
+/// Whole configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Version of the document.
+    pub version: DocumentVersion,
+    /// All routes.
+    pub routes: Vec<DocumentRoute>,
+    /// All services.
+    pub services: Vec<DocumentService>,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
+}
+
+/// Route of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentRoute {
+    /// Name, unique among the routes.
+    pub name: RouteName,
+    /// Host that must match.
+    pub host: String,
+    /// Prefix of the path that must match.
+    pub path_prefix: String,
+    /// Services that share the requests by weight; at least one.
+    pub services: Vec<WeightedService>,
+    /// Class of the requests.
+    pub class: Class,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time for one request.
+    pub timeout: Duration,
+    /// Time within which an answer is of full use.
+    pub target_latency: Option<Duration>,
+    /// Most backend servers that one request is sent to.
+    pub max_attempts: u32,
+}
+
+/// Service of a document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentService {
+    /// Name, unique among the services.
+    pub name: ServiceName,
+    /// Path at which a backend server tells its health.
+    pub health_path: String,
+}
+
+impl Document {
+    /// Version of the compiled configuration.
+    #[must_use]
+    pub fn compiled_version(&self) -> Version {
+        Version { generation: DOCUMENT_GENERATION, offset: self.version }
+    }
+}
+
+impl From<&DocumentRoute> for RouteSpec {
+    fn from(route: &DocumentRoute) -> Self {
+        let (service, split) = match route.services.as_slice() {
+            [] => (ServiceName::new(), Vec::new()),
+            [only] => (only.service.clone(), Vec::new()),
+            [first, ..] => (first.service.clone(), route.services.clone()),
+        };
+        Self {
+            host: Some(route.host.to_ascii_lowercase()),
+            path_prefix: route.path_prefix.clone(),
+            method: None,
+            service,
+            fallback: None,
+            split,
+            class: route.class,
+            idempotent: route.idempotent,
+            timeout_ms: u64::try_from(route.timeout.as_millis()).unwrap_or(u64::MAX),
+            target_latency: route.target_latency,
+            retries: route.max_attempts.saturating_sub(1),
+            hedge: false,
+        }
+    }
+}
+
+impl From<&DocumentService> for ServiceSpec {
+    fn from(service: &DocumentService) -> Self {
+        Self {
+            queue: QUEUE,
+            bulk_share: 1.0,
+            slow_start_ms: SLOW_START_MS,
+            health_path: Some(service.health_path.clone()),
+        }
+    }
+}
+
+impl From<&Document> for CompiledConfig {
+    fn from(document: &Document) -> Self {
+        let routes = document.routes.iter().map(|route| Route {
+            name: route.name.clone(),
+            schema: MAX_SCHEMA,
+            spec: RouteSpec::from(route),
+        });
+        let services =
+            document.services.iter().map(|s| (s.name.clone(), ServiceSpec::from(s))).collect();
+        let mut config = Self {
+            version: document.compiled_version(),
+            routes: routes.collect(),
+            services,
+            limits: Some(document.limits.clone()),
+            ..Self::default()
+        };
+        config.sort_routes();
+        config
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -4,9 +4,11 @@
 //! The log is the only arbiter. Every daemon and the command line apply the same pure fold to the
 //! same entries and so reach the same verdicts without any further agreement.
 
+mod caller_limits;
 mod canonical;
 mod change;
 mod compiled;
+mod document;
 mod limits;
 mod recent;
 mod record;
@@ -15,9 +17,11 @@
 mod spec;
 mod state;
 
+pub use caller_limits::CallerLimits;
 pub use canonical::{Digest, ParseDigestError};
 pub use change::{ChangeSet, Entry, ParseEntryError, Rejection, Upsert, Verdict};
 pub use compiled::{CompiledConfig, Route, ServicePolicy};
+pub use document::{Document, DocumentRoute, DocumentService, DocumentVersion};
 pub use limits::{
     Bound, MAX_AUTHOR_BYTES, MAX_CHANGE_ID_BYTES, MAX_ENTRY_BYTES, MAX_FORMS, MAX_RECORDS,
     MAX_REFS, MAX_STATE_BYTES,
@@ -27,6 +31,7 @@
 pub use snapshot::{Adoption, Snapshot, SnapshotError};
 pub use spec::{
     BackendServerPolicy, BackendServerState, Class, RouteSpec, ServiceSpec, Spec, SpecError,
+    WeightedService,
 };
 pub use state::{ConfigState, FoldError, Hold};
 
--- a/crates/core/src/config/spec.rs
+++ b/crates/core/src/config/spec.rs
@@ -4,6 +4,7 @@
 //! in all releases. A new rule needs a new schema version.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -37,6 +38,15 @@
     Disabled,
 }
 
+/// Part of the requests of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// Service that gets this part.
+    pub service: ServiceName,
+    /// Weight among the parts of the route.
+    pub weight: u32,
+}
+
 /// Meaning of a route form, whatever its schema version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteSpec {
@@ -50,10 +60,16 @@
     pub service: ServiceName,
     /// Service that gets them when the first has no backend server that is able to serve.
     pub fallback: Option<ServiceName>,
+    /// Services that share the requests by weight; `service` gets all of them when it is empty.
+    pub split: Vec<WeightedService>,
     /// Class of the requests.
     pub class: Class,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
     /// Longest time for one request, in milliseconds.
     pub timeout_ms: u64,
+    /// Time within which an answer is of full use, where it is known.
+    pub target_latency: Option<Duration>,
     /// Most further tries of one request.
     pub retries: u32,
     /// Whether slow look-ups may be sent a second time.
@@ -69,6 +85,8 @@
     pub bulk_share: f64,
     /// Time in which a new backend server is brought to full load, in milliseconds.
     pub slow_start_ms: u64,
+    /// Path at which a backend server tells its health, if it is not the usual one.
+    pub health_path: Option<String>,
 }
 
 /// Meaning of a backend server form.
@@ -206,8 +224,11 @@
             method: None,
             service: route.service,
             fallback: None,
+            split: Vec::new(),
             class,
+            idempotent: route.idempotent,
             timeout_ms: route.timeout_ms,
+            target_latency: None,
             retries: DEFAULT_RETRIES,
             hedge: false,
         }
@@ -222,8 +243,11 @@
             method: route.method,
             service: route.service,
             fallback: route.fallback,
+            split: Vec::new(),
             class: route.class,
+            idempotent: matches!(route.class, Class::Lookup | Class::Check),
             timeout_ms: route.timeout_ms,
+            target_latency: None,
             retries: route.retries,
             hedge: route.hedge,
         }
@@ -236,6 +260,7 @@
             queue: service.queue,
             bulk_share: DEFAULT_BULK_SHARE,
             slow_start_ms: DEFAULT_SLOW_START_MS,
+            health_path: None,
         }
     }
 }
@@ -246,6 +271,7 @@
             queue: service.queue,
             bulk_share: service.bulk_share,
             slow_start_ms: service.slow_start_ms,
+            health_path: None,
         }
     }
 }
@@ -268,7 +294,24 @@
     /// Whether a request of this route may run more than once.
     #[must_use]
     pub fn is_idempotent(&self) -> bool {
-        matches!(self.class, Class::Lookup | Class::Check)
+        self.idempotent
+    }
+
+    /// Service for one request; `random` decides between the parts of a split.
+    #[must_use]
+    pub fn pick_service(&self, random: u64) -> &ServiceName {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        if total == 0 {
+            return &self.service;
+        }
+        let mut left = random % total;
+        for part in &self.split {
+            match left.checked_sub(u64::from(part.weight)) {
+                Some(rest) => left = rest,
+                None => return &part.service,
+            }
+        }
+        &self.service
     }
 
     fn check(&self) -> Result<(), SpecError> {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -10,6 +10,8 @@
 pub type DaemonId = String;
 /// Start time of a daemon in milliseconds since the Unix epoch; a restart has a higher one.
 pub type Incarnation = u64;
+/// Identifier that a backend server gives to itself.
+pub type InstanceId = String;
 /// Position of an entry in a stream of the log.
 pub type Offset = u64;
 /// Name of a route record.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod idempotency;
 pub mod membership;
 pub mod prelude;
+pub mod registration;
 pub mod registry;
 pub mod relay;
 pub mod rendezvous;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -20,6 +20,7 @@
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::registry::MemberEntry;
 use baobabreel_core::relay::relays;
+use eyre::{OptionExt, Result};
 use kameo::actor::{ActorRef, WeakActorRef};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -27,7 +28,7 @@
 pub use clock::Clock;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Follower, Membership, encoded};
+use crate::control::{Distribution, Documents, Follower, Membership, encoded};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
 use crate::settings::Settings;
@@ -109,8 +110,10 @@
     pub keys: Keys,
     /// Wishes of the control plane to read the log.
     pub follower: Follower,
-    /// Client of the log.
-    pub log: LogClient,
+    /// Client of the log, if the configuration comes from it.
+    pub log: Option<LogClient>,
+    /// Newest configuration document.
+    pub documents: Documents,
     /// Client for short requests.
     pub http: HttpClient,
     position: Mutex<Position>,
@@ -139,9 +142,10 @@
             balance: Balance::new(&identity, settings.policy),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
-            keys: Keys::new(&identity, clock, settings.log_retention),
+            keys: Keys::new(&identity, clock, settings.log_retention().unwrap_or_default()),
             follower: Follower::default(),
-            log: LogClient::new(http.clone(), settings.log.clone()),
+            log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
+            documents: Documents::default(),
             http,
             position: Mutex::default(),
             distribution: OnceLock::new(),
@@ -239,6 +243,15 @@
         (!from.is_empty()).then(|| from[rand::random_range(0..from.len())].peer_addr)
     }
 
+    /// Client of the log.
+    ///
+    /// # Errors
+    ///
+    /// The configuration does not come from a log.
+    pub fn log_client(&self) -> Result<&LogClient> {
+        self.log.as_ref().ok_or_eyre("the configuration does not come from a log")
+    }
+
     /// Actor that owns the folds; absent before the start and after the end of the control plane.
     pub fn distribution(&self) -> Option<ActorRef<Distribution>> {
         self.distribution.get()?.upgrade()
@@ -252,11 +265,11 @@
     /// Makes the actors known to each other and to the tasks that send for them.
     pub fn set_actors(
         &self,
-        distribution: &ActorRef<Distribution>,
+        distribution: Option<&ActorRef<Distribution>>,
         membership: &ActorRef<Membership>,
     ) {
-        let first = self.distribution.set(distribution.downgrade()).is_ok()
-            && self.membership.set(membership.downgrade()).is_ok();
+        let owns_folds = distribution.is_none_or(|d| self.distribution.set(d.downgrade()).is_ok());
+        let first = owns_folds && self.membership.set(membership.downgrade()).is_ok();
         if !first {
             tracing::error!("the control plane was started twice");
         }
@@ -284,9 +297,9 @@
             .ok()
     }
 
-    /// Appends an entry to stream `members` in a task of its own.
+    /// Appends an entry to stream `members` in a task of its own; without a log there are none.
     pub fn append_member_entry(&self, entry: MemberEntry) {
-        let log = self.log.clone();
+        let Some(log) = self.log.clone() else { return };
         tokio::spawn(async move { append_entry(&log, &entry).await });
     }
 }
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -1,15 +1,18 @@
 //! Announcements of the backend server beside the daemon.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::membership::MemberState;
+use baobabreel_core::registration::{Report, ReportOrder, Verdict};
 use serde::Deserialize;
-use std::sync::{Mutex, PoisonError};
 
 use super::Control;
 use super::membership::LocalChanged;
+use crate::adapter::BackendMessage;
 use crate::context::Cx;
 use crate::proxy::{BackendInfo, Protocol};
 
@@ -68,14 +71,17 @@
             protocol,
             slots: announcement.slots,
             state,
+            instance: None,
+            boot: None,
         }
     }
 }
 
-/// Time of the last announcement.
+/// What is known from the messages of the backend server.
 #[derive(Debug, Default)]
 pub struct BackendTracker {
     last: Mutex<Option<Duration>>,
+    order: Mutex<ReportOrder>,
 }
 
 impl BackendTracker {
@@ -88,18 +94,78 @@
         last.map(|last| now.saturating_sub(last))
     }
 
-    /// Takes an announcement.
-    pub async fn announced(&self, cx: &Cx, control: &Control, announcement: Announcement) {
+    fn order(&self) -> MutexGuard<'_, ReportOrder> {
+        self.order.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a message of the backend server.
+    pub async fn take(&self, cx: &Cx, control: &Control, message: BackendMessage) {
+        match message {
+            BackendMessage::Report { info, order } => self.report(cx, control, info, order).await,
+            BackendMessage::Leave { instance, boot } => {
+                let was_current = self.order().leave(&instance, boot);
+                tracing::info!(instance, boot, was_current, "backend server leaves");
+                if was_current {
+                    self.take_out(cx, control).await;
+                }
+            }
+        }
+    }
+
+    async fn report(
+        &self,
+        cx: &Cx,
+        control: &Control,
+        mut info: BackendInfo,
+        order: Option<Report>,
+    ) {
+        if let Some(report) = order {
+            let (instance, boot, sequence) =
+                (report.instance.clone(), report.boot, report.sequence);
+            match self.order().report(report) {
+                Verdict::Current { draining: true } => info.state = MemberState::Draining,
+                Verdict::Current { draining: false } => {}
+                Verdict::Outdated => {
+                    tracing::info!(instance, boot, sequence, "outdated report ignored");
+                    return;
+                }
+            }
+        }
         let now = cx.clock.now();
         self.heard(now);
-        let info = BackendInfo::from(announcement);
-        let changed = cx.host.info().is_none_or(|known| known.state != info.state);
+        let known = cx.host.info();
+        let changed = known.as_ref().is_none_or(|known| {
+            known.state != info.state || known.instance != info.instance || known.boot != info.boot
+        });
+        if changed {
+            tracing::info!(
+                instance = info.instance,
+                boot = info.boot,
+                service = info.service,
+                address = %info.address,
+                slots = info.slots,
+                state = ?info.state,
+                before = ?known.map(|known| known.state),
+                "backend server reported"
+            );
+        }
+        let refuses = info.state == MemberState::Draining;
         cx.host.set_backend(Some(info), now);
+        if refuses {
+            cx.host.refuse_waiting(ErrorKind::Draining, now);
+        }
         if changed {
             self.tell(control).await;
         }
     }
 
+    async fn take_out(&self, cx: &Cx, control: &Control) {
+        let now = cx.clock.now();
+        cx.host.set_backend(None, now);
+        cx.host.refuse_waiting(ErrorKind::NoBackendServer, now);
+        self.tell(control).await;
+    }
+
     async fn tell(&self, control: &Control) {
         if control.membership.tell(LocalChanged).await.is_err() {
             tracing::debug!("the membership actor has stopped");
@@ -112,14 +178,14 @@
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             interval.tick().await;
-            let silent = self.silent_for(cx.clock.now()).is_some_and(|time| time >= SILENCE);
-            let Some(info) = cx.host.info().filter(|_| silent) else {
+            let silent = self.silent_for(cx.clock.now()).filter(|time| *time >= SILENCE);
+            let (Some(silent), Some(info)) = (silent, cx.host.info()) else {
                 continue;
             };
-            if !cx.host.is_healthy(HEALTH_TIMEOUT).await {
-                tracing::warn!(address = %info.address, "the backend server is gone");
-                cx.host.set_backend(None, cx.clock.now());
-                self.tell(control).await;
+            let path = cx.host.health_path(&cx.config.load());
+            if !cx.host.is_healthy(&path, HEALTH_TIMEOUT).await {
+                tracing::warn!(address = %info.address, ?silent, "the backend server is gone");
+                self.take_out(cx, control).await;
             }
         }
     }
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -11,11 +11,12 @@
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::transport::is_too_large;
 use baobabreel_client::wire::Stream;
+use kameo::actor::ActorRef;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::distribution::{FromLog, NextOffset, SnapshotRead};
-use super::{Control, snapshots};
+use super::{Distribution, snapshots};
 use crate::context::Cx;
 
 /// Time that a long poll waits for a record; the age of the proof of the head follows from it.
@@ -86,7 +87,7 @@
 }
 
 /// Follows both streams until `stop`.
-pub async fn run(cx: Cx, control: Control, stop: CancellationToken) {
+pub async fn run(cx: Cx, distribution: ActorRef<Distribution>, stop: CancellationToken) {
     if !cx.settings.seeds.is_empty() {
         tokio::select! {
             () = stop.cancelled() => return,
@@ -95,12 +96,12 @@
     }
     tokio::select! {
         () = stop.cancelled() => {}
-        () = follow(&cx, &control, Stream::Config) => {}
-        () = follow(&cx, &control, Stream::Members) => {}
+        () = follow(&cx, &distribution, Stream::Config) => {}
+        () = follow(&cx, &distribution, Stream::Members) => {}
     }
 }
 
-async fn follow(cx: &Cx, control: &Control, stream: Stream) {
+async fn follow(cx: &Cx, distribution: &ActorRef<Distribution>, stream: Stream) {
     let mut pause = RETRY_PAUSE;
     let mut limit = READ_LIMIT;
     loop {
@@ -114,9 +115,9 @@
             Duration::ZERO
         };
         if stream == Stream::Config && cx.follower.snapshot.swap(false, Ordering::AcqRel) {
-            read_snapshot(cx, control).await;
+            read_snapshot(cx, distribution).await;
         }
-        match read(cx, control, stream, limit, wait).await {
+        match read(cx, distribution, stream, limit, wait).await {
             Ok(read) => {
                 cx.follower.set_error(None);
                 pause = RETRY_PAUSE;
@@ -155,31 +156,31 @@
 /// Reads once.
 async fn read(
     cx: &Cx,
-    control: &Control,
+    distribution: &ActorRef<Distribution>,
     stream: Stream,
     limit: usize,
     wait: Duration,
 ) -> eyre::Result<Read> {
-    let from = control.distribution.ask(NextOffset(stream)).await?;
+    let from = distribution.ask(NextOffset(stream)).await?;
     let requested_at = cx.clock.now();
-    let answer = cx.log.read(stream.name(), from, limit, wait).await?;
+    let answer = cx.log_client()?.read(stream.name(), from, limit, wait).await?;
     let records = match &answer {
         ReadAnswer::Page(page) => page.records.len(),
         ReadAnswer::Expired(_) => 0,
     };
-    let more = control.distribution.ask(FromLog { stream, requested_at, answer }).await?;
+    let more = distribution.ask(FromLog { stream, requested_at, answer }).await?;
     Ok(Read { records, more })
 }
 
 /// Reads the snapshot that the configuration goes on from.
-async fn read_snapshot(cx: &Cx, control: &Control) {
+async fn read_snapshot(cx: &Cx, distribution: &ActorRef<Distribution>) {
     // A replaced log starts for all readers from its first snapshot; otherwise the newest saves
     // the most entries.
     let replaced = cx.position().config.generation > 0;
     let read = if replaced { snapshots::oldest(cx).await } else { snapshots::newest(cx).await };
     match read {
         Ok(Some(record)) => {
-            if control.distribution.ask(SnapshotRead(record.data)).await.is_err() {
+            if distribution.ask(SnapshotRead(record.data)).await.is_err() {
                 tracing::debug!("the distribution actor has stopped");
             }
         }
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -14,8 +14,7 @@
 use kameo::actor::ActorRef;
 use kameo::message::{Context as MessageContext, Message};
 
-use super::distribution::{Distribution, PeerPosition};
-use super::{gossip, registrations};
+use super::{ConfigOwner, gossip, registrations};
 use crate::context::{Cx, Phase};
 use crate::keys::OwnEntry;
 
@@ -30,7 +29,7 @@
 pub struct Membership {
     cx: Cx,
     swim: Swim,
-    distribution: ActorRef<Distribution>,
+    config: ConfigOwner,
     local: LocalState,
     next_entry: Duration,
     next_review: Duration,
@@ -39,7 +38,7 @@
 impl Membership {
     /// Starts with this daemon as the only member.
     #[must_use]
-    pub fn new(cx: &Cx, distribution: ActorRef<Distribution>) -> Self {
+    pub fn new(cx: &Cx, config: ConfigOwner) -> Self {
         let identity = &cx.identity;
         let own = Member {
             id: identity.id.clone(),
@@ -57,7 +56,7 @@
         let membership = Self {
             cx: Arc::clone(cx),
             swim,
-            distribution,
+            config,
             local,
             next_entry: Duration::ZERO,
             next_review: Duration::ZERO,
@@ -154,7 +153,7 @@
     /// Evicts registrations whose daemons are unknown.
     fn review_registrations(&mut self) {
         let now = self.cx.clock.now();
-        if now < self.next_review {
+        if self.cx.log.is_none() || now < self.next_review {
             return;
         }
         self.next_review = now + REVIEW_INTERVAL;
@@ -172,7 +171,7 @@
         let Some(service) = self.local.service.clone() else {
             return;
         };
-        if now < self.next_entry {
+        if self.cx.log.is_none() || now < self.next_entry {
             return;
         }
         let ready = self.local.state == MemberState::Ready;
@@ -258,10 +257,7 @@
 
 impl Membership {
     async fn note_position(&self, from: SocketAddr, envelope: &Envelope) {
-        let position = envelope.position;
-        if self.distribution.tell(PeerPosition { from, position }).await.is_err() {
-            tracing::debug!("the distribution actor has stopped");
-        }
+        self.config.note_position(from, envelope.position).await;
     }
 }
 
@@ -296,6 +292,23 @@
     }
 }
 
+/// Another daemon as the platform lists it.
+#[derive(Debug, Clone)]
+pub struct Introduced(pub Member);
+
+impl Message<Introduced> for Membership {
+    type Reply = ();
+
+    async fn handle(&mut self, msg: Introduced, ctx: &mut MessageContext<Self, Self::Reply>) {
+        let own = ctx.actor_ref().clone();
+        let known = self.swim.members().get(&msg.0.id);
+        if known.is_some_and(|known| known.incarnation >= msg.0.incarnation) {
+            return;
+        }
+        self.handle(Event::Learnt(msg.0), &own);
+    }
+}
+
 /// This daemon ends now.
 #[derive(Debug, Clone, Copy)]
 pub struct Leave;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,18 +1,20 @@
 //! Control messages of other daemons over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallState, Envelope, PullWire, PushWire, QueryWire, decode,
+    CallQuery, CallState, DocumentQuery, Envelope, PullWire, PushWire, QueryWire, decode,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use kameo::actor::ActorRef;
 use serde::Serialize;
 
-use super::Control;
 use super::distribution::{PullAsked, Pushed};
+use super::documents::DOCUMENT_PATH;
 use super::membership::Asked;
 use super::push::encoded;
+use super::{Control, Distribution};
 use crate::context::Cx;
 use crate::operators::{STATUS_PATH, status as status_doc};
 use crate::proxy::ProxyBody;
@@ -36,6 +38,7 @@
         "/peer/v1/probe" => probe(cx, control, &body).await,
         "/peer/v1/entries" => entries(control, &body).await,
         "/peer/v1/pull" => pull(control, &body).await,
+        DOCUMENT_PATH => document(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
@@ -78,14 +81,24 @@
     answer(&Envelope { position: cx.position(), message })
 }
 
+/// Owner of the folds; a daemon that takes documents has none.
+fn folds(control: &Control) -> Result<&ActorRef<Distribution>, StatusCode> {
+    control.config.distribution().ok_or(StatusCode::NOT_FOUND)
+}
+
+fn document(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: DocumentQuery = read(body)?;
+    answer(&cx.documents.newer_than(query).as_deref())
+}
+
 async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let push: PushWire = read(body)?;
-    answer(&control.distribution.ask(Pushed(push)).await.map_err(stopped)?.0)
+    answer(&folds(control)?.ask(Pushed(push)).await.map_err(stopped)?.0)
 }
 
 async fn pull(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let pull: PullWire = read(body)?;
-    answer(&control.distribution.ask(PullAsked(pull)).await.map_err(stopped)?.0)
+    answer(&folds(control)?.ask(PullAsked(pull)).await.map_err(stopped)?.0)
 }
 
 fn outcome(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
--- a/crates/daemon/src/control/snapshots.rs
+++ b/crates/daemon/src/control/snapshots.rs
@@ -12,10 +12,10 @@
 use baobabreel_core::id::Offset;
 use baobabreel_core::rendezvous;
 use eyre::Result;
+use kameo::actor::ActorRef;
 use kameo::message::{Context as MessageContext, Message};
 use tokio_util::sync::CancellationToken;
 
-use super::Control;
 use super::distribution::{Distribution, SnapshotRead};
 use crate::context::{Cx, Phase};
 
@@ -80,7 +80,7 @@
 }
 
 /// Appends snapshots while this daemon has the turn, until `stop`.
-pub async fn run(cx: Cx, control: Control, stop: CancellationToken) {
+pub async fn run(cx: Cx, distribution: ActorRef<Distribution>, stop: CancellationToken) {
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
@@ -89,7 +89,7 @@
         if !has_turn(&cx) {
             continue;
         }
-        if let Err(e) = append_if_due(&cx, &control).await {
+        if let Err(e) = append_if_due(&cx, &distribution).await {
             tracing::warn!(error = format!("{e:#}"), "failed to append a snapshot");
         }
     }
@@ -102,11 +102,11 @@
         && rendezvous::first(TURN_KEY, ids) == Some(cx.identity.id.as_str())
 }
 
-async fn append_if_due(cx: &Cx, control: &Control) -> Result<()> {
-    let plan = control.distribution.ask(PlanSnapshot).await?;
+async fn append_if_due(cx: &Cx, distribution: &ActorRef<Distribution>) -> Result<()> {
+    let plan = distribution.ask(PlanSnapshot).await?;
     if let Some((generation, waited)) = plan.waiting {
         if waited >= SETTLE_TIME && newest(cx).await?.is_none() {
-            append(cx, control, Some(generation)).await?;
+            append(cx, distribution, Some(generation)).await?;
         }
         return Ok(());
     }
@@ -123,23 +123,27 @@
             });
             let age = cx.clock.wall().saturating_sub(Duration::from_millis(record.time_ms));
             // Readers compare the snapshots of others with their own state.
-            control.distribution.ask(SnapshotRead(record.data)).await?;
+            distribution.ask(SnapshotRead(record.data)).await?;
             !behind || is_old(cx, age)
         }
     };
     if due {
-        append(cx, control, None).await?;
+        append(cx, distribution, None).await?;
     }
     Ok(())
 }
 
 fn is_old(cx: &Cx, age: Duration) -> bool {
-    age >= cx.settings.log_retention / RETENTION_PARTS
+    age >= cx.settings.log_retention().unwrap_or(Duration::MAX) / RETENTION_PARTS
 }
 
-async fn append(cx: &Cx, control: &Control, generation: Option<u64>) -> Result<()> {
-    let text = control.distribution.ask(MakeSnapshot(generation)).await?;
-    let appended = cx.log.append(SNAPSHOTS, &text).await?;
+async fn append(
+    cx: &Cx,
+    distribution: &ActorRef<Distribution>,
+    generation: Option<u64>,
+) -> Result<()> {
+    let text = distribution.ask(MakeSnapshot(generation)).await?;
+    let appended = cx.log_client()?.append(SNAPSHOTS, &text).await?;
     tracing::info!(bytes = text.len(), offset = appended.offset, "appended a snapshot");
     Ok(())
 }
@@ -171,14 +175,14 @@
 }
 
 async fn bounds(cx: &Cx) -> Result<(Offset, Offset)> {
-    Ok(match cx.log.read(SNAPSHOTS, 1, 1, Duration::ZERO).await? {
+    Ok(match cx.log_client()?.read(SNAPSHOTS, 1, 1, Duration::ZERO).await? {
         ReadAnswer::Page(page) => (page.first, page.next),
         ReadAnswer::Expired(retained) => (retained.first, retained.next),
     })
 }
 
 async fn read_at(cx: &Cx, offset: Offset) -> Result<Option<LogRecord>> {
-    match cx.log.read(SNAPSHOTS, offset, 1, Duration::ZERO).await? {
+    match cx.log_client()?.read(SNAPSHOTS, offset, 1, Duration::ZERO).await? {
         ReadAnswer::Page(mut page) => Ok(page.records.pop()),
         ReadAnswer::Expired(_) => Ok(None),
     }
--- a/crates/daemon/src/control/status.rs
+++ b/crates/daemon/src/control/status.rs
@@ -13,7 +13,7 @@
 use super::distribution::Distribution;
 
 /// State of the folds, without the records.
-#[derive(Debug, Clone, kameo::Reply)]
+#[derive(Debug, Clone, Default, kameo::Reply)]
 pub struct DistributionStatus {
     /// Digest of the configuration, hexadecimal.
     pub digest: String,
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -4,16 +4,21 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use baobabreel_core::config::Document;
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
+use baobabreel_core::membership::Member;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
-use http::{Method, Request, StatusCode};
+use http::{Request, StatusCode};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::adapter::{Adapter, NativeAdapter};
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
-use crate::control::{Announcement, BackendTracker, Control, Leave, LocalChanged};
+use crate::control::{
+    BackendTracker, Control, Introduced, Leave, LocalChanged, Origin, offer_document,
+};
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_small};
 use crate::operators::serve_operators;
 use crate::settings::Settings;
@@ -94,6 +99,15 @@
     ///
     /// An address cannot be bound.
     pub async fn start(settings: Settings) -> Result<Self> {
+        Self::start_on(settings, NativeAdapter).await
+    }
+
+    /// Starts a daemon on the platform of `adapter`.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound.
+    pub async fn start_on(settings: Settings, adapter: impl Adapter) -> Result<Self> {
         let listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses()?;
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -109,7 +123,7 @@
         let stop_serving = CancellationToken::new();
         let control = Control::start(&cx, &tasks, &stop);
         let daemon = Self { cx, control, addresses, tasks, stop, stop_serving };
-        daemon.serve(listeners);
+        daemon.serve(listeners, adapter);
         tracing::info!(
             daemon = daemon.cx.identity.id,
             data_centre = daemon.cx.identity.data_centre,
@@ -122,22 +136,25 @@
         Ok(daemon)
     }
 
-    fn serve(&self, listeners: Listeners) {
+    fn serve(&self, listeners: Listeners, adapter: impl Adapter) {
         let (cx, control) = (Arc::clone(&self.cx), self.control.clone());
         let stop_serving = self.stop_serving.clone();
         self.tasks.spawn(serve_callers(Arc::clone(&cx), listeners.callers, stop_serving.clone()));
         let peers = serve_peers(Arc::clone(&cx), control.clone(), listeners.peers, stop_serving);
         self.tasks.spawn(peers);
         let operators = {
-            let (cx, control) = (Arc::clone(&cx), control.clone());
-            move |req| serve_operators(Arc::clone(&cx), control.clone(), req)
+            let (cx, control, adapter) = (Arc::clone(&cx), control.clone(), adapter.clone());
+            move |req| answer_operator(Arc::clone(&cx), control.clone(), adapter.clone(), req)
         };
         self.tasks.spawn(serve_small(listeners.operators, self.stop.clone(), operators));
         let tracker = Arc::new(BackendTracker::default());
         let backend = {
             let (cx, control) = (Arc::clone(&cx), control.clone());
             let tracker = Arc::clone(&tracker);
-            move |req| announce(Arc::clone(&cx), control.clone(), Arc::clone(&tracker), req)
+            move |req| {
+                let tracker = Arc::clone(&tracker);
+                answer_backend(Arc::clone(&cx), control.clone(), tracker, adapter.clone(), req)
+            }
         };
         self.tasks.spawn(serve_small(listeners.backend, self.stop.clone(), backend));
         let stop = self.stop.clone();
@@ -155,6 +172,12 @@
         self.addresses
     }
 
+    /// Handle for what the adapter learns from its platform.
+    #[must_use]
+    pub fn handle(&self) -> Handle {
+        Handle { cx: Arc::clone(&self.cx), control: self.control.clone() }
+    }
+
     /// Shared state.
     #[must_use]
     pub fn context(&self) -> &Cx {
@@ -218,8 +241,9 @@
         if !self.cx.keys.retire() {
             return false;
         }
+        let Some(log) = &self.cx.log else { return true };
         let entry = self.cx.identity.leave();
-        let append = append_entry(&self.cx.log, &entry);
+        let append = append_entry(log, &entry);
         match tokio::time::timeout(LEAVE_TIMEOUT, append).await {
             Ok(_) => {}
             Err(_) => tracing::warn!("the log did not take the leave entry in time"),
@@ -237,25 +261,82 @@
     pub fn abort(self) {
         self.stop.cancel();
         self.stop_serving.cancel();
-        self.control.distribution.kill();
+        if let Some(distribution) = self.control.config.distribution() {
+            distribution.kill();
+        }
         self.control.membership.kill();
     }
 }
 
-async fn announce(
+/// Takes what the adapter learns from its platform.
+#[derive(Debug, Clone)]
+pub struct Handle {
+    cx: Cx,
+    control: Control,
+}
+
+impl Handle {
+    /// Puts a configuration document of the platform in force unless a newer one is.
+    pub fn offer_document(&self, document: Document) {
+        offer_document(&self.cx, document, Origin::Platform);
+    }
+
+    /// Makes another daemon known, as the platform lists it.
+    pub async fn introduce(&self, member: Member) {
+        if self.control.membership.tell(Introduced(member)).await.is_err() {
+            tracing::debug!("the membership actor has stopped");
+        }
+    }
+
+    /// This daemon as a member.
+    #[must_use]
+    pub fn own_member(&self) -> Option<Member> {
+        self.cx.members.load().get(&self.cx.identity.id).cloned()
+    }
+
+    /// Number of live members, this daemon included.
+    #[must_use]
+    pub fn live_members(&self) -> usize {
+        self.cx.members.load().live().count()
+    }
+
+    /// Whether the daemon has not begun to end.
+    #[must_use]
+    pub fn is_staying(&self) -> bool {
+        self.cx.phase() <= Phase::Serving
+    }
+}
+
+async fn answer_backend(
     cx: Cx,
     control: Control,
     tracker: Arc<BackendTracker>,
+    adapter: impl Adapter,
     req: Request<Bytes>,
 ) -> Reply {
-    if req.method() != Method::POST || req.uri().path() != "/announce" {
-        return Reply::error(StatusCode::NOT_FOUND, "the path is POST /announce");
-    }
-    let announcement: Announcement = match serde_json::from_slice(req.body()) {
-        Ok(announcement) => announcement,
-        Err(e) => return Reply::error(StatusCode::BAD_REQUEST, &e.to_string()),
+    let message = match adapter.backend_message(&req) {
+        Ok(message) => message,
+        Err(reply) => {
+            tracing::warn!(status = %reply.status, reason = reply.body, "report refused");
+            return reply;
+        }
     };
-    tracker.announced(&cx, &control, announcement).await;
+    tracker.take(&cx, &control, message).await;
     cx.apply_policies(&cx.config.load());
     Reply::json(&serde_json::json!({}))
 }
+
+async fn answer_operator(
+    cx: Cx,
+    control: Control,
+    adapter: impl Adapter,
+    req: Request<Bytes>,
+) -> Reply {
+    if !adapter.is_readiness_check(&req) {
+        return serve_operators(cx, control, req).await;
+    }
+    match cx.phase() {
+        Phase::Serving => Reply::json(&serde_json::json!({ "ready": true })),
+        phase => Reply::error(StatusCode::SERVICE_UNAVAILABLE, &format!("{phase:?}")),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,15 +4,19 @@
 //! reports where each record stands. The decisions are those of `baobabreel-core`; this crate gives
 //! them sockets, clocks, tasks and randomness.
 
+pub mod adapter;
 pub mod context;
 pub mod control;
 pub mod daemon;
+pub mod dialect;
 pub mod keys;
-mod listeners;
+pub mod listeners;
 mod operators;
 pub mod proxy;
 pub mod settings;
 pub mod telemetry;
 
-pub use daemon::{Addresses, Daemon};
+pub use adapter::{Adapter, BackendMessage, NativeAdapter};
+pub use daemon::{Addresses, Daemon, Handle};
+pub use dialect::Dialect;
 pub use settings::Settings;
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -72,12 +72,17 @@
 }
 
 async fn answer(cx: Cx, req: Request<Incoming>) -> Result<Response<ProxyBody>, Infallible> {
-    let most = cx.settings.limits.header_bytes;
+    let config = cx.config.load();
+    let of_config = config.limits.as_ref().map(|limits| limits.header_bytes);
+    let most = of_config.unwrap_or(cx.settings.limits.header_bytes);
+    drop(config);
     if section_bytes(req.uri(), req.headers()) > most {
         let detail = format!("the header section has more than {most} bytes");
-        return Ok(CallError::new(ErrorKind::HeaderTooLarge, detail).into_response());
+        return Ok(
+            CallError::new(ErrorKind::HeaderTooLarge, detail).into_response(&cx.settings.dialect)
+        );
     }
-    if req.uri().path() == KEY_PATH {
+    if cx.settings.dialect.own_headers && req.uri().path() == KEY_PATH {
         return Ok(issue_key(&cx, req.method()));
     }
     Ok(serve_caller(cx, req).await)
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -85,7 +85,7 @@
         None
     };
     if let Some(detail) = refusal {
-        return Ok(CallError::new(ErrorKind::Forbidden, detail).into_response());
+        return Ok(CallError::new(ErrorKind::Forbidden, detail).into_response(&cx.settings.dialect));
     }
     if is_call(req.uri().path()) {
         return Ok(serve_peer_call(cx, req).await);
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -13,7 +13,7 @@
 use http::{Method, Request, StatusCode};
 
 use crate::context::{Cx, Phase};
-use crate::control::{Control, FoldedRecords, GetRecords, GetStatus};
+use crate::control::{Control, DistributionStatus, FoldedRecords, GetRecords, GetStatus};
 use crate::listeners::Reply;
 use crate::proxy::has_token;
 
@@ -36,9 +36,12 @@
             Some(docs) => Reply::json(&docs),
             None => stopped(),
         },
-        "/records" => match control.distribution.ask(GetRecords).await {
-            Ok(folded) => Reply::json(&records(&cx, &folded)),
-            Err(_) => stopped(),
+        "/records" => match control.config.distribution() {
+            Some(distribution) => match distribution.ask(GetRecords).await {
+                Ok(folded) => Reply::json(&records(&cx, &folded)),
+                Err(_) => stopped(),
+            },
+            None => Reply::json(&cx.documents.newest().as_deref()),
         },
         "/members" => Reply::json(&members(&cx)),
         "/explain" => match explain::explain(&cx, req.uri().query().unwrap_or_default()) {
@@ -64,7 +67,10 @@
 
 /// State of this daemon; absent while it is stopping.
 pub async fn status(cx: &Cx, control: &Control) -> Option<StatusDoc> {
-    let status = control.distribution.ask(GetStatus).await.ok()?;
+    let status = match control.config.distribution() {
+        Some(distribution) => distribution.ask(GetStatus).await.ok()?,
+        None => DistributionStatus::default(),
+    };
     let config = cx.config.load();
     let members = cx.members.load();
     let own = members.get(&cx.identity.id);
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -10,6 +10,7 @@
 use super::body::ProxyBody;
 use super::headers::OUTCOME;
 use super::pool::SendError;
+use crate::dialect::Dialect;
 
 /// A request that ends with an answer of the daemon itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,7 +79,7 @@
 
     /// Answer for a caller.
     #[must_use]
-    pub fn into_response(self) -> Response<ProxyBody> {
+    pub fn into_response(self, dialect: &Dialect) -> Response<ProxyBody> {
         let answer = self.kind.answer();
         let retry_after = self.retry_after.or(answer.retry_after);
         let body = serde_json::json!({
@@ -92,11 +93,11 @@
             StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = res.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+        if dialect.own_headers {
+            headers.insert(OUTCOME, HeaderValue::from_static(answer.outcome.as_str()));
+        }
         if let Some(after) = retry_after.filter(|_| answer.retryable) {
-            // The header has whole seconds; 0 would ask for an immediate repeat.
-            let secs = after.as_millis().div_ceil(1_000).max(1);
-            headers.insert(RETRY_AFTER, HeaderValue::from(u64::try_from(secs).unwrap_or(1)));
+            headers.insert(RETRY_AFTER, retry_after_value(after, dialect));
         }
         if self.close {
             headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
@@ -104,3 +105,13 @@
         res
     }
 }
+
+fn retry_after_value(after: Duration, dialect: &Dialect) -> HeaderValue {
+    if dialect.fractional_retry_after {
+        let text = format!("{:.3}", after.as_secs_f64());
+        return HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"));
+    }
+    // Whole seconds; 0 would ask for an immediate repeat.
+    let secs = after.as_millis().div_ceil(1_000).max(1);
+    HeaderValue::from(u64::try_from(secs).unwrap_or(1))
+}
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -81,7 +81,10 @@
     headers::remove_hop_by_hop(res.headers_mut());
     // A backend server must not speak as a daemon.
     headers::remove_internal(res.headers_mut());
-    res.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
+    if cx.settings.dialect.own_headers {
+        let ran = HeaderValue::from_static(Outcome::Ran.as_str());
+        res.headers_mut().insert(headers::OUTCOME, ran);
+    }
     *res.version_mut() = Version::HTTP_11;
     let (parts, body) = res.into_parts();
     let guard = match host_guard {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -34,6 +34,8 @@
     cx: &'a Cx,
     config: Arc<CompiledConfig>,
     route: Route,
+    /// Service that the request goes to; drawn once when the route has several.
+    service: ServiceName,
     state: Arc<RouteState>,
     deadline: Duration,
     marked_as_retry: bool,
@@ -46,7 +48,8 @@
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
     let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
-    let keyed = keyed::read_repeat(req.headers());
+    let dialect = &cx.settings.dialect;
+    let keyed = if dialect.own_headers { keyed::read_repeat(req.headers()) } else { None };
     let (route, result) = match serve(&cx, req, &span, start).await {
         Ok((route, res)) => (route, Ok(res)),
         Err(e) => {
@@ -62,7 +65,7 @@
     let ended = result.as_ref().map(|_| Outcome::Ran).map_err(|e| e.kind);
     cx.metrics.request(&route, ended, now.saturating_sub(start));
     span.finish(now, &route, ended.map_or_else(ErrorKind::name, Outcome::as_str));
-    result.unwrap_or_else(CallError::into_response)
+    result.unwrap_or_else(|e| e.into_response(dialect))
 }
 
 async fn serve(
@@ -131,13 +134,15 @@
         span: &'a Span,
         start: Duration,
     ) -> Result<Self, CallError> {
-        let asked = headers::read_timeout(&parts.headers)
+        let asked = headers::read_timeout(&parts.headers, &cx.settings.dialect.timeout)
             .map_err(|detail| CallError::new(ErrorKind::BadRequest, detail))?;
         let most = Duration::from_millis(route.spec.timeout_ms);
         let deadline = start + asked.map_or(most, |asked| asked.min(most));
-        let marked_as_retry = parts.headers.contains_key(headers::RETRY);
+        let own_headers = cx.settings.dialect.own_headers;
+        let marked_as_retry = own_headers && parts.headers.contains_key(headers::RETRY);
         let state = cx.balance.route(&route.name);
-        Ok(Self { cx, config, route, state, deadline, marked_as_retry, span })
+        let service = route.spec.pick_service(rand::random()).clone();
+        Ok(Self { cx, config, route, service, state, deadline, marked_as_retry, span })
     }
 
     fn remaining(&self) -> Duration {
@@ -146,7 +151,8 @@
 
     async fn serve(&self, parts: Parts, body: Incoming) -> Result<Response<ProxyBody>, CallError> {
         self.cx.balance.on_request(&self.state, self.cx.clock.now());
-        if !self.route.spec.is_idempotent()
+        if self.cx.settings.dialect.own_headers
+            && !self.route.spec.is_idempotent()
             && let Some(key) = keyed::read_key(&parts.headers)?
         {
             return self.serve_keyed(key, parts, body).await;
@@ -162,9 +168,18 @@
         body: Incoming,
         keep: bool,
     ) -> Result<CallerRequest, CallError> {
-        let max_body = self.cx.settings.limits.body_bytes;
+        let of_config = self.config.limits.as_ref().map(|limits| limits.body_bytes);
+        let max_body = of_config.unwrap_or(self.cx.settings.limits.body_bytes);
         let mut req = CallerRequest::new(parts, body, max_body, keep, self.remaining()).await?;
-        headers::write_trace(&mut req.headers, self.span);
+        let dialect = &self.cx.settings.dialect;
+        if dialect.own_headers {
+            headers::write_trace(&mut req.headers, self.span);
+        }
+        if let (Some(name), Some(service)) =
+            (&dialect.caller_service, &self.cx.settings.own_service)
+        {
+            headers::write_text(&mut req.headers, name, service);
+        }
         Ok(req)
     }
 
@@ -216,8 +231,7 @@
 
     /// Chooses a backend server of the route's service, or of its fallback.
     fn choose(&self, tried: &[String]) -> Result<(ServiceName, EntryGuard), CallError> {
-        let spec = &self.route.spec;
-        dispatch::choose_of(self.cx, &spec.service, spec.fallback.as_ref(), tried)
+        dispatch::choose_of(self.cx, &self.service, self.route.spec.fallback.as_ref(), tried)
     }
 
     /// Sends a second copy to another backend server when the first is slower than usual.
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -89,21 +89,31 @@
 }
 
 /// Reads the remaining time; `None` when the header is absent.
-pub fn read_timeout(headers: &HeaderMap) -> Result<Option<Duration>, String> {
-    let Some(value) = headers.get(TIMEOUT) else {
+pub fn read_timeout(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, String> {
+    let Some(value) = headers.get(name) else {
         return Ok(None);
     };
     let millis: Option<u64> = value.to_str().ok().and_then(|text| text.parse().ok());
     match millis {
         Some(millis) => Ok(Some(Duration::from_millis(millis))),
-        None => Err(format!("header `{TIMEOUT}` is not a number of milliseconds")),
+        None => Err(format!("header `{name}` is not a number of milliseconds")),
     }
 }
 
 /// Writes the remaining time.
-pub fn write_timeout(headers: &mut HeaderMap, remaining: Duration) {
+pub fn write_timeout(headers: &mut HeaderMap, name: &HeaderName, remaining: Duration) {
     let millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(TIMEOUT, HeaderValue::from(millis));
+    headers.insert(name.clone(), HeaderValue::from(millis));
+}
+
+/// Writes a text that can be a header value; another one is left out.
+pub fn write_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name.clone(), value);
+        }
+        Err(e) => tracing::warn!(header = %name, error = %e, "a value cannot be a header"),
+    }
 }
 
 /// Writes the position in the trace for the next hop.
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -8,12 +8,14 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::error::{ErrorKind, Outcome};
-use baobabreel_core::id::ServiceName;
+use baobabreel_core::id::{InstanceId, ServiceName};
 use baobabreel_core::membership::MemberState;
+use baobabreel_core::registration::BootTime;
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, Response, StatusCode, Uri, Version};
+use http::{HeaderValue, Request, Response, Uri, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::sync::oneshot;
@@ -21,6 +23,7 @@
 use super::active::ActiveCalls;
 use super::answer::CallError;
 use super::body::{Guard, ProxyBody, Tracked};
+use super::check::check_answer;
 use super::headers;
 use super::keyed::{self, WholeRequest};
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
@@ -57,6 +60,10 @@
     pub slots: u32,
     /// Its state.
     pub state: MemberState,
+    /// Identifier that it gives to itself, if it has one.
+    pub instance: Option<InstanceId>,
+    /// Its start time, if it tells one.
+    pub boot: Option<BootTime>,
 }
 
 #[derive(Debug)]
@@ -124,7 +131,10 @@
         };
         let known = self.backend.load_full();
         let is_same = |known: &Arc<Backend>| {
-            known.info.address == info.address && known.info.protocol == info.protocol
+            known.info.address == info.address
+                && known.info.protocol == info.protocol
+                && known.info.instance == info.instance
+                && known.info.boot == info.boot
         };
         let limit = self.connection_limit;
         let pool = match known.filter(is_same) {
@@ -159,14 +169,27 @@
         self.backend.load().as_ref().map(|backend| backend.info.clone())
     }
 
-    /// Whether the backend server answers its health endpoint within `timeout`, or is so busy that no
+    /// Refuses the requests that wait for a slot.
+    pub fn refuse_waiting(&self, kind: ErrorKind, now: Duration) {
+        let mut gate = lock(&self.gate);
+        let actions = gate.admission.refuse_waiting(kind, now);
+        gate.apply(actions);
+    }
+
+    /// Whether the backend server answers its health endpoint at `path` within `timeout`, or is so busy that no
     /// connection is left to ask it.
-    pub async fn is_healthy(&self, timeout: Duration) -> bool {
+    pub async fn is_healthy(&self, path: &str, timeout: Duration) -> bool {
         let Some(backend) = self.backend.load_full() else {
             return false;
         };
         let mut req = Request::new(ProxyBody::Empty);
-        *req.uri_mut() = Uri::from_static(HEALTH_PATH);
+        match path.parse() {
+            Ok(uri) => *req.uri_mut() = uri,
+            Err(e) => {
+                tracing::warn!(path, error = %e, "the health endpoint cannot be asked");
+                return true;
+            }
+        }
         match tokio::time::timeout(timeout, backend.pool.send(req)).await {
             Ok(Ok((res, _))) => res.status().is_success(),
             Ok(Err(SendError::Full)) => true,
@@ -174,6 +197,12 @@
         }
     }
 
+    /// Path of the health endpoint.
+    pub fn health_path(&self, config: &CompiledConfig) -> String {
+        let service = self.info().and_then(|info| config.services.get(&info.service).cloned());
+        service.and_then(|s| s.health_path).unwrap_or_else(|| HEALTH_PATH.to_owned())
+    }
+
     /// Load as admission sees it.
     pub fn load(&self) -> LoadWire {
         let gate = lock(&self.gate);
@@ -340,8 +369,14 @@
     let backend = able_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
     let remaining = deadline.saturating_sub(cx.clock.now());
-    headers::write_timeout(req.headers_mut(), remaining);
-    if head.retry {
+    let dialect = &cx.settings.dialect;
+    headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
+    let request_id =
+        dialect.proofs.as_ref().and_then(|p| req.headers().get(&p.request_id).cloned());
+    if let (Some(proofs), Some(instance)) = (&dialect.proofs, &backend.info.instance) {
+        headers::write_text(req.headers_mut(), &proofs.target_instance, instance);
+    }
+    if dialect.own_headers && head.retry {
         req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
     }
     *req.version_mut() = Version::HTTP_11;
@@ -354,7 +389,7 @@
         }
     };
     guard.connection = Some(connection);
-    check_answer(&response)?;
+    check_answer(dialect, request_id.as_ref(), &response)?;
     Ok(Admitted { response, guard, deadline })
 }
 
@@ -376,25 +411,6 @@
     }
 }
 
-/// Refuses answers that are sheds, and answers whose end cannot be told from a broken connection.
-fn check_answer(res: &Response<Incoming>) -> Result<(), CallError> {
-    let not_run = Outcome::NotRun.as_str();
-    let shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
-        && res.headers().get(headers::OUTCOME).is_some_and(|value| value == not_run);
-    if shed {
-        return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
-    }
-    let body = res.body();
-    let delimited = res.version() == Version::HTTP_2
-        || body.is_end_stream()
-        || body.size_hint().exact().is_some()
-        || res.headers().contains_key(http::header::TRANSFER_ENCODING);
-    if delimited {
-        return Ok(());
-    }
-    Err(CallError::new(ErrorKind::UpstreamLost, "the answer has neither a length nor chunks"))
-}
-
 /// Body of an answer that gives back its guard at its end.
 pub fn tracked(cx: &Cx, body: Incoming, deadline: Duration, guard: Guard) -> ProxyBody {
     let left = deadline.saturating_sub(cx.clock.now());
@@ -436,7 +452,7 @@
         Ok(res) => (res, Outcome::Ran, None),
         Err(e) => {
             let kind = e.kind;
-            (e.into_response(), kind.answer().outcome, Some(kind))
+            (e.into_response(&cx.settings.dialect), kind.answer().outcome, Some(kind))
         }
     };
     let answer = AnswerHead { outcome, error, load: cx.host.load() };
@@ -461,7 +477,9 @@
     if let Some(host) = headers.remove(headers::CALLER_HOST) {
         headers.insert(HOST, host);
     }
-    headers::write_trace(&mut headers, span);
+    if cx.settings.dialect.own_headers {
+        headers::write_trace(&mut headers, span);
+    }
     if let Some(key) = &head.key {
         let body = read_whole(body, head).await;
         let body = body.map_err(|e| keyed::before_owner(e, key.attempt()))?;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use baobabreel_core::id::{DaemonId, DataCentre, SchemaVersion};
+use baobabreel_core::id::{DaemonId, DataCentre, SchemaVersion, ServiceName};
+
+use crate::dialect::Dialect;
 
 pub use read::{Fault, Faults, parse};
 
@@ -50,6 +52,20 @@
     Plain,
 }
 
+/// Where the configuration comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// Changes in the platform's log, which the daemon folds.
+    Log {
+        /// Address of the log.
+        url: String,
+        /// Time for which the log keeps records.
+        retention: Duration,
+    },
+    /// Whole documents that the adapter of the platform and other daemons hand over.
+    Documents,
+}
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -57,8 +73,12 @@
     pub daemon: DaemonId,
     /// Data centre of the daemon.
     pub data_centre: DataCentre,
-    /// Address of the platform's log.
-    pub log: String,
+    /// Where the configuration comes from.
+    pub source: Source,
+    /// Headers towards callers and backend servers.
+    pub dialect: Dialect,
+    /// Service of the instance that the daemon runs on, if the settings name it.
+    pub own_service: Option<ServiceName>,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Address of the peers' listener as others reach it, when it differs.
@@ -73,8 +93,6 @@
     pub drain_limit: Duration,
     /// Time between the announcement of a drain and the refusal of new requests.
     pub drain_notice: Duration,
-    /// Time for which the log keeps records.
-    pub log_retention: Duration,
     /// Worker threads of the runtime.
     pub threads: usize,
     /// How requests are balanced, admitted and tried again.
@@ -86,3 +104,23 @@
     /// Filter of the log, in the syntax of `tracing-subscriber`.
     pub log_filter: String,
 }
+
+impl Settings {
+    /// Address of the platform's log, if the configuration comes from it.
+    #[must_use]
+    pub fn log_url(&self) -> Option<&str> {
+        match &self.source {
+            Source::Log { url, .. } => Some(url),
+            Source::Documents => None,
+        }
+    }
+
+    /// Time for which the platform's log keeps records, if the configuration comes from it.
+    #[must_use]
+    pub fn log_retention(&self) -> Option<Duration> {
+        match self.source {
+            Source::Log { retention, .. } => Some(retention),
+            Source::Documents => None,
+        }
+    }
+}
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -13,7 +13,8 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use tracing_subscriber::EnvFilter;
 
-use super::{Limits, Listen, Policy, Settings};
+use super::{Limits, Listen, Policy, Settings, Source};
+use crate::dialect::Dialect;
 
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -145,7 +146,9 @@
         Some(Settings {
             daemon: daemon?,
             data_centre: data_centre?,
-            log: log?,
+            source: Source::Log { url: log?, retention: log_retention },
+            dialect: Dialect::default(),
+            own_service: None,
             listen: listen?,
             advertise_peers,
             seeds,
@@ -153,7 +156,6 @@
             limits: limits?,
             drain_limit,
             drain_notice,
-            log_retention,
             threads: usize::try_from(threads).ok()?,
             policy,
             max_schema: u32::try_from(max_schema).ok()?,
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -1,6 +1,6 @@
 //! Logs, metrics and traces.
 //!
-//! Logs are JSON lines on standard error. Metrics are kept by `opentelemetry` and served in the
+//! Logs are JSON lines on standard output. Metrics are kept by `opentelemetry` and served in the
 //! Prometheus text format. Spans are log lines of target `span`, one for each hop.
 
 mod metrics;
@@ -12,7 +12,7 @@
 use eyre::{Result, WrapErr, eyre};
 use tracing_subscriber::EnvFilter;
 
-/// Starts to write log lines as JSON to standard error.
+/// Starts to write log lines as JSON to standard output.
 ///
 /// # Errors
 ///
@@ -26,7 +26,7 @@
         .with_current_span(false)
         .with_span_list(false)
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(std::io::stdout)
         .try_init()
         .map_err(|e| eyre!("failed to start the log: {e}"))
 }
--- a/crates/daemon/tests/errors.rs
+++ b/crates/daemon/tests/errors.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use baobabreel_core::error::TABLE;
+use baobabreel_daemon::Dialect;
 use baobabreel_daemon::proxy::CallError;
 use http::Response;
 
@@ -15,7 +16,7 @@
 #[test]
 fn every_kind_is_answered_as_the_table_says() {
     for answer in &TABLE {
-        let res = CallError::new(answer.kind, "why").into_response();
+        let res = CallError::new(answer.kind, "why").into_response(&Dialect::default());
         assert_eq!(res.status().as_u16(), answer.status, "{}", answer.name);
         let outcome = header(&res, "baobabreel-outcome");
         assert_eq!(outcome.as_deref(), Some(answer.outcome.as_str()));
@@ -25,6 +26,6 @@
         let error =
             CallError::new(answer.kind, "why").with_retry_after(Duration::from_millis(2_100));
         let after = answer.retryable.then(|| "3".to_owned());
-        assert_eq!(header(&error.into_response(), "retry-after"), after);
+        assert_eq!(header(&error.into_response(&Dialect::default()), "retry-after"), after);
     }
 }
