Dispatch pipelined requests as they are read, and notice callers that leave

The end of a connection behind buffered bytes was not seen either.

Change: `http1` reads HTTP/1.1 connections of callers, dispatches each request at once and writes the answers in order; heads, chunks and ambiguous lengths are checked there, HTTP/2 stays with hyper. Refusals of slow heads are 408 (`request_timeout`). Routes with a target latency bound the wait in the queue by it.

--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -241,6 +241,7 @@
             class: Class::Check,
             route: "route-7",
             deadline: now + Duration::from_secs(1),
+            target: None,
         };
         drop(black_box(admission.offer(ticket, now)));
         drop(black_box(admission.finish(u64::from(round), now)));
--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -57,6 +57,8 @@
     pub version: Version,
     /// Idempotency key, if the request has one.
     pub key: Option<KeyHead>,
+    /// Remaining time in which an answer is of full use, in milliseconds, where the route tells it.
+    pub target_ms: Option<u64>,
 }
 
 /// Question about a call.
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -14,6 +14,8 @@
     pub bulk: bool,
     pub route: usize,
     pub deadline: Duration,
+    /// Time by which the answer is of full use.
+    pub target: Option<Duration>,
     pub queued_at: Duration,
     /// Order of arrival; decides between equal deadlines.
     pub arrival: u64,
--- a/crates/core/src/admission/routes.rs
+++ b/crates/core/src/admission/routes.rs
@@ -81,6 +81,11 @@
         index
     }
 
+    /// Smoothed run time of a route; none before its first run.
+    pub fn run_time(&self, index: usize) -> Option<RunTime> {
+        Some(self.states[index].run_time).filter(|run_time| run_time.runs > 0)
+    }
+
     /// Whether the route is bulk by its run times.
     pub fn is_bulk(&self, index: usize) -> bool {
         self.states[index].bulk
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -5,9 +5,9 @@
 use super::builder::AdmissionBuilder;
 use super::overload::Overload;
 use super::queue::{Queue, Waiting};
-use super::routes::Routes;
+use super::routes::{Routes, RunTime};
 use super::ticket::{Action, Decision, Offer, Ticket, TicketId};
-use super::wait::RunTimes;
+use super::wait::{RunTimes, wait_secs};
 use crate::balance::LoadReport;
 use crate::config::Class;
 use crate::error::ErrorKind;
@@ -15,6 +15,9 @@
 /// Longest time that a refusal asks the caller to wait.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// Shortest time that a refusal asks a caller to wait whose route tells how long it may take.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Part of its run time that a request may wait under overload even if that is over the target.
 const RUN_TIME_PART: f64 = 0.25;
 
@@ -45,6 +48,7 @@
     class: Class,
     bulk: bool,
     route: usize,
+    has_target: bool,
     started: Duration,
 }
 
@@ -205,11 +209,14 @@
         if wait > ticket.deadline - now {
             return refuse(ErrorKind::DeadlineUnreachable, wait);
         }
-        if self.is_overloaded(&item, now) && self.is_over_target(&item) {
+        if item.target.is_some() && now + wait + self.run_time(&item) > ticket.deadline {
+            return refuse_for(&item, ErrorKind::DeadlineUnreachable, wait);
+        }
+        if self.is_overloaded(&item, now) && self.is_over_target(&item, now) {
             self.overload.refused(item.class, now);
             evicted.extend(self.shed_late(item.class, now));
-            if self.is_over_target(&item) {
-                return refuse(ErrorKind::Overloaded, wait);
+            if self.is_over_target(&item, now) {
+                return refuse_for(&item, ErrorKind::Overloaded, wait);
             }
         }
         self.enqueue(item, now, evicted)
@@ -232,6 +239,7 @@
             bulk: self.cfg.class_aware && (learnt || class == Class::Bulk),
             route,
             deadline: ticket.deadline,
+            target: ticket.target,
             queued_at: now,
             arrival: self.arrivals,
         }
@@ -249,6 +257,7 @@
             class: item.class,
             bulk: item.bulk,
             route: item.route,
+            has_target: item.target.is_some(),
             started: now,
         });
     }
@@ -267,7 +276,7 @@
         if self.queue.len() >= self.cfg.queue_len {
             let retry_after = self.drain_time();
             let Some(shed) = self.queue.shed_below(item.class) else {
-                return refuse(ErrorKind::Overloaded, retry_after);
+                return refuse_for(&item, ErrorKind::Overloaded, retry_after);
             };
             evicted.push(refusal(
                 &shed,
@@ -313,13 +322,21 @@
 
     /// Whether a request would wait too long under overload. The first in line never does, so that a
     /// slot that becomes free finds a request.
-    fn is_over_target(&self, item: &Waiting) -> bool {
+    fn is_over_target(&self, item: &Waiting, now: Duration) -> bool {
         !self.queue.ahead_of(item).is_empty()
-            && self.estimated_wait(item) > self.target_wait(item.class)
+            && self.estimated_wait(item) > self.target_wait(item, now)
+    }
+
+    /// Longest wait of a request under overload: one that leaves time for an answer within its target,
+    /// or one that depends on its class alone.
+    fn target_wait(&self, item: &Waiting, now: Duration) -> Duration {
+        match item.target {
+            Some(target) => target.saturating_sub(now + self.run_time(item)),
+            None => self.class_wait(item.class),
+        }
     }
 
-    /// Longest wait of a request of `class` under overload.
-    fn target_wait(&self, class: Class) -> Duration {
+    fn class_wait(&self, class: Class) -> Duration {
         let secs = self.run_times.secs(class);
         let part = Duration::try_from_secs_f64(secs * RUN_TIME_PART).unwrap_or(Duration::MAX);
         let run_time = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
@@ -329,38 +346,46 @@
     /// Whether a request that was taken from the queue is late and leaves its slot to one of its
     /// class that is not. A slot never stays idle for this.
     fn gives_way(&self, item: &Waiting, now: Duration) -> bool {
-        let latest = self.late_before(item.class, now);
-        let is_late = |item: &Waiting| item.queued_at < latest;
+        let is_late = |item: &Waiting| self.is_late(item, now);
         let is_better =
             |other: &Waiting| other.class == item.class && !other.bulk && !is_late(other);
         self.is_overloaded(item, now) && is_late(item) && self.queue.first(is_better).is_some()
     }
 
-    /// Time of arrival before which a queued request of `class` is late. The estimate does not know
-    /// of higher classes that arrive meanwhile, so a wait may be over the target for a while.
-    fn late_before(&self, class: Class, now: Duration) -> Duration {
-        now.saturating_sub(self.target_wait(class).saturating_add(self.cfg.target_wait))
+    /// Whether a queued request has waited too long. The estimate does not know of higher classes that
+    /// arrive meanwhile, so a wait may be over the target for a while.
+    fn is_late(&self, item: &Waiting, now: Duration) -> bool {
+        match item.target {
+            Some(target) => now + self.run_time(item) > target,
+            None => {
+                let wait = self.class_wait(item.class).saturating_add(self.cfg.target_wait);
+                item.queued_at < now.saturating_sub(wait)
+            }
+        }
     }
 
     /// Refuses the late requests of `class`, so that one that has just come is not behind them.
     fn shed_late(&mut self, class: Class, now: Duration) -> Vec<Action> {
-        let latest = self.late_before(class, now);
         let kind = ErrorKind::Overloaded;
-        let is_late = |item: &Waiting| item.class == class && !item.bulk && item.queued_at < latest;
-        let late = self.queue.take(is_late);
+        let is_late =
+            |item: &&Waiting| item.class == class && !item.bulk && self.is_late(item, now);
+        let late: Vec<TicketId> =
+            self.queue.all().iter().filter(is_late).map(|item| item.id).collect();
+        let late = late.into_iter().filter_map(|id| self.queue.remove(id));
         late.map(|item| refusal(&item, kind, default_retry_after(kind))).collect()
     }
 
     /// Time until `item` would start if it were queued now.
     fn estimated_wait(&self, item: &Waiting) -> Duration {
         let ahead = self.queue.ahead_of(item);
-        let running = self.running.iter().map(|running| running.class);
-        let mut secs = self.run_times.wait_secs(running, ahead.iter(), self.cfg.slots);
+        let running = self.running.iter().map(|running| self.running_secs(running));
+        let queued = ahead.iter().map(|other| self.waiting_secs(other));
+        let mut secs = wait_secs(running, queued, self.cfg.slots);
         if item.bulk {
             let running = self.running.iter().filter(|running| running.bulk);
-            let behind_bulk = self.run_times.wait_secs(
-                running.map(|running| running.class),
-                ahead.iter().filter(|other| other.bulk),
+            let behind_bulk = wait_secs(
+                running.map(|running| self.running_secs(running)),
+                ahead.iter().filter(|other| other.bulk).map(|other| self.waiting_secs(other)),
                 self.bulk_slots(),
             );
             secs = secs.max(behind_bulk);
@@ -370,11 +395,30 @@
 
     /// Time until all that waits has started.
     fn drain_time(&self) -> Duration {
-        let running = self.running.iter().map(|running| running.class);
-        let waiting = self.queue.all().iter();
-        let secs = self.run_times.wait_secs(running, waiting, self.cfg.slots);
+        let running = self.running.iter().map(|running| self.running_secs(running));
+        let waiting = self.queue.all().iter().map(|item| self.waiting_secs(item));
+        let secs = wait_secs(running, waiting, self.cfg.slots);
         Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
     }
+
+    fn running_secs(&self, running: &Running) -> f64 {
+        self.expected_secs(running.class, running.route, running.has_target)
+    }
+
+    fn waiting_secs(&self, item: &Waiting) -> f64 {
+        self.expected_secs(item.class, item.route, item.target.is_some())
+    }
+
+    /// Expected run time: that of the route where routes tell how long they may take, since short and
+    /// long work can then have one class, and otherwise that of the class.
+    fn expected_secs(&self, class: Class, route: usize, has_target: bool) -> f64 {
+        let of_route = if has_target { self.routes.run_time(route) } else { None };
+        of_route.map_or_else(|| self.run_times.secs(class), RunTime::secs)
+    }
+
+    fn run_time(&self, item: &Waiting) -> Duration {
+        Duration::try_from_secs_f64(self.waiting_secs(item)).unwrap_or_default()
+    }
 }
 
 fn default_retry_after(kind: ErrorKind) -> Duration {
@@ -390,6 +434,18 @@
     Decision::Refuse { kind, retry_after: bounded(kind, estimate) }
 }
 
+/// Refuses a request. Where routes tell how long they may take, a caller that is told to come back in a
+/// second has no time left, so it gets the estimate itself.
+fn refuse_for(item: &Waiting, kind: ErrorKind, estimate: Duration) -> Decision {
+    match item.target {
+        Some(_) => {
+            let retry_after = estimate.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            Decision::Refuse { kind, retry_after }
+        }
+        None => refuse(kind, estimate),
+    }
+}
+
 fn refusal(item: &Waiting, kind: ErrorKind, retry_after: Duration) -> Action {
     Action::Refuse { id: item.id, kind, retry_after }
 }
--- a/crates/core/src/admission/ticket.rs
+++ b/crates/core/src/admission/ticket.rs
@@ -19,6 +19,8 @@
     pub route: &'a str,
     /// Time after which it must not start, on the clock of `now`.
     pub deadline: Duration,
+    /// Time by which its answer is of full use, on the clock of `now`, where the route tells one.
+    pub target: Option<Duration>,
 }
 
 /// Decision on a new request.
--- a/crates/core/src/admission/wait.rs
+++ b/crates/core/src/admission/wait.rs
@@ -1,6 +1,5 @@
 //! Estimate of the time until a request would start.
 
-use super::queue::Waiting;
 use super::routes::RunTime;
 use crate::config::Class;
 
@@ -18,20 +17,19 @@
     pub fn secs(&self, class: Class) -> f64 {
         self.by_class[class as usize].secs()
     }
+}
 
-    /// Seconds until `lanes` busy slots have taken the work in `ahead` and one more is free, with
-    /// `running` as the classes that hold them. A run time that is not known counts as 0, so that
-    /// nothing is refused on a guess.
-    pub fn wait_secs<'a>(
-        &self,
-        running: impl Iterator<Item = Class>,
-        ahead: impl Iterator<Item = &'a Waiting>,
-        lanes: u32,
-    ) -> f64 {
-        let (count, total) = running
-            .fold((0_u32, 0.0), |(count, total), class| (count + 1, total + self.secs(class)));
-        let residual = if count == 0 { 0.0 } else { total / f64::from(count) };
-        let queued: f64 = ahead.map(|item| self.secs(item.class)).sum();
-        (residual + queued) / f64::from(lanes.max(1))
-    }
+/// Seconds until `lanes` busy slots have taken the work `ahead` and one more is free, with `running`
+/// as the run times of the requests that hold them. A run time that is not known counts as 0, so that
+/// nothing is refused on a guess.
+pub(super) fn wait_secs(
+    running: impl Iterator<Item = f64>,
+    ahead: impl Iterator<Item = f64>,
+    lanes: u32,
+) -> f64 {
+    let (count, total) =
+        running.fold((0_u32, 0.0), |(count, total), secs| (count + 1, total + secs));
+    let residual = if count == 0 { 0.0 } else { total / f64::from(count) };
+    let queued: f64 = ahead.sum();
+    (residual + queued) / f64::from(lanes.max(1))
 }
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -43,6 +43,8 @@
     Forbidden,
     /// No route matches.
     NoRoute,
+    /// The request did not come in time.
+    RequestTimeout,
     /// The body is larger than allowed.
     BodyTooLarge,
     /// The idempotency key was used for another request.
@@ -108,11 +110,12 @@
 }
 
 /// One row for each error kind, in the order of [`ErrorKind`].
-pub const TABLE: [Answer; 20] = [
+pub const TABLE: [Answer; 21] = [
     row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
     row(ErrorKind::NoRoute, "no_route", 404, Outcome::NotRun, 0),
+    row(ErrorKind::RequestTimeout, "request_timeout", 408, Outcome::NotRun, 0),
     row(ErrorKind::BodyTooLarge, "body_too_large", 413, Outcome::NotRun, 0),
     row(ErrorKind::KeyReused, "key_reused", 422, Outcome::NotRun, 0),
     row(ErrorKind::HeaderTooLarge, "header_too_large", 431, Outcome::NotRun, 0),
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -106,7 +106,7 @@
 
     fn offer(&mut self, class: Class, deadline: Duration) {
         let (id, route) = (self.tickets.len() as u64, "r");
-        let ticket = Ticket { id, class, route, deadline };
+        let ticket = Ticket { id, class, route, deadline, target: None };
         let lowest = self.with(Fate::Queued).map(|t| t.0).min();
         let offer = self.admission.offer(ticket, self.now);
         for action in &offer.evicted {
@@ -211,7 +211,7 @@
 /// Offers a request that must start within `wait`.
 fn offer(a: &mut Admission, id: u64, class: Class, route: &str, at: (u64, u64)) -> Decision {
     let deadline = ms(at.0 + at.1);
-    let ticket = Ticket { id, class, route, deadline };
+    let ticket = Ticket { id, class, route, deadline, target: None };
     a.offer(ticket, ms(at.0)).decision
 }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -70,7 +70,7 @@
         let id = self.sent.len();
         self.sent.push(Sent { class, at, run_time, started: None, refused: None });
         let deadline = us(at + 1_000_000);
-        let ticket = Ticket { id: id as u64, class, route: "r", deadline };
+        let ticket = Ticket { id: id as u64, class, route: "r", deadline, target: None };
         let offer = self.admission.offer(ticket, us(at));
         self.apply(offer.evicted, at);
         match offer.decision {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -139,7 +139,7 @@
             host: Host::new(settings.limits.backend_connections, settings.policy),
             peers: PeerPool::new(settings.token.clone()),
             calls: ActiveCalls::default(),
-            balance: Balance::new(&identity, settings.policy),
+            balance: Balance::new(&identity, &settings),
             metrics,
             members: ArcSwap::from_pointee(Members::default()),
             keys: Keys::new(&identity, clock, settings.log_retention().unwrap_or_default()),
--- /dev/null
+++ b/crates/daemon/src/http1/head.rs
@@ -0,0 +1,118 @@
+//! Heads of requests.
+
+use bytes::Buf;
+use bytes::BytesMut;
+use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, Version};
+
+use super::HeadFault;
+
+/// Headers that a request may have.
+const MAX_HEADERS: usize = 128;
+
+/// How the end of a request body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// It has this many bytes.
+    Length(u64),
+    /// It comes in chunks.
+    Chunked,
+}
+
+/// Head of a request.
+#[derive(Debug)]
+pub struct Head {
+    /// The request, without its body.
+    pub request: Request<()>,
+    /// How the end of its body is found.
+    pub framing: Framing,
+    /// Whether another request may follow.
+    pub keep_alive: bool,
+    /// Whether the caller waits for a word before it sends the body.
+    pub expects_continue: bool,
+}
+
+/// Takes the head of a request from the front of `buf`; none while it is not whole.
+pub fn take(buf: &mut BytesMut) -> Result<Option<Head>, HeadFault> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let len = match parsed.parse(buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HeadFault::TooLarge),
+        Err(_) => return Err(HeadFault::Malformed("the head is malformed")),
+    };
+    let head = read(&parsed)?;
+    buf.advance(len);
+    Ok(Some(head))
+}
+
+fn read(parsed: &httparse::Request<'_, '_>) -> Result<Head, HeadFault> {
+    let malformed = HeadFault::Malformed;
+    let method = parsed.method.and_then(|method| Method::from_bytes(method.as_bytes()).ok());
+    let uri: Option<Uri> = parsed.path.and_then(|path| path.parse().ok());
+    let mut request = Request::new(());
+    *request.method_mut() = method.ok_or(malformed("the method is malformed"))?;
+    *request.uri_mut() = uri.ok_or(malformed("the target is malformed"))?;
+    let is_current = parsed.version == Some(1);
+    *request.version_mut() = if is_current { Version::HTTP_11 } else { Version::HTTP_10 };
+    let headers = read_headers(parsed)?;
+    let hosts = headers.get_all(HOST).iter().count();
+    if hosts > 1 || (is_current && hosts == 0) {
+        return Err(malformed("the request does not have one host"));
+    }
+    let framing = framing(&headers, is_current)?;
+    let keep_alive = if is_current {
+        !has_option(&headers, "close")
+    } else {
+        has_option(&headers, "keep-alive")
+    };
+    let expects =
+        headers.get(EXPECT).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"));
+    let expects_continue = is_current && expects;
+    *request.headers_mut() = headers;
+    Ok(Head { request, framing, keep_alive, expects_continue })
+}
+
+fn read_headers(parsed: &httparse::Request<'_, '_>) -> Result<HeaderMap, HeadFault> {
+    let malformed = || HeadFault::Malformed("a header is malformed");
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok().ok_or_else(malformed)?;
+        let value = HeaderValue::from_bytes(header.value).ok().ok_or_else(malformed)?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// A request whose end two readers could see at different places is refused, so that nothing can be
+/// hidden in its body.
+fn framing(headers: &HeaderMap, is_current: bool) -> Result<Framing, HeadFault> {
+    let malformed = HeadFault::Malformed;
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    if let Some(coding) = codings.next() {
+        if !is_current || lengths.next().is_some() || codings.next().is_some() {
+            return Err(malformed("the length of the body is ambiguous"));
+        }
+        if !coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            return Err(malformed("the transfer coding is not supported"));
+        }
+        return Ok(Framing::Chunked);
+    }
+    let Some(length) = lengths.next() else {
+        return Ok(Framing::Length(0));
+    };
+    let digits = length.as_bytes();
+    if lengths.next().is_some() || digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(malformed("the length of the body is ambiguous"));
+    }
+    let length = length.to_str().ok().and_then(|text| text.parse().ok());
+    length.map(Framing::Length).ok_or(malformed("the length of the body is malformed"))
+}
+
+/// Whether the connection has an option, such as `close`.
+pub fn has_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|v| v.split(',')).any(|found| found.trim().eq_ignore_ascii_case(option))
+}
--- /dev/null
+++ b/crates/daemon/src/http1/writer.rs
@@ -0,0 +1,254 @@
+//! Writes answers in the order of their requests.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderValue, Method, Response, StatusCode, Version};
+use http_body::{Body, Frame};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::head::has_option;
+use crate::proxy::{BodyError, ProxyBody};
+
+/// Time in which a caller must take what is written.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes of a body that are put into one write with the head before them.
+const MAX_COALESCED: usize = 16 * 1024;
+
+/// Task that ends when nobody waits for it.
+#[derive(Debug)]
+pub(super) struct AbortOnDrop(JoinHandle<Response<ProxyBody>>);
+
+impl From<JoinHandle<Response<ProxyBody>>> for AbortOnDrop {
+    fn from(task: JoinHandle<Response<ProxyBody>>) -> Self {
+        Self(task)
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Where an answer comes from.
+#[derive(Debug)]
+pub(super) enum Answer {
+    /// The task that serves the request.
+    Task(AbortOnDrop),
+    /// It is known.
+    Made(Box<Response<ProxyBody>>),
+    /// Word that the body may be sent.
+    Continue,
+}
+
+/// Answer that is due after those before it.
+#[derive(Debug)]
+pub(super) struct Pending {
+    answer: Answer,
+    is_head: bool,
+    version: Version,
+    close: bool,
+}
+
+impl Pending {
+    pub(super) fn new(answer: Answer, method: &Method, version: Version, close: bool) -> Self {
+        Self { answer, is_head: *method == Method::HEAD, version, close }
+    }
+}
+
+/// How the end of the body of an answer is shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    None,
+    Length,
+    Chunked,
+    Close,
+}
+
+/// Writer of one connection.
+#[derive(Debug)]
+pub(super) struct Writer {
+    write: OwnedWriteHalf,
+    /// Tells the reader that no further request is wanted.
+    last: CancellationToken,
+}
+
+impl Writer {
+    pub(super) fn new(write: OwnedWriteHalf, last: CancellationToken) -> Self {
+        Self { write, last }
+    }
+
+    /// Writes answers until the last one.
+    pub(super) async fn run(mut self, mut answers: mpsc::Receiver<Pending>) -> io::Result<()> {
+        while let Some(pending) = answers.recv().await {
+            let res = match pending.answer {
+                Answer::Made(res) => *res,
+                Answer::Continue => {
+                    self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    continue;
+                }
+                Answer::Task(mut task) => (&mut task.0).await.map_err(io::Error::other)?,
+            };
+            let wants_close = pending.close || has_option(res.headers(), "close");
+            if wants_close {
+                self.last.cancel();
+            }
+            // Requests that have been read get their answers before the connection ends.
+            let close = wants_close && answers.is_empty();
+            let closed = self.answer(res, pending.is_head, pending.version, close).await?;
+            if closed {
+                break;
+            }
+        }
+        self.write.shutdown().await
+    }
+
+    /// Writes one answer; returns whether the connection ends with it.
+    async fn answer(
+        &mut self,
+        res: Response<ProxyBody>,
+        is_head: bool,
+        version: Version,
+        close: bool,
+    ) -> io::Result<bool> {
+        let (mut parts, mut body) = res.into_parts();
+        let framing = framing(&parts, &body, is_head, version);
+        let close = close || framing == Framing::Close;
+        parts.headers.remove(CONNECTION);
+        if close {
+            parts.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        } else if version == Version::HTTP_10 {
+            parts.headers.insert(CONNECTION, HeaderValue::from_static("keep-alive"));
+        }
+        match framing {
+            Framing::Chunked => {
+                parts.headers.remove(CONTENT_LENGTH);
+                parts.headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+            }
+            Framing::Length => {
+                if let Some(length) = body.size_hint().exact() {
+                    parts.headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+                }
+            }
+            Framing::None | Framing::Close => {}
+        }
+        let mut buf = write_head(&parts, version);
+        if framing == Framing::None {
+            self.write(&buf).await?;
+            return Ok(close);
+        }
+        loop {
+            // A head that waits for its body costs a write of its own only if the body is not there.
+            let frame = match poll_now(&mut body).await {
+                Some(frame) => frame,
+                None => {
+                    if !buf.is_empty() {
+                        self.write(&buf).await?;
+                        buf.clear();
+                    }
+                    std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    put(&mut buf, &data, framing);
+                    if buf.len() >= MAX_COALESCED {
+                        self.write(&buf).await?;
+                        buf.clear();
+                    }
+                }
+                // The end is left out, so that the caller sees that the answer is not whole.
+                Some(Err(e)) => {
+                    self.write(&buf).await?;
+                    return Err(io::Error::other(e));
+                }
+                None => break,
+            }
+        }
+        if framing == Framing::Chunked {
+            buf.extend_from_slice(b"0\r\n\r\n");
+        }
+        if !buf.is_empty() {
+            self.write(&buf).await?;
+        }
+        Ok(close)
+    }
+
+    async fn write(&mut self, data: &[u8]) -> io::Result<()> {
+        match tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(data)).await {
+            Ok(written) => written,
+            Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
+        }
+    }
+}
+
+type PolledFrame = Option<Result<Frame<Bytes>, BodyError>>;
+
+/// The next frame if it is there.
+async fn poll_now(body: &mut ProxyBody) -> Option<PolledFrame> {
+    std::future::poll_fn(|cx| match Pin::new(&mut *body).poll_frame(cx) {
+        Poll::Ready(frame) => Poll::Ready(Some(frame)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
+fn framing(
+    parts: &http::response::Parts,
+    body: &ProxyBody,
+    is_head: bool,
+    version: Version,
+) -> Framing {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&parts.status);
+    if is_head || bodiless || parts.status.is_informational() {
+        Framing::None
+    } else if body.size_hint().exact().is_some() {
+        Framing::Length
+    } else if version == Version::HTTP_11 {
+        Framing::Chunked
+    } else {
+        Framing::Close
+    }
+}
+
+fn write_head(parts: &http::response::Parts, version: Version) -> BytesMut {
+    let mut buf = BytesMut::with_capacity(512);
+    let protocol: &[u8] = if version == Version::HTTP_10 { b"HTTP/1.0 " } else { b"HTTP/1.1 " };
+    buf.extend_from_slice(protocol);
+    buf.extend_from_slice(parts.status.as_str().as_bytes());
+    buf.extend_from_slice(b" ");
+    buf.extend_from_slice(parts.status.canonical_reason().unwrap_or("Unknown").as_bytes());
+    buf.extend_from_slice(b"\r\n");
+    for (name, value) in &parts.headers {
+        buf.extend_from_slice(name.as_str().as_bytes());
+        buf.extend_from_slice(b": ");
+        buf.extend_from_slice(value.as_bytes());
+        buf.extend_from_slice(b"\r\n");
+    }
+    buf.extend_from_slice(b"\r\n");
+    buf
+}
+
+fn put(buf: &mut BytesMut, data: &[u8], framing: Framing) {
+    if data.is_empty() {
+        return;
+    }
+    if framing == Framing::Chunked {
+        buf.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        buf.extend_from_slice(data);
+        buf.extend_from_slice(b"\r\n");
+    } else {
+        buf.extend_from_slice(data);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod daemon;
 pub mod dialect;
+pub mod http1;
 pub mod keys;
 pub mod listeners;
 mod operators;
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -5,87 +5,182 @@
 use std::time::Duration;
 
 use baobabreel_core::error::ErrorKind;
+use bytes::BytesMut;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::BoundedListener;
-use crate::context::Cx;
-use crate::proxy::{CallError, ProxyBody, section_bytes, serve_caller};
+use super::prefixed::Prefixed;
+use crate::context::{Cx, Phase};
+use crate::http1::{self, HeadFault, HeadLimits, Service};
+use crate::proxy::{CallError, ProxyBody, RequestBody, section_bytes, serve_caller};
 
-/// Time in which the head of a request must be whole.
+/// Time in which the head of a request must be whole, unless the configuration sets another.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time without a request after which a connection is closed, unless the configuration sets another.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Receive window of one stream; bounds what is buffered for a slow backend server.
 const STREAM_WINDOW: u32 = 256 * 1024;
 
 /// Factor on the allowed header section up to which the daemon reads it, to answer with the error
-/// of the closed list; hyper answers a larger one itself, with a bare 431.
+/// of the closed list.
 const HEADER_READ_FACTOR: usize = 2;
 
 /// Path at which callers get a key that names its owner.
 const KEY_PATH: &str = "/.well-known/baobabreel/key";
 
+/// First bytes of a connection over HTTP/2.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
+
 /// Serves callers until `stop`; then lets the open connections end.
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
     let listener = BoundedListener::new(listener, cx.settings.limits.caller_connections);
     loop {
         let (stream, permit) = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let builder = builder(&cx);
-        let cx = Arc::clone(&cx);
-        let service = service_fn(move |req| answer(Arc::clone(&cx), req));
-        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let conn = graceful.watch(conn);
-        tokio::spawn(async move {
-            if let Err(e) = conn.await {
-                tracing::debug!(error = %e, "connection of a caller ended");
-            }
+        let (cx, stop) = (Arc::clone(&cx), stop.clone());
+        connections.spawn(async move {
+            serve_connection(cx, stream, stop).await;
             drop(permit);
         });
     }
-    graceful.shutdown().await;
+    connections.close();
+    connections.wait().await;
+}
+
+async fn serve_connection(cx: Cx, mut stream: TcpStream, stop: CancellationToken) {
+    let service = Callers { cx };
+    let mut buf = BytesMut::new();
+    let begins = first_bytes(&mut stream, &mut buf, service.limits().idle);
+    let is_http2 = tokio::select! {
+        () = stop.cancelled() => return,
+        begins = begins => match begins {
+            Some(is_http2) => is_http2,
+            None => return,
+        },
+    };
+    if is_http2 {
+        serve_http2(service.cx, Prefixed::new(buf, stream), stop).await;
+    } else {
+        http1::serve_connection(stream, buf, service, stop).await;
+    }
+}
+
+/// Reads until the protocol is known; none when the connection ends or stays silent before that.
+async fn first_bytes(stream: &mut TcpStream, buf: &mut BytesMut, idle: Duration) -> Option<bool> {
+    loop {
+        let known = buf.len().min(HTTP2_PREFACE.len());
+        if buf[..known] != HTTP2_PREFACE[..known] {
+            return Some(false);
+        }
+        if known == HTTP2_PREFACE.len() {
+            return Some(true);
+        }
+        match tokio::time::timeout(idle, stream.read_buf(buf)).await {
+            Ok(Ok(read)) if read > 0 => {}
+            Ok(Ok(_)) | Err(_) => return None,
+            Ok(Err(e)) => {
+                tracing::trace!(error = %e, "connection of a caller broke");
+                return None;
+            }
+        }
+    }
 }
 
-fn builder(cx: &Cx) -> auto::Builder<TokioExecutor> {
+async fn serve_http2(cx: Cx, stream: Prefixed, stop: CancellationToken) {
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(header_bytes);
-    builder
-        .http2()
+    let service = service_fn(move |req: Request<Incoming>| {
+        let cx = Arc::clone(&cx);
+        async move { Ok::<_, Infallible>(answer(cx, req.map(RequestBody::Hyper)).await) }
+    });
+    let conn = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(header_bytes).unwrap_or(u32::MAX))
-        .initial_stream_window_size(STREAM_WINDOW);
-    builder
+        .initial_stream_window_size(STREAM_WINDOW)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let ended = tokio::select! {
+        ended = &mut conn => ended,
+        () = stop.cancelled() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!(error = %e, "connection of a caller ended");
+    }
+}
+
+/// Service of the connections of callers.
+#[derive(Debug, Clone)]
+struct Callers {
+    cx: Cx,
+}
+
+impl Service for Callers {
+    fn call(
+        &self,
+        req: Request<RequestBody>,
+    ) -> impl Future<Output = Response<ProxyBody>> + Send + 'static {
+        answer(Arc::clone(&self.cx), req)
+    }
+
+    fn refuse(&self, fault: HeadFault) -> Response<ProxyBody> {
+        let (kind, detail) = match fault {
+            HeadFault::Malformed(detail) => (ErrorKind::BadRequest, detail),
+            HeadFault::TooLarge => (ErrorKind::HeaderTooLarge, "the header section is too large"),
+            HeadFault::TooSlow => (ErrorKind::RequestTimeout, "the head did not come in time"),
+        };
+        CallError::new(kind, detail).into_response(&self.cx.settings.dialect)
+    }
+
+    fn limits(&self) -> HeadLimits {
+        let config = self.cx.config.load();
+        match &config.limits {
+            Some(limits) => HeadLimits {
+                bytes: limits.header_bytes * HEADER_READ_FACTOR,
+                timeout: limits.header_timeout,
+                idle: limits.idle_timeout,
+            },
+            None => HeadLimits {
+                bytes: self.cx.settings.limits.header_bytes * HEADER_READ_FACTOR,
+                timeout: HEADER_TIMEOUT,
+                idle: IDLE_TIMEOUT,
+            },
+        }
+    }
+
+    fn is_closing(&self) -> bool {
+        self.cx.phase() > Phase::Serving
+    }
 }
 
-async fn answer(cx: Cx, req: Request<Incoming>) -> Result<Response<ProxyBody>, Infallible> {
+async fn answer(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
     let config = cx.config.load();
     let of_config = config.limits.as_ref().map(|limits| limits.header_bytes);
     let most = of_config.unwrap_or(cx.settings.limits.header_bytes);
     drop(config);
     if section_bytes(req.uri(), req.headers()) > most {
         let detail = format!("the header section has more than {most} bytes");
-        return Ok(
-            CallError::new(ErrorKind::HeaderTooLarge, detail).into_response(&cx.settings.dialect)
-        );
+        let e = CallError::new(ErrorKind::HeaderTooLarge, detail);
+        return e.into_response(&cx.settings.dialect);
     }
     if cx.settings.dialect.own_headers && req.uri().path() == KEY_PATH {
-        return Ok(issue_key(&cx, req.method()));
+        return issue_key(&cx, req.method());
     }
-    Ok(serve_caller(cx, req).await)
+    serve_caller(cx, req).await
 }
 
 fn issue_key(cx: &Cx, method: &Method) -> Response<ProxyBody> {
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -4,6 +4,7 @@
 
 mod callers;
 mod peers;
+mod prefixed;
 mod small;
 
 pub use callers::serve_callers;
--- /dev/null
+++ b/crates/daemon/src/listeners/prefixed.rs
@@ -0,0 +1,57 @@
+//! Connection whose first bytes have been read already.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Connection that gives back the bytes that were read before it gives those that follow.
+#[derive(Debug)]
+pub struct Prefixed {
+    prefix: BytesMut,
+    stream: TcpStream,
+}
+
+impl Prefixed {
+    /// Puts `prefix` before what `stream` brings.
+    pub fn new(prefix: BytesMut, stream: TcpStream) -> Self {
+        Self { prefix, stream }
+    }
+}
+
+impl AsyncRead for Prefixed {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.prefix.is_empty() {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let taken = self.prefix.len().min(buf.remaining());
+        buf.put_slice(&self.prefix[..taken]);
+        self.prefix.advance(taken);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Prefixed {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -8,14 +8,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport};
+use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport, Locality};
 use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
 use super::pool::PooledConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
-use crate::settings::Policy;
+use crate::settings::{Policy, Settings};
 
 /// Share of the requests that may be tried again.
 const RETRY_SHARE: f64 = 0.1;
@@ -69,12 +69,13 @@
     budget: Mutex<RetryBudget>,
     outstanding: Arc<AtomicUsize>,
     policy: Policy,
+    locality: Locality,
 }
 
 impl Balance {
     /// Makes the state of a daemon that knows no backend server.
     #[must_use]
-    pub fn new(identity: &Identity, policy: Policy) -> Self {
+    pub fn new(identity: &Identity, settings: &Settings) -> Self {
         Self {
             own: identity.id.clone(),
             data_centre: identity.data_centre.clone(),
@@ -82,7 +83,8 @@
             routes: RwLock::default(),
             budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
             outstanding: Arc::default(),
-            policy,
+            policy: settings.policy,
+            locality: settings.locality,
         }
     }
 
@@ -122,6 +124,7 @@
         let balancer = Balancer::builder()
             .data_centre(self.data_centre.clone())
             .round_robin(self.policy == Policy::Plain)
+            .locality(self.locality)
             .build();
         let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -13,6 +13,7 @@
 use super::balance::EntryGuard;
 use super::host::HostGuard;
 use super::pool::PooledConnection;
+use super::request_body::RequestBody;
 
 /// A body could not be passed on.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     Short,
     /// The body was not whole before the deadline.
     Late,
+    /// The connection ended in the middle of the body, or the body is malformed.
+    Broken,
 }
 
 impl fmt::Display for BodyError {
@@ -34,6 +37,7 @@
             Self::TooLarge => f.write_str("failed to read a body: too large"),
             Self::Short => f.write_str("failed to read a body: shorter than announced"),
             Self::Late => f.write_str("failed to read a body: the deadline passed"),
+            Self::Broken => f.write_str("failed to read a body: it broke off or is malformed"),
         }
     }
 }
@@ -85,7 +89,7 @@
     /// Bytes that are passed on as they come, at most `left` of them.
     Stream {
         /// Source of the bytes.
-        inner: Incoming,
+        inner: RequestBody,
         /// Bytes that are still allowed.
         left: u64,
     },
@@ -163,7 +167,7 @@
                 _ => Poll::Ready(None),
             },
             Self::Stream { inner, left } => {
-                let polled = poll_incoming(inner, cx);
+                let polled = Pin::new(inner).poll_frame(cx);
                 if let Poll::Ready(Some(Ok(frame))) = &polled {
                     let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
                     match left.checked_sub(bytes) {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -186,7 +186,8 @@
 
 fn read_retry_after(res: &Response<Incoming>) -> Option<Duration> {
     let text = res.headers().get(RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
+    let secs: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(secs).ok()
 }
 
 /// Makes attempts at different backend servers while the earlier ones are proved not to have run.
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -16,7 +16,6 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version};
-use hyper::body::Incoming;
 
 use super::answer::CallError;
 use super::balance::{EntryGuard, RouteState};
@@ -24,6 +23,7 @@
 use super::dispatch::PeerAnswer;
 use super::keyed::{self, WholeRequest};
 use super::replay::CallerRequest;
+use super::request_body::RequestBody;
 use super::watch::Callee;
 use super::{dispatch, headers, host};
 use crate::context::{Cx, Phase};
@@ -38,12 +38,14 @@
     service: ServiceName,
     state: Arc<RouteState>,
     deadline: Duration,
+    /// Time by which the answer is of full use.
+    target: Option<Duration>,
     marked_as_retry: bool,
     span: &'a Span,
 }
 
 /// Serves a request of a caller.
-pub async fn serve_caller(cx: Cx, req: Request<Incoming>) -> Response<ProxyBody> {
+pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
     let _count = cx.count_request();
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
@@ -70,7 +72,7 @@
 
 async fn serve(
     cx: &Cx,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     span: &Span,
     start: Duration,
 ) -> Result<(String, Response<ProxyBody>), CallError> {
@@ -142,14 +144,19 @@
         let marked_as_retry = own_headers && parts.headers.contains_key(headers::RETRY);
         let state = cx.balance.route(&route.name);
         let service = route.spec.pick_service(rand::random()).clone();
-        Ok(Self { cx, config, route, service, state, deadline, marked_as_retry, span })
+        let target = route.spec.target_latency.map(|latency| start + latency);
+        Ok(Self { cx, config, route, service, state, deadline, target, marked_as_retry, span })
     }
 
     fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.cx.clock.now())
     }
 
-    async fn serve(&self, parts: Parts, body: Incoming) -> Result<Response<ProxyBody>, CallError> {
+    async fn serve(
+        &self,
+        parts: Parts,
+        body: RequestBody,
+    ) -> Result<Response<ProxyBody>, CallError> {
         self.cx.balance.on_request(&self.state, self.cx.clock.now());
         if self.cx.settings.dialect.own_headers
             && !self.route.spec.is_idempotent()
@@ -165,7 +172,7 @@
     async fn read(
         &self,
         parts: Parts,
-        body: Incoming,
+        body: RequestBody,
         keep: bool,
     ) -> Result<CallerRequest, CallError> {
         let of_config = self.config.limits.as_ref().map(|limits| limits.body_bytes);
@@ -294,6 +301,10 @@
             retry: again || self.marked_as_retry,
             version: self.config.version,
             key: None,
+            target_ms: self.target.map(|target| {
+                let left = target.saturating_sub(self.cx.clock.now());
+                u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+            }),
         })
     }
 
@@ -303,7 +314,7 @@
         &self,
         key: Key,
         parts: Parts,
-        body: Incoming,
+        body: RequestBody,
     ) -> Result<Response<ProxyBody>, CallError> {
         let attempt = keyed::read_attempt(&parts.headers);
         let before_owner = |e| keyed::before_owner(e, attempt);
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -28,6 +28,7 @@
 use super::keyed::{self, WholeRequest};
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
 use super::replay::MAX_REPLAY_BYTES;
+use super::request_body::RequestBody;
 use crate::context::{Cx, Phase};
 use crate::settings::Policy;
 use crate::telemetry::{Span, TraceContext};
@@ -251,6 +252,7 @@
             class: head.class,
             route: &head.route,
             deadline: deadline.saturating_sub(ANSWER_MARGIN),
+            target: head.target_ms.map(|left| now + Duration::from_millis(left)),
         };
         let offer = gate.admission.offer(ticket, now);
         gate.apply(offer.evicted);
@@ -489,7 +491,7 @@
     let body = if body.is_end_stream() {
         ProxyBody::Empty
     } else {
-        ProxyBody::Stream { inner: body, left: cx.settings.limits.body_bytes }
+        ProxyBody::Stream { inner: RequestBody::Hyper(body), left: cx.settings.limits.body_bytes }
     };
     let mut inner = Request::new(body);
     *inner.method_mut() = parts.method;
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 mod keyed;
 mod pool;
 mod replay;
+mod request_body;
 mod watch;
 
 pub use active::ActiveCalls;
@@ -27,3 +28,4 @@
 pub use headers::{OUTCOME, TIMEOUT, has_token, section_bytes};
 pub use host::{BackendInfo, Host, is_call, serve_peer_call};
 pub use pool::{PeerError, PeerPool, Protocol};
+pub use request_body::{BodySender, RequestBody, body_pipe};
--- a/crates/daemon/src/proxy/replay.rs
+++ b/crates/daemon/src/proxy/replay.rs
@@ -6,13 +6,14 @@
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use baobabreel_core::error::ErrorKind;
 
 use super::answer::CallError;
 use super::body::ProxyBody;
 use super::headers;
+use super::request_body::RequestBody;
 
 /// Largest body that is kept for a second try, in bytes.
 pub const MAX_REPLAY_BYTES: u64 = 64 * 1024;
@@ -23,7 +24,7 @@
     /// In memory; can be sent again.
     Kept(Bytes),
     /// Passed on as it comes; can be sent once.
-    Stream(Incoming, u64),
+    Stream(RequestBody, u64),
     /// Was passed on.
     Spent,
 }
@@ -49,7 +50,7 @@
     /// The body is larger than `max_body`, breaks off, or does not come within `timeout`.
     pub async fn new(
         mut parts: Parts,
-        body: Incoming,
+        body: RequestBody,
         max_body: u64,
         keep: bool,
         timeout: Duration,
@@ -103,7 +104,7 @@
     }
 }
 
-async fn read_body(body: Incoming, timeout: Duration) -> Result<Bytes, CallError> {
+async fn read_body(body: RequestBody, timeout: Duration) -> Result<Bytes, CallError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
@@ -112,7 +113,9 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(key_body_too_large()),
         Ok(Err(_)) => Err(CallError::passing(ErrorKind::BadRequest, "the body broke off")),
-        Err(_) => Err(CallError::passing(ErrorKind::BadRequest, "the body did not come in time")),
+        Err(_) => {
+            Err(CallError::passing(ErrorKind::RequestTimeout, "the body did not come in time"))
+        }
     }
 }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use baobabreel_core::balance::Locality;
 use baobabreel_core::id::{DaemonId, DataCentre, SchemaVersion, ServiceName};
 
 use crate::dialect::Dialect;
@@ -97,6 +98,8 @@
     pub threads: usize,
     /// How requests are balanced, admitted and tried again.
     pub policy: Policy,
+    /// How the own data centre is preferred.
+    pub locality: Locality,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
