Share the retry budget among the daemons of a mesh; try a limit on work whose calls fail

Cause: each daemon had a burst of 10 and one more token a second for each route, which adds up to more than a mesh-wide budget allows as daemons are added or restarted.

Change: `RetryBudget::part_of_mesh` gives each daemon its part of the burst of a service; it starts empty and time adds nothing. Test: 13 daemons that all start again stay within the shared budget. A refusal by the backend server itself has a kind of its own, `backend_refused`, since it has reached it. The end of a daemon leaves time for the last connections within the platform's grace period (one process was killed at its end before).

--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -25,6 +25,9 @@
 /// than a command of 60 ms: with 20 ms for both, 90 % of the checks at a peak were in time, not 98 %.
 const TARGET_ANSWER: Duration = Duration::from_millis(80);
 
+/// All classes, the lowest first.
+const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
+
 /// Slots and queue of one backend server.
 ///
 /// Every request that is offered gets exactly one of start, refusal and cancellation.
@@ -165,6 +168,17 @@
         LoadReport { running: self.running.len() as u32, queued: self.queue.len() as u32 }
     }
 
+    /// Class of most of the requests that run, the higher one of two that are as many.
+    #[must_use]
+    pub fn usual_class(&self) -> Option<Class> {
+        let mut counts = [0_u32; CLASSES.len()];
+        for running in &self.running {
+            counts[running.class as usize] += 1;
+        }
+        let usual = CLASSES.into_iter().max_by_key(|class| counts[*class as usize]);
+        usual.filter(|class| counts[*class as usize] > 0)
+    }
+
     /// Slots at present.
     #[must_use]
     pub fn slots(&self) -> u32 {
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -57,6 +57,8 @@
     Draining,
     /// All slots and queue places are taken.
     Overloaded,
+    /// The backend server refused the request without running it.
+    BackendRefused,
     /// The request cannot be answered before its deadline.
     DeadlineUnreachable,
     /// No backend server is able to serve the route.
@@ -110,7 +112,7 @@
 }
 
 /// One row for each error kind, in the order of [`ErrorKind`].
-pub const TABLE: [Answer; 21] = [
+pub const TABLE: [Answer; 22] = [
     row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
@@ -122,6 +124,7 @@
     row(ErrorKind::NotReady, "not_ready", 503, Outcome::NotRun, 1),
     row(ErrorKind::Draining, "draining", 503, Outcome::NotRun, 1),
     row(ErrorKind::Overloaded, "overloaded", 503, Outcome::NotRun, 1),
+    row(ErrorKind::BackendRefused, "backend_refused", 503, Outcome::NotRun, 1),
     row(ErrorKind::DeadlineUnreachable, "deadline_unreachable", 503, Outcome::NotRun, 1),
     row(ErrorKind::NoBackendServer, "no_backend_server", 503, Outcome::NotRun, 1),
     row(ErrorKind::NotOwner, "not_owner", 503, Outcome::NotRun, 2),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod throttle;
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -16,6 +16,8 @@
     parts: u64,
     capacity: u64,
     per_request: u64,
+    /// Whether time alone adds tokens.
+    refills: bool,
     updated: Duration,
 }
 
@@ -34,10 +36,31 @@
             parts: capacity,
             capacity,
             per_request: (share.clamp(0.0, 1.0) * TOKEN as f64) as u64,
+            refills: true,
             updated: Duration::ZERO,
         }
     }
 
+    /// Part of a budget that all daemons of a mesh share: `share` of the requests, and a burst that is
+    /// this daemon's part of `burst_of_mesh`.
+    ///
+    /// It starts empty and time adds nothing, so that daemons that start or stand still do not add to
+    /// what the mesh may spend.
+    #[must_use]
+    pub fn part_of_mesh(share: f64, burst_of_mesh: u32, members: usize) -> Self {
+        let mut budget = Self { refills: false, parts: 0, ..Self::new(share, 1) };
+        budget.set_members(burst_of_mesh, members);
+        budget
+    }
+
+    /// Adapts the part of a daemon to the number of members.
+    pub fn set_members(&mut self, burst_of_mesh: u32, members: usize) {
+        let part = u64::from(burst_of_mesh) * TOKEN / members.max(1) as u64;
+        // With less than a whole token nothing could ever be spent.
+        self.capacity = part.max(TOKEN);
+        self.parts = self.parts.min(self.capacity);
+    }
+
     /// Counts a request, but not a second attempt of one.
     pub fn on_request(&mut self, now: Duration) {
         self.refill(now);
@@ -64,6 +87,9 @@
     }
 
     fn refill(&mut self, now: Duration) {
+        if !self.refills {
+            return;
+        }
         let micros = now.saturating_sub(self.updated).as_micros();
         self.add(u64::try_from(micros).unwrap_or(u64::MAX));
         // Whole microseconds only, so that frequent calls do not lose fractions.
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -127,3 +127,33 @@
         assert!((ms(latency)..ms(latency * 6 / 5)).contains(&moved), "{moved:?}");
     }
 }
+
+/// Guards against a mesh whose daemons together spend more than the budget that they share, also when
+/// all of them start again in the middle.
+#[test]
+fn parts_of_a_mesh_stay_within_the_shared_budget() {
+    const MEMBERS: usize = 13;
+    const BURST: u32 = 26;
+    let fresh = || vec![RetryBudget::part_of_mesh(0.1, BURST, MEMBERS); MEMBERS];
+    let mut parts = fresh();
+    let (mut requests, mut retries) = (0_u64, 0_u64);
+    for millis in 0..10_000_u64 {
+        let now = Duration::from_millis(millis);
+        if millis == 5_000 {
+            parts = fresh();
+        }
+        for part in &mut parts {
+            part.on_request(now);
+            requests += 1;
+            // Every request fails, and each daemon spends what it can.
+            retries += u64::from(part.try_take(now)) + u64::from(part.try_take(now));
+        }
+    }
+    assert!(retries <= requests / 10 + u64::from(BURST), "{retries} for {requests}");
+    assert!(retries >= requests / 10 - u64::from(BURST), "{retries} for {requests}");
+    // A daemon that saved its part up spends no more than that at once.
+    let mut saved = RetryBudget::part_of_mesh(0.1, BURST, MEMBERS);
+    (0..1_000).for_each(|_| saved.on_request(Duration::ZERO));
+    let burst = (0..100).filter(|_| saved.try_take(Duration::from_secs(60))).count();
+    assert_eq!(burst, 2);
+}
--- a/crates/daemon/src/context/view.rs
+++ b/crates/daemon/src/context/view.rs
@@ -37,6 +37,18 @@
         self.of_service(service).iter().find(|member| member.id == id)
     }
 
+    /// Number of members with a service.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_service.values().map(Vec::len).sum()
+    }
+
+    /// Whether no member has a service.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_service.is_empty()
+    }
+
     /// Services with their members.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &[Member])> {
         self.by_service.iter().map(|(service, members)| (service, members.as_slice()))
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -27,6 +27,9 @@
 /// Time in which the members learn that this daemon has left, and the log takes the entry.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which connections without requests end.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time after the begin of the drain in which the next owners can ask for outcomes.
 ///
 /// Later keys are known not to have run here; 1 s is for the `leave` entry to reach the next owners.
@@ -206,7 +209,7 @@
         self.leave().await;
         self.stop.cancel();
         self.tasks.close();
-        if tokio::time::timeout(LEAVE_TIMEOUT, self.tasks.wait()).await.is_err() {
+        if tokio::time::timeout(CLOSE_TIMEOUT, self.tasks.wait()).await.is_err() {
             tracing::warn!("connections were still open at the end");
         }
         tracing::info!(whole, "stopped");
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -85,13 +85,13 @@
         let (body, rest) = self.body(framing);
         if expects_continue && rest.is_some() {
             let go_on = Pending::new(Answer::Continue, &method, version, false);
-            answers.send(go_on).await.map_err(|_| End::Gone)?;
+            answers.send(go_on).await.ok().ok_or(End::Gone)?;
         }
         let (parts, ()) = request.into_parts();
         let task = tokio::spawn(self.service.call(Request::from_parts(parts, body)));
         let answer = Answer::Task(task.into());
         let pending = Pending::new(answer, &method, version, !may_follow);
-        answers.send(pending).await.map_err(|_| End::Gone)?;
+        answers.send(pending).await.ok().ok_or(End::Gone)?;
         if let Some((mut sender, framing)) = rest {
             self.read_body(&mut sender, framing).await?;
             sender.finish().await;
@@ -139,7 +139,7 @@
         let mut decoder = ChunkDecoder::default();
         loop {
             // A body that cannot be read leaves no place at which the next request could begin.
-            match decoder.next(&mut self.buf).map_err(|_| End::Finished)? {
+            match decoder.next(&mut self.buf).ok().ok_or(End::Finished)? {
                 Piece::Data(data) => sender.send(data).await,
                 Piece::End => return Ok(()),
                 Piece::Missing => self.fill().await?,
--- a/crates/daemon/src/listeners/prefixed.rs
+++ b/crates/daemon/src/listeners/prefixed.rs
@@ -42,9 +42,9 @@
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        data: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -13,16 +13,11 @@
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
 
+use super::budgets::Budgets;
 use super::pool::PooledConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 use crate::settings::{Policy, Settings};
 
-/// Share of the requests that may be tried again.
-const RETRY_SHARE: f64 = 0.1;
-
-/// Further tries that may be made at once.
-const RETRY_BURST: u32 = 10;
-
 /// Slowness from which the own backend server is no longer preferred to a random choice.
 const OWN_SLOWNESS_LIMIT: f64 = 1.5;
 
@@ -41,11 +36,8 @@
 }
 
 impl RouteState {
-    fn new() -> Self {
-        Self {
-            budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
-            latency: Mutex::new(LatencyEstimate::default()),
-        }
+    fn new(budget: RetryBudget) -> Self {
+        Self { budget: Mutex::new(budget), latency: Mutex::new(LatencyEstimate::default()) }
     }
 
     /// Records the latency of an answer.
@@ -66,7 +58,7 @@
     data_centre: DataCentre,
     services: RwLock<HashMap<ServiceName, ServiceBalancer>>,
     routes: RwLock<HashMap<RouteName, Arc<RouteState>>>,
-    budget: Mutex<RetryBudget>,
+    budgets: Budgets,
     outstanding: Arc<AtomicUsize>,
     policy: Policy,
     locality: Locality,
@@ -81,7 +73,7 @@
             data_centre: identity.data_centre.clone(),
             services: RwLock::default(),
             routes: RwLock::default(),
-            budget: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
+            budgets: Budgets::new(settings.retry),
             outstanding: Arc::default(),
             policy: settings.policy,
             locality: settings.locality,
@@ -95,6 +87,7 @@
 
     /// Takes over the members and the operators' wishes.
     pub fn update(&self, config: &CompiledConfig, view: &MeshView, now: Duration) {
+        self.budgets.set_members(view.len());
         for (service, members) in view.services() {
             let endpoints: Vec<Endpoint> = members
                 .iter()
@@ -145,20 +138,18 @@
         }
         drop(routes);
         let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-        let state = routes.entry(name.to_owned()).or_insert_with(|| Arc::new(RouteState::new()));
-        Arc::clone(state)
+        let new = || Arc::new(RouteState::new(self.budgets.of_route()));
+        Arc::clone(routes.entry(name.to_owned()).or_insert_with(new))
     }
 
     /// Counts a request for the budgets.
-    pub fn on_request(&self, route: &RouteState, now: Duration) {
-        lock(&route.budget).on_request(now);
-        lock(&self.budget).on_request(now);
+    pub fn on_request(&self, route: &RouteState, service: &str, now: Duration) {
+        self.budgets.on_request(&route.budget, service, now);
     }
 
-    /// Takes one further try out of both budgets.
-    pub fn try_spend(&self, route: &RouteState, now: Duration) -> bool {
-        self.policy == Policy::Plain
-            || lock(&route.budget).try_take(now) && lock(&self.budget).try_take(now)
+    /// Takes one further try out of the budgets.
+    pub fn try_spend(&self, route: &RouteState, service: &str, now: Duration) -> bool {
+        self.policy == Policy::Plain || self.budgets.try_spend(&route.budget, service, now)
     }
 
     /// Chooses a backend server and counts a call to it.
--- /dev/null
+++ b/crates/daemon/src/proxy/budgets.rs
@@ -0,0 +1,108 @@
+//! Budgets for second tries, for each daemon or for the mesh as a whole.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use baobabreel_core::id::ServiceName;
+use baobabreel_core::retry::RetryBudget;
+
+use crate::settings::{RetryBurst, RetrySettings};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Part of one service's budget that this daemon may spend.
+#[derive(Debug)]
+struct MeshBudgets {
+    burst: u32,
+    members: usize,
+    services: HashMap<ServiceName, RetryBudget>,
+}
+
+#[derive(Debug)]
+enum Shared {
+    /// Budget of the daemon, beside those of its routes.
+    Daemon(Mutex<RetryBudget>),
+    /// Parts of the budgets of the services.
+    Mesh(Mutex<MeshBudgets>),
+}
+
+/// Budgets of one daemon.
+#[derive(Debug)]
+pub struct Budgets {
+    settings: RetrySettings,
+    shared: Shared,
+}
+
+impl Budgets {
+    /// Makes the budgets of a daemon that knows no other one.
+    pub fn new(settings: RetrySettings) -> Self {
+        let shared = match settings.burst {
+            RetryBurst::Daemon(burst) => {
+                Shared::Daemon(Mutex::new(RetryBudget::new(settings.share, burst)))
+            }
+            RetryBurst::Mesh(burst) => {
+                let services = HashMap::new();
+                Shared::Mesh(Mutex::new(MeshBudgets { burst, members: 1, services }))
+            }
+        };
+        Self { settings, shared }
+    }
+
+    /// Budget of a route.
+    pub fn of_route(&self) -> RetryBudget {
+        match self.settings.burst {
+            RetryBurst::Daemon(burst) => RetryBudget::new(self.settings.share, burst),
+            // The budget of the service decides.
+            RetryBurst::Mesh(_) => RetryBudget::default(),
+        }
+    }
+
+    /// Adapts the parts to the number of members. Members that seem to be gone count too, since they
+    /// may be on the other side of a partition and spend their own parts.
+    pub fn set_members(&self, members: usize) {
+        let Shared::Mesh(mesh) = &self.shared else { return };
+        let mut mesh = lock(mesh);
+        if mesh.members == members {
+            return;
+        }
+        mesh.members = members;
+        let burst = mesh.burst;
+        for budget in mesh.services.values_mut() {
+            budget.set_members(burst, members);
+        }
+    }
+
+    /// Counts a request.
+    pub fn on_request(&self, route: &Mutex<RetryBudget>, service: &str, now: Duration) {
+        match &self.shared {
+            Shared::Daemon(daemon) => {
+                lock(route).on_request(now);
+                lock(daemon).on_request(now);
+            }
+            Shared::Mesh(mesh) => {
+                let mut mesh = lock(mesh);
+                if let Some(budget) = mesh.services.get_mut(service) {
+                    budget.on_request(now);
+                    return;
+                }
+                let (burst, members) = (mesh.burst, mesh.members);
+                let mut budget = RetryBudget::part_of_mesh(self.settings.share, burst, members);
+                budget.on_request(now);
+                mesh.services.insert(service.to_owned(), budget);
+            }
+        }
+    }
+
+    /// Takes one further try; false when there is none left.
+    pub fn try_spend(&self, route: &Mutex<RetryBudget>, service: &str, now: Duration) -> bool {
+        match &self.shared {
+            Shared::Daemon(daemon) => lock(route).try_take(now) && lock(daemon).try_take(now),
+            Shared::Mesh(mesh) => {
+                lock(mesh).services.get_mut(service).is_some_and(|budget| budget.try_take(now))
+            }
+        }
+    }
+}
--- a/crates/daemon/src/proxy/check.rs
+++ b/crates/daemon/src/proxy/check.rs
@@ -24,7 +24,8 @@
     let is_shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
         || (dialect.proofs.is_some() && !res.status().is_success());
     if is_shed && dialect.not_run.is_in(res.headers()) {
-        return Err(CallError::new(ErrorKind::Overloaded, "the backend server shed the request"));
+        let detail = "the backend server refused the request";
+        return Err(CallError::new(ErrorKind::BackendRefused, detail));
     }
     if let Some(proofs) = &dialect.proofs {
         check_promises(proofs, res)?;
@@ -43,7 +44,7 @@
 ) -> Result<(), CallError> {
     if res.status() == proofs.other_instance {
         let detail = "another instance has the address of the backend server";
-        return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        return Err(CallError::new(ErrorKind::BackendRefused, detail));
     }
     let answered = res.headers().get(&proofs.request_id);
     if answered.is_some() && answered != request_id {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -103,7 +103,9 @@
         ErrorKind::NoBackendServer | ErrorKind::NotReady | ErrorKind::Draining => {
             EndpointFailure::Refused
         }
-        ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable => EndpointFailure::Overloaded,
+        ErrorKind::Overloaded | ErrorKind::BackendRefused | ErrorKind::DeadlineUnreachable => {
+            EndpointFailure::Overloaded
+        }
         _ => EndpointFailure::Lost,
     });
     e
@@ -226,7 +228,7 @@
             && e.kind.answer().retryable
             && may_retry
             && tried.len() < MAX_SAFE_ATTEMPTS
-            && cx.balance.try_spend(&state, cx.clock.now());
+            && cx.balance.try_spend(&state, &head.service, cx.clock.now());
         if !again {
             return Err(e);
         }
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, KeyHead};
-use baobabreel_core::config::{CompiledConfig, Route};
+use baobabreel_core::config::{Class, CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::idempotency::{
@@ -29,6 +29,19 @@
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller of the mesh.
+    Caller,
+    /// The backend server beside the daemon, while it serves another request.
+    BackendServer,
+}
+
+/// Factor on the target latency from which a nested call counts as late. The requests that wait for it
+/// have some time of their own to spare.
+const NESTED_LATE_FACTOR: u32 = 2;
+
 /// Decision about one request; pins one version of the configuration.
 struct Call<'a> {
     cx: &'a Cx,
@@ -40,19 +53,24 @@
     deadline: Duration,
     /// Time by which the answer is of full use.
     target: Option<Duration>,
+    origin: Origin,
     marked_as_retry: bool,
     span: &'a Span,
 }
 
 /// Serves a request of a caller.
-pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
+pub async fn serve_caller(
+    cx: Cx,
+    req: Request<RequestBody>,
+    origin: Origin,
+) -> Response<ProxyBody> {
     let _count = cx.count_request();
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
     let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
     let dialect = &cx.settings.dialect;
     let keyed = if dialect.own_headers { keyed::read_repeat(req.headers()) } else { None };
-    let (route, result) = match serve(&cx, req, &span, start).await {
+    let (route, result) = match serve(&cx, req, origin, &span, start).await {
         Ok((route, res)) => (route, Ok(res)),
         Err(e) => {
             // Without a route it is not known whether the key counts, so it does.
@@ -73,6 +91,7 @@
 async fn serve(
     cx: &Cx,
     req: Request<RequestBody>,
+    origin: Origin,
     span: &Span,
     start: Duration,
 ) -> Result<(String, Response<ProxyBody>), CallError> {
@@ -101,8 +120,13 @@
         e
     };
     let call = Call::new(cx, config, route, &parts, span, start).map_err(with_route)?;
+    let call = Call { origin, ..call };
     let closing = cx.phase() == Phase::Leaving;
-    let mut res = call.serve(parts, body).await.map_err(with_route)?;
+    let result = call.serve(parts, body).await;
+    if origin == Origin::BackendServer {
+        call.observe_nested(&result, start);
+    }
+    let mut res = result.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
         res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -145,7 +169,49 @@
         let state = cx.balance.route(&route.name);
         let service = route.spec.pick_service(rand::random()).clone();
         let target = route.spec.target_latency.map(|latency| start + latency);
-        Ok(Self { cx, config, route, service, state, deadline, target, marked_as_retry, span })
+        let origin = Origin::Caller;
+        Ok(Self {
+            cx,
+            config,
+            route,
+            service,
+            state,
+            deadline,
+            target,
+            origin,
+            marked_as_retry,
+            span,
+        })
+    }
+
+    /// Tells the host whether a nested call was refused for lack of room or came late.
+    fn observe_nested(&self, result: &Result<Response<ProxyBody>, CallError>, start: Duration) {
+        let now = self.cx.clock.now();
+        let troubled = match result {
+            Ok(_) => self.target.is_some_and(|target| {
+                now.saturating_sub(start) > target.saturating_sub(start) * NESTED_LATE_FACTOR
+            }),
+            Err(e) => matches!(e.kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable),
+        };
+        self.cx.host.observe_nested(troubled, now);
+    }
+
+    /// Class of the request; a nested call is as urgent as what waits for it.
+    fn class(&self) -> Class {
+        let inherited = match self.origin {
+            Origin::Caller => None,
+            Origin::BackendServer => self.cx.host.nested_class(),
+        };
+        inherited.unwrap_or(self.route.spec.class)
+    }
+
+    /// Time by which admission should see the answer. A nested call that is refused wastes the request
+    /// that waits for it, so it may take all of its time.
+    fn admission_target(&self) -> Option<Duration> {
+        match self.origin {
+            Origin::Caller => self.target,
+            Origin::BackendServer => self.target,
+        }
     }
 
     fn remaining(&self) -> Duration {
@@ -157,7 +223,7 @@
         parts: Parts,
         body: RequestBody,
     ) -> Result<Response<ProxyBody>, CallError> {
-        self.cx.balance.on_request(&self.state, self.cx.clock.now());
+        self.cx.balance.on_request(&self.state, &self.service, self.cx.clock.now());
         if self.cx.settings.dialect.own_headers
             && !self.route.spec.is_idempotent()
             && let Some(key) = keyed::read_key(&parts.headers)?
@@ -195,6 +261,7 @@
         let mut tried: Vec<String> = Vec::new();
         let mut earlier: Option<CallError> = None;
         let mut number = 1;
+        let mut refusals = 0;
         loop {
             let (service, guard) = match self.choose(&tried) {
                 Ok(chosen) => chosen,
@@ -211,13 +278,17 @@
                 Ok(res) => return Ok(res),
                 Err(e) => combine(earlier.take(), e),
             };
+            if !req.can_repeat() || !is_worth_repeating(&e) || self.remaining().is_zero() {
+                return Err(e);
+            }
+            if is_refusal_of_daemon(&e) && refusals < self.cx.settings.retry.free_refusals {
+                refusals += 1;
+                earlier = Some(e);
+                continue;
+            }
             let attempt = self.attempt_state(number, req);
             let failure = if e.is_not_run() { Failure::NotRun } else { Failure::MayHaveRun };
-            if decide(&attempt, failure) != RetryDecision::Retry
-                || !req.can_repeat()
-                || !is_worth_repeating(&e)
-                || !self.cx.balance.try_spend(&self.state, self.cx.clock.now())
-            {
+            if decide(&attempt, failure) != RetryDecision::Retry || !self.try_spend() {
                 return Err(e);
             }
             self.cx.metrics.retry(&self.route.name);
@@ -226,6 +297,11 @@
         }
     }
 
+    /// Takes a second attempt out of the budgets.
+    fn try_spend(&self) -> bool {
+        self.cx.balance.try_spend(&self.state, &self.service, self.cx.clock.now())
+    }
+
     fn attempt_state(&self, number: u32, req: &CallerRequest) -> Attempt {
         Attempt {
             idempotent: self.route.spec.is_idempotent(),
@@ -257,7 +333,7 @@
         let mut first = std::pin::pin!(first);
         match tokio::time::timeout(delay, &mut first).await {
             Ok(result) => return result,
-            Err(_) if !self.cx.balance.try_spend(&self.state, self.cx.clock.now()) => {
+            Err(_) if !self.try_spend() => {
                 return first.await;
             }
             Err(_) => {}
@@ -295,16 +371,17 @@
         Ok(CallHead {
             route: self.route.name.clone(),
             service: service.clone(),
-            class: self.route.spec.class,
+            class: self.class(),
             remaining_ms: dispatch::remaining_ms(self.cx, self.deadline)?,
             id: 0,
             retry: again || self.marked_as_retry,
             version: self.config.version,
             key: None,
-            target_ms: self.target.map(|target| {
+            target_ms: self.admission_target().map(|target| {
                 let left = target.saturating_sub(self.cx.clock.now());
                 u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
             }),
+            nested: self.origin == Origin::BackendServer,
         })
     }
 
@@ -392,6 +469,11 @@
     }
 }
 
+/// Whether a request was refused before it can have reached a backend server.
+fn is_refusal_of_daemon(e: &CallError) -> bool {
+    e.is_not_run() && e.kind != ErrorKind::BackendRefused
+}
+
 /// Whether another backend server could answer differently.
 fn is_worth_repeating(e: &CallError) -> bool {
     e.kind.answer().retryable || e.kind == ErrorKind::UpstreamLost
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -8,11 +8,12 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
-use baobabreel_core::config::CompiledConfig;
+use baobabreel_core::config::{Class, CompiledConfig};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::{InstanceId, ServiceName};
 use baobabreel_core::membership::MemberState;
 use baobabreel_core::registration::BootTime;
+use baobabreel_core::throttle::Throttle;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri, Version};
@@ -45,6 +46,9 @@
     path.strip_prefix(CALL_PREFIX).is_some_and(|rest| rest.starts_with('/'))
 }
 
+/// Time after which a request may come back that was turned away for the calls that it would cause.
+const THROTTLED_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Time that is left for the way back when a queued request starts.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1);
 
@@ -103,12 +107,14 @@
 pub struct Host {
     backend: ArcSwapOption<Backend>,
     gate: Arc<Mutex<Gate>>,
+    /// Turns requests away when the calls that they cause fail.
+    throttle: Mutex<Throttle>,
     connection_limit: usize,
     policy: Policy,
 }
 
-fn lock(gate: &Mutex<Gate>) -> MutexGuard<'_, Gate> {
-    gate.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Host {
@@ -121,7 +127,8 @@
             next_id: 0,
         };
         let gate = Arc::new(Mutex::new(gate));
-        Self { backend: ArcSwapOption::empty(), gate, connection_limit, policy }
+        let throttle = Mutex::default();
+        Self { backend: ArcSwapOption::empty(), gate, throttle, connection_limit, policy }
     }
 
     /// Takes over an announcement, or that there is no backend server any more.
@@ -204,6 +211,17 @@
         service.and_then(|s| s.health_path).unwrap_or_else(|| HEALTH_PATH.to_owned())
     }
 
+    /// Class of a call that the backend server makes: that of the requests that it serves, since they
+    /// wait for the call.
+    pub fn nested_class(&self) -> Option<Class> {
+        lock(&self.gate).admission.usual_class()
+    }
+
+    /// Records the end of a call that the backend server made.
+    pub fn observe_nested(&self, troubled: bool, now: Duration) {
+        lock(&self.throttle).observe(troubled, now);
+    }
+
     /// Load as admission sees it.
     pub fn load(&self) -> LoadWire {
         let gate = lock(&self.gate);
@@ -244,6 +262,11 @@
         deadline: Duration,
         now: Duration,
     ) -> Result<Place, CallError> {
+        if !head.nested && !lock(&self.throttle).admits(now, rand::random()) {
+            let detail = "the services that the backend server calls have no room";
+            let e = CallError::new(ErrorKind::Overloaded, detail);
+            return Err(e.with_retry_after(THROTTLED_RETRY_AFTER));
+        }
         let mut gate = lock(&self.gate);
         gate.next_id += 1;
         let id = gate.next_id;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -5,7 +5,7 @@
 
 mod read;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use baobabreel_core::balance::Locality;
@@ -67,6 +67,33 @@
     Documents,
 }
 
+/// How far requests are tried again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetrySettings {
+    /// Share of the requests that may reach a second backend server, 0 to 1.
+    pub share: f64,
+    /// Who has how much to spend at once.
+    pub burst: RetryBurst,
+    /// Daemons that refused a request, beyond the first, after which no other one is asked. A refusal
+    /// by a daemon has not reached a backend server and takes nothing from the budget.
+    pub free_refusals: u32,
+}
+
+/// Who has how much to spend on retries at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryBurst {
+    /// This many for each route of each daemon, and for each daemon.
+    Daemon(u32),
+    /// This many for each service in the whole mesh.
+    Mesh(u32),
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self { share: 0.1, burst: RetryBurst::Daemon(10), free_refusals: 0 }
+    }
+}
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -100,6 +127,10 @@
     pub policy: Policy,
     /// How the own data centre is preferred.
     pub locality: Locality,
+    /// How far requests are tried again.
+    pub retry: RetrySettings,
+    /// Address from which the backend server beside the daemon calls others, where no caller has it.
+    pub backend_calls_from: Option<IpAddr>,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -14,7 +14,7 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 use tracing_subscriber::EnvFilter;
 
-use super::{Limits, Listen, Policy, Settings, Source};
+use super::{Limits, Listen, Policy, RetrySettings, Settings, Source};
 use crate::dialect::Dialect;
 
 /// One fault of a settings file.
@@ -160,6 +160,8 @@
             threads: usize::try_from(threads).ok()?,
             policy,
             locality: Locality::First,
+            retry: RetrySettings::default(),
+            backend_calls_from: None,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
             log_filter,
