Write lines about single requests, find lost daemons sooner, and refuse early

Change: queued requests leave the queue when they can no longer end in time, and the waits of requests that have just left the queue bound the expected wait. The other daemon is asked about a call after a quarter of the time left instead of 1 s, and is avoided while it does not answer; connections to it get 250 ms. A request whose backend server is not there any more is sent on without budget. Lines: one for each ended request, failed attempt and hosted request, bounded for each kind, written by a queue that drops rather than waits.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -59,8 +59,6 @@
     pub key: Option<KeyHead>,
     /// Remaining time in which an answer is of full use, in milliseconds, where the route tells it.
     pub target_ms: Option<u64>,
-    /// Whether a backend server makes the call while it serves another request.
-    pub nested: bool,
 }
 
 /// Question about a call.
--- a/crates/core/src/admission/routes.rs
+++ b/crates/core/src/admission/routes.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Weight of a new wait in the smoothed one; waits change faster than run times.
+const WAIT_SMOOTHING: f64 = 0.3;
 /// Weight of a new run time in the smoothed one.
 const SMOOTHING: f64 = 0.1;
 /// A route is bulk when its smoothed run time is over this multiple of the median.
@@ -37,6 +39,8 @@
 #[derive(Debug, Default)]
 struct RouteState {
     run_time: RunTime,
+    /// Smoothed wait of the requests that left the queue, in seconds.
+    wait_secs: f64,
     bulk: bool,
     last_used: Duration,
 }
@@ -86,6 +90,17 @@
         Some(self.states[index].run_time).filter(|run_time| run_time.runs > 0)
     }
 
+    /// Records the wait of a request that left the queue.
+    pub fn observe_wait(&mut self, index: usize, wait: Duration) {
+        let secs = &mut self.states[index].wait_secs;
+        *secs += WAIT_SMOOTHING * (wait.as_secs_f64() - *secs);
+    }
+
+    /// Smoothed wait of the requests that left the queue a short time ago.
+    pub fn wait_secs(&self, index: usize) -> f64 {
+        self.states[index].wait_secs
+    }
+
     /// Whether the route is bulk by its run times.
     pub fn is_bulk(&self, index: usize) -> bool {
         self.states[index].bulk
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -25,9 +25,6 @@
 /// than a command of 60 ms: with 20 ms for both, 90 % of the checks at a peak were in time, not 98 %.
 const TARGET_ANSWER: Duration = Duration::from_millis(80);
 
-/// All classes, the lowest first.
-const CLASSES: [Class; 4] = [Class::Bulk, Class::Lookup, Class::Command, Class::Check];
-
 /// Slots and queue of one backend server.
 ///
 /// Every request that is offered gets exactly one of start, refusal and cancellation.
@@ -148,10 +145,12 @@
     #[must_use]
     pub fn expire(&mut self, now: Duration) -> Vec<Action> {
         let retry_after = default_retry_after(ErrorKind::DeadlineUnreachable);
-        let expired = self.queue.take(|item| item.deadline <= now);
-        let actions = expired
-            .map(|item| refusal(&item, ErrorKind::DeadlineUnreachable, retry_after))
-            .collect();
+        let expired = self.take_matching(|this, item| this.latest_start(item, now) <= now);
+        let mut actions = Vec::with_capacity(expired.len());
+        for item in expired {
+            self.routes.observe_wait(item.route, now.saturating_sub(item.queued_at));
+            actions.push(refusal(&item, ErrorKind::DeadlineUnreachable, retry_after));
+        }
         self.observe_queue(now);
         actions
     }
@@ -168,17 +167,6 @@
         LoadReport { running: self.running.len() as u32, queued: self.queue.len() as u32 }
     }
 
-    /// Class of most of the requests that run, the higher one of two that are as many.
-    #[must_use]
-    pub fn usual_class(&self) -> Option<Class> {
-        let mut counts = [0_u32; CLASSES.len()];
-        for running in &self.running {
-            counts[running.class as usize] += 1;
-        }
-        let usual = CLASSES.into_iter().max_by_key(|class| counts[*class as usize]);
-        usual.filter(|class| counts[*class as usize] > 0)
-    }
-
     /// Slots at present.
     #[must_use]
     pub fn slots(&self) -> u32 {
@@ -318,6 +306,7 @@
                 actions.push(refusal(&item, kind, default_retry_after(kind)));
                 self.overload.refused(item.class, now);
             } else {
+                self.routes.observe_wait(item.route, now.saturating_sub(item.queued_at));
                 self.start(&item, now);
                 actions.push(Action::Start(item.id));
             }
@@ -366,6 +355,27 @@
         self.is_overloaded(item, now) && is_late(item) && self.queue.first(is_better).is_some()
     }
 
+    /// Time after which a queued request is not worth starting. Where routes tell how long they may
+    /// take, one that cannot end in time is refused while its caller has time for another try; under
+    /// overload its place goes to one that can still be answered within its target.
+    fn latest_start(&self, item: &Waiting, now: Duration) -> Duration {
+        let Some(target) = item.target else { return item.deadline };
+        let end = if self.is_overloaded(item, now) { target } else { item.deadline };
+        end.min(item.deadline).saturating_sub(self.run_time(item))
+    }
+
+    /// Takes the queued requests that match.
+    fn take_matching(&mut self, matches: impl Fn(&Self, &Waiting) -> bool) -> Vec<Waiting> {
+        let found: Vec<TicketId> = self
+            .queue
+            .all()
+            .iter()
+            .filter(|item| matches(self, item))
+            .map(|item| item.id)
+            .collect();
+        found.into_iter().filter_map(|id| self.queue.remove(id)).collect()
+    }
+
     /// Whether a queued request has waited too long. The estimate does not know of higher classes that
     /// arrive meanwhile, so a wait may be over the target for a while.
     fn is_late(&self, item: &Waiting, now: Duration) -> bool {
@@ -391,6 +401,19 @@
 
     /// Time until `item` would start if it were queued now.
     fn estimated_wait(&self, item: &Waiting) -> Duration {
+        let modelled = self.modelled_wait(item);
+        // Requests that arrive later and go first are not in the model, but in the waits of those that
+        // have just left the queue.
+        let has_like = self.queue.all().iter().any(|other| other.route == item.route);
+        if item.target.is_none() || !has_like {
+            return modelled;
+        }
+        let observed = Duration::try_from_secs_f64(self.routes.wait_secs(item.route));
+        modelled.max(observed.unwrap_or_default())
+    }
+
+    /// Time until `item` would start if nothing else arrived.
+    fn modelled_wait(&self, item: &Waiting) -> Duration {
         let ahead = self.queue.ahead_of(item);
         let running = self.running.iter().map(|running| self.running_secs(running));
         let queued = ahead.iter().map(|other| self.waiting_secs(other));
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -186,6 +186,13 @@
         }
     }
 
+    /// Records that the daemon beside an endpoint does not answer. Calls that wait for it go on.
+    pub fn out_of_reach(&mut self, name: &str, now: Duration) {
+        if let Some(index) = self.find(name) {
+            self.states[index].back_off(now);
+        }
+    }
+
     /// Records that a call was given up by this daemon, such as the loser of a hedge.
     pub fn cancelled(&mut self, name: &str) {
         if let Some(index) = self.find(name) {
--- a/crates/core/src/balance/endpoint.rs
+++ b/crates/core/src/balance/endpoint.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    fn back_off(&mut self, now: Duration) {
+    pub fn back_off(&mut self, now: Duration) {
         // Calls that were refused together count once.
         if now < self.unusable_until {
             return;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,4 +20,3 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
-pub mod throttle;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -32,7 +32,7 @@
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
 use crate::settings::Settings;
-use crate::telemetry::Metrics;
+use crate::telemetry::{LineLimit, Metrics};
 
 /// Who a daemon is.
 #[derive(Debug, Clone)]
@@ -104,6 +104,8 @@
     pub balance: Balance,
     /// Instruments.
     pub metrics: Metrics,
+    /// Bounds on the lines about single requests.
+    pub lines: LineLimit,
     /// All members.
     pub members: ArcSwap<Members>,
     /// Idempotency keys.
@@ -141,6 +143,7 @@
             calls: ActiveCalls::default(),
             balance: Balance::new(&identity, &settings),
             metrics,
+            lines: LineLimit::default(),
             members: ArcSwap::from_pointee(Members::default()),
             keys: Keys::new(&identity, clock, settings.log_retention().unwrap_or_default()),
             follower: Follower::default(),
--- a/crates/daemon/src/dialect/mod.rs
+++ b/crates/daemon/src/dialect/mod.rs
@@ -28,8 +28,6 @@
 /// Headers of an agreed protocol that prove what an answer belongs to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Proofs {
-    /// Identifier of the request, which the answer repeats.
-    pub request_id: HeaderName,
     /// Header without which a success is not the answer of a backend server.
     pub signature: HeaderName,
     /// Instance that a request is meant for; another one refuses it.
@@ -43,6 +41,8 @@
 /// Names and habits of the protocol towards callers and backend servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Dialect {
+    /// Identifier of a request.
+    pub request_id: HeaderName,
     /// Remaining time in milliseconds.
     pub timeout: HeaderName,
     /// Mark of a backend server that did not run the request.
@@ -51,7 +51,7 @@
     pub caller_service: Option<HeaderName>,
     /// Load of a backend server.
     pub load: Option<HeaderName>,
-    /// Proofs that answers carry; without them an answer is taken as it comes.
+    /// Proofs that answers carry beside the identifier of the request; without them an answer is taken as it comes.
     pub proofs: Option<Proofs>,
     /// Whether the headers of the product itself are spoken: outcome, retry mark, keys and traces.
     pub own_headers: bool,
@@ -64,6 +64,7 @@
 impl Default for Dialect {
     fn default() -> Self {
         Self {
+            request_id: HeaderName::from_static("x-request-id"),
             timeout: TIMEOUT,
             not_run: NotRunMark {
                 header: OUTCOME,
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -20,7 +20,7 @@
 use super::prefixed::Prefixed;
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadFault, HeadLimits, Service};
-use crate::proxy::{CallError, Origin, ProxyBody, RequestBody, section_bytes, serve_caller};
+use crate::proxy::{CallError, ProxyBody, RequestBody, section_bytes, serve_caller};
 
 /// Time in which the head of a request must be whole, unless the configuration sets another.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,7 +61,7 @@
 }
 
 async fn serve_connection(cx: Cx, mut stream: TcpStream, stop: CancellationToken) {
-    let service = Callers { origin: origin(&cx, &stream), cx };
+    let service = Callers { cx };
     let mut buf = BytesMut::new();
     let begins = first_bytes(&mut stream, &mut buf, service.limits().idle);
     let is_http2 = tokio::select! {
@@ -72,24 +72,12 @@
         },
     };
     if is_http2 {
-        serve_http2(service, Prefixed::new(buf, stream), stop).await;
+        serve_http2(service.cx, Prefixed::new(buf, stream), stop).await;
     } else {
         http1::serve_connection(stream, buf, service, stop).await;
     }
 }
 
-fn origin(cx: &Cx, stream: &TcpStream) -> Origin {
-    let backend = cx.settings.backend_calls_from;
-    match stream.peer_addr() {
-        Ok(peer) if Some(peer.ip()) == backend => Origin::BackendServer,
-        Ok(_) => Origin::Caller,
-        Err(e) => {
-            tracing::trace!(error = %e, "connection of a caller broke");
-            Origin::Caller
-        }
-    }
-}
-
 /// Reads until the protocol is known; none when the connection ends or stays silent before that.
 async fn first_bytes(stream: &mut TcpStream, buf: &mut BytesMut, idle: Duration) -> Option<bool> {
     loop {
@@ -111,12 +99,11 @@
     }
 }
 
-async fn serve_http2(callers: Callers, stream: Prefixed, stop: CancellationToken) {
-    let Callers { cx, origin } = callers;
+async fn serve_http2(cx: Cx, stream: Prefixed, stop: CancellationToken) {
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let service = service_fn(move |req: Request<Incoming>| {
         let cx = Arc::clone(&cx);
-        async move { Ok::<_, Infallible>(answer(cx, req.map(RequestBody::Hyper), origin).await) }
+        async move { Ok::<_, Infallible>(answer(cx, req.map(RequestBody::Hyper)).await) }
     });
     let conn = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
@@ -140,7 +127,6 @@
 #[derive(Debug, Clone)]
 struct Callers {
     cx: Cx,
-    origin: Origin,
 }
 
 impl Service for Callers {
@@ -148,7 +134,7 @@
         &self,
         req: Request<RequestBody>,
     ) -> impl Future<Output = Response<ProxyBody>> + Send + 'static {
-        answer(Arc::clone(&self.cx), req, self.origin)
+        answer(Arc::clone(&self.cx), req)
     }
 
     fn refuse(&self, fault: HeadFault) -> Response<ProxyBody> {
@@ -181,7 +167,7 @@
     }
 }
 
-async fn answer(cx: Cx, req: Request<RequestBody>, origin: Origin) -> Response<ProxyBody> {
+async fn answer(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
     let config = cx.config.load();
     let of_config = config.limits.as_ref().map(|limits| limits.header_bytes);
     let most = of_config.unwrap_or(cx.settings.limits.header_bytes);
@@ -194,7 +180,7 @@
     if cx.settings.dialect.own_headers && req.uri().path() == KEY_PATH {
         return issue_key(&cx, req.method());
     }
-    serve_caller(cx, req, origin).await
+    serve_caller(cx, req).await
 }
 
 fn issue_key(cx: &Cx, method: &Method) -> Response<ProxyBody> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -86,7 +86,7 @@
 }
 
 fn run(settings: Settings) -> Result<bool> {
-    telemetry::init_logs(&settings.log_filter)?;
+    let _writes_the_rest = telemetry::init_logs(&settings.log_filter)?;
     let runtime = build_runtime(settings.threads).wrap_err("failed to start the runtime")?;
     runtime.block_on(async {
         let mut terminate = signal(SignalKind::terminate()).wrap_err("failed to catch SIGTERM")?;
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -152,6 +152,13 @@
         self.policy == Policy::Plain || self.budgets.try_spend(&route.budget, service, now)
     }
 
+    /// Records that the daemon beside a backend server does not answer.
+    pub fn out_of_reach(&self, service: &str, name: &str, now: Duration) {
+        if let Some(balancer) = self.find(service) {
+            lock(&balancer).out_of_reach(name, now);
+        }
+    }
+
     /// Chooses a backend server and counts a call to it.
     ///
     /// The own backend server is taken when `own_is_free` and it is not slower than its peers, since
--- a/crates/daemon/src/proxy/check.rs
+++ b/crates/daemon/src/proxy/check.rs
@@ -19,7 +19,7 @@
     res: &Response<Incoming>,
 ) -> Result<(), CallError> {
     if let Some(proofs) = &dialect.proofs {
-        check_owner(proofs, request_id, res)?;
+        check_owner(dialect, proofs, request_id, res)?;
     }
     let is_shed = res.status() == StatusCode::SERVICE_UNAVAILABLE
         || (dialect.proofs.is_some() && !res.status().is_success());
@@ -38,6 +38,7 @@
 
 /// Refuses an answer to another request, and that of another instance.
 fn check_owner(
+    dialect: &Dialect,
     proofs: &Proofs,
     request_id: Option<&HeaderValue>,
     res: &Response<Incoming>,
@@ -46,7 +47,7 @@
         let detail = "another instance has the address of the backend server";
         return Err(CallError::new(ErrorKind::BackendRefused, detail));
     }
-    let answered = res.headers().get(&proofs.request_id);
+    let answered = res.headers().get(&dialect.request_id);
     if answered.is_some() && answered != request_id {
         let detail = "the answer belongs to another request";
         return Err(CallError::new(ErrorKind::UpstreamLost, detail));
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -126,10 +126,14 @@
     let Some(to) = to else {
         return Err(CallError::new(ErrorKind::NoBackendServer, "the member is gone"));
     };
-    send_call(cx, to, head, req, deadline).await
+    let on_silence = || {
+        tracing::debug!(to = name, "the daemon does not answer");
+        cx.balance.out_of_reach(&head.service, name, cx.clock.now());
+    };
+    send_call(cx, to, head, req, deadline, on_silence).await
 }
 
-/// Sends a call to a daemon.
+/// Sends a call to a daemon; `on_silence` is called when it leaves a question about it unanswered.
 ///
 /// # Errors
 ///
@@ -141,6 +145,7 @@
     head: &CallHead,
     mut req: Request<ProxyBody>,
     deadline: Duration,
+    on_silence: impl Fn(),
 ) -> Result<PeerAnswer, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() = format!("{CALL_PREFIX}{path}").parse().map_err(|e| {
@@ -156,18 +161,19 @@
     let head = CallHead { id: rand::random(), ..head.clone() };
     req.headers_mut().insert(headers::CALL, HeaderValue::from(&head));
     let exchange = cx.peers.call(to.addr, req);
-    let (mut res, connection) = match watch::until(cx, to, head.id, deadline, exchange).await {
-        Watched::Ended(Ok(answered)) => answered,
-        Watched::Ended(Err(e)) => return Err(CallError::from_send(e, "the daemon")),
-        Watched::NotRun => {
-            let detail = "the connection to the daemon went silent before the call arrived";
-            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-        }
-        Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
-        Watched::Late => {
-            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
-        }
-    };
+    let (mut res, connection) =
+        match watch::until(cx, to, head.id, deadline, on_silence, exchange).await {
+            Watched::Ended(Ok(answered)) => answered,
+            Watched::Ended(Err(e)) => return Err(CallError::from_send(e, "the daemon")),
+            Watched::NotRun => {
+                let detail = "the connection to the daemon went silent before the call arrived";
+                return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+            }
+            Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
+            Watched::Late => {
+                return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
+            }
+        };
     let answer = res
         .headers_mut()
         .remove(headers::ANSWER)
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, KeyHead};
-use baobabreel_core::config::{Class, CompiledConfig, Route};
+use baobabreel_core::config::{CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::idempotency::{
@@ -22,6 +22,7 @@
 use super::body::{Guard, ProxyBody};
 use super::dispatch::PeerAnswer;
 use super::keyed::{self, WholeRequest};
+use super::lines::{self, AnsweredBy, CallerLine, FailedAttempt};
 use super::replay::CallerRequest;
 use super::request_body::RequestBody;
 use super::watch::Callee;
@@ -29,19 +30,6 @@
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
-/// Who sent a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// A caller of the mesh.
-    Caller,
-    /// The backend server beside the daemon, while it serves another request.
-    BackendServer,
-}
-
-/// Factor on the target latency from which a nested call counts as late. The requests that wait for it
-/// have some time of their own to spare.
-const NESTED_LATE_FACTOR: u32 = 2;
-
 /// Decision about one request; pins one version of the configuration.
 struct Call<'a> {
     cx: &'a Cx,
@@ -53,24 +41,22 @@
     deadline: Duration,
     /// Time by which the answer is of full use.
     target: Option<Duration>,
-    origin: Origin,
+    /// Identifier of the request, for the lines about it.
+    request_id: String,
     marked_as_retry: bool,
     span: &'a Span,
 }
 
 /// Serves a request of a caller.
-pub async fn serve_caller(
-    cx: Cx,
-    req: Request<RequestBody>,
-    origin: Origin,
-) -> Response<ProxyBody> {
+pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
     let _count = cx.count_request();
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
     let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
     let dialect = &cx.settings.dialect;
     let keyed = if dialect.own_headers { keyed::read_repeat(req.headers()) } else { None };
-    let (route, result) = match serve(&cx, req, origin, &span, start).await {
+    let line = CallerLine::new(&cx, &req, start);
+    let (route, result) = match serve(&cx, req, &span, start).await {
         Ok((route, res)) => (route, Ok(res)),
         Err(e) => {
             // Without a route it is not known whether the key counts, so it does.
@@ -85,13 +71,13 @@
     let ended = result.as_ref().map(|_| Outcome::Ran).map_err(|e| e.kind);
     cx.metrics.request(&route, ended, now.saturating_sub(start));
     span.finish(now, &route, ended.map_or_else(ErrorKind::name, Outcome::as_str));
+    line.finish(&route, &result);
     result.unwrap_or_else(|e| e.into_response(dialect))
 }
 
 async fn serve(
     cx: &Cx,
     req: Request<RequestBody>,
-    origin: Origin,
     span: &Span,
     start: Duration,
 ) -> Result<(String, Response<ProxyBody>), CallError> {
@@ -120,13 +106,8 @@
         e
     };
     let call = Call::new(cx, config, route, &parts, span, start).map_err(with_route)?;
-    let call = Call { origin, ..call };
     let closing = cx.phase() == Phase::Leaving;
-    let result = call.serve(parts, body).await;
-    if origin == Origin::BackendServer {
-        call.observe_nested(&result, start);
-    }
-    let mut res = result.map_err(with_route)?;
+    let mut res = call.serve(parts, body).await.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
         res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -169,7 +150,7 @@
         let state = cx.balance.route(&route.name);
         let service = route.spec.pick_service(rand::random()).clone();
         let target = route.spec.target_latency.map(|latency| start + latency);
-        let origin = Origin::Caller;
+        let request_id = lines::request_id(cx, &parts.headers);
         Ok(Self {
             cx,
             config,
@@ -178,42 +159,12 @@
             state,
             deadline,
             target,
-            origin,
+            request_id,
             marked_as_retry,
             span,
         })
     }
 
-    /// Tells the host whether a nested call was refused for lack of room or came late.
-    fn observe_nested(&self, result: &Result<Response<ProxyBody>, CallError>, start: Duration) {
-        let now = self.cx.clock.now();
-        let troubled = match result {
-            Ok(_) => self.target.is_some_and(|target| {
-                now.saturating_sub(start) > target.saturating_sub(start) * NESTED_LATE_FACTOR
-            }),
-            Err(e) => matches!(e.kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable),
-        };
-        self.cx.host.observe_nested(troubled, now);
-    }
-
-    /// Class of the request; a nested call is as urgent as what waits for it.
-    fn class(&self) -> Class {
-        let inherited = match self.origin {
-            Origin::Caller => None,
-            Origin::BackendServer => self.cx.host.nested_class(),
-        };
-        inherited.unwrap_or(self.route.spec.class)
-    }
-
-    /// Time by which admission should see the answer. A nested call that is refused wastes the request
-    /// that waits for it, so it may take all of its time.
-    fn admission_target(&self) -> Option<Duration> {
-        match self.origin {
-            Origin::Caller => self.target,
-            Origin::BackendServer => self.target,
-        }
-    }
-
     fn remaining(&self) -> Duration {
         self.deadline.saturating_sub(self.cx.clock.now())
     }
@@ -269,19 +220,34 @@
                 Err(e) => return Err(earlier.unwrap_or(e)),
             };
             tried.push(guard.name().to_owned());
+            let start = self.cx.clock.now();
             let result = if number == 1 && self.route.spec.hedge {
                 self.hedged(req, service, guard, &mut tried).await
             } else {
                 self.attempt(req.attempt(), &service, guard, number > 1).await
             };
             let e = match result {
-                Ok(res) => return Ok(res),
-                Err(e) => combine(earlier.take(), e),
+                Ok(mut res) => {
+                    let daemon = tried.last().cloned().unwrap_or_default();
+                    res.extensions_mut().insert(AnsweredBy { daemon, attempts: number });
+                    return Ok(res);
+                }
+                Err(e) => e,
+            };
+            let failed = FailedAttempt {
+                request: &self.request_id,
+                to: tried.last().map_or("", String::as_str),
+                number,
+                start,
+                remaining: self.remaining(),
+                error: &e,
             };
+            lines::attempt_failed(self.cx, &failed);
+            let e = combine(earlier.take(), e);
             if !req.can_repeat() || !is_worth_repeating(&e) || self.remaining().is_zero() {
                 return Err(e);
             }
-            if is_refusal_of_daemon(&e) && refusals < self.cx.settings.retry.free_refusals {
+            if is_misdirected(&e) && refusals < self.cx.settings.retry.free_refusals {
                 refusals += 1;
                 earlier = Some(e);
                 continue;
@@ -371,17 +337,16 @@
         Ok(CallHead {
             route: self.route.name.clone(),
             service: service.clone(),
-            class: self.class(),
+            class: self.route.spec.class,
             remaining_ms: dispatch::remaining_ms(self.cx, self.deadline)?,
             id: 0,
             retry: again || self.marked_as_retry,
             version: self.config.version,
             key: None,
-            target_ms: self.admission_target().map(|target| {
+            target_ms: self.target.map(|target| {
                 let left = target.saturating_sub(self.cx.clock.now());
                 u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
             }),
-            nested: self.origin == Origin::BackendServer,
         })
     }
 
@@ -435,7 +400,8 @@
             KeyRoute::Send { owner, peer_addr } => {
                 head.key = Some(key_head(&owner));
                 let to = Callee { addr: peer_addr, incarnation: owner.incarnation };
-                let sent = dispatch::send_call(cx, to, &head, req.to_request(), self.deadline);
+                let sent =
+                    dispatch::send_call(cx, to, &head, req.to_request(), self.deadline, || {});
                 let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
                 Ok(pass_through(cx, answer, self.deadline))
             }
@@ -469,9 +435,9 @@
     }
 }
 
-/// Whether a request was refused before it can have reached a backend server.
-fn is_refusal_of_daemon(e: &CallError) -> bool {
-    e.is_not_run() && e.kind != ErrorKind::BackendRefused
+/// Whether a request has not reached a backend server because the chosen one is not there any more.
+fn is_misdirected(e: &CallError) -> bool {
+    matches!(e.kind, ErrorKind::NoBackendServer | ErrorKind::NotReady | ErrorKind::Draining)
 }
 
 /// Whether another backend server could answer differently.
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -8,12 +8,11 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
-use baobabreel_core::config::{Class, CompiledConfig};
+use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::{InstanceId, ServiceName};
 use baobabreel_core::membership::MemberState;
 use baobabreel_core::registration::BootTime;
-use baobabreel_core::throttle::Throttle;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderValue, Request, Response, Uri, Version};
@@ -27,6 +26,7 @@
 use super::check::check_answer;
 use super::headers;
 use super::keyed::{self, WholeRequest};
+use super::lines::{self, Hosted};
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
 use super::replay::MAX_REPLAY_BYTES;
 use super::request_body::RequestBody;
@@ -46,9 +46,6 @@
     path.strip_prefix(CALL_PREFIX).is_some_and(|rest| rest.starts_with('/'))
 }
 
-/// Time after which a request may come back that was turned away for the calls that it would cause.
-const THROTTLED_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Time that is left for the way back when a queued request starts.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1);
 
@@ -107,8 +104,6 @@
 pub struct Host {
     backend: ArcSwapOption<Backend>,
     gate: Arc<Mutex<Gate>>,
-    /// Turns requests away when the calls that they cause fail.
-    throttle: Mutex<Throttle>,
     connection_limit: usize,
     policy: Policy,
 }
@@ -127,8 +122,7 @@
             next_id: 0,
         };
         let gate = Arc::new(Mutex::new(gate));
-        let throttle = Mutex::default();
-        Self { backend: ArcSwapOption::empty(), gate, throttle, connection_limit, policy }
+        Self { backend: ArcSwapOption::empty(), gate, connection_limit, policy }
     }
 
     /// Takes over an announcement, or that there is no backend server any more.
@@ -211,17 +205,6 @@
         service.and_then(|s| s.health_path).unwrap_or_else(|| HEALTH_PATH.to_owned())
     }
 
-    /// Class of a call that the backend server makes: that of the requests that it serves, since they
-    /// wait for the call.
-    pub fn nested_class(&self) -> Option<Class> {
-        lock(&self.gate).admission.usual_class()
-    }
-
-    /// Records the end of a call that the backend server made.
-    pub fn observe_nested(&self, troubled: bool, now: Duration) {
-        lock(&self.throttle).observe(troubled, now);
-    }
-
     /// Load as admission sees it.
     pub fn load(&self) -> LoadWire {
         let gate = lock(&self.gate);
@@ -262,11 +245,6 @@
         deadline: Duration,
         now: Duration,
     ) -> Result<Place, CallError> {
-        if !head.nested && !lock(&self.throttle).admits(now, rand::random()) {
-            let detail = "the services that the backend server calls have no room";
-            let e = CallError::new(ErrorKind::Overloaded, detail);
-            return Err(e.with_retry_after(THROTTLED_RETRY_AFTER));
-        }
         let mut gate = lock(&self.gate);
         gate.next_id += 1;
         let id = gate.next_id;
@@ -384,20 +362,43 @@
     pub deadline: Duration,
 }
 
+/// Times of a request beside its backend server.
+#[derive(Debug, Default)]
+struct Trail {
+    started: Option<Duration>,
+}
+
 /// Admits a request and passes it to the backend server.
-pub async fn run(
+pub async fn run(cx: &Cx, head: &CallHead, req: Request<ProxyBody>) -> Result<Admitted, CallError> {
+    let arrived = cx.clock.now();
+    let request = lines::request_id(cx, req.headers());
+    let mut trail = Trail::default();
+    let result = admit_and_send(cx, head, req, &mut trail).await;
+    let line = Hosted {
+        request: &request,
+        route: &head.route,
+        arrived,
+        started: trail.started,
+        result: result.as_ref().map(|admitted| admitted.response.status().as_u16()),
+    };
+    lines::hosted(cx, &line);
+    result
+}
+
+async fn admit_and_send(
     cx: &Cx,
     head: &CallHead,
     mut req: Request<ProxyBody>,
+    trail: &mut Trail,
 ) -> Result<Admitted, CallError> {
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = able_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
+    trail.started = Some(cx.clock.now());
     let remaining = deadline.saturating_sub(cx.clock.now());
     let dialect = &cx.settings.dialect;
     headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
-    let request_id =
-        dialect.proofs.as_ref().and_then(|p| req.headers().get(&p.request_id).cloned());
+    let request_id = req.headers().get(&dialect.request_id).cloned();
     if let (Some(proofs), Some(instance)) = (&dialect.proofs, &backend.info.instance) {
         headers::write_text(req.headers_mut(), &proofs.target_instance, instance);
     }
--- /dev/null
+++ b/crates/daemon/src/proxy/lines.rs
@@ -0,0 +1,188 @@
+//! Lines about single requests, for those who have only the identifier of one that failed.
+
+use std::time::Duration;
+
+use baobabreel_core::config::Version;
+use baobabreel_core::error::{ErrorKind, Outcome};
+use http::{HeaderMap, Request, Response};
+
+use super::answer::CallError;
+use crate::context::Cx;
+use crate::telemetry::LineKind;
+
+/// Daemon that a request was answered through; kept with the answer for its line.
+#[derive(Debug, Clone)]
+pub struct AnsweredBy {
+    /// Identifier of the daemon.
+    pub daemon: String,
+    /// Attempts that it took.
+    pub attempts: u32,
+}
+
+/// Identifier of a request, empty when it has none.
+#[must_use]
+pub fn request_id(cx: &Cx, headers: &HeaderMap) -> String {
+    let value = headers.get(&cx.settings.dialect.request_id);
+    value.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+/// Line about a request of a caller; written at its end, also when the caller leaves before.
+pub struct CallerLine<'a> {
+    cx: &'a Cx,
+    id: String,
+    path: String,
+    start: Duration,
+    ended: bool,
+}
+
+impl std::fmt::Debug for CallerLine<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("CallerLine").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl<'a> CallerLine<'a> {
+    /// Begins the line of a request.
+    pub fn new<B>(cx: &'a Cx, req: &Request<B>, start: Duration) -> Self {
+        let id = request_id(cx, req.headers());
+        let path = req.uri().path().to_owned();
+        Self { cx, id, path, start, ended: false }
+    }
+
+    /// Writes the line of a request that got an answer, of a backend server or of the daemon.
+    pub fn finish<B>(mut self, route: &str, result: &Result<Response<B>, CallError>) {
+        self.ended = true;
+        let kind = match result {
+            Ok(res) if res.status().is_server_error() => LineKind::Failed,
+            Ok(_) => LineKind::Answered,
+            Err(e) if e.is_not_run() => LineKind::Refused,
+            Err(_) => LineKind::Failed,
+        };
+        let now = self.cx.clock.now();
+        let Some(left_out) = self.cx.lines.take(kind, now) else { return };
+        let (outcome, detail) = match result {
+            Ok(_) => (Outcome::Ran.as_str(), ""),
+            Err(e) => (ErrorKind::name(e.kind), e.detail.as_str()),
+        };
+        let by = result.as_ref().ok().and_then(|res| res.extensions().get::<AnsweredBy>());
+        tracing::info!(
+            request = self.id,
+            path = self.path,
+            route,
+            config = %self.version(),
+            status = result.as_ref().map_or_else(
+                |e| e.kind.answer().status,
+                |res| res.status().as_u16(),
+            ),
+            outcome,
+            detail,
+            through = by.map(|by| by.daemon.as_str()),
+            attempts = by.map(|by| by.attempts),
+            took_ms = millis(now, self.start),
+            left_out,
+            "request ended"
+        );
+    }
+
+    fn version(&self) -> Version {
+        self.cx.config.load().version
+    }
+}
+
+impl Drop for CallerLine<'_> {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let now = self.cx.clock.now();
+        if let Some(left_out) = self.cx.lines.take(LineKind::Failed, now) {
+            tracing::info!(
+                request = self.id,
+                path = self.path,
+                took_ms = millis(now, self.start),
+                left_out,
+                "caller left"
+            );
+        }
+    }
+}
+
+/// Attempt that failed.
+#[derive(Debug)]
+pub struct FailedAttempt<'a> {
+    /// Identifier of the request.
+    pub request: &'a str,
+    /// Daemon that was asked.
+    pub to: &'a str,
+    /// Number of the attempt, from 1.
+    pub number: u32,
+    /// Start of the attempt.
+    pub start: Duration,
+    /// Time until the deadline.
+    pub remaining: Duration,
+    /// Why it failed.
+    pub error: &'a CallError,
+}
+
+/// Writes the line of a failed attempt.
+pub fn attempt_failed(cx: &Cx, attempt: &FailedAttempt<'_>) {
+    let now = cx.clock.now();
+    let Some(left_out) = cx.lines.take(LineKind::Attempt, now) else { return };
+    tracing::info!(
+        request = attempt.request,
+        to = attempt.to,
+        attempt = attempt.number,
+        error = attempt.error.kind.name(),
+        detail = attempt.error.detail,
+        local = attempt.error.is_local,
+        took_ms = millis(now, attempt.start),
+        remaining_ms = attempt.remaining.as_millis() as u64,
+        left_out,
+        "attempt failed"
+    );
+}
+
+/// What happened to a request beside its backend server.
+#[derive(Debug)]
+pub struct Hosted<'a> {
+    /// Identifier of the request.
+    pub request: &'a str,
+    /// Name of its route.
+    pub route: &'a str,
+    /// Time at which it arrived.
+    pub arrived: Duration,
+    /// Time at which it got a slot, if it did.
+    pub started: Option<Duration>,
+    /// Status of the backend server's answer, or why there is none.
+    pub result: Result<u16, &'a CallError>,
+}
+
+/// Writes the line of a request beside its backend server.
+pub fn hosted(cx: &Cx, line: &Hosted<'_>) {
+    let now = cx.clock.now();
+    let kind = if line.result.is_ok() { LineKind::Ran } else { LineKind::Hosted };
+    let Some(left_out) = cx.lines.take(kind, now) else { return };
+    let load = cx.host.load();
+    let backend = cx.host.info();
+    let error = line.result.as_ref().err();
+    tracing::info!(
+        request = line.request,
+        route = line.route,
+        instance = backend.as_ref().and_then(|b| b.instance.as_deref()),
+        state = ?backend.as_ref().map(|b| b.state),
+        waited_ms = millis(line.started.unwrap_or(now), line.arrived),
+        ran_ms = line.started.map(|started| millis(now, started)),
+        running = load.running,
+        queued = load.queued,
+        slots = load.slots,
+        status = line.result.as_ref().ok(),
+        error = error.map(|e| e.kind.name()),
+        detail = error.map(|e| e.detail.as_str()),
+        left_out,
+        "request hosted"
+    );
+}
+
+fn millis(now: Duration, since: Duration) -> u64 {
+    u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -19,8 +19,8 @@
 use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
 
-/// Time for a connection to be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a connection to be established; covers two round trips between the most distant regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
--- a/crates/daemon/src/proxy/watch.rs
+++ b/crates/daemon/src/proxy/watch.rs
@@ -9,11 +9,18 @@
 use super::active::MEMORY;
 use crate::context::Cx;
 
-/// Time without an answer after which the other daemon is asked about the call.
-const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time without an answer after which the other daemon is asked about the call.
+const ASK_INTERVAL_MAX: Duration = Duration::from_secs(1);
 
-/// Time for the other daemon to answer the question.
-const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest such time.
+const ASK_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
+/// Part of the remaining time after which the other daemon is asked, so that a lost call is found while
+/// there is time for another attempt.
+const ASK_PART: u32 = 4;
+
+/// Time for the other daemon to answer the question, as a part of the interval.
+const ASK_TIMEOUT_PART: u32 = 2;
 
 /// Time for an answer that is under way to arrive.
 const ARRIVAL_TIME: Duration = Duration::from_millis(500);
@@ -47,11 +54,14 @@
 }
 
 /// Waits for an exchange until `deadline`; it is dropped with its connection when it is given up.
+///
+/// `on_silence` is called when the other daemon leaves a question unanswered.
 pub async fn until<T>(
     cx: &Cx,
     to: Callee,
     id: u64,
     deadline: Duration,
+    on_silence: impl Fn(),
     exchange: impl Future<Output = T>,
 ) -> Watched<T> {
     let mut exchange = std::pin::pin!(exchange);
@@ -60,7 +70,8 @@
     loop {
         let remaining = deadline.saturating_sub(cx.clock.now());
         // An unanswered question is put again at once, over a new connection.
-        let wait = if unanswered == 0 { ASK_INTERVAL } else { Duration::ZERO };
+        let interval = (remaining / ASK_PART).clamp(ASK_INTERVAL_MIN, ASK_INTERVAL_MAX);
+        let wait = if unanswered == 0 { interval } else { Duration::ZERO };
         let wait = wait.min(remaining);
         if let Ok(result) = tokio::time::timeout(wait, &mut exchange).await {
             return Watched::Ended(result);
@@ -69,12 +80,16 @@
             return Watched::Late;
         }
         let query = CallQuery { id, incarnation: to.incarnation };
-        let question = cx.ask_peer(to.addr, "/peer/v1/call-state", &query, ASK_TIMEOUT);
+        let question =
+            cx.ask_peer(to.addr, "/peer/v1/call-state", &query, interval / ASK_TIMEOUT_PART);
         let state: Option<CallState> = tokio::select! {
             result = &mut exchange => return Watched::Ended(result),
             state = question => state,
         };
         unanswered = if state.is_some() { 0 } else { unanswered + 1 };
+        if state.is_none() {
+            on_silence();
+        }
         if state != Some(CallState::Active) {
             // Other connections to this daemon may have gone silent at the same time.
             cx.peers.forget(to.addr);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -5,7 +5,7 @@
 
 mod read;
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use baobabreel_core::balance::Locality;
@@ -74,8 +74,8 @@
     pub share: f64,
     /// Who has how much to spend at once.
     pub burst: RetryBurst,
-    /// Daemons that refused a request, beyond the first, after which no other one is asked. A refusal
-    /// by a daemon has not reached a backend server and takes nothing from the budget.
+    /// Further daemons that are asked because the chosen backend server is not there any more. Such a
+    /// request has not reached a backend server and takes nothing from the budget.
     pub free_refusals: u32,
 }
 
@@ -129,8 +129,6 @@
     pub locality: Locality,
     /// How far requests are tried again.
     pub retry: RetrySettings,
-    /// Address from which the backend server beside the daemon calls others, where no caller has it.
-    pub backend_calls_from: Option<IpAddr>,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -161,7 +161,6 @@
             policy,
             locality: Locality::First,
             retry: RetrySettings::default(),
-            backend_calls_from: None,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
             log_filter,
