Take a newer incarnation when an earlier start had a clock that was ahead

Cause: a daemon's incarnation is its wall clock at the start. When the clock went back between two starts, the others held the statements of the second start for older ones, and the daemon drained itself as superseded. On the users' platform the time of day jumps, and no two processes run under one id.

Change: `SwimSettings::renews_incarnation` lets such a daemon state an incarnation above the one it hears of. The product's own deployments keep the former behaviour. New test `restart_by_a_clock_that_went_back_is_heard` fails without it (Superseded).

Ruled out: waiting at the start for the directory (a daemon must serve while the store is down).

--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -83,11 +83,6 @@
         Some(self.waiting.remove(at))
     }
 
-    /// Takes all requests that match.
-    pub fn take(&mut self, matches: impl Fn(&Waiting) -> bool) -> impl Iterator<Item = Waiting> {
-        self.waiting.extract_if(.., move |item| matches(item))
-    }
-
     pub fn take_all(&mut self) -> std::vec::Drain<'_, Waiting> {
         self.waiting.drain(..)
     }
--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -370,7 +370,13 @@
         let own = self.own();
         if rumour.incarnation > own.incarnation {
             let incarnation = rumour.incarnation;
-            return step.actions.push(Action::Superseded { incarnation });
+            if !self.settings.renews_incarnation {
+                return step.actions.push(Action::Superseded { incarnation });
+            }
+            let renewed =
+                Member { incarnation: incarnation.saturating_add(1), sequence: 1, ..own.clone() };
+            self.accept(renewed.clone(), step);
+            return self.push(&renewed, 0, step);
         }
         if own.state != MemberState::Left && rumour.supersedes(own) {
             let mut refuted = own.clone();
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -16,6 +16,7 @@
     pub(super) forget_after: Duration,
     pub(super) tombstone_for: Duration,
     pub(super) pause_gap: Duration,
+    pub(super) renews_incarnation: bool,
 }
 
 impl Default for SwimSettings {
@@ -34,6 +35,7 @@
             // Longer than any pause or partition after which an old rumour is to be expected.
             tombstone_for: Duration::from_secs(24 * 3_600),
             pause_gap: Duration::from_secs(2),
+            renews_incarnation: false,
         }
     }
 }
@@ -79,4 +81,7 @@
     tombstone_for: Duration;
     /// Gap between ticks from which the daemon takes itself to have been paused, 2 s.
     pause_gap: Duration;
+    /// Whether a newer incarnation of this daemon is taken for an earlier start whose clock was ahead, off.
+    /// This needs a platform that never runs two processes under one id.
+    renews_incarnation: bool;
 }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -388,6 +388,22 @@
     assert_eq!(actions, [Action::Superseded { incarnation: 2_000 }]);
 }
 
+/// Guards against a daemon that nobody listens to because the clock went back between two of its
+/// starts, so that its statements seem older than those of the start before.
+#[test]
+fn restart_by_a_clock_that_went_back_is_heard() {
+    let settings = SwimSettings::new().renews_incarnation(true);
+    let mut swim = Swim::new(member(0, 0), settings);
+    let mut before = member(0, 0);
+    before.incarnation = 2_000;
+    before.sequence = 40;
+    let actions = swim.handle(Event::Pushed(vec![before.clone()]), MS(0), 0);
+    let superseded = actions.iter().any(|action| matches!(action, Action::Superseded { .. }));
+    assert!(!superseded, "{actions:?}");
+    assert_eq!(swim.own().incarnation, 2_001);
+    assert!(swim.own().supersedes(&before), "others take it for the newer one");
+}
+
 /// Id, incarnation, sequence number, state, and time since the last rumour.
 type Rumour = (u8, u8, u8, u8, u16);
 
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -219,6 +219,12 @@
         self.relay.store(is_relay, Ordering::Release);
     }
 
+    /// Incarnation that this daemon states of itself; may be renewed after its start.
+    pub fn incarnation(&self) -> Incarnation {
+        let members = self.members.load();
+        members.get(&self.identity.id).map_or(self.identity.incarnation, |own| own.incarnation)
+    }
+
     /// Where this daemon stands in the streams.
     pub fn position(&self) -> Position {
         *self.position.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -17,6 +17,7 @@
 use super::{ConfigOwner, gossip, registrations};
 use crate::context::{Cx, Phase};
 use crate::keys::OwnEntry;
+use crate::settings::Source;
 
 /// Time between two entries of this daemon in stream `members`.
 const ENTRY_PAUSE: Duration = Duration::from_secs(1);
@@ -50,7 +51,9 @@
             state: MemberState::Cold,
             slots: 0,
         };
-        let settings = SwimSettings::new().seeds(cx.settings.seeds.clone());
+        let settings = SwimSettings::new()
+            .seeds(cx.settings.seeds.clone())
+            .renews_incarnation(cx.settings.source == Source::Documents);
         let swim = Swim::new(own, settings);
         let local = LocalState { state: MemberState::Cold, service: None, slots: 0 };
         let membership = Self {
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -108,7 +108,7 @@
 
 fn call_state(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let query: CallQuery = read(body)?;
-    if query.incarnation != cx.identity.incarnation {
+    if query.incarnation != cx.incarnation() {
         return answer(&CallState::Answered);
     }
     answer(&cx.calls.state(query.id, cx.clock.now()))
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -78,7 +78,7 @@
     let millis = |age: std::time::Duration| u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
     Some(StatusDoc {
         daemon: cx.identity.id.clone(),
-        incarnation: cx.identity.incarnation,
+        incarnation: cx.incarnation(),
         data_centre: cx.identity.data_centre.clone(),
         service: own.and_then(|own| own.service.clone()),
         state: own.map_or(MemberState::Cold, |own| own.state),
