--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -56,6 +56,8 @@
             drop(permit);
         });
     }
+    // A connection that nobody will serve is refused, so that its caller goes elsewhere at once.
+    drop(listener);
     connections.close();
     connections.wait().await;
 }
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -56,6 +56,7 @@
             drop(permit);
         });
     }
+    drop(listener);
     graceful.shutdown().await;
 }
 
