--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -79,7 +79,7 @@
         () = reader.run(tx) => tracing::trace!("caller left"),
         ended = writer.run(rx) => {
             if let Err(e) = ended {
-                tracing::debug!(error = %e, "connection of a caller ended");
+                tracing::info!(error = %e, "connection of a caller broken off");
             }
         }
     }
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -2,6 +2,7 @@
 //!
 //! One closed type instead of a boxed one, so that no dynamic dispatch is on the request path.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -95,6 +96,13 @@
     },
     /// Bytes of an answer, with what is released at its end.
     Tracked(Box<Tracked>),
+    /// Bytes that have been read already, and those that follow.
+    Held {
+        /// Bytes that have been read.
+        first: VecDeque<Bytes>,
+        /// What follows.
+        rest: Box<ProxyBody>,
+    },
 }
 
 /// Bytes of an answer, with what is released at its end.
@@ -178,6 +186,10 @@
                 polled
             }
             Self::Tracked(tracked) => tracked.poll(cx),
+            Self::Held { first, rest } => match first.pop_front() {
+                Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                None => Pin::new(rest.as_mut()).poll_frame(cx),
+            },
         }
     }
 
@@ -187,6 +199,7 @@
             Self::Full(_) => false,
             Self::Stream { inner, .. } => inner.is_end_stream(),
             Self::Tracked(tracked) => tracked.inner.is_end_stream(),
+            Self::Held { first, rest } => first.is_empty() && rest.is_end_stream(),
         }
     }
 
@@ -196,6 +209,7 @@
             Self::Full(data) => SizeHint::with_exact(data.len() as u64),
             Self::Stream { inner, .. } => inner.size_hint(),
             Self::Tracked(tracked) => tracked.inner.size_hint(),
+            Self::Held { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -1,24 +1,35 @@
 //! One attempt at one backend server, and the choice of it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
 use baobabreel_core::balance::{Failure as EndpointFailure, LoadReport};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
+use bytes::Bytes;
 use http::header::{HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, Version};
+use http_body::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use super::answer::CallError;
 use super::balance::EntryGuard;
-use super::body::{Guard, ProxyBody};
+use super::body::{BodyError, Guard, ProxyBody};
 use super::headers;
 use super::host::{self, CALL_PREFIX};
 use super::pool::PooledConnection;
 use super::watch::{self, Callee, Watched};
 use crate::context::{Cx, is_able};
 
+/// Largest body of an answer that is read as a whole before its head is passed on, in bytes.
+const MAX_HELD_BYTES: u64 = 64 * 1024;
+
+/// Longest time that the head of an answer waits for a body without a length.
+const MAX_HOLD_TIME: Duration = Duration::from_millis(50);
+
 /// Attempts of a request whose earlier ones are proved not to have run.
 const MAX_SAFE_ATTEMPTS: usize = 3;
 
@@ -91,7 +102,51 @@
         Some(host) => Guard::Both(host, guard),
         None => Guard::Entry(guard),
     };
-    Ok(Response::from_parts(parts, host::tracked(cx, body, deadline, guard)))
+    let body = hold(host::tracked(cx, body, deadline, guard)).await?;
+    Ok(Response::from_parts(parts, body))
+}
+
+/// Reads a small body as a whole. One that breaks off can then be answered with an error; after its head
+/// was sent, only closing the connection would be left, with all requests behind it.
+async fn hold(mut body: ProxyBody) -> Result<ProxyBody, CallError> {
+    let length = body.size_hint().exact();
+    if length.is_some_and(|bytes| bytes > MAX_HELD_BYTES) {
+        return Ok(body);
+    }
+    let until = Instant::now() + MAX_HOLD_TIME;
+    let mut held = VecDeque::new();
+    let mut bytes = 0;
+    while bytes <= MAX_HELD_BYTES {
+        let frame = match length {
+            Some(_) => body.frame().await,
+            // A body without a length may go on for as long as its sender likes.
+            None => match tokio::time::timeout_at(until, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => break,
+            },
+        };
+        match frame {
+            None => return Ok(ProxyBody::full(joined(held))),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes += data.len() as u64;
+                    held.push_back(data);
+                }
+            }
+            Some(Err(e @ BodyError::Late)) => {
+                return Err(CallError::new(ErrorKind::DeadlineExceeded, e.to_string()));
+            }
+            Some(Err(e)) => return Err(CallError::new(ErrorKind::UpstreamLost, e.to_string())),
+        }
+    }
+    Ok(ProxyBody::Held { first: held, rest: Box::new(body) })
+}
+
+fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
+    match (pieces.len(), pieces.pop_front()) {
+        (1, Some(only)) => only,
+        (_, first) => first.into_iter().chain(pieces).flatten().collect(),
+    }
 }
 
 fn report(load: LoadWire) -> LoadReport {
--- a/crates/testsuite/tests/pipelining.rs
+++ b/crates/testsuite/tests/pipelining.rs
@@ -101,6 +101,29 @@
     assert!(!ids.iter().any(|id| id == "beyond"), "{ids:?}");
 }
 
+/// Guards against an answer that breaks off at the backend server and takes the requests behind it on
+/// its caller's connection with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn broken_answer_costs_its_own_request_only() {
+    let mesh = ready_mesh(specs()).await;
+    for node in &mesh.nodes {
+        node.backend.set_faults(|faults| faults.cut_answers = 1);
+    }
+    let to = mesh.nodes[0].addresses().callers;
+    let command =
+        "POST /bids/1 HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nx-response-bytes: 9000\r\n\r\n";
+    // Each backend server breaks off one answer; a command is sent to one of them only.
+    let last = request("/lots/9", Duration::from_millis(1), "last", "connection: close\r\n");
+    let requests: Vec<String> =
+        std::iter::repeat_n(command.to_owned(), 8).chain(std::iter::once(last)).collect();
+    let answers = ask(to, &requests).await;
+    let statuses: Vec<&str> = answers.split("HTTP/1.1 ").skip(1).map(|head| &head[..3]).collect();
+    assert_eq!(statuses.len(), 9, "{statuses:?}");
+    let lost = statuses.iter().filter(|status| **status == "502").count();
+    assert!((1..=4).contains(&lost), "{statuses:?}");
+    assert_eq!(statuses.iter().filter(|status| **status == "200").count(), 9 - lost);
+}
+
 /// Guards against a body whose parts are taken for a request, and against one that is cut or changed
 /// on its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
