Use a backend server until a second before its daemon ends, and find it at once after a restart

Change: a daemon that ends tells its callers first (`Phase::Closing`) and the other daemons a second before it refuses new work. At its start it asks the backend server that the settings name for its identifier and slots. The end of a backend server counts also when its start time is not known yet (test fails on the former order).

Ruled out: adopting the backend server by its last report from a peer (it may have left meanwhile).

--- a/crates/core/src/registration/mod.rs
+++ b/crates/core/src/registration/mod.rs
@@ -72,9 +72,11 @@
     /// Takes the end of a backend server; returns whether it was the newest one.
     pub fn leave(&mut self, instance: &str, boot: Option<BootTime>) -> bool {
         let newest = self.newest.as_ref().filter(|newest| {
-            newest.instance == instance && (boot.is_none() || boot == newest.boot)
+            // A start time that is not known does not tell two starts apart.
+            let same_boot = boot.is_none() || newest.boot.is_none() || boot == newest.boot;
+            newest.instance == instance && same_boot
         });
-        let boot = newest.map_or(boot, |newest| newest.boot);
+        let boot = newest.and_then(|newest| newest.boot).or(boot);
         let was_newest = newest.is_some();
         if !self.has_ended(instance, boot) {
             if self.ended.len() >= MAX_ENDED {
@@ -86,7 +88,8 @@
     }
 
     fn has_ended(&self, instance: &str, boot: Option<BootTime>) -> bool {
-        self.ended.iter().any(|(id, ended)| id == instance && *ended == boot)
+        let same = |ended: Option<BootTime>| boot.is_none() || ended.is_none() || ended == boot;
+        self.ended.iter().any(|(id, ended)| id == instance && same(*ended))
     }
 }
 
--- a/crates/core/tests/registration.rs
+++ b/crates/core/tests/registration.rs
@@ -56,3 +56,16 @@
     assert!(!order.leave("a", Some(10)));
     assert_eq!(order.report(report("b", 20, 2, false)), CURRENT);
 }
+
+/// Guards against a backend server that was found without its start time and whose end is then taken for
+/// that of another start.
+#[test]
+fn end_counts_for_a_start_whose_time_is_not_known() {
+    let mut order = ReportOrder::default();
+    let found = Report { boot: None, ..report("a", 0, 0, false) };
+    assert_eq!(order.report(found.clone()), CURRENT);
+    assert!(order.leave("a", Some(10)));
+    assert_eq!(order.report(found), Verdict::Outdated);
+    assert_eq!(order.report(report("a", 10, 5, false)), Verdict::Outdated);
+    assert_eq!(order.report(report("a", 20, 1, false)), CURRENT);
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -75,10 +75,12 @@
     Starting = 0,
     /// Serves callers and peers.
     Serving = 1,
-    /// Has announced that it ends and still takes requests.
-    Leaving = 2,
+    /// Tells callers that it ends, and goes on serving.
+    Closing = 2,
+    /// Has announced that it ends to the other daemons, and still takes requests.
+    Leaving = 3,
     /// Refuses new requests.
-    Draining = 3,
+    Draining = 4,
 }
 
 /// State that the parts of one daemon share.
@@ -167,7 +169,8 @@
         match self.phase.load(Ordering::Acquire) {
             0 => Phase::Starting,
             1 => Phase::Serving,
-            2 => Phase::Leaving,
+            2 => Phase::Closing,
+            3 => Phase::Leaving,
             _ => Phase::Draining,
         }
     }
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -14,7 +14,7 @@
 use super::membership::LocalChanged;
 use crate::adapter::BackendMessage;
 use crate::context::Cx;
-use crate::proxy::{BackendInfo, Protocol};
+use crate::proxy::{self, BackendInfo, HEALTH_PATH, Protocol};
 
 /// Time after the last announcement from which the health endpoint is asked: three announcements.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -25,6 +25,15 @@
 /// Time for the health endpoint to answer.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Questions to the backend server after the start of the daemon.
+const MAX_QUESTIONS: u32 = 8;
+
+/// Time between two such questions.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for such a question to be answered.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// State that a backend server announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -172,6 +181,31 @@
         }
     }
 
+    /// Asks the backend server that the settings name about itself, until it answers or reports: after a
+    /// restart of the daemon its next report may be more than a second away.
+    pub async fn find(&self, cx: &Cx, control: &Control) {
+        let Some(known) = &cx.settings.backend else { return };
+        for _ in 0..MAX_QUESTIONS {
+            tokio::time::sleep(QUESTION_INTERVAL).await;
+            if self.silent_for(cx.clock.now()).is_some() {
+                return;
+            }
+            let config = cx.config.load_full();
+            let Some(service) = config.services.get(&known.service) else { continue };
+            let path = service.health_path.as_deref().unwrap_or(HEALTH_PATH);
+            let Some(info) = proxy::ask_backend(cx, known, path, QUESTION_TIMEOUT).await else {
+                continue;
+            };
+            // A report that came meanwhile knows more.
+            if self.silent_for(cx.clock.now()).is_none() {
+                let instance = info.instance.clone().unwrap_or_default();
+                let order = Report { instance, boot: None, sequence: 0, draining: false };
+                self.report(cx, control, info, Some(order)).await;
+            }
+            return;
+        }
+    }
+
     /// Takes a backend server out that neither announces itself nor answers its health endpoint.
     pub async fn watch(&self, cx: &Cx, control: &Control) {
         let mut interval = tokio::time::interval(CHECK_INTERVAL);
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -136,7 +136,7 @@
         let state = match (self.cx.phase(), info.as_ref().map(|info| info.state)) {
             (Phase::Leaving | Phase::Draining, _) => MemberState::Draining,
             (Phase::Starting, _) | (_, None) => MemberState::Cold,
-            (Phase::Serving, Some(state)) => state,
+            (Phase::Serving | Phase::Closing, Some(state)) => state,
         };
         LocalState {
             state,
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -27,6 +27,10 @@
 /// Time in which the members learn that this daemon has left, and the log takes the entry.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which the members learn that a daemon leaves. Until it begins, they go on using the backend
+/// server beside it.
+const MEMBERS_NOTICE: Duration = Duration::from_secs(1);
+
 /// Time in which connections without requests end.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -164,7 +168,10 @@
         self.tasks.spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
-                () = tracker.watch(&cx, &control) => {}
+                () = async {
+                    tracker.find(&cx, &control).await;
+                    tracker.watch(&cx, &control).await;
+                } => {}
             }
         });
     }
@@ -189,13 +196,17 @@
 
     /// Ends the daemon without cutting requests that run; returns whether all of them ended.
     ///
-    /// Others learn first that it leaves; then new requests are refused as not run; then running
-    /// ones get up to the drain limit of the settings.
+    /// Callers are told first, who may take longer to go elsewhere, then the other daemons; then new
+    /// requests are refused as not run, and running ones get up to the drain limit of the settings.
     pub async fn shutdown(self) -> bool {
         tracing::info!("draining");
+        self.cx.advance(Phase::Closing);
+        let notice = self.cx.settings.drain_notice;
+        let members_notice = notice.min(MEMBERS_NOTICE);
+        tokio::time::sleep(notice - members_notice).await;
         self.cx.advance(Phase::Leaving);
         self.tell_membership().await;
-        tokio::time::sleep(self.cx.settings.drain_notice).await;
+        tokio::time::sleep(members_notice).await;
         self.cx.advance(Phase::Draining);
         let draining = self.cx.clock.now();
         let has_keys = self.hand_keys_over().await;
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -90,7 +90,7 @@
             e.close = true;
             return Err(e);
         }
-        Phase::Serving | Phase::Leaving => {}
+        Phase::Serving | Phase::Closing | Phase::Leaving => {}
     }
     let (parts, body) = req.into_parts();
     if parts.method == Method::CONNECT {
@@ -106,7 +106,7 @@
         e
     };
     let call = Call::new(cx, config, route, &parts, span, start).map_err(with_route)?;
-    let closing = cx.phase() == Phase::Leaving;
+    let closing = cx.phase() > Phase::Serving;
     let mut res = call.serve(parts, body).await.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
         res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
@@ -199,10 +199,8 @@
         if dialect.own_headers {
             headers::write_trace(&mut req.headers, self.span);
         }
-        if let (Some(name), Some(service)) =
-            (&dialect.caller_service, &self.cx.settings.own_service)
-        {
-            headers::write_text(&mut req.headers, name, service);
+        if let (Some(name), Some(own)) = (&dialect.caller_service, &self.cx.settings.backend) {
+            headers::write_text(&mut req.headers, name, &own.service);
         }
         Ok(req)
     }
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -38,7 +38,7 @@
 pub const CALL_PREFIX: &str = "/peer/v1/call";
 
 /// Path of the health endpoint of a backend server.
-const HEALTH_PATH: &str = "/health";
+pub const HEALTH_PATH: &str = "/health";
 
 /// Whether a path of the peers' listener is that of a call.
 #[must_use]
@@ -136,7 +136,7 @@
             known.info.address == info.address
                 && known.info.protocol == info.protocol
                 && known.info.instance == info.instance
-                && known.info.boot == info.boot
+                && (known.info.boot.is_none() || known.info.boot == info.boot)
         };
         let limit = self.connection_limit;
         let pool = match known.filter(is_same) {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -53,6 +53,15 @@
     Plain,
 }
 
+/// Backend server that the settings name.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownBackend {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Where the configuration comes from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Source {
@@ -105,8 +114,8 @@
     pub source: Source,
     /// Headers towards callers and backend servers.
     pub dialect: Dialect,
-    /// Service of the instance that the daemon runs on, if the settings name it.
-    pub own_service: Option<ServiceName>,
+    /// Backend server beside the daemon, if the settings name it.
+    pub backend: Option<KnownBackend>,
     /// Addresses to listen on.
     pub listen: Listen,
     /// Address of the peers' listener as others reach it, when it differs.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -149,7 +149,7 @@
             data_centre: data_centre?,
             source: Source::Log { url: log?, retention: log_retention },
             dialect: Dialect::default(),
-            own_service: None,
+            backend: None,
             listen: listen?,
             advertise_peers,
             seeds,
