--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::builder::{BalancerBuilder, Locality};
+use super::builder::BalancerBuilder;
 use super::endpoint::{Endpoint, Failure, LoadReport, State};
 use super::outlier::{self, Scratch};
 use crate::id::DataCentre;
@@ -13,9 +13,6 @@
 const ABSENT_KEPT: Duration = Duration::from_secs(60);
 /// Longest time for which any absent endpoint is remembered; equal to the longest route timeout.
 const ABSENT_KEPT_MAX: Duration = Duration::from_secs(600);
-/// Candidates that are compared at most when distance is weighed. Comparing all of them would send
-/// the calls of all daemons to the same one between two reports.
-const MAX_COMPARED: usize = 3;
 /// Draws per candidate; bounds the time when all endpoints are in slow start.
 const MAX_DRAWS: u32 = 4;
 
@@ -100,9 +97,6 @@
         if self.cfg.round_robin {
             return self.next_in_turn(now, exclude);
         }
-        if let Locality::Weighed { remote_cost } = self.cfg.locality {
-            return self.choose_anywhere(now, random, exclude, remote_cost);
-        }
         self.collect_candidates(now, exclude);
         let (first, second) = self.draw_two(now, random)?;
         let score = |index: usize| self.states[index].score(now, &self.cfg);
@@ -110,38 +104,6 @@
         Some(Arc::clone(&self.states[index].name))
     }
 
-    /// Chooses the best score among some of all data centres, with the distance weighed in.
-    fn choose_anywhere(
-        &mut self,
-        now: Duration,
-        random: u64,
-        exclude: &[&str],
-        remote_cost: f64,
-    ) -> Option<Arc<str>> {
-        let able = |s: &State| s.is_usable(now) && !exclude.contains(&&*s.name);
-        self.collect(|s| able(s) && !s.is_ejected(now));
-        if self.candidates.is_empty() {
-            self.collect(able);
-        }
-        if self.candidates.is_empty() {
-            return None;
-        }
-        let mut bits = Bits(random);
-        let score = |index: usize| {
-            let state = &self.states[index];
-            let distance = if state.local { 1.0 } else { 1.0 + remote_cost };
-            state.score(now, &self.cfg) * distance
-        };
-        let mut best = self.draw(&mut bits, now);
-        for _ in 0..self.candidates.len().min(MAX_COMPARED) {
-            let other = self.draw(&mut bits, now);
-            if score(other) < score(best) {
-                best = other;
-            }
-        }
-        Some(Arc::clone(&self.states[best].name))
-    }
-
     fn next_in_turn(&mut self, now: Duration, exclude: &[&str]) -> Option<Arc<str>> {
         self.collect(|s| s.is_usable(now) && !exclude.contains(&&*s.name));
         self.turn = self.turn.wrapping_add(1);
--- a/crates/core/src/balance/builder.rs
+++ b/crates/core/src/balance/builder.rs
@@ -5,23 +5,10 @@
 use super::balancer::Balancer;
 use crate::id::DataCentre;
 
-/// How the own data centre is preferred.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Locality {
-    /// Others are used only when all backend servers of the own one are loaded.
-    First,
-    /// Others are used as soon as the best of them is better in spite of its distance.
-    Weighed {
-        /// Part that distance adds to the score of a backend server elsewhere.
-        remote_cost: f64,
-    },
-}
-
 /// Settings of a [`Balancer`], with the defaults of the design page.
 #[derive(Debug, Clone)]
 pub struct BalancerBuilder {
     pub(super) data_centre: DataCentre,
-    pub(super) locality: Locality,
     pub(super) slow_start: Duration,
     pub(super) eject_slowness: f64,
     pub(super) eject_answers: u32,
@@ -38,7 +25,6 @@
     fn default() -> Self {
         Self {
             data_centre: DataCentre::new(),
-            locality: Locality::First,
             slow_start: Duration::from_secs(5),
             eject_slowness: 2.5,
             eject_answers: 8,
@@ -61,13 +47,6 @@
         self
     }
 
-    /// How the own data centre is preferred.
-    #[must_use]
-    pub fn locality(mut self, locality: Locality) -> Self {
-        self.locality = locality;
-        self
-    }
-
     /// Time in which a new backend server is brought to its full share; zero turns this off.
     #[must_use]
     pub fn slow_start(mut self, time: Duration) -> Self {
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -14,5 +14,5 @@
 mod outlier;
 
 pub use balancer::Balancer;
-pub use builder::{BalancerBuilder, Locality};
+pub use builder::BalancerBuilder;
 pub use endpoint::{Endpoint, Failure, LoadReport};
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -67,10 +67,13 @@
 
     fn send(&mut self, class: Class, at: u64, run_time: u64) {
         self.end_until(at);
-        let id = self.sent.len();
+        let (id, deadline) = (self.sent.len() as u64, us(at + 1_000_000));
+        self.offer(Ticket { id, class, route: "r", deadline, target: None }, at, run_time);
+    }
+
+    fn offer(&mut self, ticket: Ticket<'_>, at: u64, run_time: u64) {
+        let (id, class) = (self.sent.len(), ticket.class);
         self.sent.push(Sent { class, at, run_time, started: None, refused: None });
-        let deadline = us(at + 1_000_000);
-        let ticket = Ticket { id: id as u64, class, route: "r", deadline, target: None };
         let offer = self.admission.offer(ticket, us(at));
         self.apply(offer.evicted, at);
         match offer.decision {
@@ -179,24 +182,14 @@
 impl Simulation {
     fn send_kind(&mut self, kind: Kind, at: u64) {
         self.end_until(at);
-        let id = self.sent.len();
-        let run_time = kind.run_time;
-        let class = Class::Command;
-        self.sent.push(Sent { class, at, run_time, started: None, refused: None });
         let ticket = Ticket {
-            id: id as u64,
-            class,
+            id: self.sent.len() as u64,
+            class: Class::Command,
             route: kind.route,
             deadline: us(at + kind.timeout),
             target: Some(us(at + kind.target)),
         };
-        let offer = self.admission.offer(ticket, us(at));
-        self.apply(offer.evicted, at);
-        match offer.decision {
-            Decision::Start => self.start(id, at),
-            Decision::Queued => {}
-            Decision::Refuse { kind, .. } => self.refuse(id, at, kind),
-        }
+        self.offer(ticket, at, kind.run_time);
     }
 }
 
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
-use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport, Locality};
+use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport};
 use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
@@ -61,7 +61,6 @@
     budgets: Budgets,
     outstanding: Arc<AtomicUsize>,
     policy: Policy,
-    locality: Locality,
 }
 
 impl Balance {
@@ -76,7 +75,6 @@
             budgets: Budgets::new(settings.retry),
             outstanding: Arc::default(),
             policy: settings.policy,
-            locality: settings.locality,
         }
     }
 
@@ -117,7 +115,6 @@
         let balancer = Balancer::builder()
             .data_centre(self.data_centre.clone())
             .round_robin(self.policy == Policy::Plain)
-            .locality(self.locality)
             .build();
         let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
         Arc::clone(
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -153,7 +153,8 @@
     }
 }
 
-fn poll_incoming(
+/// Polls a body that hyper reads.
+pub(super) fn poll_incoming(
     inner: &mut Incoming,
     cx: &mut Context<'_>,
 ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -6,46 +6,29 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
+use baobabreel_client::wire::{CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
 use baobabreel_core::config::CompiledConfig;
-use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::{InstanceId, ServiceName};
 use baobabreel_core::membership::MemberState;
 use baobabreel_core::registration::BootTime;
-use bytes::Bytes;
-use http::header::HOST;
-use http::{HeaderValue, Request, Response, Uri, Version};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use tokio::sync::oneshot;
 
-use super::active::ActiveCalls;
 use super::answer::CallError;
 use super::body::{Guard, ProxyBody, Tracked};
 use super::check::check_answer;
 use super::headers;
-use super::keyed::{self, WholeRequest};
 use super::lines::{self, Hosted};
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
-use super::replay::MAX_REPLAY_BYTES;
-use super::request_body::RequestBody;
 use crate::context::{Cx, Phase};
 use crate::settings::Policy;
-use crate::telemetry::{Span, TraceContext};
-
-/// Path of calls; the path of the request follows it.
-pub const CALL_PREFIX: &str = "/peer/v1/call";
 
 /// Path of the health endpoint of a backend server.
 pub const HEALTH_PATH: &str = "/health";
 
-/// Whether a path of the peers' listener is that of a call.
-#[must_use]
-pub fn is_call(path: &str) -> bool {
-    path.strip_prefix(CALL_PREFIX).is_some_and(|rest| rest.starts_with('/'))
-}
-
 /// Time that is left for the way back when a queued request starts.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1);
 
@@ -453,95 +436,3 @@
         guard,
     }))
 }
-
-/// Serves a call of another daemon.
-pub async fn serve_peer_call(cx: Cx, req: Request<Incoming>) -> Response<ProxyBody> {
-    let start = cx.clock.now();
-    let parent = TraceContext::read(req.headers());
-    let span = Span::start("host", parent, 0.0, start);
-    let head = req.headers().get(headers::CALL).map(CallHead::try_from);
-    let (route, result) = match head {
-        Some(Ok(head)) => {
-            let result = match ActiveCalls::begin(&cx, head.id) {
-                Some(_active) => call(&cx, &head, req, &span).await,
-                None => Err(CallError::new(ErrorKind::NotReady, "the caller gave this call up")),
-            };
-            (head.route, result)
-        }
-        Some(Err(e)) => (String::new(), Err(CallError::new(ErrorKind::BadRequest, e.to_string()))),
-        None => {
-            let e = CallError::new(ErrorKind::BadRequest, "the call has no head");
-            (String::new(), Err(e))
-        }
-    };
-    let (mut res, outcome, error) = match result {
-        Ok(res) => (res, Outcome::Ran, None),
-        Err(e) => {
-            let kind = e.kind;
-            (e.into_response(&cx.settings.dialect), kind.answer().outcome, Some(kind))
-        }
-    };
-    let answer = AnswerHead { outcome, error, load: cx.host.load() };
-    res.headers_mut().insert(headers::ANSWER, HeaderValue::from(&answer));
-    let result = error.map_or("ran", ErrorKind::name);
-    span.finish(cx.clock.now(), &route, result);
-    res
-}
-
-async fn call(
-    cx: &Cx,
-    head: &CallHead,
-    req: Request<Incoming>,
-    span: &Span,
-) -> Result<Response<ProxyBody>, CallError> {
-    let (parts, body) = req.into_parts();
-    let uri = inner_uri(&parts.uri)
-        .ok_or_else(|| CallError::new(ErrorKind::BadRequest, "the call has no path"))?;
-    let mut headers = parts.headers;
-    headers.remove(headers::CALL);
-    headers.remove(headers::TOKEN);
-    if let Some(host) = headers.remove(headers::CALLER_HOST) {
-        headers.insert(HOST, host);
-    }
-    if cx.settings.dialect.own_headers {
-        headers::write_trace(&mut headers, span);
-    }
-    if let Some(key) = &head.key {
-        let body = read_whole(body, head).await;
-        let body = body.map_err(|e| keyed::before_owner(e, key.attempt()))?;
-        let req = WholeRequest { method: parts.method, uri, headers, body };
-        return keyed::serve_as_owner(cx, head.clone(), key.clone(), req).await;
-    }
-    let body = if body.is_end_stream() {
-        ProxyBody::Empty
-    } else {
-        ProxyBody::Stream { inner: RequestBody::Hyper(body), left: cx.settings.limits.body_bytes }
-    };
-    let mut inner = Request::new(body);
-    *inner.method_mut() = parts.method;
-    *inner.uri_mut() = uri;
-    *inner.headers_mut() = headers;
-    let admitted = run(cx, head, inner).await?;
-    let (mut parts, body) = admitted.response.into_parts();
-    headers::remove_hop_by_hop(&mut parts.headers);
-    let body = tracked(cx, body, admitted.deadline, Guard::Host(admitted.guard));
-    parts.version = Version::HTTP_11;
-    Ok(Response::from_parts(parts, body))
-}
-
-/// URI of the request inside a call.
-fn inner_uri(uri: &Uri) -> Option<Uri> {
-    let path = uri.path_and_query()?.as_str().strip_prefix(CALL_PREFIX)?;
-    path.parse().ok()
-}
-
-async fn read_whole(body: Incoming, head: &CallHead) -> Result<Bytes, CallError> {
-    let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
-    let timeout = Duration::from_millis(head.remaining_ms);
-    let fault = |detail| CallError::passing(ErrorKind::BadRequest, detail);
-    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(fault("the body of a keyed call broke off or is too large")),
-        Err(_) => Err(fault("the body of a keyed call did not come in time")),
-    }
-}
--- a/crates/daemon/src/proxy/request_body.rs
+++ b/crates/daemon/src/proxy/request_body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use super::body::BodyError;
+use super::body::{BodyError, poll_incoming};
 
 /// Pieces of a body that are kept for a slow receiver.
 const PIPE_PIECES: usize = 4;
@@ -86,10 +86,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Hyper(body) => {
-                let polled = Pin::new(body).poll_frame(cx);
-                polled.map(|frame| frame.map(|frame| frame.map_err(BodyError::Source)))
-            }
+            Self::Hyper(body) => poll_incoming(body, cx),
             Self::Whole(data) => Poll::Ready(data.take().map(|data| Ok(Frame::data(data)))),
             Self::Pipe { pieces, left, ended } => {
                 if *ended {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use baobabreel_core::balance::Locality;
 use baobabreel_core::id::{DaemonId, DataCentre, SchemaVersion, ServiceName};
 
 use crate::dialect::Dialect;
@@ -134,8 +133,6 @@
     pub threads: usize,
     /// How requests are balanced, admitted and tried again.
     pub policy: Policy,
-    /// How the own data centre is preferred.
-    pub locality: Locality,
     /// How far requests are tried again.
     pub retry: RetrySettings,
     /// Newest schema version that the daemon uses.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -6,7 +6,6 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use baobabreel_core::balance::Locality;
 use baobabreel_core::config::{Kind, MAX_SCHEMA, RecordKey};
 use baobabreel_core::idempotency::MAX_ISSUER_BYTES;
 use jsonc_parser::ast::{Object, ObjectProp, Value};
@@ -159,7 +158,6 @@
             drain_notice,
             threads: usize::try_from(threads).ok()?,
             policy,
-            locality: Locality::First,
             retry: RetrySettings::default(),
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
