Give calls up later, and let the work of others end before a daemon does

A call was given up when three questions about it were not answered, and since the questions depend on the time left, that was 0.6 s after its start on machines with a tenth of a core. Besides, a daemon that ended took calls of others until 3.3 s after SIGTERM and left them 1.8 s.

Change: a call that can be sent elsewhere is given up after 0.6 s of silence, any other after 2 s.

Ruled out: an end of the host process before its calls (it counts them); a connection that was reset.

--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -79,8 +79,10 @@
     Closing = 2,
     /// Has announced that it ends to the other daemons, and still takes requests.
     Leaving = 3,
+    /// Refuses new calls to the backend server beside it, and still takes requests of callers.
+    Handover = 4,
     /// Refuses new requests.
-    Draining = 4,
+    Draining = 5,
 }
 
 /// State that the parts of one daemon share.
@@ -171,6 +173,7 @@
             1 => Phase::Serving,
             2 => Phase::Closing,
             3 => Phase::Leaving,
+            4 => Phase::Handover,
             _ => Phase::Draining,
         }
     }
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -134,7 +134,7 @@
     fn current(&self) -> LocalState {
         let info = self.cx.host.info();
         let state = match (self.cx.phase(), info.as_ref().map(|info| info.state)) {
-            (Phase::Leaving | Phase::Draining, _) => MemberState::Draining,
+            (Phase::Leaving | Phase::Handover | Phase::Draining, _) => MemberState::Draining,
             (Phase::Starting, _) | (_, None) => MemberState::Cold,
             (Phase::Serving | Phase::Closing, Some(state)) => state,
         };
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -196,17 +196,20 @@
 
     /// Ends the daemon without cutting requests that run; returns whether all of them ended.
     ///
-    /// Callers are told first, who may take longer to go elsewhere, then the other daemons; then new
-    /// requests are refused as not run, and running ones get up to the drain limit of the settings.
+    /// Callers are told first, who may take longer to go elsewhere, then the other daemons. Calls to the
+    /// backend server beside it are refused before requests of callers are, so that they have time to
+    /// end; running requests get up to the drain limit of the settings.
     pub async fn shutdown(self) -> bool {
         tracing::info!("draining");
         self.cx.advance(Phase::Closing);
-        let notice = self.cx.settings.drain_notice;
-        let members_notice = notice.min(MEMBERS_NOTICE);
-        tokio::time::sleep(notice - members_notice).await;
+        let (notice, host_notice) = (self.cx.settings.drain_notice, self.cx.settings.host_notice);
+        let members_notice = host_notice.min(MEMBERS_NOTICE);
+        tokio::time::sleep(host_notice - members_notice).await;
         self.cx.advance(Phase::Leaving);
         self.tell_membership().await;
         tokio::time::sleep(members_notice).await;
+        self.cx.advance(Phase::Handover);
+        tokio::time::sleep(notice.saturating_sub(host_notice)).await;
         self.cx.advance(Phase::Draining);
         let draining = self.cx.clock.now();
         let has_keys = self.hand_keys_over().await;
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -22,7 +22,7 @@
 use super::host;
 use super::peer_call::CALL_PREFIX;
 use super::pool::PooledConnection;
-use super::watch::{self, Callee, Watched};
+use super::watch::{self, Callee, Terms, Watched};
 use crate::context::{Cx, is_able};
 
 /// Largest body of an answer that is read as a whole before its head is passed on, in bytes.
@@ -70,6 +70,7 @@
     req: Request<ProxyBody>,
     mut guard: EntryGuard,
     deadline: Duration,
+    is_repeatable: bool,
 ) -> Result<Response<ProxyBody>, CallError> {
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::run(cx, head, req).await {
@@ -80,7 +81,7 @@
             Err(e) => return Err(failed(guard, e)),
         }
     } else {
-        match send_to_member(cx, head, req, guard.name(), deadline).await {
+        match send_to_member(cx, head, req, guard.name(), deadline, is_repeatable).await {
             Ok(answer) => {
                 guard.answered(Some(report(answer.load)));
                 guard.hold(answer.connection);
@@ -173,6 +174,7 @@
     req: Request<ProxyBody>,
     name: &str,
     deadline: Duration,
+    is_repeatable: bool,
 ) -> Result<PeerAnswer, CallError> {
     let to = cx
         .view
@@ -186,10 +188,10 @@
         tracing::debug!(to = name, "the daemon does not answer");
         cx.balance.out_of_reach(&head.service, name, cx.clock.now());
     };
-    send_call(cx, to, head, req, deadline, on_silence).await
+    send_call(cx, to, head, req, &Terms { deadline, is_repeatable, on_silence }).await
 }
 
-/// Sends a call to a daemon; `on_silence` is called when it leaves a question about it unanswered.
+/// Sends a call to a daemon and waits for the head of the answer on `terms`.
 ///
 /// # Errors
 ///
@@ -200,8 +202,7 @@
     to: Callee,
     head: &CallHead,
     mut req: Request<ProxyBody>,
-    deadline: Duration,
-    on_silence: impl Fn(),
+    terms: &Terms<impl Fn()>,
 ) -> Result<PeerAnswer, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() = format!("{CALL_PREFIX}{path}").parse().map_err(|e| {
@@ -217,19 +218,18 @@
     let head = CallHead { id: rand::random(), ..head.clone() };
     req.headers_mut().insert(headers::CALL, HeaderValue::from(&head));
     let exchange = cx.peers.call(to.addr, req);
-    let (mut res, connection) =
-        match watch::until(cx, to, head.id, deadline, on_silence, exchange).await {
-            Watched::Ended(Ok(answered)) => answered,
-            Watched::Ended(Err(e)) => return Err(CallError::from_send(e, "the daemon")),
-            Watched::NotRun => {
-                let detail = "the connection to the daemon went silent before the call arrived";
-                return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-            }
-            Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
-            Watched::Late => {
-                return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
-            }
-        };
+    let (mut res, connection) = match watch::until(cx, to, head.id, terms, exchange).await {
+        Watched::Ended(Ok(answered)) => answered,
+        Watched::Ended(Err(e)) => return Err(CallError::from_send(e, "the daemon")),
+        Watched::NotRun => {
+            let detail = "the connection to the daemon went silent before the call arrived";
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        Watched::Lost(detail) => return Err(CallError::new(ErrorKind::UpstreamLost, detail)),
+        Watched::Late => {
+            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
+        }
+    };
     let answer = res
         .headers_mut()
         .remove(headers::ANSWER)
@@ -282,7 +282,7 @@
         head.service = service;
         head.retry |= tried.len() > 1;
         head.remaining_ms = remaining_ms(cx, deadline)?;
-        let e = match attempt(cx, &head, request(), guard, deadline).await {
+        let e = match attempt(cx, &head, request(), guard, deadline, false).await {
             Ok(res) => return Ok(res),
             Err(e) => e,
         };
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -25,7 +25,7 @@
 use super::lines::{self, AnsweredBy, CallerLine, FailedAttempt};
 use super::replay::CallerRequest;
 use super::request_body::RequestBody;
-use super::watch::Callee;
+use super::watch::{Callee, Terms};
 use super::{dispatch, headers, host};
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
@@ -90,7 +90,7 @@
             e.close = true;
             return Err(e);
         }
-        Phase::Serving | Phase::Closing | Phase::Leaving => {}
+        Phase::Serving | Phase::Closing | Phase::Leaving | Phase::Handover => {}
     }
     let (parts, body) = req.into_parts();
     if parts.method == Method::CONNECT {
@@ -328,7 +328,8 @@
         again: bool,
     ) -> Result<Response<ProxyBody>, CallError> {
         let head = self.head(service, again)?;
-        dispatch::attempt(self.cx, &head, req, guard, self.deadline).await
+        let is_repeatable = self.route.spec.is_idempotent();
+        dispatch::attempt(self.cx, &head, req, guard, self.deadline, is_repeatable).await
     }
 
     fn head(&self, service: &ServiceName, again: bool) -> Result<CallHead, CallError> {
@@ -398,8 +399,9 @@
             KeyRoute::Send { owner, peer_addr } => {
                 head.key = Some(key_head(&owner));
                 let to = Callee { addr: peer_addr, incarnation: owner.incarnation };
-                let sent =
-                    dispatch::send_call(cx, to, &head, req.to_request(), self.deadline, || {});
+                let deadline = self.deadline;
+                let terms = Terms { deadline, is_repeatable: false, on_silence: || {} };
+                let sent = dispatch::send_call(cx, to, &head, req.to_request(), &terms);
                 let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
                 Ok(pass_through(cx, answer, self.deadline))
             }
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -403,7 +403,7 @@
 }
 
 fn able_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
-    if cx.phase() == Phase::Draining {
+    if cx.phase() >= Phase::Handover {
         return Err(CallError::new(ErrorKind::Draining, "the daemon is draining"));
     }
     let none = || CallError::new(ErrorKind::NoBackendServer, "no backend server is announced here");
--- a/crates/daemon/src/proxy/watch.rs
+++ b/crates/daemon/src/proxy/watch.rs
@@ -28,6 +28,16 @@
 /// Questions without an answer after which the other daemon counts as out of reach.
 const MAX_UNANSWERED: u32 = 3;
 
+/// Pause between two questions after one that was not answered.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Silence of the other daemon after which a call that can be sent elsewhere is given up.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(600);
+
+/// Silence after which any other call is given up. A daemon that stalls for a moment still answers, and
+/// a call that cannot be sent again has nothing to gain from an earlier end.
+const GIVE_UP_LATE: Duration = Duration::from_secs(2);
+
 /// How a wait ended.
 #[derive(Debug)]
 pub enum Watched<T> {
@@ -44,6 +54,17 @@
 /// Time after the start of a call from which the other daemon may have forgotten how it ended.
 const TRUST_TIME: Duration = Duration::from_secs(MEMORY.as_secs() / 2);
 
+/// Terms of a wait.
+#[derive(Debug)]
+pub struct Terms<F> {
+    /// Time at which the wait ends in any case.
+    pub deadline: Duration,
+    /// Whether the call can be sent to another daemon when this one is silent.
+    pub is_repeatable: bool,
+    /// Called when the other daemon leaves a question unanswered.
+    pub on_silence: F,
+}
+
 /// Daemon that a call was sent to.
 #[derive(Debug, Clone, Copy)]
 pub struct Callee {
@@ -53,25 +74,24 @@
     pub incarnation: Incarnation,
 }
 
-/// Waits for an exchange until `deadline`; it is dropped with its connection when it is given up.
-///
-/// `on_silence` is called when the other daemon leaves a question unanswered.
+/// Waits for an exchange on `terms`; it is dropped with its connection when it is given up.
 pub async fn until<T>(
     cx: &Cx,
     to: Callee,
     id: u64,
-    deadline: Duration,
-    on_silence: impl Fn(),
+    terms: &Terms<impl Fn()>,
     exchange: impl Future<Output = T>,
 ) -> Watched<T> {
     let mut exchange = std::pin::pin!(exchange);
     let mut unanswered = 0;
     let started = cx.clock.now();
+    let mut last_heard = started;
+    let give_up_after = if terms.is_repeatable { GIVE_UP_AFTER } else { GIVE_UP_LATE };
     loop {
-        let remaining = deadline.saturating_sub(cx.clock.now());
-        // An unanswered question is put again at once, over a new connection.
+        let remaining = terms.deadline.saturating_sub(cx.clock.now());
+        // An unanswered question is put again soon, over a new connection.
         let interval = (remaining / ASK_PART).clamp(ASK_INTERVAL_MIN, ASK_INTERVAL_MAX);
-        let wait = if unanswered == 0 { interval } else { Duration::ZERO };
+        let wait = if unanswered == 0 { interval } else { ASK_PAUSE };
         let wait = wait.min(remaining);
         if let Ok(result) = tokio::time::timeout(wait, &mut exchange).await {
             return Watched::Ended(result);
@@ -87,9 +107,12 @@
             state = question => state,
         };
         unanswered = if state.is_some() { 0 } else { unanswered + 1 };
-        if state.is_none() {
-            on_silence();
+        if state.is_some() {
+            last_heard = cx.clock.now();
+        } else {
+            (terms.on_silence)();
         }
+        let silence = cx.clock.now().saturating_sub(last_heard);
         if state != Some(CallState::Active) {
             // Other connections to this daemon may have gone silent at the same time.
             cx.peers.forget(to.addr);
@@ -106,7 +129,7 @@
                     Watched::Ended,
                 );
             }
-            None if unanswered >= MAX_UNANSWERED => {
+            None if unanswered >= MAX_UNANSWERED && silence >= give_up_after => {
                 return Watched::Lost("the daemon is out of reach");
             }
             None => {}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -129,6 +129,9 @@
     pub drain_limit: Duration,
     /// Time between the announcement of a drain and the refusal of new requests.
     pub drain_notice: Duration,
+    /// Time between the announcement of a drain and the refusal of new calls to the backend server
+    /// beside the daemon; at most `drain_notice`.
+    pub host_notice: Duration,
     /// Worker threads of the runtime.
     pub threads: usize,
     /// How requests are balanced, admitted and tried again.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -156,6 +156,7 @@
             limits: limits?,
             drain_limit,
             drain_notice,
+            host_notice: drain_notice,
             threads: usize::try_from(threads).ok()?,
             policy,
             retry: RetrySettings::default(),
