--- a/crates/testsuite/tests/stall.rs
+++ b/crates/testsuite/tests/stall.rs
@@ -10,7 +10,7 @@
 
 /// Time for which its daemon stands still: longer than it takes to leave several questions about a call
 /// unanswered.
-const STALL: Duration = Duration::from_millis(1_400);
+const STALL: Duration = Duration::from_millis(1_700);
 
 /// Guards against commands that end as unknown although their daemon goes on after a moment and the
 /// backend server runs them to their end.
