--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -316,12 +316,6 @@
     pub fn live_members(&self) -> usize {
         self.cx.members.load().live().count()
     }
-
-    /// Whether the daemon has not begun to end.
-    #[must_use]
-    pub fn is_staying(&self) -> bool {
-        self.cx.phase() <= Phase::Serving
-    }
 }
 
 async fn answer_backend(
