Give repeatable calls up after 1.2 s of silence instead of 0.6 s

The shorter time was to find calls to a data centre that is cut off; its hosts are avoided from the first unanswered question on anyway.

Ruled out: sending a second copy instead of giving up (needs budget that is not there when many calls stall).

--- a/crates/daemon/src/proxy/watch.rs
+++ b/crates/daemon/src/proxy/watch.rs
@@ -32,7 +32,7 @@
 const ASK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Silence of the other daemon after which a call that can be sent elsewhere is given up.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(600);
+const GIVE_UP_AFTER: Duration = Duration::from_millis(1_200);
 
 /// Silence after which any other call is given up. A daemon that stalls for a moment still answers, and
 /// a call that cannot be sent again has nothing to gain from an earlier end.
