--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -16,6 +16,9 @@
 use super::{Limits, Listen, Policy, RetrySettings, Settings, Source};
 use crate::dialect::Dialect;
 
+/// Mark that some editors put before a text.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// One fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Fault {
@@ -63,6 +66,9 @@
 /// All [`Faults`] of the text.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
     let mut reader = Reader { text, faults: Vec::new() };
+    if text.starts_with(BYTE_ORDER_MARK) {
+        reader.fault(1, "", "a file that begins with a byte order mark", "UTF-8 without one");
+    }
     let settings = reader.settings();
     if reader.faults.is_empty()
         && let Some(settings) = settings
@@ -99,7 +105,7 @@
 
 impl<'a> Reader<'a> {
     fn settings(&mut self) -> Option<Settings> {
-        let text = self.text;
+        let text = self.text.trim_start_matches(BYTE_ORDER_MARK);
         let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
         let root = match parsed {
             Ok(result) => result.value,
@@ -172,10 +178,30 @@
         let peers = self.address(&mut section, "peers");
         let backend = self.address(&mut section, "backend");
         let operators = self.address(&mut section, "operators");
+        let line = section.line;
         self.finish(section);
+        let found = [
+            ("callers", callers),
+            ("peers", peers),
+            ("backend", backend),
+            ("operators", operators),
+        ];
+        self.check_apart(line, &found);
         Some(Listen { callers: callers?, peers: peers?, backend: backend?, operators: operators? })
     }
 
+    /// Two listeners cannot have one address, unless its port is any free one.
+    fn check_apart(&mut self, line: usize, listeners: &[(&str, Option<SocketAddr>)]) {
+        for (at, (name, addr)) in listeners.iter().enumerate() {
+            let Some(addr) = addr.filter(|addr| addr.port() != 0) else { continue };
+            let same = listeners[..at].iter().find(|(_, earlier)| *earlier == Some(addr));
+            if let Some((earlier, _)) = same {
+                let value = format!("{addr}, as `listen.{earlier}` is");
+                self.fault(line, &format!("listen.{name}"), &value, "an address of its own");
+            }
+        }
+    }
+
     fn limits(&mut self, top: &mut Section<'a>) -> Option<Limits> {
         let mut section = match self.take(top, "limits") {
             None => Section {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -107,6 +107,25 @@
     assert_eq!((settings.token, settings.advertise_peers), (None, None));
 }
 
+/// Guards against settings that pass the check and fail at the start, since two listeners have one address.
+#[test]
+fn listeners_have_addresses_of_their_own() {
+    let text = GOOD.replace("127.0.0.1:7103", "127.0.0.1:7100");
+    let expected = "f.jsonc:6: `listen.operators` is 127.0.0.1:7100, as `listen.callers` is; \
+                    allowed: an address of its own";
+    assert_eq!(faults(&text), expected);
+    let text = GOOD.replace("7101", "0").replace("7102", "0");
+    parse("f.jsonc", &text).expect("any free port may be asked for twice");
+}
+
+/// Guards against a message about a strange character that an editor does not show.
+#[test]
+fn byte_order_mark_is_named() {
+    let expected =
+        "f.jsonc:1: is a file that begins with a byte order mark; allowed: UTF-8 without one";
+    assert_eq!(faults(&format!("\u{feff}{GOOD}")), expected);
+}
+
 /// Runs the daemon with a settings file.
 fn run(name: &str, text: &str, args: &[&str]) -> (Output, PathBuf) {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
