--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -397,12 +397,10 @@
     /// Refuses the late requests of `class`, so that one that has just come is not behind them.
     fn shed_late(&mut self, class: Class, now: Duration) -> Vec<Action> {
         let kind = ErrorKind::Overloaded;
-        let is_late =
-            |item: &&Waiting| item.class == class && !item.bulk && self.is_late(item, now);
-        let late: Vec<TicketId> =
-            self.queue.all().iter().filter(is_late).map(|item| item.id).collect();
-        let late = late.into_iter().filter_map(|id| self.queue.remove(id));
-        late.map(|item| refusal(&item, kind, default_retry_after(kind))).collect()
+        let late = self.take_matching(|this, item| {
+            item.class == class && !item.bulk && this.is_late(item, now)
+        });
+        late.iter().map(|item| refusal(item, kind, default_retry_after(kind))).collect()
     }
 
     /// Time until `item` would start if it were queued now.
