--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -345,39 +345,34 @@
     pub deadline: Duration,
 }
 
-/// Times of a request beside its backend server.
-#[derive(Debug, Default)]
-struct Trail {
-    started: Option<Duration>,
-}
-
 /// Admits a request and passes it to the backend server.
 pub async fn run(cx: &Cx, head: &CallHead, req: Request<ProxyBody>) -> Result<Admitted, CallError> {
     let arrived = cx.clock.now();
     let request = lines::request_id(cx, req.headers());
-    let mut trail = Trail::default();
-    let result = admit_and_send(cx, head, req, &mut trail).await;
+    let mut started = None;
+    let result = admit_and_send(cx, head, req, &mut started).await;
     let line = Hosted {
         request: &request,
         route: &head.route,
         arrived,
-        started: trail.started,
+        started,
         result: result.as_ref().map(|admitted| admitted.response.status().as_u16()),
     };
     lines::hosted(cx, &line);
     result
 }
 
+/// Sets `started` once the request has a slot.
 async fn admit_and_send(
     cx: &Cx,
     head: &CallHead,
     mut req: Request<ProxyBody>,
-    trail: &mut Trail,
+    started: &mut Option<Duration>,
 ) -> Result<Admitted, CallError> {
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = able_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
-    trail.started = Some(cx.clock.now());
+    *started = Some(cx.clock.now());
     let remaining = deadline.saturating_sub(cx.clock.now());
     let dialect = &cx.settings.dialect;
     headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
