--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -5,10 +5,12 @@
 //! is not retried again further down the call chain, and a token bucket limits retries to a share of
 //! the requests.
 
+mod backoff;
 mod budget;
 mod decision;
 mod latency;
 
+pub use backoff::Backoff;
 pub use budget::RetryBudget;
 pub use decision::{Attempt, Failure, RetryDecision, StopReason, decide, hedge_after};
 pub use latency::LatencyEstimate;
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use baobabreel_core::retry::{
-    Attempt, Failure, LatencyEstimate, RetryBudget, RetryDecision, StopReason, decide, hedge_after,
+    Attempt, Backoff, Failure, LatencyEstimate, RetryBudget, RetryDecision, StopReason, decide,
+    hedge_after,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -157,3 +158,17 @@
     let burst = (0..100).filter(|_| saved.try_take(Duration::from_secs(60))).count();
     assert_eq!(burst, 2);
 }
+
+/// Guards against daemons that return together after an outage, and against a pause that stays long after a
+/// success.
+#[test]
+fn backoff_doubles_up_to_its_limit_and_starts_again() {
+    let (first, longest) = (Duration::from_millis(100), Duration::from_millis(350));
+    let mut backoff = Backoff::new(first, longest);
+    assert_eq!(backoff.pause(1.0), first);
+    assert_eq!(backoff.pause(0.0), first);
+    assert_eq!(backoff.pause(1.0), longest);
+    assert_eq!(backoff.pause(0.0), longest / 2);
+    backoff.reset();
+    assert_eq!(backoff.pause(1.0), first);
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -8,7 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -32,6 +32,7 @@
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
 use crate::settings::Settings;
+use crate::sync::lock;
 use crate::telemetry::{LineLimit, Metrics};
 
 /// Who a daemon is.
@@ -233,12 +234,12 @@
 
     /// Where this daemon stands in the streams.
     pub fn position(&self) -> Position {
-        *self.position.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.position)
     }
 
     /// Publishes where this daemon stands.
     pub fn set_position(&self, position: Position) {
-        *self.position.lock().unwrap_or_else(PoisonError::into_inner) = position;
+        *lock(&self.position) = position;
     }
 
     /// Whether this daemon tails the log for its data centre.
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -1,7 +1,7 @@
 //! Announcements of the backend server beside the daemon.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use baobabreel_core::error::ErrorKind;
@@ -15,6 +15,7 @@
 use crate::adapter::BackendMessage;
 use crate::context::Cx;
 use crate::proxy::{self, BackendInfo, HEALTH_PATH, Protocol};
+use crate::sync::lock;
 
 /// Time after the last announcement from which the health endpoint is asked: three announcements.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -95,16 +96,16 @@
 
 impl BackendTracker {
     fn heard(&self, now: Duration) {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+        *lock(&self.last) = Some(now);
     }
 
     fn silent_for(&self, now: Duration) -> Option<Duration> {
-        let last = *self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = *lock(&self.last);
         last.map(|last| now.saturating_sub(last))
     }
 
     fn order(&self) -> MutexGuard<'_, ReportOrder> {
-        self.order.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.order)
     }
 
     /// Takes a message of the backend server.
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -5,7 +5,7 @@
 //! for it. A daemon never goes back to an older document.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -13,6 +13,7 @@
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion};
 
 use crate::context::{Cx, Phase};
+use crate::sync::lock;
 
 /// Path at which a daemon hands over its document.
 pub const DOCUMENT_PATH: &str = "/peer/v1/document";
@@ -67,7 +68,7 @@
 /// Puts a document in force unless a newer one is.
 pub fn offer(cx: &Cx, document: Document, origin: Origin) {
     let documents = &cx.documents;
-    let applying = documents.applying.lock().unwrap_or_else(PoisonError::into_inner);
+    let applying = lock(&documents.applying);
     if documents.is_news(document.version) {
         let config = CompiledConfig::from(&document);
         let position = Position { config: config.version, ..Position::default() };
@@ -112,7 +113,7 @@
         return;
     }
     let now = cx.clock.now();
-    let mut until = cx.documents.pulling_until.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut until = lock(&cx.documents.pulling_until);
     if now < *until {
         return;
     }
@@ -125,7 +126,7 @@
     let query = DocumentQuery { known: cx.documents.version() };
     let answer: Option<Option<Document>> =
         cx.ask_peer(from, DOCUMENT_PATH, &query, PULL_TIMEOUT).await;
-    *cx.documents.pulling_until.lock().unwrap_or_else(PoisonError::into_inner) = Duration::ZERO;
+    *lock(&cx.documents.pulling_until) = Duration::ZERO;
     if let Some(Some(document)) = answer {
         offer(&cx, document, Origin::Peer(from));
     }
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -4,13 +4,13 @@
 //! and for snapshots when neither entries nor peers can help.
 
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use baobabreel_client::log::ReadAnswer;
 use baobabreel_client::transport::is_too_large;
 use baobabreel_client::wire::Stream;
+use baobabreel_core::retry::Backoff;
 use kameo::actor::ActorRef;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +18,7 @@
 use super::distribution::{FromLog, NextOffset, SnapshotRead};
 use super::{Distribution, snapshots};
 use crate::context::Cx;
+use crate::sync::lock;
 
 /// Time that a long poll waits for a record; the age of the proof of the head follows from it.
 const POLL_WAIT: Duration = Duration::from_secs(1);
@@ -71,11 +72,11 @@
 
     /// Last error of the log, if the last read failed.
     pub fn error(&self) -> Option<String> {
-        self.error.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.error).clone()
     }
 
     fn set_error(&self, error: Option<String>) {
-        *self.error.lock().unwrap_or_else(PoisonError::into_inner) = error;
+        *lock(&self.error) = error;
     }
 
     fn hints(&self, stream: Stream) -> &Notify {
@@ -102,7 +103,7 @@
 }
 
 async fn follow(cx: &Cx, distribution: &ActorRef<Distribution>, stream: Stream) {
-    let mut pause = RETRY_PAUSE;
+    let mut backoff = Backoff::new(RETRY_PAUSE, RETRY_PAUSE_MAX);
     let mut limit = READ_LIMIT;
     loop {
         let wait = if cx.is_relay() {
@@ -120,7 +121,7 @@
         match read(cx, distribution, stream, limit, wait).await {
             Ok(read) => {
                 cx.follower.set_error(None);
-                pause = RETRY_PAUSE;
+                backoff.reset();
                 if read.records < limit {
                     limit = READ_LIMIT;
                 }
@@ -138,9 +139,7 @@
             Err(e) => {
                 tracing::warn!(stream = stream.name(), error = format!("{e:#}"), "failed to read");
                 cx.follower.set_error(Some(format!("{e:#}")));
-                // Full jitter keeps the relays from returning together after an outage.
-                tokio::time::sleep(pause.mul_f64(rand::random())).await;
-                pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                tokio::time::sleep(backoff.pause(rand::random())).await;
             }
         }
     }
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -8,7 +8,7 @@
 //! the next in rank owns the keys meanwhile; everything else goes on. A new incarnation within the
 //! process would have to replace the identity that members, relays and issued keys already use.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use baobabreel_client::wire::{PriorWire, QueryWire};
@@ -22,6 +22,7 @@
 use baobabreel_core::registry::{Folded, Incarnate, Registered};
 
 use crate::context::{Clock, Identity};
+use crate::sync::lock;
 
 /// Answers of previous owners.
 pub type Priors = Vec<(Incarnate, PriorAnswer)>;
@@ -54,7 +55,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, KeyOwner> {
-        self.owner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.owner)
     }
 
     /// This daemon.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod operators;
 pub mod proxy;
 pub mod settings;
+mod sync;
 pub mod telemetry;
 
 pub use adapter::{Adapter, BackendMessage, NativeAdapter};
--- a/crates/daemon/src/proxy/active.rs
+++ b/crates/daemon/src/proxy/active.rs
@@ -5,12 +5,13 @@
 //! answer "not run" stays true if the call arrives later.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use baobabreel_client::wire::CallState;
 
 use crate::context::Cx;
+use crate::sync::lock;
 
 /// Time for which ended and refused calls are remembered.
 pub const MEMORY: Duration = Duration::from_secs(10);
@@ -52,7 +53,7 @@
 
 impl ActiveCalls {
     fn lock(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     /// Records that a call has arrived; `None` when its sender was told that it does not run.
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
 use baobabreel_core::balance::{Balancer, Endpoint, Failure, LoadReport};
@@ -17,14 +17,11 @@
 use super::pool::PooledConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 use crate::settings::{Policy, Settings};
+use crate::sync::{lock, read, write};
 
 /// Slowness from which the own backend server is no longer preferred to a random choice.
 const OWN_SLOWNESS_LIMIT: f64 = 1.5;
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Balancer of one service.
 pub type ServiceBalancer = Arc<Mutex<Balancer>>;
 
@@ -104,7 +101,7 @@
             }
             balancer.update(&endpoints, now);
         }
-        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = write(&self.routes);
         routes.retain(|name, _| config.routes.iter().any(|route| route.name == *name));
     }
 
@@ -116,25 +113,25 @@
             .data_centre(self.data_centre.clone())
             .round_robin(self.policy == Policy::Plain)
             .build();
-        let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
+        let mut services = write(&self.services);
         Arc::clone(
             services.entry(name.to_owned()).or_insert_with(|| Arc::new(Mutex::new(balancer))),
         )
     }
 
     fn find(&self, name: &str) -> Option<ServiceBalancer> {
-        let services = self.services.read().unwrap_or_else(PoisonError::into_inner);
+        let services = read(&self.services);
         services.get(name).map(Arc::clone)
     }
 
     /// Budgets and observations of a route.
     pub fn route(&self, name: &str) -> Arc<RouteState> {
-        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        let routes = read(&self.routes);
         if let Some(found) = routes.get(name) {
             return Arc::clone(found);
         }
         drop(routes);
-        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        let mut routes = write(&self.routes);
         let new = || Arc::new(RouteState::new(self.budgets.of_route()));
         Arc::clone(routes.entry(name.to_owned()).or_insert_with(new))
     }
--- a/crates/daemon/src/proxy/budgets.rs
+++ b/crates/daemon/src/proxy/budgets.rs
@@ -1,17 +1,14 @@
 //! Budgets for second tries, for each daemon or for the mesh as a whole.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::retry::RetryBudget;
 
 use crate::settings::{RetryBurst, RetrySettings};
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+use crate::sync::lock;
 
 /// Part of one service's budget that this daemon may spend.
 #[derive(Debug)]
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -25,6 +25,7 @@
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
 use crate::context::{Cx, Phase};
 use crate::settings::Policy;
+use crate::sync::lock;
 
 /// Path of the health endpoint of a backend server.
 pub const HEALTH_PATH: &str = "/health";
@@ -91,10 +92,6 @@
     policy: Policy,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Host {
     /// Makes the state of a daemon whose backend server has not announced itself.
     #[must_use]
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -25,6 +25,7 @@
 use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::TOKEN;
+use crate::sync::{lock, read, write};
 
 /// Time for a connection to be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -67,12 +68,12 @@
 
 impl PeerSlot {
     fn current(&self) -> Option<SendRequest<ProxyBody>> {
-        let sender = self.sender.lock().unwrap_or_else(PoisonError::into_inner);
+        let sender = lock(&self.sender);
         sender.as_ref().filter(|sender| !sender.is_closed()).cloned()
     }
 
     fn replace(&self, sender: SendRequest<ProxyBody>) {
-        *self.sender.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+        *lock(&self.sender) = Some(sender);
     }
 }
 
@@ -93,22 +94,22 @@
     }
 
     fn slot(&self, addr: SocketAddr) -> Arc<PeerSlot> {
-        let slots = self.slots.read().unwrap_or_else(PoisonError::into_inner);
+        let slots = read(&self.slots);
         if let Some(slot) = slots.get(&addr) {
             return Arc::clone(slot);
         }
         drop(slots);
-        let mut slots = self.slots.write().unwrap_or_else(PoisonError::into_inner);
+        let mut slots = write(&self.slots);
         Arc::clone(slots.entry(addr).or_default())
     }
 
     fn calls_to(&self, addr: SocketAddr) -> Arc<ConnectionPool> {
-        let pools = self.calls.read().unwrap_or_else(PoisonError::into_inner);
+        let pools = read(&self.calls);
         if let Some(pool) = pools.get(&addr) {
             return Arc::clone(pool);
         }
         drop(pools);
-        let mut pools = self.calls.write().unwrap_or_else(PoisonError::into_inner);
+        let mut pools = write(&self.calls);
         let pool = pools.entry(addr).or_insert_with(|| {
             Arc::new(ConnectionPool::new(addr, Protocol::Http1, MAX_CALL_CONNECTIONS))
         });
@@ -133,13 +134,13 @@
 
     /// Closes the connections to a peer that is gone.
     pub fn forget(&self, addr: SocketAddr) {
-        self.calls.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
-        self.slots.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+        write(&self.calls).remove(&addr);
+        write(&self.slots).remove(&addr);
     }
 
     /// Number of peers with a connection or an attempt to make one.
     pub fn len(&self) -> usize {
-        self.slots.read().unwrap_or_else(PoisonError::into_inner).len()
+        read(&self.slots).len()
     }
 
     /// Whether there is no peer.
@@ -222,7 +223,7 @@
         };
         if matches!(answer, Err(PeerError::Lost(_))) {
             // The connection may have gone silent; the next message makes a new one.
-            self.slots.write().unwrap_or_else(PoisonError::into_inner).remove(&addr);
+            write(&self.slots).remove(&addr);
         }
         answer
     }
--- /dev/null
+++ b/crates/daemon/src/sync/mod.rs
@@ -0,0 +1,21 @@
+//! Locks that are held for a few hundred nanoseconds and never across an await.
+//!
+//! A panic while one is held leaves the state as it was before or after a step, so a poisoned lock is
+//! used on.
+
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+/// Locks a mutex.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Locks for reading.
+pub(crate) fn read<T>(lock: &RwLock<T>) -> RwLockReadGuard<'_, T> {
+    lock.read().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Locks for writing.
+pub(crate) fn write<T>(lock: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
+    lock.write().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -3,9 +3,11 @@
 //! Each kind of line has a rate of its own, so that many answers do not displace the lines about a few
 //! failures. A line tells how many of its kind were left out before it.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::sync::lock;
+
 /// Kind of a line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LineKind {
@@ -60,7 +62,7 @@
     /// Takes a line; returns how many of its kind were left out before it, or none when it is to be
     /// left out too.
     pub fn take(&self, kind: LineKind, now: Duration) -> Option<u64> {
-        let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut buckets = lock(&self.buckets);
         let bucket = &mut buckets[kind as usize];
         let rate = f64::from(PER_SECOND[kind as usize]);
         let gained = now.saturating_sub(bucket.updated).as_secs_f64() * rate;
