Learn how long connections may rest before they are used again

Cause: backend servers may forget connections that rested, and close them sooner than our fixed 15 s (they say 10 s). What is sent next is lost, which fails a request that must not run twice. Change: the time that the server announces bounds the rest; a loss after a rest halves the bound for 10 s. Ruled out: a new connection for each request; backend servers charge time for each.

--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -33,7 +33,8 @@
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 const TRACESTATE: HeaderName = HeaderName::from_static("tracestate");
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Tells how long the sender keeps an unused connection.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Removes the headers that concern one connection only.
--- a/crates/daemon/src/proxy/pool/mod.rs
+++ b/crates/daemon/src/proxy/pool/mod.rs
@@ -2,9 +2,11 @@
 
 mod peer;
 mod pooled;
+mod rest;
 
 pub use peer::{PeerError, PeerPool};
 pub use pooled::{ConnectionPool, PooledConnection, Protocol, SendError};
+pub use rest::RestLimit;
 
 use std::error::Error;
 use std::time::Duration;
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -4,26 +4,29 @@
 //! same for both protocols, and a connection that breaks takes no other request with it.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use http::header::HOST;
 use http::uri::{Authority, Scheme};
-use http::{HeaderValue, Request, Response, Uri, Version};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version};
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1, http2};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::rest::RestLimit;
 use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
+use crate::proxy::headers::KEEP_ALIVE;
+use crate::sync::lock;
 
 /// Time for a connection to be established; covers two round trips between the most distant regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time after which an unused connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Parameter of the keep-alive header with the seconds for which an unused connection is kept.
+const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
 /// Why a request got no answer.
 #[derive(Debug)]
@@ -90,7 +93,17 @@
     addr: SocketAddr,
     protocol: Protocol,
     idle: Mutex<Vec<Idle>>,
+    rest_limit: Mutex<RestLimit>,
     permits: Arc<Semaphore>,
+    started: Instant,
+}
+
+/// Idle connection that was taken from its pool.
+struct Taken {
+    sender: Sender,
+    permit: OwnedSemaphorePermit,
+    /// How long it was not used.
+    rest: Duration,
 }
 
 /// Connection that is in use; goes back to its pool when the answer is whole.
@@ -108,7 +121,7 @@
             return;
         }
         let idle = Idle { sender: self.sender, permit: self.permit, since: Instant::now() };
-        self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner).push(idle);
+        lock(&self.pool.idle).push(idle);
     }
 }
 
@@ -117,16 +130,32 @@
     #[must_use]
     pub fn new(addr: SocketAddr, protocol: Protocol, limit: usize) -> Self {
         let permits = Arc::new(Semaphore::new(limit));
-        Self { addr, protocol, idle: Mutex::new(Vec::new()), permits }
+        Self {
+            addr,
+            protocol,
+            idle: Mutex::default(),
+            rest_limit: Mutex::default(),
+            permits,
+            started: Instant::now(),
+        }
     }
 
     /// Takes the connection that was used last, so that the others can become idle.
-    fn take_idle(&self) -> Option<(Sender, OwnedSemaphorePermit)> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|conn| !conn.sender.is_closed() && conn.since.elapsed() < IDLE_TIMEOUT);
+    fn take_idle(&self) -> Option<Taken> {
+        let longest = lock(&self.rest_limit).at(self.started.elapsed());
+        let mut idle = lock(&self.idle);
+        idle.retain(|conn| !conn.sender.is_closed() && conn.since.elapsed() < longest);
         let found = idle.iter().rposition(|conn| conn.sender.is_ready())?;
         let conn = idle.swap_remove(found);
-        Some((conn.sender, conn.permit))
+        Some(Taken { sender: conn.sender, permit: conn.permit, rest: conn.since.elapsed() })
+    }
+
+    /// Records that a request was lost on a connection that had rested.
+    fn lost_after(&self, rest: Duration) {
+        let now = self.started.elapsed();
+        let mut limit = lock(&self.rest_limit);
+        limit.lost_after(rest, now);
+        tracing::debug!(addr = %self.addr, ?rest, limit = ?limit.at(now), "connection lost");
     }
 
     async fn connect(&self) -> Result<(Sender, OwnedSemaphorePermit), SendError> {
@@ -191,18 +220,21 @@
         mut req: Request<ProxyBody>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         self.prepare(&mut req);
-        if let Some((mut sender, permit)) = self.take_idle() {
+        if let Some(Taken { mut sender, permit, rest }) = self.take_idle() {
             match sender.try_send_request(req).await {
-                Ok(res) => return Ok((res, self.connection(sender, permit))),
+                Ok(res) => return Ok(self.answered(res, sender, permit)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
-                    None => return Err(SendError::Lost(describe(&e.into_error()))),
+                    None => {
+                        self.lost_after(rest);
+                        return Err(SendError::Lost(describe(&e.into_error())));
+                    }
                 },
             }
         }
         let (mut sender, permit) = self.connect().await?;
         match sender.try_send_request(req).await {
-            Ok(res) => Ok((res, self.connection(sender, permit))),
+            Ok(res) => Ok(self.answered(res, sender, permit)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(describe(&e.into_error()))),
                 None => Err(SendError::Lost(describe(&e.into_error()))),
@@ -210,15 +242,27 @@
         }
     }
 
-    fn connection(
+    fn answered(
         self: &Arc<Self>,
+        res: Response<Incoming>,
         sender: Sender,
         permit: OwnedSemaphorePermit,
-    ) -> PooledConnection {
-        PooledConnection { pool: Arc::clone(self), sender, permit }
+    ) -> (Response<Incoming>, PooledConnection) {
+        if let Some(timeout) = keep_alive_timeout(res.headers()) {
+            lock(&self.rest_limit).announce(timeout);
+        }
+        (res, PooledConnection { pool: Arc::clone(self), sender, permit })
     }
 }
 
+/// Time for which a server says that it keeps an unused connection.
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let parameters = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let secs =
+        parameters.split(',').find_map(|part| part.trim().strip_prefix(KEEP_ALIVE_TIMEOUT))?;
+    secs.parse().ok().map(Duration::from_secs)
+}
+
 /// Runs a connection to its end.
 async fn drive(conn: impl Future<Output = hyper::Result<()>>) {
     if let Err(e) = conn.await {
