Take the directory to hold until daemons have heard of each other

Restarted daemons read addresses from the directory, but learnt who serves what from messages that take seconds among 80. A daemon that can find its backend server says nothing of itself for up to 0.6 s, since "cold" would take back what the directory says. Ruled out: probing all listed members at the start, which costs messages with the square of the members.

--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -26,6 +26,9 @@
 /// Time for the health endpoint to answer.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time between two looks at whether the configuration names the service of the backend server.
+const CONFIG_CHECK: Duration = Duration::from_millis(20);
+
 /// Questions to the backend server after the start of the daemon.
 const MAX_QUESTIONS: u32 = 8;
 
@@ -187,14 +190,9 @@
     pub async fn find(&self, cx: &Cx, control: &Control) {
         let Some(known) = &cx.settings.backend else { return };
         for _ in 0..MAX_QUESTIONS {
-            tokio::time::sleep(QUESTION_INTERVAL).await;
-            if self.silent_for(cx.clock.now()).is_some() {
-                return;
-            }
-            let config = cx.config.load_full();
-            let Some(service) = config.services.get(&known.service) else { continue };
-            let path = service.health_path.as_deref().unwrap_or(HEALTH_PATH);
-            let Some(info) = proxy::ask_backend(cx, known, path, QUESTION_TIMEOUT).await else {
+            let Some(path) = self.health_path_of(cx, &known.service).await else { return };
+            let Some(info) = proxy::ask_backend(cx, known, &path, QUESTION_TIMEOUT).await else {
+                tokio::time::sleep(QUESTION_INTERVAL).await;
                 continue;
             };
             // A report that came meanwhile knows more.
@@ -207,6 +205,20 @@
         }
     }
 
+    /// Waits until the configuration names a service; none when the backend server has reported by then.
+    async fn health_path_of(&self, cx: &Cx, service: &str) -> Option<String> {
+        loop {
+            if self.silent_for(cx.clock.now()).is_some() {
+                return None;
+            }
+            if let Some(known) = cx.config.load().services.get(service) {
+                let path = known.health_path.as_deref().unwrap_or(HEALTH_PATH);
+                return Some(path.to_owned());
+            }
+            tokio::time::sleep(CONFIG_CHECK).await;
+        }
+    }
+
     /// Takes a backend server out that neither announces itself nor answers its health endpoint.
     pub async fn watch(&self, cx: &Cx, control: &Control) {
         let mut interval = tokio::time::interval(CHECK_INTERVAL);
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -25,6 +25,11 @@
 /// Time between two reviews of the registrations.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Longest time after the start in which a daemon that can find its backend server by itself says nothing
+/// of itself. Others that listed it as able to serve would otherwise hear that it is cold, and hear of its
+/// change to ready only after their requests had no other daemon to go to.
+const QUIET_START: Duration = Duration::from_millis(600);
+
 /// Actor that tracks the other daemons.
 #[derive(Debug, Actor)]
 pub struct Membership {
@@ -32,6 +37,8 @@
     swim: Swim,
     config: ConfigOwner,
     local: LocalState,
+    /// Whether this daemon has begun to talk to others.
+    has_joined: bool,
     next_entry: Duration,
     next_review: Duration,
 }
@@ -61,6 +68,7 @@
             swim,
             config,
             local,
+            has_joined: false,
             next_entry: Duration::ZERO,
             next_review: Duration::ZERO,
         };
@@ -72,6 +80,15 @@
         self.cx.set_members(self.swim.members());
     }
 
+    /// Whether this daemon talks to others by now.
+    fn joins(&mut self) -> bool {
+        self.has_joined = self.has_joined
+            || self.cx.settings.backend.is_none()
+            || self.local.state != MemberState::Cold
+            || self.cx.clock.now() >= QUIET_START;
+        self.has_joined
+    }
+
     fn handle(&mut self, event: Event, own: &ActorRef<Self>) -> Vec<Action> {
         let now = self.cx.clock.now();
         let actions = self.swim.handle(event, now, rand::random());
@@ -92,7 +109,9 @@
             }
             !answer
         });
-        gossip::send_all(&self.cx, own, &mut actions);
+        if self.joins() {
+            gossip::send_all(&self.cx, own, &mut actions);
+        }
         for action in actions {
             self.carry_out_own(action);
         }
@@ -215,7 +234,7 @@
     async fn handle(&mut self, msg: Received, ctx: &mut MessageContext<Self, Self::Reply>) {
         let own = ctx.actor_ref().clone();
         self.note_position(msg.from, &msg.envelope).await;
-        if let Some(message) = msg.envelope.message {
+        if let Some(message) = msg.envelope.message.filter(|_| self.joins()) {
             let mut answers = self.handle(message.into(), &own);
             gossip::send_all(&self.cx, &own, &mut answers);
         }
@@ -237,6 +256,9 @@
         if let Some(from) = sender_of(msg.0.message.as_ref()) {
             self.note_position(from, &msg.0).await;
         }
+        if !self.joins() {
+            return None;
+        }
         let mut answers = self.handle(msg.0.message?.into(), &own);
         let answer = answers.pop().and_then(|action| match action {
             Action::SendAck { ack, .. } => Some(GossipWire::Ack(ack.into())),
@@ -276,6 +298,9 @@
         self.update_local(&own);
         self.register();
         self.review_registrations();
+        if !self.joins() {
+            return;
+        }
         let actions = self.swim.tick(self.cx.clock.now(), rand::random());
         let mut answers = self.carry_out(actions, &own);
         gossip::send_all(&self.cx, &own, &mut answers);
