Look for a free slot at up to three hosts before a request waits

Each of 89 entry daemons sends a host a few requests a second, so what it knows of its load is old. Change: a request asks up to three hosts to take it only if it can start at once. A refusal tells the load, costs no budget, since no backend server has seen the request, and keeps the connection. When none has a free slot, it waits at the least loaded of them.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -59,6 +59,8 @@
     pub key: Option<KeyHead>,
     /// Remaining time in which an answer is of full use, in milliseconds, where the route tells it.
     pub target_ms: Option<u64>,
+    /// Whether the call is refused rather than queued when no slot is free.
+    pub only_if_free: bool,
 }
 
 /// Question about a call.
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -171,6 +171,12 @@
         LoadReport { running: self.running.len() as u32, queued: self.queue.len() as u32 }
     }
 
+    /// Whether a request would start at once.
+    #[must_use]
+    pub fn has_free_slot(&self) -> bool {
+        !self.draining && self.queue.len() == 0 && self.may_start(false)
+    }
+
     /// Slots at present.
     #[must_use]
     pub fn slots(&self) -> u32 {
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 use super::builder::BalancerBuilder;
 use super::endpoint::{Endpoint, Failure, LoadReport, State};
 use super::outlier::{self, Scratch};
+use super::room::RoomOdds;
 use crate::id::DataCentre;
 
 /// Time for which an absent endpoint without outstanding calls is remembered, so that one whose
@@ -32,6 +33,7 @@
     data_centres: Vec<DataCentre>,
     scratch: Scratch,
     turn: usize,
+    room: RoomOdds,
 }
 
 impl Balancer {
@@ -49,6 +51,7 @@
             candidates: Vec::new(),
             scratch: Scratch::default(),
             turn: 0,
+            room: RoomOdds::default(),
         }
     }
 
@@ -148,6 +151,29 @@
         }
     }
 
+    /// Records that an endpoint refused a call since it had no free slot, with the load that it told.
+    pub fn full(&mut self, name: &str, now: Duration, report: LoadReport) {
+        if let Some(index) = self.find(name) {
+            let state = &mut self.states[index];
+            state.outstanding = state.outstanding.saturating_sub(1);
+            state.report(report, now);
+        }
+    }
+
+    /// Endpoints that a request asks for a free slot before it waits; `random` is from 0 to 1.
+    #[must_use]
+    pub fn looks(&self, now: Duration, random: f64) -> u32 {
+        if self.cfg.round_robin {
+            return 0;
+        }
+        self.room.looks(self.states.iter().filter(|state| state.is_usable(now)).count(), random)
+    }
+
+    /// Records whether a further look after a full endpoint found a free slot.
+    pub fn looked_further(&mut self, found: bool) {
+        self.room.observe(found);
+    }
+
     /// Records that the daemon beside an endpoint does not answer. Calls that wait for it go on.
     pub fn out_of_reach(&mut self, name: &str, now: Duration) {
         if let Some(index) = self.find(name) {
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -12,7 +12,9 @@
 mod builder;
 mod endpoint;
 mod outlier;
+mod room;
 
 pub use balancer::Balancer;
 pub use builder::BalancerBuilder;
 pub use endpoint::{Endpoint, Failure, LoadReport};
+pub use room::{RoomOdds, RoomSearch};
--- a/crates/daemon/src/proxy/answer.rs
+++ b/crates/daemon/src/proxy/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use baobabreel_client::wire::LoadWire;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::RouteName;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -27,6 +28,8 @@
     pub is_local: bool,
     /// Whether it says nothing about other attempts of the same request, whatever its kind.
     pub is_passing: bool,
+    /// Load of the backend server that a call asked for a free slot in vain.
+    pub full: Option<LoadWire>,
     /// Route of the request, for metrics.
     pub route: Option<RouteName>,
 }
@@ -41,6 +44,7 @@
             close: false,
             is_local: true,
             is_passing: false,
+            full: None,
             route: None,
         }
     }
@@ -57,6 +61,13 @@
         }
     }
 
+    /// Makes the error of a call that was to start at once and found no free slot.
+    pub fn no_free_slot(load: LoadWire) -> Self {
+        let mut e = Self::new(ErrorKind::Overloaded, "no slot is free");
+        e.full = Some(load);
+        e
+    }
+
     /// Makes an error that says nothing about other attempts of the same request.
     pub fn passing(kind: ErrorKind, detail: impl Into<String>) -> Self {
         let mut e = Self::new(kind, detail);
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -177,18 +177,40 @@
         } else {
             balancer.choose(now, rand::random(), exclude)?
         };
-        balancer.dispatched(&name, now);
         drop(balancer);
+        Some(self.count_call(shared, name, clock))
+    }
+
+    /// Counts a call to a backend server of `service` that was chosen before.
+    pub fn choose_again(&self, service: &str, name: Arc<str>, clock: Clock) -> Option<EntryGuard> {
+        Some(self.count_call(self.find(service)?, name, clock))
+    }
+
+    fn count_call(&self, balancer: ServiceBalancer, name: Arc<str>, clock: Clock) -> EntryGuard {
+        let now = clock.now();
+        lock(&balancer).dispatched(&name, now);
         self.outstanding.fetch_add(1, Ordering::AcqRel);
-        Some(EntryGuard {
-            balancer: shared,
+        EntryGuard {
+            balancer,
             name,
             clock,
             started: now,
             end: End::Cancelled,
             outstanding: Arc::clone(&self.outstanding),
             connection: None,
-        })
+        }
+    }
+
+    /// Backend servers of `service` that a request asks for a free slot before it waits.
+    pub fn looks(&self, service: &str, now: Duration) -> u32 {
+        self.find(service).map_or(0, |balancer| lock(&balancer).looks(now, rand::random()))
+    }
+
+    /// Records whether a further look after a full backend server found a free slot.
+    pub fn looked_further(&self, service: &str, found: bool) {
+        if let Some(balancer) = self.find(service) {
+            lock(&balancer).looked_further(found);
+        }
     }
 }
 
@@ -196,6 +218,7 @@
 enum End {
     Cancelled,
     Failed(Failure),
+    Full(LoadReport),
     Answered { latency: Duration, report: Option<LoadReport> },
 }
 
@@ -230,6 +253,12 @@
         &self.name
     }
 
+    /// Name of the backend server, to be kept.
+    #[must_use]
+    pub fn shared_name(&self) -> Arc<str> {
+        Arc::clone(&self.name)
+    }
+
     /// Records the head of the answer.
     pub fn answered(&mut self, report: Option<LoadReport>) {
         let latency = self.clock.now().saturating_sub(self.started);
@@ -245,6 +274,11 @@
         }
     }
 
+    /// Records that there was no free slot.
+    pub fn full(&mut self, report: LoadReport) {
+        self.end = End::Full(report);
+    }
+
     /// Records a failure.
     pub fn failed(&mut self, failure: Failure) {
         self.end = End::Failed(failure);
@@ -259,6 +293,7 @@
         match self.end {
             End::Cancelled => balancer.cancelled(&self.name),
             End::Failed(failure) => balancer.failed(&self.name, now, failure),
+            End::Full(report) => balancer.full(&self.name, now, report),
             End::Answered { latency, report } => {
                 balancer.answered(&self.name, now, latency, report);
             }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -156,6 +156,10 @@
 }
 
 fn failed(mut guard: EntryGuard, e: CallError) -> CallError {
+    if let Some(load) = e.full {
+        guard.full(report(load));
+        return e;
+    }
     guard.failed(match e.kind {
         ErrorKind::NoBackendServer | ErrorKind::NotReady | ErrorKind::Draining => {
             EndpointFailure::Refused
@@ -237,9 +241,12 @@
         .and_then(|value| AnswerHead::try_from(&value).map_err(|e| e.to_string()))
         .map_err(|detail| CallError::new(ErrorKind::UpstreamLost, detail))?;
     if let Some(kind) = answer.error {
-        // The short body of a refusal is not read, so the connection is closed.
         let mut e = CallError::new(kind, format!("refused by the daemon at {}", to.addr));
         e.is_local = false;
+        e.full = (head.only_if_free && kind == ErrorKind::Overloaded).then_some(answer.load);
+        if res.body().is_end_stream() {
+            connection.release();
+        }
         return Err(match read_retry_after(&res) {
             Some(after) => e.with_retry_after(after),
             None => e,
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, KeyHead};
+use baobabreel_core::balance::{LoadReport, RoomSearch};
 use baobabreel_core::config::{CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
@@ -47,6 +48,15 @@
     span: &'a Span,
 }
 
+/// How one attempt is sent.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sending {
+    /// Whether an earlier attempt was made.
+    again: bool,
+    /// Whether it is to be refused when no slot is free.
+    only_if_free: bool,
+}
+
 /// Serves a request of a caller.
 pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
     let _count = cx.count_request();
@@ -211,19 +221,26 @@
         let mut earlier: Option<CallError> = None;
         let mut number = 1;
         let mut refusals = 0;
+        let mut room = self.search_room(req);
         loop {
-            let (service, guard) = match self.choose(&tried) {
+            let (service, guard) = match self.next(&tried, &mut room) {
                 Ok(chosen) => chosen,
                 // That no other one is left says less than the refusal of the one that was asked.
                 Err(e) => return Err(earlier.unwrap_or(e)),
             };
             tried.push(guard.name().to_owned());
             let start = self.cx.clock.now();
+            let (only_if_free, looks_further) = (room.goes_on(), room.has_begun());
+            let target = (service.clone(), guard.shared_name());
             let result = if number == 1 && self.route.spec.hedge {
                 self.hedged(req, service, guard, &mut tried).await
             } else {
-                self.attempt(req.attempt(), &service, guard, number > 1).await
+                let sending = Sending { again: number > 1, only_if_free };
+                self.attempt(req.attempt(), &service, guard, sending).await
             };
+            if only_if_free && looks_further {
+                self.cx.balance.looked_further(&target.0, result.is_ok());
+            }
             let e = match result {
                 Ok(mut res) => {
                     let daemon = tried.last().cloned().unwrap_or_default();
@@ -241,6 +258,11 @@
                 error: &e,
             };
             lines::attempt_failed(self.cx, &failed);
+            if let Some(load) = e.full {
+                let report = LoadReport { running: load.running, queued: load.queued };
+                room.found_full(target, report, load.slots);
+                continue;
+            }
             let e = combine(earlier.take(), e);
             if !req.can_repeat() || !is_worth_repeating(&e) || self.remaining().is_zero() {
                 return Err(e);
@@ -276,6 +298,28 @@
         }
     }
 
+    /// Starts the search for a free slot; a request that cannot be sent again waits where it is sent first.
+    fn search_room(&self, req: &CallerRequest) -> RoomSearch<(ServiceName, Arc<str>)> {
+        let searches = req.can_repeat() && !self.route.spec.hedge;
+        let now = self.cx.clock.now();
+        RoomSearch::new(if searches { self.cx.balance.looks(&self.service, now) } else { 0 })
+    }
+
+    /// Chooses a backend server to ask for a free slot; after the search, the least loaded one of those that
+    /// had none, to wait there.
+    fn next(
+        &self,
+        tried: &[String],
+        room: &mut RoomSearch<(ServiceName, Arc<str>)>,
+    ) -> Result<(ServiceName, EntryGuard), CallError> {
+        let unasked =
+            if room.goes_on() || !room.has_begun() { self.choose(tried) } else { no_other() };
+        let Err(e) = unasked else { return unasked };
+        let (service, name) = room.least_loaded().ok_or(e)?;
+        let guard = self.cx.balance.choose_again(&service, name, self.cx.clock);
+        guard.map(|guard| (service, guard)).map_or_else(no_other, Ok)
+    }
+
     /// Chooses a backend server of the route's service, or of its fallback.
     fn choose(&self, tried: &[String]) -> Result<(ServiceName, EntryGuard), CallError> {
         dispatch::choose_of(self.cx, &self.service, self.route.spec.fallback.as_ref(), tried)
@@ -290,7 +334,7 @@
         tried: &mut Vec<String>,
     ) -> Result<Response<ProxyBody>, CallError> {
         let delay = hedge_after(&self.attempt_state(1, req), &self.state.latency());
-        let first = self.attempt(req.attempt(), &service, guard, false);
+        let first = self.attempt(req.attempt(), &service, guard, Sending::default());
         let Some(delay) = delay.filter(|_| req.can_repeat()) else {
             return first.await;
         };
@@ -307,7 +351,12 @@
         };
         tried.push(guard.name().to_owned());
         self.cx.metrics.retry(&self.route.name);
-        let mut second = std::pin::pin!(self.attempt(req.attempt(), &service, guard, true));
+        let mut second = std::pin::pin!(self.attempt(
+            req.attempt(),
+            &service,
+            guard,
+            Sending { again: true, only_if_free: false },
+        ));
         tokio::select! {
             result = &mut first => match result {
                 Ok(res) => Ok(res),
@@ -325,27 +374,28 @@
         req: Request<ProxyBody>,
         service: &ServiceName,
         guard: EntryGuard,
-        again: bool,
+        sending: Sending,
     ) -> Result<Response<ProxyBody>, CallError> {
-        let head = self.head(service, again)?;
+        let head = self.head(service, sending)?;
         let is_repeatable = self.route.spec.is_idempotent();
         dispatch::attempt(self.cx, &head, req, guard, self.deadline, is_repeatable).await
     }
 
-    fn head(&self, service: &ServiceName, again: bool) -> Result<CallHead, CallError> {
+    fn head(&self, service: &ServiceName, sending: Sending) -> Result<CallHead, CallError> {
         Ok(CallHead {
             route: self.route.name.clone(),
             service: service.clone(),
             class: self.route.spec.class,
             remaining_ms: dispatch::remaining_ms(self.cx, self.deadline)?,
             id: 0,
-            retry: again || self.marked_as_retry,
+            retry: sending.again || self.marked_as_retry,
             version: self.config.version,
             key: None,
             target_ms: self.target.map(|target| {
                 let left = target.saturating_sub(self.cx.clock.now());
                 u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
             }),
+            only_if_free: sending.only_if_free,
         })
     }
 
@@ -361,7 +411,7 @@
         let before_owner = |e| keyed::before_owner(e, attempt);
         let req = self.read(parts, body, true).await;
         let req = req.and_then(WholeRequest::new).map_err(before_owner)?;
-        let head = self.head(&self.route.spec.service, false);
+        let head = self.head(&self.route.spec.service, Sending::default());
         let head = head.map_err(before_owner)?;
         self.ask_owner(&key, attempt, head, req).await
     }
@@ -409,6 +459,10 @@
     }
 }
 
+fn no_other<T>() -> Result<T, CallError> {
+    Err(CallError::new(ErrorKind::NoBackendServer, "no other backend server is able to serve"))
+}
+
 /// Error for a caller whose request could not be handed to the owner of its key.
 fn owner_error(mut e: CallError, attempt: KeyAttempt) -> CallError {
     // Nothing was sent, so the owner has not decided; another attempt may have run.
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -187,10 +187,7 @@
 
     /// Load as admission sees it.
     pub fn load(&self) -> LoadWire {
-        let gate = lock(&self.gate);
-        let load = gate.admission.load();
-        let slots = gate.admission.slots();
-        LoadWire { running: load.running, queued: load.queued, slots }
+        load_of(&lock(&self.gate).admission)
     }
 
     /// Whether a request for `service` would start at once.
@@ -198,10 +195,7 @@
         let ready = self.backend.load().as_ref().is_some_and(|backend| {
             backend.info.state == MemberState::Ready && backend.info.service == service
         });
-        ready && {
-            let load = self.load();
-            load.queued == 0 && load.running < load.slots
-        }
+        ready && lock(&self.gate).admission.has_free_slot()
     }
 
     /// Waits until the request may be dispatched.
@@ -226,6 +220,9 @@
         now: Duration,
     ) -> Result<Place, CallError> {
         let mut gate = lock(&self.gate);
+        if head.only_if_free && !gate.admission.has_free_slot() {
+            return Err(CallError::no_free_slot(load_of(&gate.admission)));
+        }
         gate.next_id += 1;
         let id = gate.next_id;
         let ticket = Ticket {
@@ -267,6 +264,11 @@
     }
 }
 
+fn load_of(admission: &Admission) -> LoadWire {
+    let load = admission.load();
+    LoadWire { running: load.running, queued: load.queued, slots: admission.slots() }
+}
+
 /// Place of a request that was not refused.
 enum Place {
     Slot(HostGuard),
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -127,7 +127,8 @@
 /// Writes the line of a failed attempt.
 pub fn attempt_failed(cx: &Cx, attempt: &FailedAttempt<'_>) {
     let now = cx.clock.now();
-    let Some(left_out) = cx.lines.take(LineKind::Attempt, now) else { return };
+    let kind = if attempt.error.full.is_some() { LineKind::Full } else { LineKind::Attempt };
+    let Some(left_out) = cx.lines.take(kind, now) else { return };
     tracing::info!(
         request = attempt.request,
         to = attempt.to,
@@ -160,7 +161,11 @@
 /// Writes the line of a request beside its backend server.
 pub fn hosted(cx: &Cx, line: &Hosted<'_>) {
     let now = cx.clock.now();
-    let kind = if line.result.is_ok() { LineKind::Ran } else { LineKind::Hosted };
+    let kind = match line.result {
+        Ok(_) => LineKind::Ran,
+        Err(e) if e.full.is_some() => LineKind::Full,
+        Err(_) => LineKind::Hosted,
+    };
     let Some(left_out) = cx.lines.take(kind, now) else { return };
     let load = cx.host.load();
     let backend = cx.host.info();
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -54,7 +54,10 @@
         Ok(res) => (res, Outcome::Ran, None),
         Err(e) => {
             let kind = e.kind;
-            (e.into_response(&cx.settings.dialect), kind.answer().outcome, Some(kind))
+            // The head of the answer says all that the other daemon uses; without a body the connection can
+            // be used again at once.
+            let res = e.into_response(&cx.settings.dialect).map(|_| ProxyBody::Empty);
+            (res, kind.answer().outcome, Some(kind))
         }
     };
     let answer = AnswerHead { outcome, error, load: cx.host.load() };
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -19,6 +19,8 @@
     Attempt,
     /// A backend server's own daemon refused or lost a request.
     Hosted,
+    /// A request looked for a free slot where there was none.
+    Full,
     /// A request was answered.
     Answered,
     /// A backend server answered a request.
@@ -26,10 +28,10 @@
 }
 
 /// Number of kinds.
-const KINDS: usize = 6;
+const KINDS: usize = 7;
 
 /// Lines of a kind in a second, in the order of [`LineKind`].
-const PER_SECOND: [u32; KINDS] = [20, 20, 20, 20, 2, 2];
+const PER_SECOND: [u32; KINDS] = [20, 20, 20, 20, 2, 2, 2];
 
 /// Seconds' worth of lines that may be written at once.
 const BURST_SECS: f64 = 2.0;
