Let a few relays of each data centre read documents for the others

Change: a fifth of the daemons of a data centre, at least three, wait for changes and notify the others, and two stand-ins in each other data centre. A daemon that is told of a newer document asks up to four that have it. It reads the store itself when it hears from nobody for 1.4 s, cannot fetch a newer document for 0.5 s, or when documents are too large for relays with slow links. Ruled out: two relays as for the log, since a store that is silent for some daemons looks like one without news.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -1,6 +1,7 @@
 //! Messages of the control plane between daemons; rmp-serde bodies.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use baobabreel_core::config::{DocumentVersion, Version};
 use baobabreel_core::id::{DaemonId, Offset};
@@ -47,6 +48,15 @@
     pub known: Option<DocumentVersion>,
 }
 
+/// Notice to a peer that a newer document is here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentNotice {
+    /// Listener for peers of the sender.
+    pub from: SocketAddr,
+    /// Where the sender stands.
+    pub position: Position,
+}
+
 /// Streams that daemons fold and pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stream {
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -9,8 +9,8 @@
 
 pub use call::{AnswerHead, CallHead, CallQuery, CallState, DecodeHeadError, KeyHead, LoadWire};
 pub use control::{
-    BatchWire, CodecError, DocumentQuery, Envelope, Position, PullAnswerWire, PullWire, PushAnswer,
-    PushWire, Stream, decode, encode,
+    BatchWire, CodecError, DocumentNotice, DocumentQuery, Envelope, Position, PullAnswerWire,
+    PullWire, PushAnswer, PushWire, Stream, decode, encode,
 };
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
 pub use keys::{Fingerprint, PriorWire, QueryWire};
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! ([`PullLimiter`]). [`Confirmation`] carries the proof of how far the log had got.
 
 mod confirmation;
+mod documents;
 mod pull;
 mod tree;
 mod window;
@@ -13,8 +14,9 @@
 pub use confirmation::{
     Attestation, CHALLENGE_LIFE, Challenges, Confirmation, DRIFT, LEASE, ReceivedChallenge,
 };
+pub use documents::{DocumentReading, ReadReason, document_relays, notice_targets};
 pub use pull::{Ask, PULLS_AT_ONCE, PullAdmission, PullLimiter, STALE_AFTER, Staleness};
-pub use tree::{FAN_OUT, RELAYS, children, push_order, relays};
+pub use tree::{FAN_OUT, RELAYS, beside, children, push_order, relays};
 pub use window::{
     Batch, PULL_BYTES, Pull, PullAnswer, Received, StreamWindow, WINDOW_BYTES, WINDOW_ENTRIES,
 };
--- a/crates/core/src/relay/tree.rs
+++ b/crates/core/src/relay/tree.rs
@@ -11,14 +11,18 @@
 /// Members to which each member of the push tree passes a batch on.
 pub const FAN_OUT: usize = 8;
 
-const RELAY_KEY: &[u8] = b"relay";
+pub(super) const RELAY_KEY: &[u8] = b"relay";
 
-/// The relays of `own`'s data centre by this daemon's view, first one first. The selection is
+/// The first `count` relays of `own`'s data centre by this daemon's view, first one first. The selection is
 /// advisory: daemons with different views may select different relays for a while.
 #[must_use]
-pub fn relays<'a>(members: impl IntoIterator<Item = &'a Member>, own: &'a Member) -> Vec<&'a str> {
+pub fn relays<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    own: &'a Member,
+    count: usize,
+) -> Vec<&'a str> {
     let mut ranked = rendezvous::rank(RELAY_KEY, beside(members, own));
-    ranked.truncate(RELAYS);
+    ranked.truncate(count);
     ranked
 }
 
@@ -38,7 +42,8 @@
     order
 }
 
-fn beside<'a>(
+/// Live members of `own`'s data centre, itself included.
+pub fn beside<'a>(
     members: impl IntoIterator<Item = &'a Member>,
     own: &'a Member,
 ) -> impl Iterator<Item = &'a str> {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -64,10 +64,10 @@
     use MemberState::{Dead, Draining, Suspect};
     let mut members: Vec<Member> = (0..40).map(|i| member(i, 0)).collect();
     members.extend((40..60).map(|i| member(i, 1)));
-    let first = relays(&members, &members[0]);
+    let first = relays(&members, &members[0], RELAYS);
     assert_eq!(first.len(), 2);
     for own in &members {
-        let chosen = relays(&members, own);
+        let chosen = relays(&members, own, RELAYS);
         assert!(chosen == first || own.data_centre == "kingston-1");
         let beside =
             |id: &&str| (**id >= *"tas-south-daemon-0040") == (own.data_centre == "kingston-1");
@@ -79,7 +79,7 @@
         let i = changed.iter().position(|m| m.id == gone).unwrap_or_default();
         changed[i].state = state;
         let own = &changed[usize::from(i == 0)];
-        assert_eq!(relays(&changed, own)[0], second);
+        assert_eq!(relays(&changed, own, RELAYS)[0], second);
     }
     members[3].state = Draining;
     let order = push_order(&members, &members[0], &gone);
@@ -302,3 +302,58 @@
     assert!(!confirmation.covers(1, 5, LEASE, MS(2_500)));
     assert!(confirmation.covers(2, 0, LEASE, MS(2_500)));
 }
+
+/// Guards against a data centre whose one relay is cut off from the platform, and against so many readers that
+/// the platform's limits are used up by them.
+#[test]
+fn documents_have_several_relays_in_each_data_centre() {
+    assert_eq!([1, 4, 13, 20, 88].map(document_relays), [3, 3, 3, 4, 18]);
+}
+
+/// Guards against a daemon that stays with an old document because nobody tells it of a newer one, or because
+/// those that tell it do not hand it over.
+#[test]
+fn daemon_without_news_reads_documents_itself() {
+    let mut reading = DocumentReading::default();
+    reading.heard(MS(1_000));
+    assert_eq!(reading.reason(false, 50, MS(2_000)), None);
+    assert_eq!(reading.reason(true, 50, MS(2_000)), Some(ReadReason::Relay));
+    assert_eq!(reading.reason(false, 2_000, MS(2_000)), Some(ReadReason::Large));
+    // A change has 2 s to be in force, reading included.
+    assert_eq!(reading.reason(false, 50, MS(2_500)), Some(ReadReason::Silence));
+    reading.heard(MS(2_500));
+    reading.is_behind(MS(2_500));
+    reading.is_behind(MS(3_400));
+    reading.heard(MS(3_400));
+    assert_eq!(reading.reason(false, 50, MS(3_400)), Some(ReadReason::Behind));
+    reading.caught_up();
+    assert_eq!(reading.reason(false, 50, MS(3_400)), None);
+}
+
+/// Guards against a data centre that keeps an old document because all of its relays died at the same moment,
+/// and against notices to those that read for themselves.
+#[test]
+fn relays_notify_their_data_centre_and_stand_ins_elsewhere() {
+    let all: Vec<Member> = (0..40)
+        .map(|i| {
+            let data_centre = if i % 2 == 0 { "hobart-a" } else { "hobart-b" };
+            Member {
+                data_centre: data_centre.to_owned(),
+                state: MemberState::Ready,
+                ..member(i, 0)
+            }
+        })
+        .collect();
+    let own = &all[0];
+    let targets = notice_targets(&all, own);
+    let there: Vec<_> = targets.iter().filter(|m| m.data_centre != own.data_centre).collect();
+    let of_other: Vec<&Member> = all.iter().filter(|m| m.data_centre == "hobart-b").collect();
+    let readers = relays(of_other.iter().copied(), of_other[0], document_relays(20));
+    assert_eq!(there.len(), 2);
+    assert!(there.iter().all(|target| !readers.contains(&target.id.as_str())));
+    let here = targets.len() - there.len();
+    let own_readers = relays(&all, own, document_relays(20));
+    // All 20 of the data centre but its 4 relays; the sender is not notified if it is none of them.
+    let is_relay = own_readers.contains(&own.id.as_str());
+    assert_eq!(here, if is_relay { 16 } else { 15 });
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -19,7 +19,7 @@
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::registry::MemberEntry;
-use baobabreel_core::relay::relays;
+use baobabreel_core::relay::{RELAYS, beside, document_relays, relays};
 use eyre::{OptionExt, Result};
 use kameo::actor::{ActorRef, WeakActorRef};
 use serde::Serialize;
@@ -31,7 +31,7 @@
 use crate::control::{Distribution, Documents, Follower, Membership, encoded};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balance, Host, PeerPool};
-use crate::settings::Settings;
+use crate::settings::{Settings, Source};
 use crate::sync::lock;
 use crate::telemetry::{LineLimit, Metrics};
 
@@ -222,7 +222,13 @@
         self.members.store(Arc::new(members.clone()));
         let own_id = self.identity.id.as_str();
         let own = members.get(own_id);
-        let is_relay = own.is_some_and(|own| relays(members.live(), own).contains(&own_id));
+        let is_relay = own.is_some_and(|own| {
+            let count = match self.settings.source {
+                Source::Log { .. } => RELAYS,
+                Source::Documents => document_relays(beside(members.live(), own).count()),
+            };
+            relays(members.live(), own, count).contains(&own_id)
+        });
         self.relay.store(is_relay, Ordering::Release);
     }
 
@@ -242,7 +248,7 @@
         *lock(&self.position) = position;
     }
 
-    /// Whether this daemon tails the log for its data centre.
+    /// Whether this daemon reads the log or the documents for its data centre.
     pub fn is_relay(&self) -> bool {
         self.relay.load(Ordering::Acquire)
     }
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -1,16 +1,19 @@
 //! Newest configuration document and its way between daemons.
 //!
-//! The adapter hands over the documents that it reads from the platform. The position in each
-//! membership message tells which document a daemon has; the daemon that is behind asks the other one
-//! for it. A daemon never goes back to an older document.
+//! The adapter of a relay hands over the documents that it reads from the platform, and the relay notifies
+//! the other daemons of its data centre. Besides, the position in each membership message tells which
+//! document a daemon has. The daemon that is behind asks those that are ahead for their document. A daemon
+//! never goes back to an older one.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use baobabreel_client::wire::{DocumentQuery, Position};
+use baobabreel_client::wire::{DocumentNotice, DocumentQuery, Position};
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion};
+use baobabreel_core::relay::{DocumentReading, ReadReason, notice_targets};
 
 use crate::context::{Cx, Phase};
 use crate::sync::lock;
@@ -18,6 +21,15 @@
 /// Path at which a daemon hands over its document.
 pub const DOCUMENT_PATH: &str = "/peer/v1/document";
 
+/// Path at which a daemon learns that a peer has a newer document.
+pub const NOTICE_PATH: &str = "/peer/v1/document-notice";
+
+/// Time for a peer to take a notice.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Peers with a newer document that are remembered while another one is asked.
+const MAX_SOURCES: usize = 4;
+
 /// Time for a peer to hand over its document.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -40,7 +52,16 @@
     newest: ArcSwapOption<Document>,
     /// Taken while a document is put in force, so that two cannot overtake each other.
     applying: Mutex<()>,
-    pulling_until: Mutex<Duration>,
+    sources: Mutex<Sources>,
+    reading: Mutex<DocumentReading>,
+}
+
+/// Peers that are known to have a newer document.
+#[derive(Debug, Default)]
+struct Sources {
+    /// Whether a task asks them.
+    is_asking: bool,
+    ahead: VecDeque<(SocketAddr, DocumentVersion)>,
 }
 
 impl Documents {
@@ -60,6 +81,24 @@
         query.known.is_none_or(|known| newest.version > known).then_some(newest)
     }
 
+    /// Why this daemon is to read the platform itself, if it is.
+    pub fn read_reason(&self, is_relay: bool, now: Duration) -> Option<ReadReason> {
+        let routes = self.newest.load().as_ref().map_or(0, |document| document.routes.len());
+        lock(&self.reading).reason(is_relay, routes, now)
+    }
+
+    /// Next peer that has a newer document; without one, nobody is asked any more.
+    fn next_source(&self) -> Option<SocketAddr> {
+        let mut sources = lock(&self.sources);
+        while let Some((from, version)) = sources.ahead.pop_front() {
+            if self.is_news(version) {
+                return Some(from);
+            }
+        }
+        sources.is_asking = false;
+        None
+    }
+
     fn is_news(&self, version: DocumentVersion) -> bool {
         self.version().is_none_or(|known| version > known)
     }
@@ -81,9 +120,13 @@
             "configuration applied"
         );
         documents.newest.store(Some(Arc::new(document)));
+        lock(&documents.reading).caught_up();
         cx.metrics.config(position.config.offset, false);
         cx.set_config(config, cx.clock.now());
         cx.set_position(position);
+        if cx.is_relay() || is_elsewhere(cx, origin) {
+            notify_others(cx, position);
+        }
     }
     drop(applying);
     if origin == Origin::Platform {
@@ -107,27 +150,57 @@
     }
 }
 
+/// Whether a document came from another data centre; the relays of the own one do not have it then.
+fn is_elsewhere(cx: &Cx, origin: Origin) -> bool {
+    let Origin::Peer(addr) = origin else { return false };
+    let members = cx.members.load();
+    let sender = members.iter().find(|member| member.peer_addr == addr);
+    sender.is_some_and(|sender| sender.data_centre != cx.identity.data_centre)
+}
+
+/// Tells daemons that do not read the platform that a newer document is here.
+fn notify_others(cx: &Cx, position: Position) {
+    let members = cx.members.load();
+    let Some(own) = members.get(&cx.identity.id) else { return };
+    let notice = DocumentNotice { from: cx.identity.peer_addr, position };
+    for to in notice_targets(members.live(), own).into_iter().map(|member| member.peer_addr) {
+        let cx = Arc::clone(cx);
+        tokio::spawn(async move {
+            let taken: Option<()> = cx.ask_peer(to, NOTICE_PATH, &notice, NOTICE_TIMEOUT).await;
+            if taken.is_none() {
+                tracing::debug!(%to, "a notice of a newer document was not taken");
+            }
+        });
+    }
+}
+
 /// Asks a peer for its document if it has a newer one.
 pub fn note_position(cx: &Cx, from: SocketAddr, position: Position) {
-    if position == Position::default() || !cx.documents.is_news(position.config.offset) {
-        return;
-    }
+    let documents = &cx.documents;
     let now = cx.clock.now();
-    let mut until = lock(&cx.documents.pulling_until);
-    if now < *until {
+    lock(&documents.reading).heard(now);
+    let version = position.config.offset;
+    if position == Position::default() || !documents.is_news(version) {
         return;
     }
-    *until = now + PULL_TIMEOUT;
-    drop(until);
-    tokio::spawn(pull(Arc::clone(cx), from));
+    lock(&documents.reading).is_behind(now);
+    let mut sources = lock(&documents.sources);
+    if sources.ahead.len() < MAX_SOURCES {
+        sources.ahead.push_back((from, version));
+    }
+    if !std::mem::replace(&mut sources.is_asking, true) {
+        tokio::spawn(pull(Arc::clone(cx)));
+    }
 }
 
-async fn pull(cx: Cx, from: SocketAddr) {
-    let query = DocumentQuery { known: cx.documents.version() };
-    let answer: Option<Option<Document>> =
-        cx.ask_peer(from, DOCUMENT_PATH, &query, PULL_TIMEOUT).await;
-    *lock(&cx.documents.pulling_until) = Duration::ZERO;
-    if let Some(Some(document)) = answer {
-        offer(&cx, document, Origin::Peer(from));
+/// Asks the peers that are ahead, one after the other, until none is left that still is.
+async fn pull(cx: Cx) {
+    while let Some(from) = cx.documents.next_source() {
+        let query = DocumentQuery { known: cx.documents.version() };
+        let answer: Option<Option<Document>> =
+            cx.ask_peer(from, DOCUMENT_PATH, &query, PULL_TIMEOUT).await;
+        if let Some(Some(document)) = answer {
+            offer(&cx, document, Origin::Peer(from));
+        }
     }
 }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,7 +1,8 @@
 //! Control messages of other daemons over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallState, DocumentQuery, Envelope, PullWire, PushWire, QueryWire, decode,
+    CallQuery, CallState, DocumentNotice, DocumentQuery, Envelope, PullWire, PushWire, QueryWire,
+    decode,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -11,7 +12,7 @@
 use serde::Serialize;
 
 use super::distribution::{PullAsked, Pushed};
-use super::documents::DOCUMENT_PATH;
+use super::documents::{self, DOCUMENT_PATH, NOTICE_PATH};
 use super::membership::Asked;
 use super::push::encoded;
 use super::{Control, Distribution};
@@ -39,6 +40,7 @@
         "/peer/v1/entries" => entries(control, &body).await,
         "/peer/v1/pull" => pull(control, &body).await,
         DOCUMENT_PATH => document(cx, &body),
+        NOTICE_PATH => notice(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
@@ -91,6 +93,12 @@
     answer(&cx.documents.newer_than(query).as_deref())
 }
 
+fn notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let notice: DocumentNotice = read(body)?;
+    documents::note_position(cx, notice.from, notice.position);
+    answer(&())
+}
+
 async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let push: PushWire = read(body)?;
     answer(&folds(control)?.ask(Pushed(push)).await.map_err(stopped)?.0)
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 use baobabreel_core::config::Document;
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
 use baobabreel_core::membership::Member;
+use baobabreel_core::relay::ReadReason;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Request, StatusCode};
@@ -298,6 +299,14 @@
         offer_document(&self.cx, document, Origin::Platform);
     }
 
+    /// Why the adapter is to follow the documents of the platform. Without a reason, this daemon gets them
+    /// from others.
+    #[must_use]
+    pub fn read_reason(&self) -> Option<ReadReason> {
+        let cx = &self.cx;
+        cx.documents.read_reason(cx.is_relay(), cx.clock.now())
+    }
+
     /// Makes another daemon known, as the platform lists it.
     pub async fn introduce(&self, member: Member) {
         if self.control.membership.tell(Introduced(member)).await.is_err() {
