Compare requests with few of many routes, and publish listed members once

Each request was compared with all routes in order and copied the one that matched; each change of a member compared all known routes with all configured ones; each listed member was published on its own, 79 times at a start. Change: routes are found by the first segment of their prefixes and shared instead of copied; observations of routes are reviewed when the configuration changes; listed members are taken over together. Ruled out: an index by host, since all routes of a site can have one host.

--- a/crates/core/src/config/compiled.rs
+++ b/crates/core/src/config/compiled.rs
@@ -3,9 +3,11 @@
 //! A request pins one view for its whole life, so it never sees parts of two versions.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use super::caller_limits::CallerLimits;
 use super::record::{Kind, RecordKey, Version};
+use super::route_index::RouteIndex;
 use super::spec::{BackendServerPolicy, RouteSpec, ServiceSpec, Spec};
 use super::state::ConfigState;
 use crate::id::{BackendServerName, RouteName, SchemaVersion, ServiceName};
@@ -30,7 +32,8 @@
     /// Version that the view was made from.
     pub version: Version,
     /// Routes, the most specific first.
-    pub routes: Vec<Route>,
+    pub routes: Vec<Arc<Route>>,
+    pub(super) index: RouteIndex,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServicePolicy>,
     /// Operators' wishes about backend servers.
@@ -42,6 +45,13 @@
 }
 
 impl CompiledConfig {
+    /// The first route that `matches` among those whose prefix may begin `path`.
+    #[must_use]
+    pub fn find_route(&self, path: &str, matches: impl Fn(&Route) -> bool) -> Option<&Arc<Route>> {
+        let found = self.index.find(path, |position| matches(&self.routes[position]))?;
+        Some(&self.routes[found])
+    }
+
     /// Builds the view for a reader that understands schema versions up to `max_schema`.
     #[must_use]
     pub fn new(state: &ConfigState, max_schema: SchemaVersion) -> Self {
@@ -61,7 +71,7 @@
         view
     }
 
-    /// Brings the most specific routes to the front.
+    /// Brings the most specific routes to the front and indexes them.
     pub(super) fn sort_routes(&mut self) {
         self.routes.sort_by(|a, b| {
             let specificity = |route: &Route| {
@@ -73,11 +83,14 @@
             };
             specificity(b).cmp(&specificity(a)).then_with(|| a.name.cmp(&b.name))
         });
+        self.index = RouteIndex::new(&self.routes);
     }
 
     fn insert(&mut self, key: &RecordKey, schema: SchemaVersion, spec: Spec) {
         match spec {
-            Spec::Route(spec) => self.routes.push(Route { name: key.name.clone(), schema, spec }),
+            Spec::Route(spec) => {
+                self.routes.push(Arc::new(Route { name: key.name.clone(), schema, spec }));
+            }
             Spec::Service(spec) => {
                 self.services.insert(key.name.clone(), spec);
             }
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -4,6 +4,7 @@
 //! to fold: the document with the highest version replaces the one before it as a whole. Daemons pass
 //! documents on to each other in this form.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -117,10 +118,9 @@
 
 impl From<&Document> for CompiledConfig {
     fn from(document: &Document) -> Self {
-        let routes = document.routes.iter().map(|route| Route {
-            name: route.name.clone(),
-            schema: MAX_SCHEMA,
-            spec: RouteSpec::from(route),
+        let routes = document.routes.iter().map(|route| {
+            let spec = RouteSpec::from(route);
+            Arc::new(Route { name: route.name.clone(), schema: MAX_SCHEMA, spec })
         });
         let services =
             document.services.iter().map(|s| (s.name.clone(), ServiceSpec::from(s))).collect();
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -13,6 +13,7 @@
 mod recent;
 mod record;
 mod references;
+mod route_index;
 mod snapshot;
 mod spec;
 mod state;
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,5 +1,7 @@
 //! Match of a request to a route.
 
+use std::sync::Arc;
+
 use crate::config::{CompiledConfig, Route};
 
 /// Parts of a request that routes look at.
@@ -15,8 +17,8 @@
 
 /// Finds the most specific route that matches.
 #[must_use]
-pub fn find_route<'a>(config: &'a CompiledConfig, line: RequestLine<'_>) -> Option<&'a Route> {
-    config.routes.iter().find(|route| matches_route(route, line))
+pub fn find_route<'a>(config: &'a CompiledConfig, line: RequestLine<'_>) -> Option<&'a Arc<Route>> {
+    config.find_route(line.path, |route| matches_route(route, line))
 }
 
 fn matches_route(route: &Route, line: RequestLine<'_>) -> bool {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -190,6 +190,7 @@
     pub fn set_config(&self, config: CompiledConfig, now: Duration) {
         self.apply_policies(&config);
         self.balance.update(&config, &self.view.load(), now);
+        self.balance.keep_routes(&config);
         self.config.store(Arc::new(config));
     }
 
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -320,20 +320,23 @@
     }
 }
 
-/// Another daemon as the platform lists it.
+/// Other daemons as the platform lists them.
 #[derive(Debug, Clone)]
-pub struct Introduced(pub Member);
+pub struct Introduced(pub Vec<Member>);
 
 impl Message<Introduced> for Membership {
     type Reply = ();
 
     async fn handle(&mut self, msg: Introduced, ctx: &mut MessageContext<Self, Self::Reply>) {
         let own = ctx.actor_ref().clone();
-        let known = self.swim.members().get(&msg.0.id);
-        if known.is_some_and(|known| known.incarnation >= msg.0.incarnation) {
-            return;
+        let (now, mut actions) = (self.cx.clock.now(), Vec::new());
+        for member in msg.0 {
+            let known = self.swim.members().get(&member.id);
+            if known.is_none_or(|known| known.incarnation < member.incarnation) {
+                actions.extend(self.swim.handle(Event::Learnt(member), now, rand::random()));
+            }
         }
-        self.handle(Event::Learnt(msg.0), &own);
+        self.carry_out(actions, &own);
     }
 }
 
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -307,9 +307,9 @@
         cx.documents.read_reason(cx.is_relay(), cx.clock.now())
     }
 
-    /// Makes another daemon known, as the platform lists it.
-    pub async fn introduce(&self, member: Member) {
-        if self.control.membership.tell(Introduced(member)).await.is_err() {
+    /// Makes other daemons known, as the platform lists them.
+    pub async fn introduce(&self, members: Vec<Member>) {
+        if self.control.membership.tell(Introduced(members)).await.is_err() {
             tracing::debug!("the membership actor has stopped");
         }
     }
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -3,7 +3,7 @@
 //! The decisions are those of `baobabreel-core`; here they get locks, which are held for a few
 //! hundred nanoseconds and never across an await.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
@@ -101,8 +101,12 @@
             }
             balancer.update(&endpoints, now);
         }
-        let mut routes = write(&self.routes);
-        routes.retain(|name, _| config.routes.iter().any(|route| route.name == *name));
+    }
+
+    /// Forgets the routes that a new configuration does not have.
+    pub fn keep_routes(&self, config: &CompiledConfig) {
+        let names: HashSet<&str> = config.routes.iter().map(|route| route.name.as_str()).collect();
+        write(&self.routes).retain(|name, _| names.contains(name.as_str()));
     }
 
     fn service(&self, name: &str) -> ServiceBalancer {
--- a/crates/daemon/src/proxy/entry.rs
+++ b/crates/daemon/src/proxy/entry.rs
@@ -35,7 +35,7 @@
 struct Call<'a> {
     cx: &'a Cx,
     config: Arc<CompiledConfig>,
-    route: Route,
+    route: Arc<Route>,
     /// Service that the request goes to; drawn once when the route has several.
     service: ServiceName,
     state: Arc<RouteState>,
@@ -124,7 +124,7 @@
     Ok((name, res))
 }
 
-fn match_route<'a>(config: &'a CompiledConfig, parts: &Parts) -> Option<&'a Route> {
+fn match_route<'a>(config: &'a CompiledConfig, parts: &Parts) -> Option<&'a Arc<Route>> {
     let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = parts.uri.host().or(header.map(without_port)).map(str::to_ascii_lowercase);
     let line = RequestLine {
@@ -146,7 +146,7 @@
     fn new(
         cx: &'a Cx,
         config: Arc<CompiledConfig>,
-        route: Route,
+        route: Arc<Route>,
         parts: &Parts,
         span: &'a Span,
         start: Duration,
