Hand documents to other daemons compressed

Change: documents go between daemons deflated (flate2), packed once for each version; the limit from which all read for themselves is 10,000 routes. Test: platform, document_goes_between_daemons_whole_and_small (2,000 routes in under 64 KB).

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -15,6 +15,12 @@
 #[derive(Debug)]
 pub struct CodecError(String);
 
+impl CodecError {
+    pub(super) fn new(what: &str, cause: &dyn fmt::Display) -> Self {
+        Self(format!("{what}: {cause}"))
+    }
+}
+
 impl fmt::Display for CodecError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
@@ -29,7 +35,7 @@
 ///
 /// A value has no representation.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
-    rmp_serde::to_vec(message).map_err(|e| CodecError(format!("failed to encode: {e}")))
+    rmp_serde::to_vec(message).map_err(|e| CodecError::new("failed to encode", &e))
 }
 
 /// Decodes a message.
@@ -38,7 +44,7 @@
 ///
 /// The bytes are not such a message.
 pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, CodecError> {
-    rmp_serde::from_slice(data).map_err(|e| CodecError(format!("failed to decode: {e}")))
+    rmp_serde::from_slice(data).map_err(|e| CodecError::new("failed to decode", &e))
 }
 
 /// Question for the configuration document of a peer.
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod control;
+mod document;
 mod gossip;
 mod keys;
 mod log;
@@ -12,6 +13,7 @@
     BatchWire, CodecError, DocumentNotice, DocumentQuery, Envelope, Position, PullAnswerWire,
     PullWire, PushAnswer, PushWire, Stream, decode, encode,
 };
+pub use document::PackedDocument;
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
 pub use keys::{Fingerprint, PriorWire, QueryWire};
 pub use log::{Appended, LogRecord, ReadPage, Retained};
--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -27,7 +27,7 @@
 
 /// Routes of a document that counts as large. Relays with slow links cannot pass it on to many in time, so
 /// each daemon reads it for itself.
-const LARGE_ROUTES: usize = 600;
+const LARGE_ROUTES: usize = 10_000;
 
 /// Relays for documents in a data centre of `members` daemons.
 #[must_use]
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -7,11 +7,11 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use baobabreel_client::wire::{DocumentNotice, DocumentQuery, Position};
+use baobabreel_client::wire::{DocumentNotice, DocumentQuery, PackedDocument, Position};
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion};
 use baobabreel_core::relay::{DocumentReading, ReadReason, notice_targets};
 
@@ -46,10 +46,18 @@
     Peer(SocketAddr),
 }
 
+/// A document, and its form for other daemons once one has asked for it.
+#[derive(Debug)]
+pub struct Newest {
+    /// The document.
+    pub document: Document,
+    packed: OnceLock<PackedDocument>,
+}
+
 /// Newest document of a daemon.
 #[derive(Debug, Default)]
 pub struct Documents {
-    newest: ArcSwapOption<Document>,
+    newest: ArcSwapOption<Newest>,
     /// Taken while a document is put in force, so that two cannot overtake each other.
     applying: Mutex<()>,
     sources: Mutex<Sources>,
@@ -67,23 +75,35 @@
 impl Documents {
     /// Version of the newest document.
     pub fn version(&self) -> Option<DocumentVersion> {
-        self.newest.load().as_ref().map(|document| document.version)
+        self.newest.load().as_ref().map(|newest| newest.document.version)
     }
 
     /// The newest document.
-    pub fn newest(&self) -> Option<Arc<Document>> {
+    pub fn newest(&self) -> Option<Arc<Newest>> {
         self.newest.load_full()
     }
 
-    /// The newest document, if it is newer than what the asking daemon has.
-    pub fn newer_than(&self, query: DocumentQuery) -> Option<Arc<Document>> {
+    /// The newest document for a peer, if it is newer than what the peer has.
+    pub fn newer_than(&self, query: DocumentQuery) -> Option<PackedDocument> {
         let newest = self.newest.load_full()?;
-        query.known.is_none_or(|known| newest.version > known).then_some(newest)
+        if query.known.is_some_and(|known| newest.document.version <= known) {
+            return None;
+        }
+        if let Some(packed) = newest.packed.get() {
+            return Some(packed.clone());
+        }
+        match PackedDocument::try_from(&newest.document) {
+            Ok(packed) => Some(newest.packed.get_or_init(|| packed).clone()),
+            Err(e) => {
+                tracing::error!(error = %e, "the document cannot be handed over");
+                None
+            }
+        }
     }
 
     /// Why this daemon is to read the platform itself, if it is.
     pub fn read_reason(&self, is_relay: bool, now: Duration) -> Option<ReadReason> {
-        let routes = self.newest.load().as_ref().map_or(0, |document| document.routes.len());
+        let routes = self.newest.load().as_ref().map_or(0, |newest| newest.document.routes.len());
         lock(&self.reading).reason(is_relay, routes, now)
     }
 
@@ -119,7 +139,7 @@
             ?origin,
             "configuration applied"
         );
-        documents.newest.store(Some(Arc::new(document)));
+        documents.newest.store(Some(Arc::new(Newest { document, packed: OnceLock::new() })));
         lock(&documents.reading).caught_up();
         cx.metrics.config(position.config.offset, false);
         cx.set_config(config, cx.clock.now());
@@ -197,10 +217,12 @@
 async fn pull(cx: Cx) {
     while let Some(from) = cx.documents.next_source() {
         let query = DocumentQuery { known: cx.documents.version() };
-        let answer: Option<Option<Document>> =
+        let answer: Option<Option<PackedDocument>> =
             cx.ask_peer(from, DOCUMENT_PATH, &query, PULL_TIMEOUT).await;
-        if let Some(Some(document)) = answer {
-            offer(&cx, document, Origin::Peer(from));
+        let Some(Some(packed)) = answer else { continue };
+        match Document::try_from(&packed) {
+            Ok(document) => offer(&cx, document, Origin::Peer(from)),
+            Err(e) => tracing::warn!(%from, error = %e, "a peer handed over a bad document"),
         }
     }
 }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -41,7 +41,7 @@
                 Ok(folded) => Reply::json(&records(&cx, &folded)),
                 Err(_) => stopped(),
             },
-            None => Reply::json(&cx.documents.newest().as_deref()),
+            None => Reply::json(&cx.documents.newest().as_ref().map(|newest| &newest.document)),
         },
         "/members" => Reply::json(&members(&cx)),
         "/explain" => match explain::explain(&cx, req.uri().query().unwrap_or_default()) {
