Serve as a host before the first configuration is known

Change: with documents a daemon is ready for calls of others once its backend server is known; calls bring the decision of their entry daemon. Where keys have owners nothing changes.

--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -154,8 +154,11 @@
         let info = self.cx.host.info();
         let state = match (self.cx.phase(), info.as_ref().map(|info| info.state)) {
             (Phase::Leaving | Phase::Handover | Phase::Draining, _) => MemberState::Draining,
-            (Phase::Starting, _) | (_, None) => MemberState::Cold,
-            (Phase::Serving | Phase::Closing, Some(state)) => state,
+            (_, None) => MemberState::Cold,
+            // A call brings the decision of the daemon that sends it, so a host needs no configuration. Where keys
+            // have owners, a daemon must know the newest one before it can be any.
+            (Phase::Starting, Some(_)) if self.cx.log.is_some() => MemberState::Cold,
+            (Phase::Starting | Phase::Serving | Phase::Closing, Some(state)) => state,
         };
         LocalState {
             state,
