Start from a compressed copy of the configuration in the directory

A daemon that starts takes it, asks for later records without a wait, and serves then; the number of calls is the same. Ruled out: a topic of its own, which costs a call more at each start; copies from peers, as all restart together.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -46,12 +46,8 @@
     members: impl IntoIterator<Item = &'a Member>,
     own: &Member,
 ) -> Vec<&'a Member> {
-    let mut by_data_centre: BTreeMap<&str, BTreeMap<&str, &Member>> = BTreeMap::new();
-    for member in members.into_iter().filter(|member| member.is_live()) {
-        by_data_centre.entry(&member.data_centre).or_default().insert(&member.id, member);
-    }
     let mut targets = Vec::new();
-    for (data_centre, members) in by_data_centre {
+    for (data_centre, members) in by_data_centre(members) {
         let ranked = rendezvous::rank(RELAY_KEY, members.keys().copied());
         let readers = document_relays(ranked.len());
         let most = if data_centre == own.data_centre { usize::MAX } else { STAND_INS };
@@ -61,6 +57,32 @@
     targets
 }
 
+/// Key of the ranking of relays for the copy of the newest document.
+const COPY_KEY: &[u8] = b"document copy";
+
+/// Whether `own` is the one relay of the mesh that keeps a copy of the newest document for daemons that start.
+/// Daemons with different views may both do so for a while, which is harmless.
+#[must_use]
+pub fn keeps_copy<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> bool {
+    let relays = by_data_centre(members).into_values().flat_map(|members| {
+        let ranked = rendezvous::rank(RELAY_KEY, members.keys().copied());
+        let count = document_relays(ranked.len());
+        ranked.into_iter().take(count)
+    });
+    rendezvous::first(COPY_KEY, relays) == Some(own.id.as_str())
+}
+
+fn by_data_centre<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+) -> BTreeMap<&'a str, BTreeMap<&'a str, &'a Member>> {
+    let mut by_data_centre: BTreeMap<_, BTreeMap<_, _>> = BTreeMap::new();
+    for member in members.into_iter().filter(|member| member.is_live()) {
+        let of_data_centre = by_data_centre.entry(member.data_centre.as_str()).or_default();
+        of_data_centre.insert(member.id.as_str(), member);
+    }
+    by_data_centre
+}
+
 /// Why a daemon reads the platform itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadReason {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -14,7 +14,7 @@
 pub use confirmation::{
     Attestation, CHALLENGE_LIFE, Challenges, Confirmation, DRIFT, LEASE, ReceivedChallenge,
 };
-pub use documents::{DocumentReading, ReadReason, document_relays, notice_targets};
+pub use documents::{DocumentReading, ReadReason, document_relays, keeps_copy, notice_targets};
 pub use pull::{Ask, PULLS_AT_ONCE, PullAdmission, PullLimiter, STALE_AFTER, Staleness};
 pub use tree::{FAN_OUT, RELAYS, beside, children, push_order, relays};
 pub use window::{
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -42,6 +42,8 @@
 pub enum Origin {
     /// The platform.
     Platform,
+    /// A copy that the daemons keep on the platform; it may be behind.
+    Copy,
     /// The daemon at this address.
     Peer(SocketAddr),
 }
@@ -156,7 +158,12 @@
     }
 }
 
-/// Starts to serve with the document of a peer once the platform has had time to answer.
+/// Starts to serve, as the document in force is the newest one of the platform.
+pub fn confirm(cx: &Cx) {
+    serve_if_configured(cx);
+}
+
+/// Starts to serve with a copy or the document of a peer once the platform has had time to answer.
 pub fn check_ready(cx: &Cx) {
     if cx.clock.now() >= PEERS_SUFFICE_AFTER {
         serve_if_configured(cx);
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use baobabreel_client::wire::{DocumentQuery, PackedDocument};
 use baobabreel_core::config::Document;
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
 use baobabreel_core::membership::Member;
-use baobabreel_core::relay::ReadReason;
+use baobabreel_core::relay::{ReadReason, keeps_copy};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Request, StatusCode};
@@ -18,7 +19,8 @@
 use crate::adapter::{Adapter, NativeAdapter};
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
 use crate::control::{
-    BackendTracker, Control, Introduced, Leave, LocalChanged, Origin, offer_document,
+    BackendTracker, Control, Introduced, Leave, LocalChanged, Origin, confirm_document,
+    offer_document,
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_small};
 use crate::operators::serve_operators;
@@ -299,6 +301,31 @@
         offer_document(&self.cx, document, Origin::Platform);
     }
 
+    /// Puts a document in force that may not be the newest one of the platform; see
+    /// [`confirm_document`](Self::confirm_document).
+    pub fn offer_copy(&self, document: Document) {
+        offer_document(&self.cx, document, Origin::Copy);
+    }
+
+    /// Tells that the document in force is the newest one that the platform has.
+    pub fn confirm_document(&self) {
+        confirm_document(&self.cx);
+    }
+
+    /// The document in force, as it goes between daemons.
+    #[must_use]
+    pub fn packed_document(&self) -> Option<PackedDocument> {
+        self.cx.documents.newer_than(DocumentQuery { known: None })
+    }
+
+    /// Whether the adapter is to keep a copy of the newest document for daemons that start.
+    #[must_use]
+    pub fn keeps_copy(&self) -> bool {
+        let members = self.cx.members.load();
+        let own = members.get(&self.cx.identity.id);
+        own.is_some_and(|own| keeps_copy(members.live(), own))
+    }
+
     /// Why the adapter is to follow the documents of the platform. Without a reason, this daemon gets them
     /// from others.
     #[must_use]
