--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -347,6 +347,12 @@
         self.cx.members.load().get(&self.cx.identity.id).cloned()
     }
 
+    /// Whether the backend server beside this daemon is known and has not ended.
+    #[must_use]
+    pub fn has_backend(&self) -> bool {
+        self.cx.host.info().is_some()
+    }
+
     /// Number of live members, this daemon included.
     #[must_use]
     pub fn live_members(&self) -> usize {
