Split the entry of requests into matching, attempts and keyed requests

No behaviour changes: `entry/mod.rs` matches the route and reads the request, `attempts.rs` sends it, `owner.rs` hands requests with a key to their owner.

--- /dev/null
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -0,0 +1,204 @@
+//! Requests of callers.
+//!
+//! [`serve_caller`] matches the route and pins the configuration. [`attempts`] sends the request to backend
+//! servers until one answers; [`owner`] hands a request with an idempotency key to the owner of the key.
+
+mod attempts;
+mod owner;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use baobabreel_core::config::{CompiledConfig, Route};
+use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::id::ServiceName;
+use baobabreel_core::routing::{RequestLine, find_route};
+use http::header::HOST;
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, Version};
+
+use super::answer::CallError;
+use super::balance::RouteState;
+use super::body::ProxyBody;
+use super::lines::{self, CallerLine};
+use super::replay::CallerRequest;
+use super::request_body::RequestBody;
+use super::{headers, keyed};
+use crate::context::{Cx, Phase};
+use crate::telemetry::{Span, TraceContext};
+
+/// Decision about one request; pins one version of the configuration.
+struct Call<'a> {
+    cx: &'a Cx,
+    config: Arc<CompiledConfig>,
+    route: Arc<Route>,
+    /// Service that the request goes to; drawn once when the route has several.
+    service: ServiceName,
+    state: Arc<RouteState>,
+    deadline: Duration,
+    /// Time by which the answer is of full use.
+    target: Option<Duration>,
+    /// Identifier of the request, for the lines about it.
+    request_id: String,
+    marked_as_retry: bool,
+    span: &'a Span,
+}
+
+/// Serves a request of a caller.
+pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
+    let _count = cx.count_request();
+    let start = cx.clock.now();
+    let share = cx.settings.trace_share;
+    let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
+    let dialect = &cx.settings.dialect;
+    let keyed = if dialect.own_headers { keyed::read_repeat(req.headers()) } else { None };
+    let line = CallerLine::new(&cx, &req, start);
+    let (route, result) = match serve(&cx, req, &span, start).await {
+        Ok((route, res)) => (route, Ok(res)),
+        Err(e) => {
+            // Without a route it is not known whether the key counts, so it does.
+            let e = match keyed {
+                Some(attempt) if e.route.is_none() => keyed::before_owner(e, attempt),
+                _ => e,
+            };
+            (e.route.clone().unwrap_or_default(), Err(e))
+        }
+    };
+    let now = cx.clock.now();
+    let ended = result.as_ref().map(|_| Outcome::Ran).map_err(|e| e.kind);
+    cx.metrics.request(&route, ended, now.saturating_sub(start));
+    span.finish(now, &route, ended.map_or_else(ErrorKind::name, Outcome::as_str));
+    line.finish(&route, &result);
+    result.unwrap_or_else(|e| e.into_response(dialect))
+}
+
+async fn serve(
+    cx: &Cx,
+    req: Request<RequestBody>,
+    span: &Span,
+    start: Duration,
+) -> Result<(String, Response<ProxyBody>), CallError> {
+    match cx.phase() {
+        Phase::Starting => {
+            return Err(CallError::new(ErrorKind::NotReady, "no configuration yet"));
+        }
+        Phase::Draining => {
+            let mut e = CallError::new(ErrorKind::Draining, "the daemon is draining");
+            e.close = true;
+            return Err(e);
+        }
+        Phase::Serving | Phase::Closing | Phase::Leaving | Phase::Handover => {}
+    }
+    let (parts, body) = req.into_parts();
+    if parts.method == Method::CONNECT {
+        return Err(CallError::new(ErrorKind::BadRequest, "CONNECT is not supported"));
+    }
+    let config = cx.config.load_full();
+    let route = match_route(&config, &parts)
+        .cloned()
+        .ok_or_else(|| CallError::new(ErrorKind::NoRoute, "no route matches"))?;
+    let name = route.name.clone();
+    let with_route = |mut e: CallError| {
+        e.route = Some(name.clone());
+        e
+    };
+    let call = Call::new(cx, config, route, &parts, span, start).map_err(with_route)?;
+    let closing = cx.phase() > Phase::Serving;
+    let mut res = call.serve(parts, body).await.map_err(with_route)?;
+    if closing && res.version() == Version::HTTP_11 {
+        res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok((name, res))
+}
+
+fn match_route<'a>(config: &'a CompiledConfig, parts: &Parts) -> Option<&'a Arc<Route>> {
+    let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = parts.uri.host().or(header.map(without_port)).map(str::to_ascii_lowercase);
+    let line = RequestLine {
+        host: host.as_deref(),
+        method: parts.method.as_str(),
+        path: parts.uri.path(),
+    };
+    find_route(config, line)
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+impl<'a> Call<'a> {
+    fn new(
+        cx: &'a Cx,
+        config: Arc<CompiledConfig>,
+        route: Arc<Route>,
+        parts: &Parts,
+        span: &'a Span,
+        start: Duration,
+    ) -> Result<Self, CallError> {
+        let asked = headers::read_timeout(&parts.headers, &cx.settings.dialect.timeout)
+            .map_err(|detail| CallError::new(ErrorKind::BadRequest, detail))?;
+        let most = Duration::from_millis(route.spec.timeout_ms);
+        let deadline = start + asked.map_or(most, |asked| asked.min(most));
+        let own_headers = cx.settings.dialect.own_headers;
+        let marked_as_retry = own_headers && parts.headers.contains_key(headers::RETRY);
+        let state = cx.balance.route(&route.name);
+        let service = route.spec.pick_service(rand::random()).clone();
+        let target = route.spec.target_latency.map(|latency| start + latency);
+        let request_id = lines::request_id(cx, &parts.headers);
+        Ok(Self {
+            cx,
+            config,
+            route,
+            service,
+            state,
+            deadline,
+            target,
+            request_id,
+            marked_as_retry,
+            span,
+        })
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.cx.clock.now())
+    }
+
+    async fn serve(
+        &self,
+        parts: Parts,
+        body: RequestBody,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        self.cx.balance.on_request(&self.state, &self.service, self.cx.clock.now());
+        if self.cx.settings.dialect.own_headers
+            && !self.route.spec.is_idempotent()
+            && let Some(key) = keyed::read_key(&parts.headers)?
+        {
+            return self.serve_keyed(key, parts, body).await;
+        }
+        let mut req = self.read(parts, body, false).await?;
+        self.run(&mut req).await
+    }
+
+    /// Reads what has to be in memory before the request is sent.
+    async fn read(
+        &self,
+        parts: Parts,
+        body: RequestBody,
+        keep: bool,
+    ) -> Result<CallerRequest, CallError> {
+        let of_config = self.config.limits.as_ref().map(|limits| limits.body_bytes);
+        let max_body = of_config.unwrap_or(self.cx.settings.limits.body_bytes);
+        let mut req = CallerRequest::new(parts, body, max_body, keep, self.remaining()).await?;
+        let dialect = &self.cx.settings.dialect;
+        if dialect.own_headers {
+            headers::write_trace(&mut req.headers, self.span);
+        }
+        if let (Some(name), Some(own)) = (&dialect.caller_service, &self.cx.settings.backend) {
+            headers::write_text(&mut req.headers, name, &own.service);
+        }
+        Ok(req)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/proxy/entry/owner.rs
@@ -0,0 +1,102 @@
+//! Requests with an idempotency key, which are handed to the owner of the key.
+
+use std::time::Duration;
+
+use baobabreel_client::wire::{CallHead, KeyHead};
+use baobabreel_core::error::ErrorKind;
+use baobabreel_core::idempotency::{
+    Attempt as KeyAttempt, Key, Request as KeyedRequest, Route as KeyRoute, unreachable_owner,
+};
+use baobabreel_core::registry::Incarnate;
+use http::request::Parts;
+use http::{Response, Version};
+
+use super::Call;
+use super::attempts::Sending;
+use crate::context::Cx;
+use crate::proxy::answer::CallError;
+use crate::proxy::body::{Guard, ProxyBody};
+use crate::proxy::dispatch::{self, PeerAnswer};
+use crate::proxy::keyed::{self, WholeRequest};
+use crate::proxy::request_body::RequestBody;
+use crate::proxy::watch::{Callee, Terms};
+use crate::proxy::{headers, host};
+
+impl Call<'_> {
+    /// Serves a request with a key; its body is read as a whole, since it is part of the request's
+    /// fingerprint.
+    pub(super) async fn serve_keyed(
+        &self,
+        key: Key,
+        parts: Parts,
+        body: RequestBody,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        let attempt = keyed::read_attempt(&parts.headers);
+        let before_owner = |e| keyed::before_owner(e, attempt);
+        let req = self.read(parts, body, true).await;
+        let req = req.and_then(WholeRequest::new).map_err(before_owner)?;
+        let head = self.head(&self.route.spec.service, Sending::default());
+        let head = head.map_err(before_owner)?;
+        self.ask_owner(&key, attempt, head, req).await
+    }
+
+    /// Hands a request with a key to the daemon that owns the key.
+    async fn ask_owner(
+        &self,
+        key: &Key,
+        attempt: KeyAttempt,
+        mut head: CallHead,
+        req: WholeRequest,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        let request = KeyedRequest {
+            service: &self.route.spec.service,
+            key,
+            fingerprint: req.fingerprint(),
+            attempt,
+        };
+        let key_head = |owner: &Incarnate| KeyHead {
+            key: key.as_str().to_owned(),
+            fingerprint: request.fingerprint.into(),
+            first: attempt == KeyAttempt::First,
+            owner: Some((owner.id.clone(), owner.incarnation)),
+            fallback: self.route.spec.fallback.clone(),
+        };
+        let cx = self.cx;
+        match cx.keys.route(&request, &cx.members.load()) {
+            KeyRoute::Refuse(kind) => {
+                Err(CallError::new(kind, "the owner of the key cannot be asked"))
+            }
+            KeyRoute::Here => {
+                let key_head = key_head(cx.keys.me());
+                keyed::serve_as_owner(cx, head, key_head, req).await
+            }
+            KeyRoute::Send { owner, peer_addr } => {
+                head.key = Some(key_head(&owner));
+                let to = Callee { addr: peer_addr, incarnation: owner.incarnation };
+                let deadline = self.deadline;
+                let terms = Terms { deadline, is_repeatable: false, on_silence: || {} };
+                let sent = dispatch::send_call(cx, to, &head, req.to_request(), &terms);
+                let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
+                Ok(pass_through(cx, answer, self.deadline))
+            }
+        }
+    }
+}
+
+/// Error for a caller whose request could not be handed to the owner of its key.
+fn owner_error(mut e: CallError, attempt: KeyAttempt) -> CallError {
+    // Nothing was sent, so the owner has not decided; another attempt may have run.
+    if matches!(e.kind, ErrorKind::NoBackendServer | ErrorKind::Overloaded) && e.is_local {
+        e.kind = unreachable_owner(attempt, false);
+    }
+    e
+}
+
+/// Answer of the owner, which carries its own outcome header.
+fn pass_through(cx: &Cx, answer: PeerAnswer, deadline: Duration) -> Response<ProxyBody> {
+    let (mut parts, body) = answer.response.into_parts();
+    headers::remove_hop_by_hop(&mut parts.headers);
+    parts.version = Version::HTTP_11;
+    let guard = Guard::Connection(Some(answer.connection));
+    Response::from_parts(parts, host::tracked(cx, body, deadline, guard))
+}
