--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,5 +1,8 @@
 //! Distribution of log entries between daemons.
 //!
+//! Where a platform orders whole documents, a few relays read them and notify the others
+//! ([`DocumentReading`] decides who reads); the rest is about the log.
+//!
 //! Two relays in each data centre read the log and push new entries along a tree. Everything else
 //! repairs what the tree misses: each daemon keeps the newest entries for peers ([`StreamWindow`]),
 //! pulls when it is behind or hears nothing ([`Staleness`]), and limits the pulls that it answers
