--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -54,9 +54,12 @@
         Ok(res) => (res, Outcome::Ran, None),
         Err(e) => {
             let kind = e.kind;
-            // The head of the answer says all that the other daemon uses; without a body the connection can
-            // be used again at once.
-            let res = e.into_response(&cx.settings.dialect).map(|_| ProxyBody::Empty);
+            let is_full = e.full.is_some();
+            let mut res = e.into_response(&cx.settings.dialect);
+            if is_full {
+                // Looks for a free slot are frequent; without a body the connection can be used again at once.
+                *res.body_mut() = ProxyBody::Empty;
+            }
             (res, kind.answer().outcome, Some(kind))
         }
     };
