Serve a copy that nothing has confirmed only after 5 s

Change: after 1 s a document of a peer suffices as before, a copy alone only after 5 s. Ruled out: never serving a copy, which would leave a data centre without the store dark for good. Test: platform, copy_that_nothing_confirms_is_not_served_soon; it fails on the code before with 404.

--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -37,6 +38,10 @@
 /// which may know a newer one, has time to answer.
 const PEERS_SUFFICE_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after the start from which a copy suffices to serve that neither the platform nor a peer has
+/// confirmed. It may lack routes that were added since.
+const COPY_SUFFICES_AFTER: Duration = Duration::from_secs(5);
+
 /// Where a document came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin {
@@ -64,6 +69,8 @@
     applying: Mutex<()>,
     sources: Mutex<Sources>,
     reading: Mutex<DocumentReading>,
+    /// Whether the newest document is a copy that nothing has confirmed.
+    is_unconfirmed: AtomicBool,
 }
 
 /// Peers that are known to have a newer document.
@@ -142,6 +149,7 @@
             "configuration applied"
         );
         documents.newest.store(Some(Arc::new(Newest { document, packed: OnceLock::new() })));
+        documents.is_unconfirmed.store(origin == Origin::Copy, Ordering::Release);
         lock(&documents.reading).caught_up();
         cx.metrics.config(position.config.offset, false);
         cx.set_config(config, cx.clock.now());
@@ -165,7 +173,9 @@
 
 /// Starts to serve with a copy or the document of a peer once the platform has had time to answer.
 pub fn check_ready(cx: &Cx) {
-    if cx.clock.now() >= PEERS_SUFFICE_AFTER {
+    let is_copy = cx.documents.is_unconfirmed.load(Ordering::Acquire);
+    let suffices_after = if is_copy { COPY_SUFFICES_AFTER } else { PEERS_SUFFICE_AFTER };
+    if cx.clock.now() >= suffices_after {
         serve_if_configured(cx);
     }
 }
