Convert the load on the wire in one place

The conversion to a report of the balancer stood in the dispatch and in the attempts; it is a From of the wire type now. No behaviour changes.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 
+use baobabreel_core::balance::LoadReport;
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::{DaemonId, Incarnation, RouteName, ServiceName};
@@ -94,6 +95,12 @@
     pub slots: u32,
 }
 
+impl From<LoadWire> for LoadReport {
+    fn from(load: LoadWire) -> Self {
+        Self { running: load.running, queued: load.queued }
+    }
+}
+
 /// Head of an answer between two daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerHead {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
-use baobabreel_core::balance::{Failure as EndpointFailure, LoadReport};
+use baobabreel_core::balance::Failure as EndpointFailure;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use bytes::Bytes;
@@ -75,7 +75,7 @@
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::run(cx, head, req).await {
             Ok(admitted) => {
-                guard.answered(Some(report(cx.host.load())));
+                guard.answered(Some(cx.host.load().into()));
                 (admitted.response, Some(admitted.guard))
             }
             Err(e) => return Err(failed(guard, e)),
@@ -83,7 +83,7 @@
     } else {
         match send_to_member(cx, head, req, guard.name(), deadline, is_repeatable).await {
             Ok(answer) => {
-                guard.answered(Some(report(answer.load)));
+                guard.answered(Some(answer.load.into()));
                 guard.hold(answer.connection);
                 (answer.response, None)
             }
@@ -151,13 +151,9 @@
     }
 }
 
-fn report(load: LoadWire) -> LoadReport {
-    LoadReport { running: load.running, queued: load.queued }
-}
-
 fn failed(mut guard: EntryGuard, e: CallError) -> CallError {
     if let Some(load) = e.full {
-        guard.full(report(load));
+        guard.full(load.into());
         return e;
     }
     guard.failed(match e.kind {
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use baobabreel_client::wire::CallHead;
-use baobabreel_core::balance::{LoadReport, RoomSearch};
+use baobabreel_core::balance::RoomSearch;
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::retry::{Attempt, Failure, RetryDecision, decide, hedge_after};
@@ -74,8 +74,7 @@
             };
             lines::attempt_failed(self.cx, &failed);
             if let Some(load) = e.full {
-                let report = LoadReport { running: load.running, queued: load.queued };
-                room.found_full(target, report, load.slots);
+                room.found_full(target, load.into(), load.slots);
                 continue;
             }
             let e = combine(earlier.take(), e);
