Find daemons that come back alone, read smaller when the log is slow

One of 5 rounds for 60 s after a death or leave now. The size is now a decision of its own (retry::ReadSize): halved when the answer is too large or too late, doubled when it is quick, reset when the reader has caught up.

--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -41,6 +41,24 @@
 
 impl std::error::Error for AnswerTooLarge {}
 
+/// No answer came in time.
+#[derive(Debug)]
+pub struct TimedOut(Duration);
+
+impl std::fmt::Display for TimedOut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "no answer within {:?}", self.0)
+    }
+}
+
+impl std::error::Error for TimedOut {}
+
+/// Whether an error of [`HttpClient`], possibly with context, is [`TimedOut`].
+#[must_use]
+pub fn is_timed_out(error: &eyre::Report) -> bool {
+    error.chain().any(|cause| cause.is::<TimedOut>())
+}
+
 /// Whether an error of [`HttpClient`], possibly with context, is [`AnswerTooLarge`].
 #[must_use]
 pub fn is_too_large(error: &eyre::Report) -> bool {
@@ -106,7 +124,8 @@
     /// # Errors
     ///
     /// The URI is malformed, the connection fails, the answer is larger than 16 MiB (see
-    /// [`is_too_large`]), or `timeout` passes. The request may have taken effect unless the connection was refused.
+    /// [`is_too_large`]), or `timeout` passes (see [`is_timed_out`]). The request may have taken effect unless
+    /// the connection was refused.
     pub async fn send(
         &self,
         method: Method,
@@ -133,10 +152,10 @@
                 Err(e) => bail!("failed to read the answer: {e}"),
             }
         };
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(reply) => reply.wrap_err_with(|| format!("failed to reach {uri}")),
-            Err(_) => bail!("failed to reach {uri}: no answer within {timeout:?}"),
-        }
+        let reply = tokio::time::timeout(timeout, exchange).await;
+        reply
+            .unwrap_or_else(|_| Err(TimedOut(timeout).into()))
+            .wrap_err_with(|| format!("failed to reach {uri}"))
     }
 
     /// Sends a GET request.
--- a/crates/core/src/membership/departed.rs
+++ b/crates/core/src/membership/departed.rs
@@ -87,6 +87,11 @@
         self.entries.get(id).map(|entry| entry.departed_at)
     }
 
+    /// Whether a member departed at `time` or later.
+    pub(super) fn any_since(&self, time: Duration) -> bool {
+        self.entries.values().any(|entry| entry.departed_at >= time)
+    }
+
     /// Ids whose eviction is due; the next proposal for each is due after `every`.
     pub(super) fn due(&mut self, now: Duration, every: Duration) -> Vec<DaemonId> {
         let due = self.entries.iter_mut().filter(|(_, e)| e.propose_at <= now);
--- a/crates/core/src/membership/probing.rs
+++ b/crates/core/src/membership/probing.rs
@@ -16,7 +16,7 @@
     Indirect { open: usize },
     /// Sent for another daemon.
     OnBehalf { of: SocketAddr, number: u64 },
-    /// Sent to a seed or a dead member to find out whether it can be reached again.
+    /// Sent to a seed or a departed member to find out whether it can be reached again.
     Contact,
 }
 
--- a/crates/core/src/membership/swim.rs
+++ b/crates/core/src/membership/swim.rs
@@ -47,11 +47,14 @@
 const DELTAS_PER_SECOND: u32 = 2;
 /// One probe of this many goes to another data centre.
 const ELSEWHERE_EVERY: u64 = 10;
-/// One probe of this many goes to a seed or a dead member, so that healed partitions are noticed.
+/// One probe of this many goes to a seed or a departed member, so that healed partitions are noticed.
 const CONTACT_EVERY: u64 = 30;
-/// The same while joining. Daemons that know only each other find equal tables and learn nothing more;
-/// in a trial with 960 daemons some stayed at 353 members until their first probe to an unknown seed.
-const CONTACT_EVERY_JOINING: u64 = 5;
+/// The same while joining, and for a while after a death. Daemons that know only each other find equal
+/// tables and learn nothing more; in a trial with 960 daemons some stayed at 353 members until their first
+/// probe to an unknown seed. A daemon that comes back knows nobody while the platform is out of reach.
+const CONTACT_EVERY_SOON: u64 = 5;
+/// Time after a death in which the member is likely to come back.
+const RETURNS_WITHIN: Duration = Duration::from_secs(60);
 /// Time after its start in which a daemon fetches the table at the higher rate.
 pub(super) const JOINING_FOR: Duration = Duration::from_secs(60);
 /// Time after its start in which a daemon leaves out the seeds when it probes in turn: after a mass restart
@@ -348,9 +351,11 @@
             self.spares_seeds = false;
             self.add_seeds_to_rounds(step);
         }
-        let contact_every =
-            if self.is_joining(step.now) { CONTACT_EVERY_JOINING } else { CONTACT_EVERY };
-        let contact_due = self.rounds.is_multiple_of(contact_every);
+        let soon = self.is_joining(step.now)
+            || self.departed.any_since(step.now.saturating_sub(RETURNS_WITHIN));
+        let contact_every = if soon { CONTACT_EVERY_SOON } else { CONTACT_EVERY };
+        // Never the round of a probe to another data centre.
+        let contact_due = self.rounds % contact_every == 1;
         if contact_due && self.probe_contact(step) {
             return;
         }
@@ -390,10 +395,10 @@
         Some((next.id.clone(), next.peer_addr))
     }
 
-    /// Probes a seed that no live member uses or a dead member; returns whether there was one.
+    /// Probes a seed that no live member uses or a departed member; returns whether there was one.
     fn probe_contact(&mut self, step: &mut Step) -> bool {
-        let dead = self.members.iter().filter(|m| m.state == MemberState::Dead);
-        let mut candidates: Vec<SocketAddr> = dead.map(|member| member.peer_addr).collect();
+        let departed = self.members.iter().filter(|member| member.is_departed());
+        let mut candidates: Vec<SocketAddr> = departed.map(|member| member.peer_addr).collect();
         for seed in &self.settings.seeds {
             if !self.members.live().any(|member| member.peer_addr == *seed) {
                 candidates.push(*seed);
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -9,8 +9,10 @@
 mod budget;
 mod decision;
 mod latency;
+mod read_size;
 
 pub use backoff::Backoff;
 pub use budget::RetryBudget;
 pub use decision::{Attempt, Failure, RetryDecision, StopReason, decide, hedge_after};
 pub use latency::LatencyEstimate;
+pub use read_size::ReadSize;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -144,6 +144,31 @@
     }
 }
 
+/// Guards against daemons that come back after the others have concluded their deaths and then stay
+/// alone, as nothing lists the others to them.
+#[test]
+fn daemons_that_come_back_alone_are_found() {
+    const KILLED: usize = 7;
+    for seed in 0..10 {
+        let mut net = settled(13, 2, seed, &SwimSettings::new());
+        net.run(60);
+        net.frozen[KILLED..].fill(true);
+        net.cut = Box::new(|from, to| from >= KILLED || to >= KILLED);
+        net.run(40);
+        let dead = (KILLED..13).filter(|i| state(&net.nodes[0], *i) == Some(MemberState::Dead));
+        assert_eq!(dead.count(), 13 - KILLED, "seed {seed}");
+        for i in KILLED..13 {
+            let own = net.nodes[i].own().clone();
+            let own = Member { incarnation: own.incarnation + 1, sequence: 1, ..own };
+            net.nodes[i] = Swim::new(own, SwimSettings::new());
+        }
+        net.frozen.fill(false);
+        net.cut = Box::new(|_, _| false);
+        net.run(15);
+        assert!(net.agrees(), "seed {seed}: not found after 15 s");
+    }
+}
+
 /// Asserts that members of a data centre that is gone as a whole are proposed for eviction by one
 /// survivor each, and not before 60 s.
 fn assert_late_evictions(net: &Net, gone_at: u64, gone: &[usize], survivors: &[usize]) {
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use baobabreel_core::retry::{
-    Attempt, Backoff, Failure, LatencyEstimate, RetryBudget, RetryDecision, StopReason, decide,
-    hedge_after,
+    Attempt, Backoff, Failure, LatencyEstimate, ReadSize, RetryBudget, RetryDecision, StopReason,
+    decide, hedge_after,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -172,3 +172,22 @@
     backoff.reset();
     assert_eq!(backoff.pause(1.0), first);
 }
+
+/// Guards against a reader that asks again for more than it can take, or for few records for ever.
+#[test]
+fn read_size_follows_what_comes() {
+    let mut size = ReadSize::new(256);
+    assert!(size.too_large());
+    assert!(size.timed_out());
+    assert_eq!(size.limit(), 64);
+    size.answered(64, false);
+    assert_eq!(size.limit(), 64, "twice as many would be too slow");
+    size.answered(64, true);
+    size.answered(128, true);
+    assert_eq!(size.limit(), 128, "256 were too large");
+    size.answered(3, true);
+    assert_eq!(size.limit(), 256, "it has caught up");
+    let mut single = ReadSize::new(1);
+    assert!(!single.too_large() && !single.timed_out());
+    assert_eq!(single.limit(), 1);
+}
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use baobabreel_client::log::ReadAnswer;
-use baobabreel_client::transport::is_too_large;
+use baobabreel_client::transport::{is_timed_out, is_too_large};
 use baobabreel_client::wire::Stream;
-use baobabreel_core::retry::Backoff;
+use baobabreel_core::retry::{Backoff, ReadSize};
 use kameo::actor::ActorRef;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -23,10 +23,12 @@
 /// Time that a long poll waits for a record; the age of the proof of the head follows from it.
 const POLL_WAIT: Duration = Duration::from_secs(1);
 
-/// Records per read; 256 records of 64 KB or more exceed the largest answer, which halves the limit
-/// until the reader has caught up.
+/// Most records per read; 256 records of 64 KB or more exceed the largest answer.
 const READ_LIMIT: usize = 256;
 
+/// Time in which a read leaves time for twice as many records.
+const QUICK_READ: Duration = Duration::from_secs(1);
+
 /// Pause after a failed read, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -104,7 +106,7 @@
 
 async fn follow(cx: &Cx, distribution: &ActorRef<Distribution>, stream: Stream) {
     let mut backoff = Backoff::new(RETRY_PAUSE, RETRY_PAUSE_MAX);
-    let mut limit = READ_LIMIT;
+    let mut size = ReadSize::new(READ_LIMIT);
     loop {
         let wait = if cx.is_relay() {
             POLL_WAIT
@@ -118,29 +120,34 @@
         if stream == Stream::Config && cx.follower.snapshot.swap(false, Ordering::AcqRel) {
             read_snapshot(cx, distribution).await;
         }
-        match read(cx, distribution, stream, limit, wait).await {
+        let asked_at = cx.clock.now();
+        let error = match read(cx, distribution, stream, size.limit(), wait).await {
             Ok(read) => {
                 cx.follower.set_error(None);
                 backoff.reset();
-                if read.records < limit {
-                    limit = READ_LIMIT;
-                }
+                size.answered(read.records, cx.clock.now() < asked_at + QUICK_READ);
                 if read.more {
                     // A daemon that is no relay was asked for one read only.
                     cx.follower.hints(stream).notify_one();
                 }
+                continue;
             }
-            Err(e) if is_too_large(&e) && limit > 1 => {
-                limit /= 2;
-                tracing::warn!(stream = stream.name(), limit, "large records; reads fewer");
-                // A daemon that is no relay was asked for this read and would not repeat it.
-                cx.follower.hints(stream).notify_one();
-            }
-            Err(e) => {
-                tracing::warn!(stream = stream.name(), error = format!("{e:#}"), "failed to read");
-                cx.follower.set_error(Some(format!("{e:#}")));
-                tokio::time::sleep(backoff.pause(rand::random())).await;
-            }
+            Err(e) => e,
+        };
+        let shrunk = if is_too_large(&error) {
+            size.too_large()
+        } else {
+            is_timed_out(&error) && size.timed_out()
+        };
+        if shrunk {
+            tracing::warn!(stream = stream.name(), limit = size.limit(), "reads fewer records");
+            // A daemon that is no relay was asked for this read and would not repeat it.
+            cx.follower.hints(stream).notify_one();
+        }
+        if !shrunk || is_timed_out(&error) {
+            tracing::warn!(stream = stream.name(), error = format!("{error:#}"), "failed to read");
+            cx.follower.set_error(Some(format!("{error:#}")));
+            tokio::time::sleep(backoff.pause(rand::random())).await;
         }
     }
 }
--- a/crates/test-support/src/log/api.rs
+++ b/crates/test-support/src/log/api.rs
@@ -294,9 +294,9 @@
     async fn handle(&self, req: Request<Incoming>) -> Answer {
         let client = serve::header(req.headers(), "x-client").unwrap_or_default().to_owned();
         self.check_reach(&client).await?;
-        let (delay, refuse) = {
+        let (delay, refuse, rate) = {
             let faults = &lock(&self.state).faults;
-            (faults.delay, faults.refuse)
+            (faults.delay, faults.refuse, faults.bytes_per_second)
         };
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
@@ -308,6 +308,9 @@
         };
         let bytes = answer.body().size_hint().lower();
         self.bytes_out.fetch_add(bytes, Ordering::Relaxed);
+        if let Some(rate) = rate {
+            tokio::time::sleep(Duration::from_secs_f64(bytes as f64 / f64::from(rate))).await;
+        }
         if self.take_cut() {
             return Ok(serve::cut_in_the_middle(answer).await);
         }
--- a/crates/test-support/src/log/faults.rs
+++ b/crates/test-support/src/log/faults.rs
@@ -24,6 +24,8 @@
     pub lose_probability: f64,
     /// Time by which every request is delayed before it takes effect.
     pub delay: Duration,
+    /// Bytes of an answer a second, as on a slow link.
+    pub bytes_per_second: Option<u32>,
     /// Whether every request is refused with 503.
     pub refuse: bool,
     /// Whether the log is out of reach.
