Answer 503, not 404, by a copy that nothing has confirmed; one ranking of document relays

Cause: a daemon that restarts while the store refuses it serves by a copy of the configuration after 5 s, which may lack routes.

Ruled out: never serving by the copy, which would leave callers with nothing through an outage of the store after all daemons restarted.

The split of a data centre into relays and others stood three times; it is one function, with the relays of both data centres checked in relay.rs. A document that the platform confirms no longer counts as unconfirmed.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -48,10 +48,9 @@
 ) -> Vec<&'a Member> {
     let mut targets = Vec::new();
     for (data_centre, members) in by_data_centre(members) {
-        let ranked = rendezvous::rank(RELAY_KEY, members.keys().copied());
-        let readers = document_relays(ranked.len());
+        let (_, others) = split_relays(&members);
         let most = if data_centre == own.data_centre { usize::MAX } else { STAND_INS };
-        let ids = ranked.into_iter().skip(readers).take(most);
+        let ids = others.into_iter().take(most);
         targets.extend(ids.filter(|id| *id != own.id).map(|id| members[id]));
     }
     targets
@@ -64,14 +63,25 @@
 /// Daemons with different views may both do so for a while, which is harmless.
 #[must_use]
 pub fn keeps_copy<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> bool {
-    let relays = by_data_centre(members).into_values().flat_map(|members| {
-        let ranked = rendezvous::rank(RELAY_KEY, members.keys().copied());
-        let count = document_relays(ranked.len());
-        ranked.into_iter().take(count)
-    });
+    let relays = by_data_centre(members).into_values().flat_map(|members| split_relays(&members).0);
     rendezvous::first(COPY_KEY, relays) == Some(own.id.as_str())
 }
 
+/// Whether `own` is a relay for documents in its data centre.
+#[must_use]
+pub fn is_document_relay<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> bool {
+    by_data_centre(members)
+        .get(own.data_centre.as_str())
+        .is_some_and(|members| split_relays(members).0.contains(&own.id.as_str()))
+}
+
+/// Relays of a data centre, and its other daemons in the order in which they stand in for these.
+fn split_relays<'a>(members: &BTreeMap<&'a str, &Member>) -> (Vec<&'a str>, Vec<&'a str>) {
+    let mut relays = rendezvous::rank(RELAY_KEY, members.keys().copied());
+    let others = relays.split_off(document_relays(relays.len()).min(relays.len()));
+    (relays, others)
+}
+
 fn by_data_centre<'a>(
     members: impl IntoIterator<Item = &'a Member>,
 ) -> BTreeMap<&'a str, BTreeMap<&'a str, &'a Member>> {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -17,9 +17,11 @@
 pub use confirmation::{
     Attestation, CHALLENGE_LIFE, Challenges, Confirmation, DRIFT, LEASE, ReceivedChallenge,
 };
-pub use documents::{DocumentReading, ReadReason, document_relays, keeps_copy, notice_targets};
+pub use documents::{
+    DocumentReading, ReadReason, document_relays, is_document_relay, keeps_copy, notice_targets,
+};
 pub use pull::{Ask, PULLS_AT_ONCE, PullAdmission, PullLimiter, STALE_AFTER, Staleness};
-pub use tree::{FAN_OUT, RELAYS, beside, children, push_order, relays};
+pub use tree::{FAN_OUT, RELAYS, children, push_order, relays};
 pub use window::{
     Batch, PULL_BYTES, Pull, PullAnswer, Received, StreamWindow, WINDOW_BYTES, WINDOW_ENTRIES,
 };
--- a/crates/core/src/relay/tree.rs
+++ b/crates/core/src/relay/tree.rs
@@ -43,7 +43,7 @@
 }
 
 /// Live members of `own`'s data centre, itself included.
-pub fn beside<'a>(
+fn beside<'a>(
     members: impl IntoIterator<Item = &'a Member>,
     own: &'a Member,
 ) -> impl Iterator<Item = &'a str> {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -356,4 +356,9 @@
     // All 20 of the data centre but its 4 relays; the sender is not notified if it is none of them.
     let is_relay = own_readers.contains(&own.id.as_str());
     assert_eq!(here, if is_relay { 16 } else { 15 });
+    let reading = all.iter().filter(|member| is_document_relay(&all, member));
+    assert_eq!(reading.count(), 8, "4 relays in each data centre");
+    assert!(own_readers.iter().chain(&readers).all(|id| {
+        all.iter().any(|member| member.id == **id && is_document_relay(&all, member))
+    }));
 }
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -69,7 +69,6 @@
     applying: Mutex<()>,
     sources: Mutex<Sources>,
     reading: Mutex<DocumentReading>,
-    /// Whether the newest document is a copy that nothing has confirmed.
     is_unconfirmed: AtomicBool,
 }
 
@@ -110,6 +109,11 @@
         }
     }
 
+    /// Whether the document in force is a copy that nothing has confirmed; newer routes may be missing.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.is_unconfirmed.load(Ordering::Acquire)
+    }
+
     /// Why this daemon is to read the platform itself, if it is.
     pub fn read_reason(&self, is_relay: bool, now: Duration) -> Option<ReadReason> {
         let routes = self.newest.load().as_ref().map_or(0, |newest| newest.document.routes.len());
@@ -168,13 +172,14 @@
 
 /// Starts to serve, as the document in force is the newest one of the platform.
 pub fn confirm(cx: &Cx) {
+    cx.documents.is_unconfirmed.store(false, Ordering::Release);
     serve_if_configured(cx);
 }
 
 /// Starts to serve with a copy or the document of a peer once the platform has had time to answer.
 pub fn check_ready(cx: &Cx) {
-    let is_copy = cx.documents.is_unconfirmed.load(Ordering::Acquire);
-    let suffices_after = if is_copy { COPY_SUFFICES_AFTER } else { PEERS_SUFFICE_AFTER };
+    let is_unconfirmed = cx.documents.is_unconfirmed();
+    let suffices_after = if is_unconfirmed { COPY_SUFFICES_AFTER } else { PEERS_SUFFICE_AFTER };
     if cx.clock.now() >= suffices_after {
         serve_if_configured(cx);
     }
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -94,9 +94,7 @@
         return Err(CallError::new(ErrorKind::BadRequest, "CONNECT is not supported"));
     }
     let config = cx.config.load_full();
-    let route = match_route(&config, &parts)
-        .cloned()
-        .ok_or_else(|| CallError::new(ErrorKind::NoRoute, "no route matches"))?;
+    let route = match_route(&config, &parts).cloned().ok_or_else(|| no_route(cx))?;
     let name = route.name.clone();
     let with_route = |mut e: CallError| {
         e.route = Some(name.clone());
@@ -111,6 +109,15 @@
     Ok((name, res))
 }
 
+/// Answer to a request that matches no route.
+fn no_route(cx: &Cx) -> CallError {
+    if cx.documents.is_unconfirmed() {
+        CallError::new(ErrorKind::NotReady, "no route matches in a configuration that may be old")
+    } else {
+        CallError::new(ErrorKind::NoRoute, "no route matches")
+    }
+}
+
 fn match_route<'a>(config: &'a CompiledConfig, parts: &Parts) -> Option<&'a Arc<Route>> {
     let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = parts.uri.host().or(header.map(without_port)).map(str::to_ascii_lowercase);
