Let daemons that read the store vouch for the configuration of those that start

The copy was behind, as changes had come all the time, the newest record takes over half a second on a slow link, and what peers hand over counted only 1 s after the start.

Change: a daemon that reads the store tells, with its version, how long ago that was known to be the newest one (relay::Freshness); a daemon that starts asks the relays of its data centre in turn and serves when one vouches for what it has, or when it has fetched what that one has. Members that the directory lists are known before the copy is used.

Ruled out: leaving the reading to the relays for 500 ms and asking them for the document itself.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::document::PackedDocument;
 use super::gossip::GossipWire;
 
 /// A message cannot be encoded or decoded.
@@ -52,6 +53,19 @@
 pub struct DocumentQuery {
     /// Version that the asking daemon has.
     pub known: Option<DocumentVersion>,
+    /// Whether it wants a newer document, not only to know of one.
+    pub with_document: bool,
+}
+
+/// Answer to a [`DocumentQuery`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentAnswer {
+    /// Where the answering daemon stands.
+    pub position: Position,
+    /// Document that is newer than the one of the asking daemon, if it wants it.
+    pub newer: Option<PackedDocument>,
+    /// Milliseconds since the document of the answering daemon was known to be the newest one of the platform.
+    pub confirmed_ms: Option<u64>,
 }
 
 /// Notice to a peer that a newer document is here.
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -10,8 +10,8 @@
 
 pub use call::{AnswerHead, CallHead, CallQuery, CallState, DecodeHeadError, KeyHead, LoadWire};
 pub use control::{
-    BatchWire, CodecError, DocumentNotice, DocumentQuery, Envelope, Position, PullAnswerWire,
-    PullWire, PushAnswer, PushWire, Stream, decode, encode,
+    BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, Position,
+    PullAnswerWire, PullWire, PushAnswer, PushWire, Stream, decode, encode,
 };
 pub use document::PackedDocument;
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -75,6 +75,18 @@
         .is_some_and(|members| split_relays(members).0.contains(&own.id.as_str()))
 }
 
+/// The other relays for documents in the data centre of `own`.
+#[must_use]
+pub fn document_relays_beside<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    own: &Member,
+) -> Vec<&'a Member> {
+    let by_data_centre = by_data_centre(members);
+    let Some(members) = by_data_centre.get(own.data_centre.as_str()) else { return Vec::new() };
+    let relays = split_relays(members).0.into_iter().filter(|id| *id != own.id);
+    relays.map(|id| members[id]).collect()
+}
+
 /// Relays of a data centre, and its other daemons in the order in which they stand in for these.
 fn split_relays<'a>(members: &BTreeMap<&'a str, &Member>) -> (Vec<&'a str>, Vec<&'a str>) {
     let mut relays = rendezvous::rank(RELAY_KEY, members.keys().copied());
--- /dev/null
+++ b/crates/core/src/relay/freshness.rs
@@ -0,0 +1,48 @@
+//! Whether the document of a daemon is known to be the newest one of the platform.
+//!
+//! Daemons that restart together would all have to read the platform before they serve, which slows each read
+//! down. One that reads the platform vouches for its document instead, for a short time.
+
+use std::time::Duration;
+
+/// Age up to which the word of another daemon counts.
+const LASTS: Duration = Duration::from_secs(1);
+
+/// When a daemon last knew that its document was the newest one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Freshness {
+    known_at: Option<Duration>,
+    /// Whether the platform is read and has answered the last time.
+    reads: bool,
+}
+
+impl Freshness {
+    /// The platform was read.
+    pub fn read(&mut self, now: Duration) {
+        self.known_at = Some(now);
+        self.reads = true;
+    }
+
+    /// The platform is out of reach, or read no more.
+    pub fn lost(&mut self) {
+        self.reads = false;
+    }
+
+    /// Another daemon said that no newer document was there `age` ago; returns whether that counts.
+    pub fn told(&mut self, age: Duration, now: Duration) -> bool {
+        let counts = age <= LASTS;
+        if counts {
+            self.known_at = self.known_at.max(Some(now.saturating_sub(age)));
+        }
+        counts
+    }
+
+    /// Time since the document was known to be the newest one, if it ever was.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        if self.reads {
+            return Some(Duration::ZERO);
+        }
+        self.known_at.map(|at| now.saturating_sub(at))
+    }
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,6 +10,7 @@
 
 mod confirmation;
 mod documents;
+mod freshness;
 mod pull;
 mod tree;
 mod window;
@@ -18,8 +19,10 @@
     Attestation, CHALLENGE_LIFE, Challenges, Confirmation, DRIFT, LEASE, ReceivedChallenge,
 };
 pub use documents::{
-    DocumentReading, ReadReason, document_relays, is_document_relay, keeps_copy, notice_targets,
+    DocumentReading, ReadReason, document_relays, document_relays_beside, is_document_relay,
+    keeps_copy, notice_targets,
 };
+pub use freshness::Freshness;
 pub use pull::{Ask, PULLS_AT_ONCE, PullAdmission, PullLimiter, STALE_AFTER, Staleness};
 pub use tree::{FAN_OUT, RELAYS, children, push_order, relays};
 pub use window::{
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -362,3 +362,25 @@
         all.iter().any(|member| member.id == **id && is_document_relay(&all, member))
     }));
 }
+
+/// Guards against daemons that confirm each other's old document for ever, and against one that vouches for its
+/// document after the platform is out of its reach.
+#[test]
+fn freshness_ages() {
+    let mut reader = Freshness::default();
+    assert_eq!(reader.age(MS(0)), None);
+    reader.read(MS(100));
+    assert_eq!(reader.age(MS(30_000)), Some(MS(0)), "it reads on");
+    reader.read(MS(30_100));
+    reader.lost();
+    assert_eq!(reader.age(MS(30_500)), Some(MS(400)));
+    let mut told = Freshness::default();
+    assert!(told.told(MS(400), MS(7_000)));
+    assert_eq!(told.age(MS(7_300)), Some(MS(700)));
+    let mut late = Freshness::default();
+    assert!(!late.told(MS(1_300), MS(8_000)), "too old");
+    assert_eq!(late.age(MS(8_000)), None);
+    let mut known = told;
+    assert!(known.told(MS(900), MS(7_300)));
+    assert_eq!(known.age(MS(7_300)), Some(MS(700)), "what it knew is newer");
+}
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -12,9 +12,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use baobabreel_client::wire::{DocumentNotice, DocumentQuery, PackedDocument, Position};
+use baobabreel_client::wire::{
+    DocumentAnswer, DocumentNotice, DocumentQuery, PackedDocument, Position,
+};
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion};
-use baobabreel_core::relay::{DocumentReading, ReadReason, notice_targets};
+use baobabreel_core::relay::{
+    DocumentReading, Freshness, ReadReason, document_relays_beside, notice_targets,
+};
 
 use crate::context::{Cx, Phase};
 use crate::sync::lock;
@@ -34,6 +38,12 @@
 /// Time for a peer to hand over its document.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for a relay to tell whether the document of a daemon that starts is the newest one.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause before the next relay is asked to confirm it.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Time after the start from which a document of a peer suffices to serve. Until then the platform,
 /// which may know a newer one, has time to answer.
 const PEERS_SUFFICE_AFTER: Duration = Duration::from_secs(1);
@@ -69,6 +79,8 @@
     applying: Mutex<()>,
     sources: Mutex<Sources>,
     reading: Mutex<DocumentReading>,
+    freshness: Mutex<Freshness>,
+    /// Whether the newest document is a copy that nothing has confirmed.
     is_unconfirmed: AtomicBool,
 }
 
@@ -91,10 +103,10 @@
         self.newest.load_full()
     }
 
-    /// The newest document for a peer, if it is newer than what the peer has.
-    pub fn newer_than(&self, query: DocumentQuery) -> Option<PackedDocument> {
+    /// The newest document as it goes between daemons, if it is newer than `known`.
+    pub fn newer_than(&self, known: Option<DocumentVersion>) -> Option<PackedDocument> {
         let newest = self.newest.load_full()?;
-        if query.known.is_some_and(|known| newest.document.version <= known) {
+        if known.is_some_and(|known| newest.document.version <= known) {
             return None;
         }
         if let Some(packed) = newest.packed.get() {
@@ -137,6 +149,18 @@
     }
 }
 
+/// Answers another daemon that asks for a newer document, or whether there is one.
+pub fn answer(cx: &Cx, query: DocumentQuery) -> DocumentAnswer {
+    // The age is that of the document whose version the position tells, or of an older one.
+    let age = lock(&cx.documents.freshness).age(cx.clock.now());
+    let newer = if query.with_document { cx.documents.newer_than(query.known) } else { None };
+    DocumentAnswer {
+        position: cx.position(),
+        newer,
+        confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+    }
+}
+
 /// Puts a document in force unless a newer one is.
 pub fn offer(cx: &Cx, document: Document, origin: Origin) {
     let documents = &cx.documents;
@@ -163,19 +187,27 @@
         }
     }
     drop(applying);
-    if origin == Origin::Platform {
-        serve_if_configured(cx);
-    } else {
-        check_ready(cx);
+    match origin {
+        Origin::Platform => confirm(cx),
+        Origin::Peer(_) => check_ready(cx),
+        Origin::Copy => {
+            tokio::spawn(ask_to_confirm(Arc::clone(cx)));
+        }
     }
 }
 
 /// Starts to serve, as the document in force is the newest one of the platform.
 pub fn confirm(cx: &Cx) {
+    lock(&cx.documents.freshness).read(cx.clock.now());
     cx.documents.is_unconfirmed.store(false, Ordering::Release);
     serve_if_configured(cx);
 }
 
+/// Takes note that the platform is out of reach, or read no more.
+pub fn platform_lost(cx: &Cx) {
+    lock(&cx.documents.freshness).lost();
+}
+
 /// Starts to serve with a copy or the document of a peer once the platform has had time to answer.
 pub fn check_ready(cx: &Cx) {
     let is_unconfirmed = cx.documents.is_unconfirmed();
@@ -238,13 +270,49 @@
 /// Asks the peers that are ahead, one after the other, until none is left that still is.
 async fn pull(cx: Cx) {
     while let Some(from) = cx.documents.next_source() {
-        let query = DocumentQuery { known: cx.documents.version() };
-        let answer: Option<Option<PackedDocument>> =
-            cx.ask_peer(from, DOCUMENT_PATH, &query, PULL_TIMEOUT).await;
-        let Some(Some(packed)) = answer else { continue };
-        match Document::try_from(&packed) {
-            Ok(document) => offer(&cx, document, Origin::Peer(from)),
-            Err(e) => tracing::warn!(%from, error = %e, "a peer handed over a bad document"),
+        ask(&cx, from, true, PULL_TIMEOUT).await;
+    }
+}
+
+/// Asks the relays of the data centre in turn whether the document is the newest one, until this daemon serves.
+async fn ask_to_confirm(cx: Cx) {
+    for turn in 0.. {
+        if cx.phase() != Phase::Starting {
+            return;
+        }
+        if let Some(relay) = relay_beside(&cx, turn) {
+            ask(&cx, relay, false, CONFIRM_TIMEOUT).await;
         }
+        tokio::time::sleep(CONFIRM_PAUSE).await;
+    }
+}
+
+fn relay_beside(cx: &Cx, turn: usize) -> Option<SocketAddr> {
+    let members = cx.members.load();
+    let relays = document_relays_beside(members.live(), members.get(&cx.identity.id)?);
+    let index = turn.checked_rem(relays.len())?;
+    Some(relays[index].peer_addr)
+}
+
+/// Asks a daemon whether it has a newer document, and for that document if it is wanted.
+async fn ask(cx: &Cx, from: SocketAddr, with_document: bool, timeout: Duration) {
+    let query = DocumentQuery { known: cx.documents.version(), with_document };
+    let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
+    let Some(answer) = answer else { return };
+    match answer.newer.as_ref().map(Document::try_from) {
+        Some(Ok(document)) => offer(cx, document, Origin::Peer(from)),
+        Some(Err(e)) => tracing::warn!(%from, error = %e, "a peer handed over a bad document"),
+        None => {}
+    }
+    if !with_document {
+        note_position(cx, from, answer.position);
+    }
+    let is_behind = cx.documents.is_news(answer.position.config.offset);
+    let confirmed = answer.confirmed_ms.filter(|_| !is_behind).map(Duration::from_millis);
+    if let Some(age) = confirmed
+        && lock(&cx.documents.freshness).told(age, cx.clock.now())
+    {
+        cx.documents.is_unconfirmed.store(false, Ordering::Release);
+        serve_if_configured(cx);
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -20,7 +20,9 @@
 
 pub use announce::{Announcement, BackendTracker};
 pub use distribution::Distribution;
-pub use documents::{Documents, Origin, confirm as confirm_document, offer as offer_document};
+pub use documents::{
+    Documents, Origin, confirm as confirm_document, offer as offer_document, platform_lost,
+};
 pub use follower::Follower;
 pub use membership::{Introduced, Leave, LocalChanged, Membership};
 pub use push::encoded;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -90,7 +90,7 @@
 
 fn document(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let query: DocumentQuery = read(body)?;
-    answer(&cx.documents.newer_than(query))
+    answer(&documents::answer(cx, query))
 }
 
 fn notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use baobabreel_client::wire::{DocumentQuery, PackedDocument};
+use baobabreel_client::wire::PackedDocument;
 use baobabreel_core::config::Document;
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
 use baobabreel_core::membership::Member;
@@ -20,7 +20,7 @@
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
 use crate::control::{
     BackendTracker, Control, Introduced, Leave, LocalChanged, Origin, confirm_document,
-    offer_document,
+    offer_document, platform_lost,
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_small};
 use crate::operators::serve_operators;
@@ -312,10 +312,21 @@
         confirm_document(&self.cx);
     }
 
+    /// Tells that the adapter cannot read the platform, or reads it no more.
+    pub fn platform_lost(&self) {
+        platform_lost(&self.cx);
+    }
+
+    /// Whether requests are served; until then the document in force may not be the newest one.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.cx.phase() != Phase::Starting
+    }
+
     /// The document in force, as it goes between daemons.
     #[must_use]
     pub fn packed_document(&self) -> Option<PackedDocument> {
-        self.cx.documents.newer_than(DocumentQuery { known: None })
+        self.cx.documents.newer_than(None)
     }
 
     /// Whether the adapter is to keep a copy of the newest document for daemons that start.
@@ -334,9 +345,9 @@
         cx.documents.read_reason(cx.is_relay(), cx.clock.now())
     }
 
-    /// Makes other daemons known, as the platform lists them.
+    /// Makes other daemons known, as the platform lists them; they are when this returns.
     pub async fn introduce(&self, members: Vec<Member>) {
-        if self.control.membership.tell(Introduced(members)).await.is_err() {
+        if self.control.membership.ask(Introduced(members)).await.is_err() {
             tracing::debug!("the membership actor has stopped");
         }
     }
