--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -270,7 +270,8 @@
 /// Asks the peers that are ahead, one after the other, until none is left that still is.
 async fn pull(cx: Cx) {
     while let Some(from) = cx.documents.next_source() {
-        ask(&cx, from, true, PULL_TIMEOUT).await;
+        let query = DocumentQuery { known: cx.documents.version(), with_document: true };
+        ask(&cx, from, query, PULL_TIMEOUT).await;
     }
 }
 
@@ -281,7 +282,8 @@
             return;
         }
         if let Some(relay) = relay_beside(&cx, turn) {
-            ask(&cx, relay, false, CONFIRM_TIMEOUT).await;
+            let query = DocumentQuery { known: cx.documents.version(), with_document: false };
+            ask(&cx, relay, query, CONFIRM_TIMEOUT).await;
         }
         tokio::time::sleep(CONFIRM_PAUSE).await;
     }
@@ -295,8 +297,7 @@
 }
 
 /// Asks a daemon whether it has a newer document, and for that document if it is wanted.
-async fn ask(cx: &Cx, from: SocketAddr, with_document: bool, timeout: Duration) {
-    let query = DocumentQuery { known: cx.documents.version(), with_document };
+async fn ask(cx: &Cx, from: SocketAddr, query: DocumentQuery, timeout: Duration) {
     let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
     let Some(answer) = answer else { return };
     match answer.newer.as_ref().map(Document::try_from) {
@@ -304,7 +305,7 @@
         Some(Err(e)) => tracing::warn!(%from, error = %e, "a peer handed over a bad document"),
         None => {}
     }
-    if !with_document {
+    if !query.with_document {
         note_position(cx, from, answer.position);
     }
     let is_behind = cx.documents.is_news(answer.position.config.offset);
@@ -313,6 +314,10 @@
         && lock(&cx.documents.freshness).told(age, cx.clock.now())
     {
         cx.documents.is_unconfirmed.store(false, Ordering::Release);
+        if cx.phase() == Phase::Starting {
+            let version = cx.documents.version();
+            tracing::info!(%from, version, ?age, "a peer confirms the configuration");
+        }
         serve_if_configured(cx);
     }
 }
