--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -70,9 +70,7 @@
 /// Whether `own` is a relay for documents in its data centre.
 #[must_use]
 pub fn is_document_relay<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> bool {
-    by_data_centre(members)
-        .get(own.data_centre.as_str())
-        .is_some_and(|members| split_relays(members).0.contains(&own.id.as_str()))
+    split_relays(&beside(members, own)).0.contains(&own.id.as_str())
 }
 
 /// The other relays for documents in the data centre of `own`.
@@ -81,9 +79,8 @@
     members: impl IntoIterator<Item = &'a Member>,
     own: &Member,
 ) -> Vec<&'a Member> {
-    let by_data_centre = by_data_centre(members);
-    let Some(members) = by_data_centre.get(own.data_centre.as_str()) else { return Vec::new() };
-    let relays = split_relays(members).0.into_iter().filter(|id| *id != own.id);
+    let members = beside(members, own);
+    let relays = split_relays(&members).0.into_iter().filter(|id| *id != own.id);
     relays.map(|id| members[id]).collect()
 }
 
@@ -94,6 +91,16 @@
     (relays, others)
 }
 
+/// Live members of the data centre of `own`.
+fn beside<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    own: &Member,
+) -> BTreeMap<&'a str, &'a Member> {
+    let live = members.into_iter().filter(|member| member.is_live());
+    let here = live.filter(|member| member.data_centre == own.data_centre);
+    here.map(|member| (member.id.as_str(), member)).collect()
+}
+
 fn by_data_centre<'a>(
     members: impl IntoIterator<Item = &'a Member>,
 ) -> BTreeMap<&'a str, BTreeMap<&'a str, &'a Member>> {
@@ -116,6 +123,8 @@
     Silence,
     /// It knows of a newer document and could not fetch it.
     Behind,
+    /// Nobody has confirmed the copy that it started from.
+    Unconfirmed,
 }
 
 /// What a daemon knows about its way to newer documents.
--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -8,10 +8,16 @@
 /// Age up to which the word of another daemon counts.
 const LASTS: Duration = Duration::from_secs(1);
 
+/// Time in which others can confirm a copy of the document before the platform is asked. When that takes longer,
+/// a large document has changed, and relays with slow links cannot hand it to all at once.
+const CONFIRM_TIME: Duration = Duration::from_millis(150);
+
 /// When a daemon last knew that its document was the newest one.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
     known_at: Option<Duration>,
+    /// When the daemon took a copy that may be behind.
+    copied_at: Option<Duration>,
     /// Whether the platform is read and has answered the last time.
     reads: bool,
 }
@@ -37,6 +43,24 @@
         counts
     }
 
+    /// A copy was taken that may be behind.
+    pub fn copied(&mut self, now: Duration) {
+        self.copied_at = Some(now);
+    }
+
+    /// Whether no document of this daemon was ever known to be the newest one.
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        self.known_at.is_none()
+    }
+
+    /// Whether nobody has confirmed the copy in time.
+    #[must_use]
+    pub fn is_overdue(&self, now: Duration) -> bool {
+        let waited = self.copied_at.map(|at| now.saturating_sub(at));
+        self.is_unknown() && waited.is_some_and(|time| time >= CONFIRM_TIME)
+    }
+
     /// Time since the document was known to be the newest one, if it ever was.
     #[must_use]
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -384,3 +384,15 @@
     assert!(known.told(MS(900), MS(7_300)));
     assert_eq!(known.age(MS(7_300)), Some(MS(700)), "what it knew is newer");
 }
+
+/// Guards against a daemon that stays with a copy that nobody confirms instead of reading the platform.
+#[test]
+fn copy_that_nobody_confirms_is_overdue() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_overdue(MS(9_000)), "there is no copy");
+    freshness.copied(MS(100));
+    assert!(freshness.is_unknown() && !freshness.is_overdue(MS(200)));
+    assert!(freshness.is_overdue(MS(250)));
+    assert!(freshness.told(MS(400), MS(260)));
+    assert!(!freshness.is_unknown() && !freshness.is_overdue(MS(9_000)));
+}
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -14,7 +14,7 @@
 use super::membership::LocalChanged;
 use crate::adapter::BackendMessage;
 use crate::context::Cx;
-use crate::proxy::{self, BackendInfo, HEALTH_PATH, Protocol};
+use crate::proxy::{self, BackendInfo, Protocol, health_path};
 use crate::sync::lock;
 
 /// Time after the last announcement from which the health endpoint is asked: three announcements.
@@ -212,8 +212,7 @@
                 return None;
             }
             if let Some(known) = cx.config.load().services.get(service) {
-                let path = known.health_path.as_deref().unwrap_or(HEALTH_PATH);
-                return Some(path.to_owned());
+                return Some(health_path(known).to_owned());
             }
             tokio::time::sleep(CONFIG_CHECK).await;
         }
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -7,7 +7,6 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -68,6 +67,7 @@
 pub struct Newest {
     /// The document.
     pub document: Document,
+    origin: Origin,
     packed: OnceLock<PackedDocument>,
 }
 
@@ -80,8 +80,6 @@
     sources: Mutex<Sources>,
     reading: Mutex<DocumentReading>,
     freshness: Mutex<Freshness>,
-    /// Whether the newest document is a copy that nothing has confirmed.
-    is_unconfirmed: AtomicBool,
 }
 
 /// Peers that are known to have a newer document.
@@ -123,13 +121,16 @@
 
     /// Whether the document in force is a copy that nothing has confirmed; newer routes may be missing.
     pub fn is_unconfirmed(&self) -> bool {
-        self.is_unconfirmed.load(Ordering::Acquire)
+        let is_copy = self.newest.load().as_ref().is_some_and(|n| n.origin == Origin::Copy);
+        is_copy && lock(&self.freshness).is_unknown()
     }
 
     /// Why this daemon is to read the platform itself, if it is.
     pub fn read_reason(&self, is_relay: bool, now: Duration) -> Option<ReadReason> {
         let routes = self.newest.load().as_ref().map_or(0, |newest| newest.document.routes.len());
-        lock(&self.reading).reason(is_relay, routes, now)
+        let reason = lock(&self.reading).reason(is_relay, routes, now);
+        let is_overdue = || lock(&self.freshness).is_overdue(now);
+        reason.or_else(|| is_overdue().then_some(ReadReason::Unconfirmed))
     }
 
     /// Next peer that has a newer document; without one, nobody is asked any more.
@@ -176,8 +177,8 @@
             ?origin,
             "configuration applied"
         );
-        documents.newest.store(Some(Arc::new(Newest { document, packed: OnceLock::new() })));
-        documents.is_unconfirmed.store(origin == Origin::Copy, Ordering::Release);
+        let newest = Newest { document, origin, packed: OnceLock::new() };
+        documents.newest.store(Some(Arc::new(newest)));
         lock(&documents.reading).caught_up();
         cx.metrics.config(position.config.offset, false);
         cx.set_config(config, cx.clock.now());
@@ -191,6 +192,7 @@
         Origin::Platform => confirm(cx),
         Origin::Peer(_) => check_ready(cx),
         Origin::Copy => {
+            lock(&documents.freshness).copied(cx.clock.now());
             tokio::spawn(ask_to_confirm(Arc::clone(cx)));
         }
     }
@@ -199,7 +201,6 @@
 /// Starts to serve, as the document in force is the newest one of the platform.
 pub fn confirm(cx: &Cx) {
     lock(&cx.documents.freshness).read(cx.clock.now());
-    cx.documents.is_unconfirmed.store(false, Ordering::Release);
     serve_if_configured(cx);
 }
 
@@ -313,7 +314,6 @@
     if let Some(age) = confirmed
         && lock(&cx.documents.freshness).told(age, cx.clock.now())
     {
-        cx.documents.is_unconfirmed.store(false, Ordering::Release);
         if cx.phase() == Phase::Starting {
             let version = cx.documents.version();
             tracing::info!(%from, version, ?age, "a peer confirms the configuration");
--- a/crates/daemon/src/http1/chunks.rs
+++ b/crates/daemon/src/http1/chunks.rs
@@ -62,8 +62,7 @@
                     if buf.is_empty() {
                         return Ok(Piece::Missing);
                     }
-                    let most = usize::try_from(left).unwrap_or(usize::MAX);
-                    let data = buf.split_to(buf.len().min(most)).freeze();
+                    let data = take_at_most(buf, left);
                     let left = left - data.len() as u64;
                     self.state = if left == 0 { State::DataEnd } else { State::Data(left) };
                     return Ok(Piece::Data(data));
@@ -91,6 +90,12 @@
     }
 }
 
+/// Takes up to `most` bytes from the front of `buf`.
+pub fn take_at_most(buf: &mut BytesMut, most: u64) -> Bytes {
+    let most = usize::try_from(most).unwrap_or(usize::MAX);
+    buf.split_to(buf.len().min(most)).freeze()
+}
+
 /// Takes a line without its end.
 fn take_line(buf: &mut BytesMut) -> Result<Option<BytesMut>, BadChunk> {
     let Some(at) = buf.iter().take(MAX_LINE_BYTES).position(|byte| *byte == b'\n') else {
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::chunks::{ChunkDecoder, Piece};
+use super::chunks::{ChunkDecoder, Piece, take_at_most};
 use super::head::{self, Framing, Head};
 use super::writer::{Answer, Pending};
 use super::{HeadFault, Service};
@@ -127,8 +127,7 @@
             if self.buf.is_empty() {
                 self.fill().await?;
             }
-            let most = usize::try_from(left).unwrap_or(usize::MAX);
-            let data = self.buf.split_to(self.buf.len().min(most)).freeze();
+            let data = take_at_most(&mut self.buf, left);
             left -= data.len() as u64;
             sender.send(data).await;
         }
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -150,17 +150,11 @@
 
     fn limits(&self) -> HeadLimits {
         let config = self.cx.config.load();
-        match &config.limits {
-            Some(limits) => HeadLimits {
-                bytes: limits.header_bytes * HEADER_READ_FACTOR,
-                timeout: limits.header_timeout,
-                idle: limits.idle_timeout,
-            },
-            None => HeadLimits {
-                bytes: self.cx.settings.limits.header_bytes * HEADER_READ_FACTOR,
-                timeout: HEADER_TIMEOUT,
-                idle: IDLE_TIMEOUT,
-            },
+        let limits = config.limits.as_ref();
+        HeadLimits {
+            bytes: header_bytes(&self.cx) * HEADER_READ_FACTOR,
+            timeout: limits.map_or(HEADER_TIMEOUT, |limits| limits.header_timeout),
+            idle: limits.map_or(IDLE_TIMEOUT, |limits| limits.idle_timeout),
         }
     }
 
@@ -169,11 +163,14 @@
     }
 }
 
+/// Largest header section of a request, in bytes.
+fn header_bytes(cx: &Cx) -> usize {
+    let of_config = cx.config.load().limits.as_ref().map(|limits| limits.header_bytes);
+    of_config.unwrap_or(cx.settings.limits.header_bytes)
+}
+
 async fn answer(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
-    let config = cx.config.load();
-    let of_config = config.limits.as_ref().map(|limits| limits.header_bytes);
-    let most = of_config.unwrap_or(cx.settings.limits.header_bytes);
-    drop(config);
+    let most = header_bytes(&cx);
     if section_bytes(req.uri(), req.headers()) > most {
         let detail = format!("the header section has more than {most} bytes");
         let e = CallError::new(ErrorKind::HeaderTooLarge, detail);
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
-use baobabreel_core::config::CompiledConfig;
+use baobabreel_core::config::{CompiledConfig, ServicePolicy};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::{InstanceId, ServiceName};
 use baobabreel_core::membership::MemberState;
@@ -27,8 +27,8 @@
 use crate::settings::Policy;
 use crate::sync::lock;
 
-/// Path of the health endpoint of a backend server.
-pub const HEALTH_PATH: &str = "/health";
+/// Path of the health endpoint of a backend server, unless the configuration names another.
+const HEALTH_PATH: &str = "/health";
 
 /// Time that is left for the way back when a queued request starts.
 const ANSWER_MARGIN: Duration = Duration::from_millis(1);
@@ -181,8 +181,9 @@
 
     /// Path of the health endpoint.
     pub fn health_path(&self, config: &CompiledConfig) -> String {
-        let service = self.info().and_then(|info| config.services.get(&info.service).cloned());
-        service.and_then(|s| s.health_path).unwrap_or_else(|| HEALTH_PATH.to_owned())
+        let info = self.info();
+        let service = info.and_then(|info| config.services.get(&info.service));
+        service.map_or(HEALTH_PATH, health_path).to_owned()
     }
 
     /// Load as admission sees it.
@@ -264,6 +265,11 @@
     }
 }
 
+/// Path of the health endpoint of the backend servers of a service.
+pub fn health_path(service: &ServicePolicy) -> &str {
+    service.health_path.as_deref().unwrap_or(HEALTH_PATH)
+}
+
 fn load_of(admission: &Admission) -> LoadWire {
     let load = admission.load();
     LoadWire { running: load.running, queued: load.queued, slots: admission.slots() }
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -30,7 +30,7 @@
 pub use dispatch::candidate;
 pub use entry::serve_caller;
 pub use headers::{OUTCOME, TIMEOUT, has_token, section_bytes};
-pub use host::{BackendInfo, HEALTH_PATH, Host};
+pub use host::{BackendInfo, Host, health_path};
 pub use peer_call::{is_call, serve_peer_call};
 pub use pool::{PeerError, PeerPool, Protocol, RestLimit};
 pub use question::ask_backend;
