End the polls of a data centre one after another

The store falls silent from 18.0 to 26.0 s, while the readers have polls of 30 s open. These polls are never answered. Nothing ended them before 32 s later, so no reader saw the change that the store acknowledged at 29.5 s, and daemons answered as version 11 says at 32.5 s. No daemon had printed that the store was lost.

Ruled out: the way of the change between daemons; it was in force everywhere once one daemon had it.

Change: the polls of the readers of a data centre end one after another, 1.5 s apart, so a lost one is noticed soon (PollTurn, a pure decision). Weighed: short polls of all readers (18 readers of 90 daemons would make 540 calls a minute instead of 40), and calls that only ask whether the store lives, which do not tell whether open polls are lost.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -33,6 +33,13 @@
 /// itself.
 const MAX_RELAYED_ROUTES: usize = 10_000;
 
+/// Time between the ends of two polls of a data centre. The platform may lose an open poll, which then
+/// looks like one without news, so this bounds the time until a reader notices the loss.
+const POLL_END_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Longest time for which a poll is open, whatever the number of readers.
+const MAX_POLL_TIME: Duration = Duration::from_secs(30);
+
 /// Number of document relays in a data centre of `members` daemons; it may be larger than
 /// `members`.
 #[must_use]
@@ -46,21 +53,65 @@
 
 /// Live members that `own` notifies of a newer document: all of its data centre that are not
 /// relays, and a few such daemons in each other data centre. `own` itself is left out.
+///
+/// After a loss of the platform, the polls of the other relays may be lost as well, so
+/// `includes_relays` adds those of the own data centre.
 #[must_use]
 pub fn notice_targets<'a>(
     members: impl IntoIterator<Item = &'a Member>,
     own: &Member,
+    includes_relays: bool,
 ) -> Vec<&'a Member> {
     let mut targets = Vec::new();
     for (data_centre, members) in by_data_centre(members) {
-        let (_, others) = split_relays(&members);
-        let max_targets = if data_centre == own.data_centre { usize::MAX } else { REMOTE_TARGETS };
-        let ids = others.into_iter().take(max_targets);
+        let (relays, others) = split_relays(&members);
+        let is_own = data_centre == own.data_centre;
+        let max_targets = if is_own { usize::MAX } else { REMOTE_TARGETS };
+        let relays = relays.into_iter().filter(|_| is_own && includes_relays);
+        let ids = others.into_iter().take(max_targets).chain(relays);
         targets.extend(ids.filter(|id| *id != own.id).map(|id| members[id]));
     }
     targets
 }
 
+/// Place of a daemon among those of its data centre that poll the platform.
+///
+/// Polls that all start together, as after a change, end one after another at equal distances, so
+/// that some reader soon notices when the platform has lost the polls that were open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PollTurn {
+    /// Number of readers before this one.
+    pub rank: usize,
+    /// Number of readers.
+    pub readers: usize,
+}
+
+impl PollTurn {
+    /// Place of `own`, which reads the platform.
+    #[must_use]
+    pub fn of<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> Self {
+        let members = local_members(members, own);
+        let (relays, others) = split_relays(&members);
+        let rank = |ids: &[&str]| ids.iter().position(|id| *id == own.id);
+        match rank(&relays) {
+            Some(rank) => Self { rank, readers: relays.len() },
+            // A daemon that is not a relay reads only if all may have to.
+            None => Self {
+                rank: relays.len() + rank(&others).unwrap_or(others.len()),
+                readers: members.len().max(1),
+            },
+        }
+    }
+
+    /// How long the next poll may stay open; `is_first` says that it follows news or a failure.
+    #[must_use]
+    pub fn poll_time(self, is_first: bool) -> Duration {
+        let intervals = if is_first { self.rank + 1 } else { self.readers };
+        let intervals = u32::try_from(intervals).unwrap_or(u32::MAX);
+        POLL_END_INTERVAL.saturating_mul(intervals).min(MAX_POLL_TIME)
+    }
+}
+
 /// Rendezvous key by which the relay is chosen that keeps the copy of the newest document.
 const COPY_KEY: &[u8] = b"document copy";
 
--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -36,6 +36,12 @@
         self.reads = false;
     }
 
+    /// Whether the platform is read and has answered the last time.
+    #[must_use]
+    pub fn is_reading(&self) -> bool {
+        self.reads
+    }
+
     /// Records that another daemon knew of no newer document `age` ago; returns whether this was
     /// accepted.
     pub fn confirmed_by_peer(&mut self, age: Duration, now: Duration) -> bool {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -21,7 +21,7 @@
     ReceivedChallenge,
 };
 pub use documents::{
-    DocumentReadPolicy, ReadReason, document_relay_count, is_document_relay, keeps_copy,
+    DocumentReadPolicy, PollTurn, ReadReason, document_relay_count, is_document_relay, keeps_copy,
     notice_targets, other_document_relays,
 };
 pub use freshness::Freshness;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -350,7 +350,7 @@
         })
         .collect();
     let own = &all[0];
-    let targets = notice_targets(&all, own);
+    let targets = notice_targets(&all, own, false);
     let targets_elsewhere: Vec<_> =
         targets.iter().filter(|m| m.data_centre != own.data_centre).collect();
     let of_other: Vec<&Member> = all.iter().filter(|m| m.data_centre == "hobart-b").collect();
@@ -364,11 +364,43 @@
     assert_eq!(targets_here, if is_relay { 16 } else { 15 });
     let reading = all.iter().filter(|member| is_document_relay(&all, member));
     assert_eq!(reading.count(), 8, "4 relays in each data centre");
+    let after_loss = notice_targets(&all, own, true);
+    let local = after_loss.iter().filter(|m| m.data_centre == own.data_centre);
+    assert_eq!(local.count(), 19, "after a loss, the relays are notified too");
     assert!(own_readers.iter().chain(&readers).all(|id| {
         all.iter().any(|member| member.id == **id && is_document_relay(&all, member))
     }));
 }
 
+/// Guards against readers that all wait on polls which the platform has lost, and against the cost of
+/// short polls where there are many readers.
+///
+/// The load pattern: all polls start at the same moment, after a change, and are lost at any later one.
+#[test]
+fn some_poll_of_a_data_centre_ends_soon() {
+    const LONGEST_BLINDNESS: Duration = Duration::from_millis(2_000);
+    for members in [1, 3, 8, 40, 90] {
+        let all: Vec<Member> =
+            (0..members).map(|i| Member { state: MemberState::Ready, ..member(i, 0) }).collect();
+        let readers: Vec<_> = all.iter().filter(|own| is_document_relay(&all, own)).collect();
+        let mut ends = Vec::new();
+        for own in &readers {
+            let turn = PollTurn::of(&all, own);
+            assert_eq!(turn.readers, readers.len());
+            let mut end = turn.poll_time(true);
+            while end < Duration::from_secs(60) {
+                ends.push(end);
+                end += turn.poll_time(false);
+            }
+        }
+        ends.sort();
+        let gaps = ends.windows(2).map(|pair| pair[1] - pair[0]);
+        let longest = gaps.chain([ends[0]]).max().expect("there are polls");
+        assert!(longest <= LONGEST_BLINDNESS, "{members} members: {longest:?} without an end");
+        assert!(ends.len() <= 60, "{members} members: {} polls a minute", ends.len());
+    }
+}
+
 /// Guards against daemons that keep confirming each other's old document, and against a daemon that confirms
 /// its document as current after it has lost the platform.
 #[test]
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -184,7 +184,9 @@
         cx.set_config(config, cx.clock.now());
         cx.set_position(position);
         if cx.is_relay() || is_from_other_data_centre(cx, origin) {
-            notify_others(cx, position);
+            let is_after_loss =
+                origin == Origin::Platform && !lock(&documents.freshness).is_reading();
+            notify_others(cx, position, is_after_loss);
         }
     }
     drop(applying);
@@ -233,12 +235,16 @@
     sender.is_some_and(|sender| sender.data_centre != cx.identity.data_centre)
 }
 
-/// Notifies daemons that do not read the platform that this daemon has a newer document.
-fn notify_others(cx: &Cx, position: Position) {
+/// Notifies daemons that do not read the platform that this daemon has a newer document. After a loss
+/// of the platform, `includes_relays` adds those that do.
+fn notify_others(cx: &Cx, position: Position, includes_relays: bool) {
     let members = cx.members.load();
     let Some(own) = members.get(&cx.identity.id) else { return };
     let notice = DocumentNotice { from: cx.identity.peer_addr, position };
-    for to in notice_targets(members.live(), own).into_iter().map(|member| member.peer_addr) {
+    for to in notice_targets(members.live(), own, includes_relays)
+        .into_iter()
+        .map(|member| member.peer_addr)
+    {
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
             let taken: Option<()> = cx.ask_peer(to, NOTICE_PATH, &notice, NOTICE_TIMEOUT).await;
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use baobabreel_client::wire::PackedDocument;
-use baobabreel_core::config::Document;
+use baobabreel_core::config::{Document, DocumentVersion};
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
 use baobabreel_core::membership::Member;
-use baobabreel_core::relay::{ReadReason, keeps_copy};
+use baobabreel_core::relay::{PollTurn, ReadReason, keeps_copy};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Request, StatusCode};
@@ -359,6 +359,24 @@
         cx.documents.read_reason(cx.is_relay(), cx.clock.now())
     }
 
+    /// How long the next poll of the platform may stay open; `is_first` says that it follows news or a
+    /// failure.
+    #[must_use]
+    pub fn poll_time(&self, is_first: bool) -> Duration {
+        let members = self.cx.members.load();
+        let turn = match members.get(&self.cx.identity.id) {
+            Some(own) => PollTurn::of(members.live(), own),
+            None => PollTurn { rank: 0, readers: 1 },
+        };
+        turn.poll_time(is_first)
+    }
+
+    /// Version of the document in force.
+    #[must_use]
+    pub fn document_version(&self) -> Option<DocumentVersion> {
+        self.cx.documents.version()
+    }
+
     /// Adds the daemons that the platform lists to the members; returns once this is done.
     pub async fn introduce(&self, members: Vec<Member>) {
         if self.control.membership.ask(ListedMembers(members)).await.is_err() {
