--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -33,10 +33,13 @@
 /// itself.
 const MAX_RELAYED_ROUTES: usize = 10_000;
 
-/// Time between the ends of two polls of a data centre. The platform may lose an open poll, which then
-/// looks like one without news, so this bounds the time until a reader notices the loss.
+/// Time between the ends of two polls of the only data centre. The platform may lose an open poll, which
+/// then looks like one without news, so this bounds the time until a reader notices the loss.
 const POLL_END_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// The same for each of several data centres, which also notify each other.
+const POLL_END_INTERVAL_OF_SEVERAL: Duration = Duration::from_secs(3);
+
 /// Longest time for which a poll is open, whatever the number of readers.
 const MAX_POLL_TIME: Duration = Duration::from_secs(30);
 
@@ -84,21 +87,31 @@
     pub rank: usize,
     /// Number of readers.
     pub readers: usize,
+    /// Number of data centres before that of the daemon.
+    pub data_centre_rank: usize,
+    /// Number of data centres with live daemons.
+    pub data_centres: usize,
 }
 
 impl PollTurn {
     /// Place of `own`, which reads the platform.
     #[must_use]
     pub fn of<'a>(members: impl IntoIterator<Item = &'a Member>, own: &Member) -> Self {
-        let members = local_members(members, own);
+        let mut data_centres = by_data_centre(members);
+        let members = data_centres.remove(own.data_centre.as_str()).unwrap_or_default();
+        let data_centre_rank =
+            data_centres.keys().filter(|name| **name < own.data_centre.as_str()).count();
+        let data_centres = data_centres.len() + 1;
         let (relays, others) = split_relays(&members);
         let rank = |ids: &[&str]| ids.iter().position(|id| *id == own.id);
         match rank(&relays) {
-            Some(rank) => Self { rank, readers: relays.len() },
+            Some(rank) => Self { rank, readers: relays.len(), data_centre_rank, data_centres },
             // A daemon that is not a relay reads only if all may have to.
             None => Self {
                 rank: relays.len() + rank(&others).unwrap_or(others.len()),
                 readers: members.len().max(1),
+                data_centre_rank,
+                data_centres,
             },
         }
     }
@@ -106,9 +119,17 @@
     /// How long the next poll may stay open; `is_first` says that it follows news or a failure.
     #[must_use]
     pub fn poll_time(self, is_first: bool) -> Duration {
-        let intervals = if is_first { self.rank + 1 } else { self.readers };
-        let intervals = u32::try_from(intervals).unwrap_or(u32::MAX);
-        POLL_END_INTERVAL.saturating_mul(intervals).min(MAX_POLL_TIME)
+        let interval = match self.data_centres {
+            1 => POLL_END_INTERVAL,
+            _ => POLL_END_INTERVAL_OF_SEVERAL,
+        };
+        let intervals = if is_first {
+            let part = (self.data_centre_rank + 1) as f64 / self.data_centres as f64;
+            self.rank as f64 + part
+        } else {
+            self.readers as f64
+        };
+        interval.mul_f64(intervals).min(MAX_POLL_TIME)
     }
 }
 
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -366,7 +366,7 @@
         let members = self.cx.members.load();
         let turn = match members.get(&self.cx.identity.id) {
             Some(own) => PollTurn::of(members.live(), own),
-            None => PollTurn { rank: 0, readers: 1 },
+            None => PollTurn { rank: 0, readers: 1, data_centre_rank: 0, data_centres: 1 },
         };
         turn.poll_time(is_first)
     }
