--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod builder;
 mod overload;
 mod queue;
+mod refusal;
 mod routes;
 mod state;
 mod ticket;
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -7,6 +7,7 @@
 use super::builder::AdmissionBuilder;
 use super::overload::OverloadDetector;
 use super::queue::{PendingRequest, Queue};
+use super::refusal::{bounded_retry_after, default_retry_after, refusal, refuse, refuse_for};
 use super::routes::{RouteTable, SmoothedRunTime};
 use super::ticket::{Action, Decision, OfferResult, Ticket, TicketId};
 use super::wait::{ClassRunTimes, wait_secs};
@@ -14,12 +15,6 @@
 use crate::config::Class;
 use crate::error::ErrorKind;
 
-/// Longest time that a refusal asks the caller to wait.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
-
-/// Shortest time that a refusal of a request with a target asks the caller to wait.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// Fraction of the time to spare before its target that a request may be expected to wait under
 /// overload. The rest is a margin, since run times and waits vary.
 const TARGET_WAIT_FRACTION: f64 = 0.6;
@@ -495,32 +490,3 @@
         Duration::try_from_secs_f64(self.waiting_secs(item)).unwrap_or_default()
     }
 }
-
-fn default_retry_after(kind: ErrorKind) -> Duration {
-    kind.answer().retry_after.unwrap_or_default()
-}
-
-/// `estimate`, but at most [`MAX_RETRY_AFTER`] and at least the default of the error kind.
-fn bounded_retry_after(kind: ErrorKind, estimate: Duration) -> Duration {
-    estimate.min(MAX_RETRY_AFTER).max(default_retry_after(kind))
-}
-
-fn refuse(kind: ErrorKind, estimate: Duration) -> Decision {
-    Decision::Refuse { kind, retry_after: bounded_retry_after(kind, estimate) }
-}
-
-/// Refuses a request. With a target, the caller is told the estimate even if it is below the default of
-/// the error kind, a second, since it would have no time left after that.
-fn refuse_for(item: &PendingRequest, kind: ErrorKind, estimate: Duration) -> Decision {
-    match item.target {
-        Some(_) => {
-            let retry_after = estimate.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            Decision::Refuse { kind, retry_after }
-        }
-        None => refuse(kind, estimate),
-    }
-}
-
-fn refusal(item: &PendingRequest, kind: ErrorKind, retry_after: Duration) -> Action {
-    Action::Refuse { id: item.id, kind, retry_after }
-}
