Test answers of backend servers that never end

A backend server, or what sits at its address, may send bytes without end, in a head or in a body, until the caller closes. Ten kinds, fast and slow, through one and through two daemons: each ends within the deadline and a margin, none reaches the caller as a success, none adds more than 32 MiB to the process, and none leaves an open connection.

The daemon had closed the connection in time; the caller, in the same process, was still reading what had been sent. So the test takes the time at which the daemon closes, and for errors the time of the answer as well.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -234,9 +234,9 @@
         self.states.binary_search_by(|state| (*state.name).cmp(name)).ok()
     }
 
-    /// Fills `candidates` from the first of these that has any: the own data centre, all data centres that
-    /// are not avoided, all data centres, ejected endpoints. While all of the own data centre are overloaded, less loaded endpoints of
-    /// others replace them.
+    /// Fills `candidates` from the first of these that has any: the own data centre, all data centres
+    /// that are not avoided, all data centres, ejected endpoints. While all of the own data centre are
+    /// overloaded, less loaded endpoints of others replace them.
     fn collect_candidates(&mut self, now: Duration, exclude: &[&str]) {
         let is_eligible = |s: &EndpointState| s.is_usable(now) && !exclude.contains(&&*s.name);
         self.collect(|s| s.local && is_eligible(s) && !s.is_ejected(now));
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use baobabreel_client::transport::HttpClient;
 use bytes::Bytes;
@@ -164,6 +164,10 @@
 #[derive(Debug, Default)]
 struct Shared {
     answer: Vec<(Vec<u8>, Duration)>,
+    /// Sent after the answer again and again, each with the pause after it.
+    endless_rest: Option<(Vec<u8>, Duration)>,
+    /// When the other end closed the connection of the last endless answer.
+    endless_closed_at: Option<Instant>,
     last_head: String,
 }
 
@@ -206,7 +210,24 @@
     /// Sets the parts of the answer, each with the pause after it.
     pub fn answer_with(&self, parts: &[(&str, Duration)]) {
         let parts = parts.iter().map(|(text, pause)| (text.as_bytes().to_vec(), *pause));
-        lock(&self.shared).answer = parts.collect();
+        let mut shared = lock(&self.shared);
+        shared.answer = parts.collect();
+        shared.endless_rest = None;
+    }
+
+    /// Sets an answer that begins with `start` and goes on with `rest`, again and again with `pause`
+    /// between, until the other end closes the connection.
+    pub fn answer_endlessly(&self, start: &str, rest: &str, pause: Duration) {
+        let mut shared = lock(&self.shared);
+        shared.answer = vec![(start.as_bytes().to_vec(), Duration::ZERO)];
+        shared.endless_rest = Some((rest.as_bytes().to_vec(), pause));
+        shared.endless_closed_at = None;
+    }
+
+    /// When the other end closed the connection of the endless answer, if it has.
+    #[must_use]
+    pub fn endless_closed_at(&self) -> Option<Instant> {
+        lock(&self.shared).endless_closed_at
     }
 
     /// Head of the last request, in lower case.
@@ -225,10 +246,10 @@
             Ok(length) => head.extend(&buf[..length]),
         }
     }
-    let parts = {
+    let (parts, endless_rest) = {
         let mut shared = lock(&shared);
         shared.last_head = String::from_utf8_lossy(&head).to_lowercase();
-        shared.answer.clone()
+        (shared.answer.clone(), shared.endless_rest.clone())
     };
     for (bytes, pause) in parts {
         if stream.write_all(&bytes).await.is_err() {
@@ -236,5 +257,12 @@
         }
         tokio::time::sleep(pause).await;
     }
+    if let Some((rest, pause)) = endless_rest {
+        while stream.write_all(&rest).await.is_ok() {
+            tokio::time::sleep(pause).await;
+        }
+        lock(&shared).endless_closed_at = Some(Instant::now());
+        return;
+    }
     drop(stream.shutdown().await);
 }
--- /dev/null
+++ b/crates/testsuite/tests/endless.rs
@@ -0,0 +1,110 @@
+//! Bytes of a backend server that never end, in a head or in a body.
+
+use std::time::{Duration, Instant};
+
+use baobabreel_testsuite::{RawAnswer, h1, raw_mesh, wait_until};
+
+/// Deadline of the requests, in milliseconds.
+const TIMEOUT_MS: &str = "1000";
+
+/// Longest time until the daemon closes the connection to the backend server, and to an error that
+/// the caller gets: the deadline, and a margin for a busy machine. A caller that reads the start of
+/// an endless body reads at its own speed what the daemon sent before.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Most memory that one endless answer may add to the daemons, in KiB; the buffers of a head and of
+/// a body are far smaller.
+const MEMORY_LIMIT_KIB: u64 = 32 * 1_024;
+
+/// Pause between the parts of a fast answer; it bounds what the caller of the test collects.
+const FAST: Duration = Duration::from_millis(1);
+
+/// Pause between the parts of a slow answer.
+const SLOW: Duration = Duration::from_millis(100);
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello";
+
+/// Start and repeated rest of each endless answer.
+const CASES: [(&str, &str, &str); 10] = [
+    ("status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa"),
+    ("header line", "HTTP/1.1 200 OK\r\nx: ", "aaaaaaaaaaaaaaaa"),
+    ("header fields", "HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+    ("blank lines", "", "\r\n\r\n\r\n\r\n"),
+    ("interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ("no HTTP", "", "aaaaaaaaaaaaaaaa"),
+    (
+        "chunk extension",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;a=",
+        "aaaaaaaaaaaaaaaa",
+    ),
+    (
+        "trailers",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+        "x: y\r\n",
+    ),
+    (
+        "chunks",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        "10\r\naaaaaaaaaaaaaaaa\r\n",
+    ),
+    ("body without a length", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa"),
+];
+
+/// Peak memory of this process, in KiB; the daemons of the mesh run in it.
+fn peak_memory_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of this process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let text = line.and_then(|line| line.split_whitespace().next());
+    text.and_then(|kib| kib.parse().ok()).expect("a number")
+}
+
+fn is_whole_success(answer: &RawAnswer) -> bool {
+    answer.code() == 200 && answer.whole
+}
+
+/// Guards against an endless answer that holds its caller past the deadline, fills the memory,
+/// reaches the caller as a success, or leaves a connection behind that is used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_answers_end_at_the_deadline() {
+    let (mesh, backend) = raw_mesh().await;
+    let headers = [("baobabreel-timeout-ms", TIMEOUT_MS)];
+    let mut failures = Vec::new();
+    for (name, start, rest) in CASES {
+        // Many times the rest at once when it is fast, so that limits are met before the deadline.
+        for (rest, pause) in [(rest.repeat(512), FAST), (rest.to_owned(), SLOW)] {
+            for to in mesh.callers() {
+                let name = format!("{name} at {to}, every {pause:?}");
+                // A backend server that lost several requests in a row is left out for a while.
+                backend.answer_with(&[(GOOD, Duration::ZERO)]);
+                wait_until("a good answer", async || {
+                    let answer = h1(to, "/lots", &headers, "").await;
+                    let is_good = answer.code() == 200;
+                    assert!(!is_good || answer.body == "hello", "after {name}: {answer:?}");
+                    is_good
+                })
+                .await;
+                let memory = peak_memory_kib();
+                backend.answer_endlessly(start, &rest, pause);
+                let begin = Instant::now();
+                let answer = h1(to, "/lots", &headers, "").await;
+                let answered = begin.elapsed();
+                wait_until("the connection is closed", async || {
+                    backend.endless_closed_at().is_some()
+                })
+                .await;
+                let closed = backend.endless_closed_at().map(|at| at - begin).unwrap_or_default();
+                let got = (answer.code(), answer.whole, answer.body.len());
+                let added = peak_memory_kib() - memory;
+                let collected = answer.body.len() as u64 / 1_024 * 4;
+                if is_whole_success(&answer)
+                    || closed > ANSWER_LIMIT
+                    || answer.body.is_empty() && answered > ANSWER_LIMIT
+                    || added > MEMORY_LIMIT_KIB + collected
+                {
+                    failures.push(format!("{name}: {got:?} after {answered:?}, closed after {closed:?}, {added} KiB added"));
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
