--- a/crates/core/src/retry/latency.rs
+++ b/crates/core/src/retry/latency.rs
@@ -36,12 +36,6 @@
         }
     }
 
-    /// 95th percentile; see [`percentile`](Self::percentile).
-    #[must_use]
-    pub fn p95(&self) -> Option<Duration> {
-        self.percentile(95)
-    }
-
     /// Latency that `percent` of 100 responses do not exceed, rounded up to the limit of its bucket;
     /// none while there are too few samples.
     #[must_use]
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -126,7 +126,7 @@
     // The estimate follows a change within a few thousand responses.
     for (count, latency) in [(10_000, 100), (3_000, 10)] {
         (0..count).for_each(|_| estimate.observe(ms(latency)));
-        let moved = estimate.p95().expect("latencies were observed");
+        let moved = estimate.percentile(95).expect("latencies were observed");
         assert!((ms(latency)..ms(latency * 6 / 5)).contains(&moved), "{moved:?}");
     }
 }
