Log what backend servers state about themselves in their responses

Backend servers may name a limit on their request rate, and say that they are leaving, in any response. Nothing in the lines told whether such a statement had arrived, so a limit that is not read could not be told from one that is forgotten in a restart or exceeded by retries.

The host daemon keeps them for one start of its backend server (HostedCondition) and writes a line at each change. A response ends a limit only if its request was sent after the limit was last named, since responses overtake each other. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/core/tests/condition.rs
@@ -0,0 +1,71 @@
+//! Tests what the responses of a backend server say about its condition.
+
+use std::time::Duration;
+
+use baobabreel_core::condition::{Condition, HostedCondition, RateLimit, RateStatement};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn limited(per_second: f64) -> Condition {
+    let limit = RateLimit::try_from(per_second).expect("the rate is valid");
+    Condition { rate: RateStatement::Limited(limit), is_leaving: false }
+}
+
+fn leaving() -> Condition {
+    Condition { rate: RateStatement::Unlimited, is_leaving: true }
+}
+
+/// Guards against a limit that ends because a response from before the limit arrives late.
+#[test]
+fn response_to_an_earlier_request_does_not_end_a_limit() {
+    let mut condition = HostedCondition::default();
+    assert!(condition.state(limited(20.0), ms(1_000)).is_some());
+    assert_eq!(condition.state_unlimited(ms(900)), None);
+    assert_eq!(condition.state_unlimited(ms(1_000)), None);
+    assert_eq!(condition.limit().map(RateLimit::per_second), Some(20.0));
+}
+
+/// Guards against a limit that stays in force after the backend server has ended it.
+#[test]
+fn response_to_a_later_request_ends_a_limit() {
+    let mut condition = HostedCondition::default();
+    condition.state(limited(20.0), ms(1_000));
+    assert!(condition.state(limited(10.0), ms(2_000)).is_some_and(|c| c.limit_before.is_some()));
+    assert_eq!(condition.state_unlimited(ms(1_500)), None);
+    assert!(condition.state_unlimited(ms(2_001)).is_some_and(|change| change.limit.is_none()));
+    assert_eq!(condition.limit(), None);
+}
+
+/// Guards against a leaving backend server that counts as staying because of a later response.
+#[test]
+fn backend_server_cannot_take_its_leaving_back() {
+    let mut condition = HostedCondition::default();
+    assert!(condition.state(leaving(), ms(1)).is_some_and(|change| change.starts_leaving));
+    assert_eq!(condition.state(leaving(), ms(2)), None, "it leaves only once");
+    condition.state(Condition::default(), ms(3));
+    condition.state_unlimited(ms(3));
+    assert!(condition.is_leaving());
+}
+
+/// Guards against an unreadable limit that ends the one in force.
+#[test]
+fn unreadable_limit_changes_nothing() {
+    let mut condition = HostedCondition::default();
+    condition.state(limited(20.0), ms(1_000));
+    let unreadable = Condition { rate: RateStatement::Unreadable, is_leaving: false };
+    assert_eq!(condition.state(unreadable, ms(2_000)), None);
+    assert_eq!(condition.limit().map(RateLimit::per_second), Some(20.0));
+}
+
+/// Guards against rates that are no rates, and against a limit that grows when it is rounded.
+#[test]
+fn rates_are_checked_and_rounded_down() {
+    for number in [-1.0, f64::NAN, f64::INFINITY] {
+        assert!(RateLimit::try_from(number).is_err(), "{number}");
+    }
+    assert_eq!(RateLimit::try_from(2.345_9).map(RateLimit::milli_per_second), Ok(2_345));
+    assert_eq!(RateLimit::try_from(0.0).map(RateLimit::interval), Ok(None));
+    assert_eq!(RateLimit::try_from(4.0).map(RateLimit::interval), Ok(Some(ms(250))));
+}
--- a/crates/daemon/src/dialect/mod.rs
+++ b/crates/daemon/src/dialect/mod.rs
@@ -3,6 +3,7 @@
 //! The daemon has header names of its own. On a platform with a protocol of its own, a [`Dialect`] has that
 //! platform's header names; the data path is the same for both.
 
+use baobabreel_core::condition::Condition;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::proxy::{OUTCOME, TIMEOUT};
@@ -38,6 +39,26 @@
     pub other_instance: StatusCode,
 }
 
+/// Parses what a backend server states about itself in the headers of a response.
+#[derive(Debug, Clone, Copy)]
+pub struct ConditionReader(pub fn(&HeaderMap) -> Condition);
+
+impl ConditionReader {
+    /// Parses the statements in the headers of a response.
+    #[must_use]
+    pub fn read(self, headers: &HeaderMap) -> Condition {
+        (self.0)(headers)
+    }
+}
+
+impl PartialEq for ConditionReader {
+    fn eq(&self, other: &Self) -> bool {
+        std::ptr::fn_addr_eq(self.0, other.0)
+    }
+}
+
+impl Eq for ConditionReader {}
+
 /// Header names and variations of the protocol towards callers and backend servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Dialect {
@@ -51,6 +72,8 @@
     pub caller_service: Option<HeaderName>,
     /// Header with the load of a backend server.
     pub load: Option<HeaderName>,
+    /// Parses what a backend server states about itself in the headers of a response.
+    pub condition: ConditionReader,
     /// Proofs that responses carry beside the identifier of the request; without them responses are not
     /// checked.
     pub proofs: Option<Proofs>,
@@ -73,6 +96,7 @@
             },
             caller_service: None,
             load: None,
+            condition: ConditionReader(|_| Condition::default()),
             proofs: None,
             own_headers: true,
             close_delimited_answers: false,
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::condition::{ConditionChange, HostedCondition, RateStatement};
 use baobabreel_core::config::{CompiledConfig, ServicePolicy};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::{InstanceId, ServiceName};
@@ -24,7 +25,7 @@
 use super::headers;
 use super::lines::{self, HostedRequest};
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
-use super::response_check::check_response;
+use super::response_check::{check_origin, check_response};
 use crate::context::{Cx, Phase};
 use crate::settings::Policy;
 use crate::sync::lock;
@@ -54,6 +55,16 @@
     pub boot: Option<BootTime>,
 }
 
+impl BackendInfo {
+    /// Whether `newer` describes the same start of the same backend server; an unknown start time may be any.
+    fn may_be_start_of(&self, newer: &Self) -> bool {
+        self.address == newer.address
+            && self.protocol == newer.protocol
+            && self.instance == newer.instance
+            && (self.boot.is_none() || self.boot == newer.boot)
+    }
+}
+
 /// An announced backend server and the connections to it.
 #[derive(Debug)]
 struct Backend {
@@ -65,11 +76,22 @@
 #[derive(Debug)]
 struct Admitter {
     admission: Admission,
+    condition: HostedCondition,
+    /// Backend server that `condition` is about; it may have been removed since.
+    described: Option<BackendInfo>,
     waiting: HashMap<TicketId, oneshot::Sender<Result<(), CallError>>>,
     next_id: TicketId,
 }
 
 impl Admitter {
+    /// Begins a new condition unless `info` describes the same start of the backend server as before.
+    fn describe(&mut self, info: &BackendInfo) {
+        if !self.described.as_ref().is_some_and(|described| described.may_be_start_of(info)) {
+            self.condition = HostedCondition::default();
+        }
+        self.described = Some(info.clone());
+    }
+
     /// Starts or refuses the queued requests that `actions` name.
     fn apply(&mut self, actions: Vec<Action>) {
         for action in actions {
@@ -103,6 +125,8 @@
     pub fn new(connection_limit: usize, policy: Policy) -> Self {
         let admitter = Admitter {
             admission: Admission::builder().class_aware(policy == Policy::Full).build(),
+            condition: HostedCondition::default(),
+            described: None,
             waiting: HashMap::new(),
             next_id: 0,
         };
@@ -120,18 +144,14 @@
             return;
         };
         let known = self.backend.load_full();
-        let is_same = |known: &Arc<Backend>| {
-            known.info.address == info.address
-                && known.info.protocol == info.protocol
-                && known.info.instance == info.instance
-                && (known.info.boot.is_none() || known.info.boot == info.boot)
-        };
+        let is_same = |known: &Arc<Backend>| known.info.may_be_start_of(&info);
         let limit = self.connection_limit;
         let pool = match known.filter(is_same) {
             Some(known) => Arc::clone(&known.pool),
             None => Arc::new(ConnectionPool::new(info.address, info.protocol, limit)),
         };
         let mut admitter = lock(&self.admitter);
+        admitter.describe(&info);
         let slots = match self.policy {
             // A request with a slot but no connection would be refused; it waits in the queue instead.
             Policy::Full => {
@@ -275,6 +295,21 @@
         admitter.apply(actions);
     }
 
+    /// Updates the condition of the backend server `info` by a response, unless another one has taken its place.
+    fn record_condition(
+        &self,
+        info: &BackendInfo,
+        update: impl FnOnce(&mut HostedCondition) -> Option<ConditionChange>,
+    ) {
+        let mut admitter = lock(&self.admitter);
+        if !admitter.described.as_ref().is_some_and(|described| info.may_be_start_of(described)) {
+            return;
+        }
+        let Some(change) = update(&mut admitter.condition) else { return };
+        drop(admitter);
+        lines::log_condition(info, &change);
+    }
+
     /// Number of requests that hold a slot or wait for one.
     pub fn in_flight(&self) -> u32 {
         let load = self.load();
@@ -399,8 +434,9 @@
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = ready_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
-    *started = Some(cx.clock.now());
-    let remaining = deadline.saturating_sub(cx.clock.now());
+    let sent_at = cx.clock.now();
+    *started = Some(sent_at);
+    let remaining = deadline.saturating_sub(sent_at);
     let dialect = &cx.settings.dialect;
     headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
     let request_id = req.headers().get(&dialect.request_id).cloned();
@@ -420,7 +456,17 @@
         }
     };
     guard.connection = Some(connection);
-    check_response(dialect, request_id.as_ref(), &response)?;
+    check_origin(dialect, request_id.as_ref(), &response)?;
+    let stated = dialect.condition.read(response.headers());
+    if stated.rate == RateStatement::Unreadable {
+        lines::log_unreadable_limit(cx, &backend.info);
+    }
+    let now = cx.clock.now();
+    cx.host.record_condition(&backend.info, |condition| condition.state(stated, now));
+    check_response(dialect, &response)?;
+    if stated.rate == RateStatement::Unlimited {
+        cx.host.record_condition(&backend.info, |condition| condition.state_unlimited(sent_at));
+    }
     Ok(HostedResponse { response, guard, deadline })
 }
 
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use baobabreel_core::condition::{ConditionChange, RateLimit};
 use baobabreel_core::config::Version;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use http::{HeaderMap, Request, Response};
 
 use super::call_error::CallError;
+use super::host::BackendInfo;
 use crate::context::Cx;
 use crate::telemetry::LogLineKind;
 
@@ -190,6 +192,28 @@
     );
 }
 
+/// Writes the log line of a response that names a limit which cannot be read.
+pub fn log_unreadable_limit(cx: &Cx, info: &BackendInfo) {
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::Hosted, cx.clock.now()) else { return };
+    tracing::warn!(
+        instance = info.instance,
+        left_out,
+        "ignored an unreadable limit of the backend server"
+    );
+}
+
+/// Writes the log line of a changed condition of the backend server beside the daemon.
+pub fn log_condition(info: &BackendInfo, change: &ConditionChange) {
+    tracing::info!(
+        instance = info.instance,
+        boot = info.boot,
+        limit_per_s = change.limit.map(RateLimit::per_second),
+        limit_per_s_before = change.limit_before.map(RateLimit::per_second),
+        starts_leaving = change.starts_leaving,
+        "condition of the backend server changed"
+    );
+}
+
 /// Whole milliseconds from `since` to `now`.
 fn millis(now: Duration, since: Duration) -> u64 {
     u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
--- a/crates/daemon/src/proxy/response_check.rs
+++ b/crates/daemon/src/proxy/response_check.rs
@@ -13,16 +13,8 @@
 use super::call_error::CallError;
 use crate::dialect::{Dialect, Proofs};
 
-/// Turns a response into an error if it is marked as a refusal that ran nothing, does not belong to the request,
-/// or lacks a required part.
-pub fn check_response(
-    dialect: &Dialect,
-    request_id: Option<&HeaderValue>,
-    res: &Response<Incoming>,
-) -> Result<(), CallError> {
-    if let Some(proofs) = &dialect.proofs {
-        check_origin(dialect, proofs, request_id, res)?;
-    }
+/// Turns a response into an error if it is marked as a refusal that ran nothing, or lacks a required part.
+pub fn check_response(dialect: &Dialect, res: &Response<Incoming>) -> Result<(), CallError> {
     let is_refusal = res.status() == StatusCode::SERVICE_UNAVAILABLE
         || (dialect.proofs.is_some() && !res.status().is_success());
     if is_refusal && dialect.not_run.is_in(res.headers()) {
@@ -39,12 +31,12 @@
 }
 
 /// Rejects a response to another request, or from another instance.
-fn check_origin(
+pub fn check_origin(
     dialect: &Dialect,
-    proofs: &Proofs,
     request_id: Option<&HeaderValue>,
     res: &Response<Incoming>,
 ) -> Result<(), CallError> {
+    let Some(proofs) = &dialect.proofs else { return Ok(()) };
     if res.status() == proofs.other_instance {
         let detail = "another instance has the address of the backend server";
         return Err(CallError::new(ErrorKind::BackendRefused, detail));
