Start requests at the rate that their backend server names

Cause: admission to a backend server knew slots only. The limit arrived within 63 ms of its begin and nothing was decided by it. Ruled out: a restart (the first window was exceeded 4 s before the only one) and retries (2.7 % of the arrivals).

Class of the fault: a capacity that the backend server states is not part of admission. So the limit is one more condition of a start, beside the slots: core::admission::Pace (generic cell rate algorithm, a quarter of a second of burst) counts each start at the host daemon, through which all requests pass. Queued requests start when it allows them, in the order of the queue, by a timer (next_due, start_due). The estimated wait contains the pace, so what cannot start in time is refused at once with a true Retry-After; a backend server at its limit counts as full for balancers and for searches for a free slot. A limit of 0 lets one request through in 2 s, as only a response tells that it has ended.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -8,12 +8,16 @@
 //! break for some time (a standing queue), a request is refused at once if its estimated wait is over
 //! a limit. A short burst may still fill the queue.
 //!
+//! A backend server may name a limit on the rate of its requests. Then a request also needs the pace
+//! to allow its start, and the estimated wait contains the time until it does.
+//!
 //! The queue is ordered by class before deadline, because commands and checks hold up the rest of a
 //! call chain. Bulk requests may hold only a share of the slots, so that long jobs never hold all of
 //! them.
 
 mod builder;
 mod overload;
+mod pace;
 mod queue;
 mod refusal;
 mod routes;
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -6,12 +6,14 @@
 
 use super::builder::AdmissionBuilder;
 use super::overload::OverloadDetector;
+use super::pace::Pace;
 use super::queue::{PendingRequest, Queue};
 use super::refusal::{bounded_retry_after, default_retry_after, refusal, refuse, refuse_for};
 use super::routes::{RouteTable, SmoothedRunTime};
 use super::ticket::{Action, Decision, OfferResult, Ticket, TicketId};
 use super::wait::{ClassRunTimes, wait_secs};
 use crate::balance::LoadReport;
+use crate::condition::RateLimit;
 use crate::config::Class;
 use crate::error::ErrorKind;
 
@@ -41,6 +43,8 @@
     routes: RouteTable,
     run_times: ClassRunTimes,
     overload: OverloadDetector,
+    /// Set while the backend server limits the rate of its requests.
+    pace: Option<Pace>,
     draining: bool,
 }
 
@@ -73,6 +77,7 @@
             routes: RouteTable::default(),
             run_times: ClassRunTimes::default(),
             overload: OverloadDetector::default(),
+            pace: None,
             draining: false,
         }
     }
@@ -118,6 +123,37 @@
         self.start_queued(now)
     }
 
+    /// Sets the limit on the rate at which requests start; `None` ends it.
+    #[must_use]
+    pub fn set_rate_limit(&mut self, limit: Option<RateLimit>, now: Duration) -> Vec<Action> {
+        self.pace = match (self.pace.take(), limit) {
+            (Some(mut pace), Some(limit)) => {
+                pace.set_limit(limit, now);
+                Some(pace)
+            }
+            (None, Some(limit)) => Some(Pace::new(limit, now)),
+            (_, None) => None,
+        };
+        self.start_queued(now)
+    }
+
+    /// Starts the queued requests that the rate limit now allows.
+    #[must_use]
+    pub fn start_due(&mut self, now: Duration) -> Vec<Action> {
+        self.start_queued(now)
+    }
+
+    /// Time from which the rate limit allows the start of a queued request that could have a slot; for
+    /// a timer that calls [`start_due`](Self::start_due).
+    #[must_use]
+    pub fn next_due(&self) -> Option<Duration> {
+        let pace = self.pace.as_ref()?;
+        let has_bulk_slot = self.has_slot(true);
+        let may_have_slot = |item: &PendingRequest| has_bulk_slot || !item.bulk;
+        let waits = self.has_slot(false) && self.queue.first_matching(may_have_slot).is_some();
+        waits.then(|| pace.next_start())
+    }
+
     /// Sets the length of the queue and the bulk share when the configuration changes. With a shorter
     /// queue, requests that already wait keep their places.
     #[must_use]
@@ -173,10 +209,20 @@
         LoadReport { running: self.running.len() as u32, queued: self.queue.len() as u32 }
     }
 
+    /// Load as other daemons should see it: while the rate limit allows no start, all slots count as taken.
+    #[must_use]
+    pub fn visible_load(&self, now: Duration) -> LoadReport {
+        let mut load = self.load();
+        if !self.is_on_pace(now) {
+            load.running = load.running.max(self.cfg.slots);
+        }
+        load
+    }
+
     /// Whether a slot is free and no request waits, so that one that is not bulk would start at once.
     #[must_use]
-    pub fn has_free_slot(&self) -> bool {
-        !self.draining && self.queue.len() == 0 && self.may_start(false)
+    pub fn has_free_slot(&self, now: Duration) -> bool {
+        !self.draining && self.queue.len() == 0 && self.may_start(false, now)
     }
 
     /// Current number of slots.
@@ -215,11 +261,12 @@
             return refuse(ErrorKind::DeadlineUnreachable, Duration::ZERO);
         }
         let item = self.classify(ticket, now);
-        if self.may_start(item.bulk) {
+        // A queued request that the rate limit has held up starts first.
+        if self.may_start(item.bulk, now) && self.next_due().is_none() {
             self.start(&item, now);
             return Decision::Start;
         }
-        let wait = self.estimated_wait(&item);
+        let wait = self.estimated_wait(&item, now);
         if wait > ticket.deadline - now {
             return refuse(ErrorKind::DeadlineUnreachable, wait);
         }
@@ -264,12 +311,23 @@
         }
     }
 
-    fn may_start(&self, bulk: bool) -> bool {
+    fn may_start(&self, bulk: bool, now: Duration) -> bool {
+        self.has_slot(bulk) && self.is_on_pace(now)
+    }
+
+    fn is_on_pace(&self, now: Duration) -> bool {
+        self.pace.as_ref().is_none_or(|pace| pace.may_start(now))
+    }
+
+    fn has_slot(&self, bulk: bool) -> bool {
         (self.running.len() as u64) < u64::from(self.cfg.slots)
             && (!bulk || self.bulk_running < self.bulk_slots())
     }
 
     fn start(&mut self, item: &PendingRequest, now: Duration) {
+        if let Some(pace) = &mut self.pace {
+            pace.start(now);
+        }
         self.bulk_running += u32::from(item.bulk);
         self.running.push(RunningRequest {
             id: item.id,
@@ -298,7 +356,7 @@
             evicted.extend(self.expire(now));
         }
         if self.queue.len() >= self.cfg.queue_len {
-            let retry_after = self.drain_time();
+            let retry_after = self.drain_time(now);
             let Some(shed) = self.queue.shed_below(item.class) else {
                 return refuse_for(&item, ErrorKind::Overloaded, retry_after);
             };
@@ -318,8 +376,8 @@
         }
         let mut actions = self.expire(now);
         loop {
-            let slot = self.may_start(false);
-            let bulk_slot = self.may_start(true);
+            let slot = self.may_start(false, now);
+            let bulk_slot = self.may_start(true, now);
             let next = self.queue.first_matching(|item| slot && (bulk_slot || !item.bulk));
             let Some(item) = next else { break };
             self.queue.remove(item.id);
@@ -349,7 +407,7 @@
     /// queue, so that a slot that becomes free finds a request.
     fn exceeds_max_wait(&self, item: &PendingRequest, now: Duration) -> bool {
         !self.queue.ahead_of(item).is_empty()
-            && self.estimated_wait(item) > self.max_wait(item, now)
+            && self.estimated_wait(item, now) > self.max_wait(item, now)
     }
 
     /// Limit of the estimated wait of a request under overload. With a target, it leaves time to answer
@@ -433,8 +491,8 @@
     }
 
     /// Estimated time until `item` would start if it were queued now.
-    fn estimated_wait(&self, item: &PendingRequest) -> Duration {
-        let modelled = self.modelled_wait(item);
+    fn estimated_wait(&self, item: &PendingRequest, now: Duration) -> Duration {
+        let modelled = self.modelled_wait(item, now);
         // The model leaves out requests that arrive later and start earlier. The measured waits of
         // requests that recently left the queue include them.
         let has_same_route = self.queue.all().iter().any(|other| other.route == item.route);
@@ -446,7 +504,7 @@
     }
 
     /// Estimated time until `item` would start if no other request arrived.
-    fn modelled_wait(&self, item: &PendingRequest) -> Duration {
+    fn modelled_wait(&self, item: &PendingRequest, now: Duration) -> Duration {
         let ahead = self.queue.ahead_of(item);
         let running = self.running.iter().map(|running| self.running_secs(running));
         let queued = ahead.iter().map(|other| self.waiting_secs(other));
@@ -460,15 +518,22 @@
             );
             secs = secs.max(bulk_secs);
         }
-        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+        let slot_wait = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
+        slot_wait.max(self.paced_wait(ahead.len(), now))
+    }
+
+    /// Time until the rate limit allows the start of a request with `ahead` others before it.
+    fn paced_wait(&self, ahead: usize, now: Duration) -> Duration {
+        self.pace.as_ref().map_or(Duration::ZERO, |pace| pace.wait(ahead, now))
     }
 
     /// Estimated time until all queued requests have started.
-    fn drain_time(&self) -> Duration {
+    fn drain_time(&self, now: Duration) -> Duration {
         let running = self.running.iter().map(|running| self.running_secs(running));
         let waiting = self.queue.all().iter().map(|item| self.waiting_secs(item));
         let secs = wait_secs(running, waiting, self.cfg.slots);
-        Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX)
+        let slot_wait = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
+        slot_wait.max(self.paced_wait(self.queue.len(), now))
     }
 
     fn running_secs(&self, running: &RunningRequest) -> f64 {
--- a/crates/core/tests/free_slot.rs
+++ b/crates/core/tests/free_slot.rs
@@ -170,7 +170,7 @@
             self.entries[entry].dispatched(&host, MS(now));
             let (only_if_free, is_further_attempt) =
                 (search.has_attempts_left(), search.has_full_servers());
-            let is_free = self.hosts[index].has_free_slot();
+            let is_free = self.hosts[index].has_free_slot(MS(now));
             if only_if_free && is_further_attempt {
                 self.entries[entry].record_further_attempt(is_free);
             }
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -27,6 +27,7 @@
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
+use crate::proxy::start_at_rate_limit;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -174,6 +175,9 @@
         };
         self.tasks.spawn(serve_simple_http(listeners.backend, self.stop.clone(), backend));
         let stop = self.stop.clone();
+        let pacer = start_at_rate_limit(Arc::clone(&self.cx));
+        self.tasks.spawn(async move { stop.run_until_cancelled(pacer).await });
+        let stop = self.stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -50,7 +50,8 @@
 #[must_use]
 pub fn choose(cx: &Cx, service: &str, tried: &[String]) -> Option<CallGuard> {
     let exclude: Vec<&str> = tried.iter().map(String::as_str).collect();
-    let own_has_free_slot = cx.host.can_start_now(service) && own_can_serve(cx, service);
+    let own_has_free_slot =
+        cx.host.can_start_now(service, cx.clock.now()) && own_can_serve(cx, service);
     cx.balance.choose(service, own_has_free_slot, &exclude, cx.clock)
 }
 
@@ -77,7 +78,8 @@
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::forward_to_backend(cx, head, req).await {
             Ok(admitted) => {
-                guard.record_response(Some(cx.host.load().into()));
+                let load = cx.host.visible_load(cx.clock.now());
+                guard.record_response(Some(load.into()));
                 (admitted.response, Some(admitted.guard))
             }
             Err(e) => return Err(record_failure(guard, e)),
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::balance::LoadReport;
 use baobabreel_core::condition::{ConditionChange, HostedCondition, RateStatement};
 use baobabreel_core::config::{CompiledConfig, ServicePolicy};
 use baobabreel_core::error::ErrorKind;
@@ -18,7 +19,7 @@
 use baobabreel_core::registration::BootTime;
 use http::{HeaderValue, Request, Response, Version};
 use hyper::body::{Body, Incoming};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::body::{Guard, ProxyBody, Tracked};
 use super::call_error::CallError;
@@ -85,13 +86,20 @@
 
 impl Admitter {
     /// Begins a new condition unless `info` describes the same start of the backend server as before.
-    fn describe(&mut self, info: &BackendInfo) {
+    fn describe(&mut self, info: &BackendInfo, now: Duration) {
         if !self.described.as_ref().is_some_and(|described| described.may_be_start_of(info)) {
             self.condition = HostedCondition::default();
+            self.follow_limit(now);
         }
         self.described = Some(info.clone());
     }
 
+    /// Applies the limit of the condition to the admission of requests.
+    fn follow_limit(&mut self, now: Duration) {
+        let actions = self.admission.set_rate_limit(self.condition.limit(), now);
+        self.apply(actions);
+    }
+
     /// Starts or refuses the queued requests that `actions` name.
     fn apply(&mut self, actions: Vec<Action>) {
         for action in actions {
@@ -115,6 +123,8 @@
 pub struct LocalBackend {
     backend: ArcSwapOption<Backend>,
     admitter: Arc<Mutex<Admitter>>,
+    /// Wakes the task that starts queued requests at the rate limit.
+    pacer: Notify,
     connection_limit: usize,
     policy: Policy,
 }
@@ -131,7 +141,13 @@
             next_id: 0,
         };
         let admitter = Arc::new(Mutex::new(admitter));
-        Self { backend: ArcSwapOption::empty(), admitter, connection_limit, policy }
+        Self {
+            backend: ArcSwapOption::empty(),
+            admitter,
+            pacer: Notify::new(),
+            connection_limit,
+            policy,
+        }
     }
 
     /// Replaces the local backend server; `None` removes it.
@@ -151,7 +167,7 @@
             None => Arc::new(ConnectionPool::new(info.address, info.protocol, limit)),
         };
         let mut admitter = lock(&self.admitter);
-        admitter.describe(&info);
+        admitter.describe(&info, now);
         let slots = match self.policy {
             // A request with a slot but no connection would be refused; it waits in the queue instead.
             Policy::Full => {
@@ -217,15 +233,21 @@
 
     /// Running requests, queued requests and slots.
     pub fn load(&self) -> LoadWire {
-        current_load(&lock(&self.admitter).admission)
+        let admitter = lock(&self.admitter);
+        load_wire(admitter.admission.load(), admitter.admission.slots())
+    }
+
+    /// Load for the balancers of daemons, which counts a backend server at its rate limit as full.
+    pub fn visible_load(&self, now: Duration) -> LoadWire {
+        visible_load(&lock(&self.admitter).admission, now)
     }
 
     /// Whether a request for `service` would start without waiting.
-    pub fn can_start_now(&self, service: &str) -> bool {
+    pub fn can_start_now(&self, service: &str, now: Duration) -> bool {
         let ready = self.backend.load().as_ref().is_some_and(|backend| {
             backend.info.state == MemberState::Ready && backend.info.service == service
         });
-        ready && lock(&self.admitter).admission.has_free_slot()
+        ready && lock(&self.admitter).admission.has_free_slot(now)
     }
 
     /// Waits until the request has a slot.
@@ -253,8 +275,8 @@
         now: Duration,
     ) -> Result<Accepted, CallError> {
         let mut admitter = lock(&self.admitter);
-        if head.only_if_free && !admitter.admission.has_free_slot() {
-            return Err(CallError::no_free_slot(current_load(&admitter.admission)));
+        if head.only_if_free && !admitter.admission.has_free_slot(now) {
+            return Err(CallError::no_free_slot(visible_load(&admitter.admission, now)));
         }
         admitter.next_id += 1;
         let id = admitter.next_id;
@@ -273,6 +295,7 @@
             Decision::Queued => {
                 let (tx, rx) = oneshot::channel();
                 admitter.waiting.insert(id, tx);
+                self.wake_pacer(&admitter);
                 Ok(Accepted::Queue(guard(), rx))
             }
             Decision::Refuse { kind, retry_after } => {
@@ -282,6 +305,22 @@
         }
     }
 
+    /// Starts the queued requests that the rate limit now allows. Returns when it allows the next one; `None` if
+    /// none waits for it.
+    fn start_due(&self, now: Duration) -> Option<Duration> {
+        let mut admitter = lock(&self.admitter);
+        let actions = admitter.admission.start_due(now);
+        admitter.apply(actions);
+        admitter.admission.next_due()
+    }
+
+    /// Wakes [`start_at_rate_limit`] if a queued request waits for the rate limit.
+    fn wake_pacer(&self, admitter: &Admitter) {
+        if admitter.admission.next_due().is_some() {
+            self.pacer.notify_one();
+        }
+    }
+
     /// Ends a request and starts those that its slot allows; `is_complete` tells whether its response was
     /// received to the end.
     fn release(&self, id: TicketId, is_complete: bool, now: Duration) {
@@ -293,12 +332,14 @@
             admitter.admission.cancel(id, now)
         };
         admitter.apply(actions);
+        self.wake_pacer(&admitter);
     }
 
     /// Updates the condition of the backend server `info` by a response, unless another one has taken its place.
     fn record_condition(
         &self,
         info: &BackendInfo,
+        now: Duration,
         update: impl FnOnce(&mut HostedCondition) -> Option<ConditionChange>,
     ) {
         let mut admitter = lock(&self.admitter);
@@ -306,6 +347,8 @@
             return;
         }
         let Some(change) = update(&mut admitter.condition) else { return };
+        admitter.follow_limit(now);
+        self.wake_pacer(&admitter);
         drop(admitter);
         lines::log_condition(info, &change);
     }
@@ -322,9 +365,27 @@
     service.health_path.as_deref().unwrap_or(HEALTH_PATH)
 }
 
-fn current_load(admission: &Admission) -> LoadWire {
-    let load = admission.load();
-    LoadWire { running: load.running, queued: load.queued, slots: admission.slots() }
+fn visible_load(admission: &Admission, now: Duration) -> LoadWire {
+    load_wire(admission.visible_load(now), admission.slots())
+}
+
+fn load_wire(load: LoadReport, slots: u32) -> LoadWire {
+    LoadWire { running: load.running, queued: load.queued, slots }
+}
+
+/// Starts queued requests as the rate limit of the backend server allows it.
+pub async fn start_at_rate_limit(cx: Cx) {
+    loop {
+        let wake = cx.host.pacer.notified();
+        match cx.host.start_due(cx.clock.now()) {
+            // A change of the limit may allow an earlier start.
+            Some(next) => {
+                let time = next.saturating_sub(cx.clock.now());
+                drop(tokio::time::timeout(time, wake).await);
+            }
+            None => wake.await,
+        }
+    }
 }
 
 /// A request that was not refused: it has a slot, or waits for one in the queue.
@@ -462,10 +523,11 @@
         lines::log_unreadable_limit(cx, &backend.info);
     }
     let now = cx.clock.now();
-    cx.host.record_condition(&backend.info, |condition| condition.state(stated, now));
+    cx.host.record_condition(&backend.info, now, |condition| condition.state(stated, now));
     check_response(dialect, &response)?;
     if stated.rate == RateStatement::Unlimited {
-        cx.host.record_condition(&backend.info, |condition| condition.state_unlimited(sent_at));
+        cx.host
+            .record_condition(&backend.info, now, |condition| condition.state_unlimited(sent_at));
     }
     Ok(HostedResponse { response, guard, deadline })
 }
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -31,7 +31,7 @@
 pub use dispatch::candidate;
 pub use entry::serve_caller;
 pub use headers::{OUTCOME, TIMEOUT, has_token, section_bytes};
-pub use host::{BackendInfo, LocalBackend, health_path};
+pub use host::{BackendInfo, LocalBackend, health_path, start_at_rate_limit};
 pub use peer_call::{is_call, serve_peer_call};
 pub use pool::{IdleLimit, PeerError, PeerPool, Protocol};
 pub use question::ask_backend;
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -63,7 +63,7 @@
             (res, kind.answer().outcome, Some(kind))
         }
     };
-    let answer = AnswerHead { outcome, error, load: cx.host.load() };
+    let answer = AnswerHead { outcome, error, load: cx.host.visible_load(cx.clock.now()) };
     res.headers_mut().insert(headers::ANSWER_HEAD, HeaderValue::from(&answer));
     let result = error.map_or("ran", ErrorKind::name);
     span.finish(cx.clock.now(), &route, result);
