Give no new requests to backend servers that say they are leaving

What callers and backend servers saw: a backend server whose responses carry the statement that it is leaving went on getting new requests until its report or its leave message arrived, which may come seconds late, and a late report of state ready made it usable again.

Cause: only reports told the daemon that its backend server leaves; the statement in responses was not read. Class of the fault: a fact that arrives on two ways is taken from one of them. The statement now drains the backend server like a report does: queued requests are refused as not run, so that they go elsewhere, membership is told at once, and no later report of the same start takes it back (LocalBackend::set_backend applies the condition). A request that was given a slot in the moment before is refused too.

Evidence: platform test backend_server_that_says_it_leaves_gets_no_new_requests got 200 for the first request after the statement and a late report before this commit; it passes now.

--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -153,6 +153,7 @@
         let now = cx.clock.now();
         self.record_contact(now);
         let known = cx.host.info();
+        info.state = cx.host.set_backend(info.clone(), now);
         let changed = known.as_ref().is_none_or(|known| {
             known.state != info.state || known.instance != info.instance || known.boot != info.boot
         });
@@ -168,9 +169,7 @@
                 "backend server reported"
             );
         }
-        let refuses = info.state == MemberState::Draining;
-        cx.host.set_backend(Some(info), now);
-        if refuses {
+        if info.state == MemberState::Draining {
             cx.host.refuse_waiting(ErrorKind::Draining, now);
         }
         if changed {
@@ -180,7 +179,7 @@
 
     async fn remove_backend(&self, cx: &Cx, control: &Control) {
         let now = cx.clock.now();
-        cx.host.set_backend(None, now);
+        cx.host.remove_backend();
         cx.host.refuse_waiting(ErrorKind::NoBackendServer, now);
         self.notify_membership(control).await;
     }
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -28,6 +28,7 @@
 use super::pool::{ConnectionPool, PooledConnection, Protocol, SendError};
 use super::response_check::{check_origin, check_response};
 use crate::context::{Cx, Phase};
+use crate::control::LocalChanged;
 use crate::settings::Policy;
 use crate::sync::lock;
 
@@ -150,15 +151,17 @@
         }
     }
 
-    /// Replaces the local backend server; `None` removes it.
+    /// Removes the local backend server.
+    pub fn remove_backend(&self) {
+        self.backend.store(None);
+    }
+
+    /// Replaces the local backend server; returns its state, which is draining once it has said that it
+    /// leaves.
     ///
     /// The connections are kept if the address, the protocol and the instance are the same and the
     /// backend server has not restarted.
-    pub fn set_backend(&self, info: Option<BackendInfo>, now: Duration) {
-        let Some(info) = info else {
-            self.backend.store(None);
-            return;
-        };
+    pub fn set_backend(&self, mut info: BackendInfo, now: Duration) -> MemberState {
         let known = self.backend.load_full();
         let is_same = |known: &Arc<Backend>| known.info.may_be_start_of(&info);
         let limit = self.connection_limit;
@@ -179,8 +182,13 @@
             let actions = admitter.admission.set_slots(slots, now);
             admitter.apply(actions);
         }
-        drop(admitter);
+        if admitter.condition.is_leaving() {
+            info.state = MemberState::Draining;
+        }
+        let state = info.state;
         self.backend.store(Some(Arc::new(Backend { info, pool })));
+        drop(admitter);
+        state
     }
 
     /// Sets the queue length and the share of bulk requests; requests already admitted or queued stay.
@@ -195,6 +203,12 @@
         self.backend.load().as_ref().map(|backend| backend.info.clone())
     }
 
+    /// Whether the backend server has begun to leave.
+    fn is_draining(&self) -> bool {
+        let backend = self.backend.load();
+        backend.as_ref().is_some_and(|backend| backend.info.state == MemberState::Draining)
+    }
+
     /// Refuses all requests that wait for a slot.
     pub fn refuse_waiting(&self, kind: ErrorKind, now: Duration) {
         let mut admitter = lock(&self.admitter);
@@ -338,10 +352,11 @@
     /// Updates the condition of the backend server `info` by a response, unless another one has taken its place.
     fn record_condition(
         &self,
+        cx: &Cx,
         info: &BackendInfo,
-        now: Duration,
         update: impl FnOnce(&mut HostedCondition) -> Option<ConditionChange>,
     ) {
+        let now = cx.clock.now();
         let mut admitter = lock(&self.admitter);
         if !admitter.described.as_ref().is_some_and(|described| info.may_be_start_of(described)) {
             return;
@@ -349,8 +364,25 @@
         let Some(change) = update(&mut admitter.condition) else { return };
         admitter.follow_limit(now);
         self.wake_pacer(&admitter);
+        if change.starts_leaving {
+            self.drain_backend(&mut admitter, now);
+        }
         drop(admitter);
         lines::log_condition(info, &change);
+        if change.starts_leaving {
+            notify_membership(cx);
+        }
+    }
+
+    /// Gives the backend server no more requests, as it is leaving.
+    fn drain_backend(&self, admitter: &mut Admitter, now: Duration) {
+        if let Some(backend) = self.backend.load_full() {
+            let info = BackendInfo { state: MemberState::Draining, ..backend.info.clone() };
+            let pool = Arc::clone(&backend.pool);
+            self.backend.store(Some(Arc::new(Backend { info, pool })));
+        }
+        let actions = admitter.admission.refuse_waiting(ErrorKind::Draining, now);
+        admitter.apply(actions);
     }
 
     /// Number of requests that hold a slot or wait for one.
@@ -373,6 +405,16 @@
     LoadWire { running: load.running, queued: load.queued, slots }
 }
 
+/// Tells the membership actor that the state of the backend server has changed.
+fn notify_membership(cx: &Cx) {
+    let Some(membership) = cx.membership() else { return };
+    tokio::spawn(async move {
+        if membership.tell(LocalChanged).await.is_err() {
+            tracing::debug!("the membership actor has stopped");
+        }
+    });
+}
+
 /// Starts queued requests as the rate limit of the backend server allows it.
 pub async fn start_at_rate_limit(cx: Cx) {
     loop {
@@ -495,6 +537,9 @@
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = ready_backend(cx, head)?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
+    if cx.host.is_draining() {
+        return Err(draining());
+    }
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     let remaining = deadline.saturating_sub(sent_at);
@@ -523,11 +568,10 @@
         lines::log_unreadable_limit(cx, &backend.info);
     }
     let now = cx.clock.now();
-    cx.host.record_condition(&backend.info, now, |condition| condition.state(stated, now));
+    cx.host.record_condition(cx, &backend.info, |c| c.state(stated, now));
     check_response(dialect, &response)?;
     if stated.rate == RateStatement::Unlimited {
-        cx.host
-            .record_condition(&backend.info, now, |condition| condition.state_unlimited(sent_at));
+        cx.host.record_condition(cx, &backend.info, |c| c.state_unlimited(sent_at));
     }
     Ok(HostedResponse { response, guard, deadline })
 }
@@ -544,13 +588,15 @@
     }
     match backend.info.state {
         MemberState::Ready => Ok(backend),
-        MemberState::Draining | MemberState::Left => {
-            Err(CallError::new(ErrorKind::Draining, "the backend server is draining"))
-        }
+        MemberState::Draining | MemberState::Left => Err(draining()),
         _ => Err(CallError::new(ErrorKind::NotReady, "the backend server is not ready")),
     }
 }
 
+fn draining() -> CallError {
+    CallError::new(ErrorKind::Draining, "the backend server is draining")
+}
+
 /// Wraps a response body so that it completes its guard at its end and is aborted at the deadline.
 pub fn track_body(cx: &Cx, body: Incoming, deadline: Duration, guard: Guard) -> ProxyBody {
     let left = deadline.saturating_sub(cx.clock.now());
