Remember across restarts what backend servers have stated

What backend servers saw: after a restart of the daemon beside it, a backend server with a limit got all that arrived until its first response named the limit again, and one that had said that it leaves was used again when a late report of state ready reached the new process. The daemons that sent those requests had passed the statements on and had not restarted.

Cause: the statements were known only to the daemon beside the backend server, which keeps no state. Class of the fault: an undertaking of one process is forgotten by the restart of another, as with a server that had left and was in use again (users' list). So responses between daemons carry what the backend server has stated, with its instance and start time; the daemon that called remembers it for 60 s (core::condition::KnownConditions) and names it in later calls. The host daemon takes over a limit until its backend server has answered a request itself, and refuses a call from a daemon that knows of this start that it leaves. Another start of the same instance is not affected. The health question after a restart is read for statements as well. Both fields are left out of the messages while there is nothing to say, so daemons of the version before understand them except then.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -6,10 +6,12 @@
 use std::fmt;
 
 use baobabreel_core::balance::LoadReport;
+use baobabreel_core::condition::{Condition, RateLimit, RateStatement, ReportedCondition};
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
-use baobabreel_core::id::{DaemonId, Incarnation, RouteName, ServiceName};
+use baobabreel_core::id::{DaemonId, Incarnation, InstanceId, RouteName, ServiceName};
 use baobabreel_core::idempotency::Attempt;
+use baobabreel_core::registration::BootTime;
 use http::HeaderValue;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -63,6 +65,9 @@
     pub target_ms: Option<u64>,
     /// Whether the call is refused rather than queued when no slot is free.
     pub only_if_free: bool,
+    /// What the entry daemon knows that the backend server has stated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condition: Option<ConditionWire>,
 }
 
 /// Asks a daemon for the state of a call.
@@ -102,8 +107,45 @@
     }
 }
 
+/// What a backend server has stated about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConditionWire {
+    instance: InstanceId,
+    boot: Option<BootTime>,
+    /// Limit on its requests, in thousandths of a request per second.
+    milli_per_second: Option<u64>,
+    is_leaving: bool,
+}
+
+impl From<ReportedCondition> for ConditionWire {
+    fn from(reported: ReportedCondition) -> Self {
+        let limit = match reported.condition.rate {
+            RateStatement::Limited(limit) => Some(limit),
+            RateStatement::Unlimited | RateStatement::Unreadable => None,
+        };
+        Self {
+            instance: reported.instance,
+            boot: reported.boot,
+            milli_per_second: limit.map(RateLimit::milli_per_second),
+            is_leaving: reported.condition.is_leaving,
+        }
+    }
+}
+
+impl From<ConditionWire> for ReportedCondition {
+    fn from(wire: ConditionWire) -> Self {
+        let limit = wire.milli_per_second.map(RateLimit::from_milli_per_second);
+        let rate = limit.map_or(RateStatement::Unlimited, RateStatement::Limited);
+        Self {
+            instance: wire.instance,
+            boot: wire.boot,
+            condition: Condition { rate, is_leaving: wire.is_leaving },
+        }
+    }
+}
+
 /// Head of an answer between two daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerHead {
     /// Whether the call ran.
     pub outcome: Outcome,
@@ -111,6 +153,9 @@
     pub error: Option<ErrorKind>,
     /// Load of the backend server after the call.
     pub load: LoadWire,
+    /// What the backend server has stated, if it has a limit or is leaving.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condition: Option<ConditionWire>,
 }
 
 /// Error: the head of a call or answer cannot be decoded.
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -8,7 +8,9 @@
 mod log;
 mod operator;
 
-pub use call::{AnswerHead, CallHead, CallQuery, CallState, DecodeHeadError, KeyHead, LoadWire};
+pub use call::{
+    AnswerHead, CallHead, CallQuery, CallState, ConditionWire, DecodeHeadError, KeyHead, LoadWire,
+};
 pub use control::{
     BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, Position,
     PullAnswerWire, PullWire, PushAnswer, PushWire, Stream, decode, encode,
--- a/crates/core/src/condition/hosted.rs
+++ b/crates/core/src/condition/hosted.rs
@@ -26,6 +26,8 @@
     /// When the limit was last named.
     named_at: Duration,
     is_leaving: bool,
+    /// Whether a response to a request has shown if there is a limit.
+    has_stated_rate: bool,
 }
 
 impl HostedCondition {
@@ -41,10 +43,31 @@
         self.is_leaving
     }
 
+    /// What the backend server has stated; `None` if it has no limit and stays.
+    #[must_use]
+    pub fn stated(&self) -> Option<Condition> {
+        let rate = self.limit.map_or(RateStatement::Unlimited, RateStatement::Limited);
+        let condition = Condition { rate, is_leaving: self.is_leaving };
+        (condition != Condition::default()).then_some(condition)
+    }
+
+    /// Takes over the limit that another daemon knows of, until the backend server states one itself.
+    pub fn adopt_limit(&mut self, known: Condition, now: Duration) -> Option<ConditionChange> {
+        let before = (self.limit, self.is_leaving);
+        if let RateStatement::Limited(limit) = known.rate
+            && !self.has_stated_rate
+        {
+            self.limit = Some(limit);
+            self.named_at = now;
+        }
+        self.change_from(before)
+    }
+
     /// Records what a response states, whether or not the rest of the response is usable.
     pub fn state(&mut self, stated: Condition, now: Duration) -> Option<ConditionChange> {
         let before = (self.limit, self.is_leaving);
         if let RateStatement::Limited(limit) = stated.rate {
+            self.has_stated_rate = true;
             self.limit = Some(limit);
             self.named_at = now;
         }
@@ -55,6 +78,7 @@
     /// Records that a usable response to a request sent at `sent_at` names no limit.
     pub fn state_unlimited(&mut self, sent_at: Duration) -> Option<ConditionChange> {
         let before = (self.limit, self.is_leaving);
+        self.has_stated_rate = true;
         if sent_at > self.named_at {
             self.limit = None;
         }
--- a/crates/core/src/condition/mod.rs
+++ b/crates/core/src/condition/mod.rs
@@ -2,12 +2,15 @@
 //! leaving.
 //!
 //! The daemon beside the backend server reads the statements ([`HostedCondition`]) and decides by them, since
-//! all requests pass through it.
+//! all requests pass through it. The daemons that call it remember the statements across its restarts
+//! ([`KnownConditions`]).
 
 mod hosted;
+mod known;
 mod rate_limit;
 
 pub use hosted::{ConditionChange, HostedCondition};
+pub use known::{KnownConditions, ReportedCondition};
 pub use rate_limit::{RateLimit, RateLimitError};
 
 /// Statement about the request rate in one response.
--- a/crates/core/tests/condition.rs
+++ b/crates/core/tests/condition.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use baobabreel_core::condition::{Condition, HostedCondition, RateLimit, RateStatement};
+use baobabreel_core::condition::{
+    Condition, HostedCondition, KnownConditions, RateLimit, RateStatement, ReportedCondition,
+};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -69,3 +71,51 @@
     assert_eq!(RateLimit::try_from(0.0).map(RateLimit::interval), Ok(None));
     assert_eq!(RateLimit::try_from(4.0).map(RateLimit::interval), Ok(Some(ms(250))));
 }
+
+fn reported(boot: Option<u64>, condition: Condition) -> ReportedCondition {
+    ReportedCondition { instance: "i-1".to_owned(), boot, condition }
+}
+
+/// Guards against a limit of before a restart that replaces what the backend server itself has stated since.
+#[test]
+fn limit_known_to_others_holds_until_the_backend_server_responds() {
+    let mut condition = HostedCondition::default();
+    assert!(condition.adopt_limit(limited(5.0), ms(10)).is_some());
+    assert_eq!(condition.limit().map(RateLimit::per_second), Some(5.0));
+    condition.state(Condition::default(), ms(20));
+    assert!(condition.state_unlimited(ms(15)).is_some());
+    assert_eq!(condition.adopt_limit(limited(5.0), ms(30)), None);
+    assert_eq!(condition.limit(), None);
+}
+
+/// Guards against statements that are forgotten because the daemon beside the backend server has restarted,
+/// and against a limit that is remembered after its end.
+#[test]
+fn statements_are_remembered_across_restarts_of_other_daemons() {
+    let mut known = KnownConditions::default();
+    known.record(1, Some(reported(Some(7), limited(5.0))), true, ms(0));
+    known.record(2, Some(reported(Some(7), leaving())), true, ms(0));
+    for daemon in [1, 2] {
+        known.record(daemon, None, false, ms(10));
+        assert!(
+            known.get(&daemon, ms(20)).is_some(),
+            "a daemon without its backend server says nothing"
+        );
+        known.record(daemon, None, true, ms(30));
+    }
+    assert_eq!(known.get(&1, ms(40)), None, "the limit has ended");
+    assert!(known.get(&2, ms(40)).is_some_and(|known| known.condition.is_leaving));
+    assert_eq!(known.get(&2, ms(60_000)), None, "it has left long ago");
+}
+
+/// Guards against a statement that is taken for one of another start or of another backend server.
+#[test]
+fn statement_is_about_one_start() {
+    let known = reported(Some(7), leaving());
+    assert!(known.may_be_about(Some("i-1"), Some(7)));
+    assert!(known.may_be_about(Some("i-1"), None));
+    assert!(!known.may_be_about(Some("i-1"), Some(8)));
+    assert!(!known.may_be_about(Some("i-2"), Some(7)));
+    assert!(!known.may_be_about(None, None));
+    assert!(reported(None, leaving()).may_be_about(Some("i-1"), Some(8)));
+}
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -196,7 +196,8 @@
         let Some(known) = &cx.settings.backend else { return };
         for _ in 0..MAX_QUERIES {
             let Some(path) = self.wait_for_health_path(cx, &known.service).await else { return };
-            let Some(info) = proxy::ask_backend(cx, known, &path, QUERY_TIMEOUT).await else {
+            let asked = proxy::ask_backend(cx, known, &path, QUERY_TIMEOUT).await;
+            let Some((info, condition)) = asked else {
                 tokio::time::sleep(QUERY_INTERVAL).await;
                 continue;
             };
@@ -204,7 +205,8 @@
             if self.silent_for(cx.clock.now()).is_none() {
                 let instance = info.instance.clone().unwrap_or_default();
                 let order = Report { instance, boot: None, sequence: 0, draining: false };
-                self.report(cx, control, info, Some(order)).await;
+                self.report(cx, control, info.clone(), Some(order)).await;
+                cx.host.record_statement(cx, &info, condition);
             }
             return;
         }
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -4,11 +4,13 @@
 //! for a few hundred nanoseconds and never across an await.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
 use baobabreel_core::balance::{Balancer, DataCentreReach, Endpoint, Failure, LoadReport};
+use baobabreel_core::condition::{KnownConditions, ReportedCondition};
 use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::membership::Member;
@@ -58,6 +60,7 @@
     routes: RwLock<HashMap<RouteName, Arc<RouteState>>>,
     budgets: RetryBudgets,
     reach: Mutex<DataCentreReach>,
+    conditions: Mutex<KnownConditions<SocketAddr>>,
     outstanding: Arc<AtomicUsize>,
     policy: Policy,
 }
@@ -73,6 +76,7 @@
             routes: RwLock::default(),
             budgets: RetryBudgets::new(settings.retry),
             reach: Mutex::default(),
+            conditions: Mutex::default(),
             outstanding: Arc::default(),
             policy: settings.policy,
         }
@@ -184,6 +188,23 @@
         }
     }
 
+    /// What the backend server beside the daemon at `addr` has stated, as far as known.
+    pub fn condition_at(&self, addr: SocketAddr, now: Duration) -> Option<ReportedCondition> {
+        lock(&self.conditions).get(&addr, now).cloned()
+    }
+
+    /// Records what a response of the daemon at `addr` says of its backend server; `is_from_backend` tells whether
+    /// the backend server itself responded.
+    pub fn record_condition(
+        &self,
+        addr: SocketAddr,
+        reported: Option<ReportedCondition>,
+        is_from_backend: bool,
+        now: Duration,
+    ) {
+        lock(&self.conditions).record(addr, reported, is_from_backend, now);
+    }
+
     fn avoid_data_centre(&self, data_centre: &str, until: Duration) {
         for balancer in read(&self.services).values() {
             lock(balancer).avoid_data_centre(data_centre, until);
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -226,7 +226,8 @@
         req.headers_mut().insert(headers::CALLER_HOST, host);
     }
     // Each transmission has its own identifier, so that a query for its state cannot refer to another one.
-    let head = CallHead { id: rand::random(), ..head.clone() };
+    let condition = cx.balance.condition_at(to.addr, cx.clock.now()).map(Into::into);
+    let head = CallHead { id: rand::random(), condition, ..head.clone() };
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
@@ -255,6 +256,8 @@
         .ok_or_else(|| "the answer has no head".to_owned())
         .and_then(|value| AnswerHead::try_from(&value).map_err(|e| e.to_string()))
         .map_err(|detail| CallError::new(ErrorKind::UpstreamLost, detail))?;
+    let condition = answer.condition.map(Into::into);
+    cx.balance.record_condition(to.addr, condition, answer.error.is_none(), cx.clock.now());
     if let Some(kind) = answer.error {
         let mut e = CallError::new(kind, format!("refused by the daemon at {}", to.addr));
         e.is_local = false;
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -247,6 +247,7 @@
                 u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
             }),
             only_if_free: options.only_if_free,
+            condition: None,
         })
     }
 }
--- a/crates/daemon/src/proxy/host.rs
+++ b/crates/daemon/src/proxy/host.rs
@@ -11,7 +11,9 @@
 use baobabreel_client::wire::{CallHead, LoadWire};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
 use baobabreel_core::balance::LoadReport;
-use baobabreel_core::condition::{ConditionChange, HostedCondition, RateStatement};
+use baobabreel_core::condition::{
+    Condition, ConditionChange, HostedCondition, RateStatement, ReportedCondition,
+};
 use baobabreel_core::config::{CompiledConfig, ServicePolicy};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::{InstanceId, ServiceName};
@@ -349,6 +351,15 @@
         self.wake_pacer(&admitter);
     }
 
+    /// Records what a response of the backend server `info` states.
+    pub fn record_statement(&self, cx: &Cx, info: &BackendInfo, stated: Condition) {
+        if stated.rate == RateStatement::Unreadable {
+            lines::log_unreadable_limit(cx, info);
+        }
+        let now = cx.clock.now();
+        self.record_condition(cx, info, |condition| condition.state(stated, now));
+    }
+
     /// Updates the condition of the backend server `info` by a response, unless another one has taken its place.
     fn record_condition(
         &self,
@@ -374,6 +385,15 @@
         }
     }
 
+    /// What the backend server has stated, for daemons that send it calls.
+    pub fn reported_condition(&self) -> Option<ReportedCondition> {
+        let admitter = lock(&self.admitter);
+        let condition = admitter.condition.stated()?;
+        let described = admitter.described.as_ref()?;
+        let instance = described.instance.clone()?;
+        Some(ReportedCondition { instance, boot: described.boot, condition })
+    }
+
     /// Gives the backend server no more requests, as it is leaving.
     fn drain_backend(&self, admitter: &mut Admitter, now: Duration) {
         if let Some(backend) = self.backend.load_full() {
@@ -564,11 +584,7 @@
     guard.connection = Some(connection);
     check_origin(dialect, request_id.as_ref(), &response)?;
     let stated = dialect.condition.read(response.headers());
-    if stated.rate == RateStatement::Unreadable {
-        lines::log_unreadable_limit(cx, &backend.info);
-    }
-    let now = cx.clock.now();
-    cx.host.record_condition(cx, &backend.info, |c| c.state(stated, now));
+    cx.host.record_statement(cx, &backend.info, stated);
     check_response(dialect, &response)?;
     if stated.rate == RateStatement::Unlimited {
         cx.host.record_condition(cx, &backend.info, |c| c.state_unlimited(sent_at));
@@ -586,6 +602,9 @@
     if backend.info.service != head.service {
         return Err(none());
     }
+    if let Some(known) = &head.condition {
+        apply_known_condition(cx, &backend.info, &known.clone().into())?;
+    }
     match backend.info.state {
         MemberState::Ready => Ok(backend),
         MemberState::Draining | MemberState::Left => Err(draining()),
@@ -593,6 +612,24 @@
     }
 }
 
+/// Applies what the entry daemon of a call knows of the backend server, which this daemon may have forgotten in
+/// a restart. The entry daemon must not use one that told it that it leaves.
+fn apply_known_condition(
+    cx: &Cx,
+    info: &BackendInfo,
+    known: &ReportedCondition,
+) -> Result<(), CallError> {
+    if !known.may_be_about(info.instance.as_deref(), info.boot) {
+        return Ok(());
+    }
+    if known.condition.is_leaving {
+        return Err(draining());
+    }
+    let now = cx.clock.now();
+    cx.host.record_condition(cx, info, |c| c.adopt_limit(known.condition, now));
+    Ok(())
+}
+
 fn draining() -> CallError {
     CallError::new(ErrorKind::Draining, "the backend server is draining")
 }
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -63,7 +63,12 @@
             (res, kind.answer().outcome, Some(kind))
         }
     };
-    let answer = AnswerHead { outcome, error, load: cx.host.visible_load(cx.clock.now()) };
+    let answer = AnswerHead {
+        outcome,
+        error,
+        load: cx.host.visible_load(cx.clock.now()),
+        condition: cx.host.reported_condition().map(Into::into),
+    };
     res.headers_mut().insert(headers::ANSWER_HEAD, HeaderValue::from(&answer));
     let result = error.map_or("ran", ErrorKind::name);
     span.finish(cx.clock.now(), &route, result);
--- a/crates/daemon/src/proxy/question.rs
+++ b/crates/daemon/src/proxy/question.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use baobabreel_core::condition::Condition;
 use baobabreel_core::membership::MemberState;
 use http::{HeaderMap, HeaderName, Request};
 
@@ -12,14 +13,14 @@
 use crate::context::Cx;
 use crate::settings::StaticBackend;
 
-/// Asks the health endpoint of a backend server for its instance identifier and number of slots; `None` if it is
-/// not healthy or does not report both.
+/// Asks the health endpoint of a backend server for its instance identifier and number of slots, and what else it
+/// states; `None` if it is not healthy or does not report both.
 pub async fn ask_backend(
     cx: &Cx,
     known: &StaticBackend,
     path: &str,
     timeout: Duration,
-) -> Option<BackendInfo> {
+) -> Option<(BackendInfo, Condition)> {
     let dialect = &cx.settings.dialect;
     let (proofs, load) = (dialect.proofs.as_ref()?, dialect.load.as_ref()?);
     let pool = Arc::new(ConnectionPool::new(known.address, Protocol::Http1, 1));
@@ -42,7 +43,7 @@
         return None;
     }
     let instance = res.headers().get(&proofs.instance)?.to_str().ok()?;
-    Some(BackendInfo {
+    let info = BackendInfo {
         service: known.service.clone(),
         address: known.address,
         protocol: Protocol::Http1,
@@ -50,7 +51,8 @@
         state: MemberState::Ready,
         instance: Some(instance.to_owned()),
         boot: None,
-    })
+    };
+    Some((info, dialect.condition.read(res.headers())))
 }
 
 /// Reads the slots from a load header: running requests, queued requests and slots, separated by commas.
