Log when the platform's store has come back from an older copy

A store that comes back from an older copy loses what it had acknowledged and gives offsets out again. All its answers name a number that rises each time; nothing read it, so a change that readers miss behind such a return looked like one that was never made.

Nothing is decided by it yet.

--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr, bail};
-use http::{Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -70,6 +70,8 @@
 pub struct Reply {
     /// HTTP status code.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
 }
@@ -147,7 +149,11 @@
             let res = self.inner.request(req).await?;
             let (parts, body) = res.into_parts();
             match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-                Ok(body) => Ok(Reply { status: parts.status, body: body.to_bytes() }),
+                Ok(body) => Ok(Reply {
+                    status: parts.status,
+                    headers: parts.headers,
+                    body: body.to_bytes(),
+                }),
                 Err(e) if e.is::<LengthLimitError>() => Err(AnswerTooLarge.into()),
                 Err(e) => bail!("failed to read the answer: {e}"),
             }
--- /dev/null
+++ b/crates/core/src/relay/generation.rs
@@ -0,0 +1,47 @@
+//! Generation of the platform's store.
+//!
+//! A store that comes back from an older copy has lost records that it had acknowledged, and gives their
+//! offsets out again. It says so by a higher generation; what was known of its contents under a
+//! lower one no longer holds.
+
+/// Number of times that the platform's store has come back from an older copy.
+pub type Generation = u64;
+
+/// How the generation of an answer compares to the newest one known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GenerationStatus {
+    /// The answer is from the newest generation known.
+    Current,
+    /// The store has come back from an older copy since.
+    Restored,
+    /// The answer was made before the store came back, and arrived late.
+    Outdated,
+}
+
+/// Newest generation known; none before the first answer that names one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NewestGeneration(Option<Generation>);
+
+impl NewestGeneration {
+    /// Records the generation of an answer, or one that another daemon knows.
+    pub fn observe(&mut self, generation: Generation) -> GenerationStatus {
+        match self.0 {
+            Some(known) if generation < known => GenerationStatus::Outdated,
+            Some(known) if generation == known => GenerationStatus::Current,
+            Some(_) => {
+                self.0 = Some(generation);
+                GenerationStatus::Restored
+            }
+            None => {
+                self.0 = Some(generation);
+                GenerationStatus::Current
+            }
+        }
+    }
+
+    /// The newest generation known.
+    #[must_use]
+    pub fn get(self) -> Option<Generation> {
+        self.0
+    }
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod confirmation;
 mod documents;
 mod freshness;
+mod generation;
 mod pull;
 mod tree;
 mod window;
@@ -25,6 +26,7 @@
     notice_targets, other_document_relays,
 };
 pub use freshness::Freshness;
+pub use generation::{Generation, GenerationStatus, NewestGeneration};
 pub use pull::{
     MAX_CONCURRENT_PULLS, PullAdmission, PullLimiter, PullSource, STALE_AFTER, Staleness,
 };
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -19,6 +19,7 @@
     DocumentReadPolicy, Freshness, ReadReason, notice_targets, other_document_relays,
 };
 
+use super::generation::StoreGeneration;
 use crate::context::{Cx, Phase};
 use crate::sync::lock;
 
@@ -80,6 +81,7 @@
     sources: Mutex<Sources>,
     read_policy: Mutex<DocumentReadPolicy>,
     freshness: Mutex<Freshness>,
+    generation: StoreGeneration,
 }
 
 /// Peers that are known to have a newer document, and the task that queries them.
@@ -91,6 +93,11 @@
 }
 
 impl Documents {
+    /// Generation of the platform's store.
+    pub fn generation(&self) -> &StoreGeneration {
+        &self.generation
+    }
+
     /// Version of the newest document.
     pub fn version(&self) -> Option<DocumentVersion> {
         self.newest.load().as_ref().map(|newest| newest.document.version)
--- /dev/null
+++ b/crates/daemon/src/control/generation.rs
@@ -0,0 +1,32 @@
+//! Generation of the platform's store, as the platform adapter and other daemons have seen it.
+
+use baobabreel_core::relay::{Generation, GenerationStatus, NewestGeneration};
+use tokio::sync::watch;
+
+/// Newest known generation of the platform's store; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct StoreGeneration {
+    newest: watch::Sender<NewestGeneration>,
+}
+
+impl StoreGeneration {
+    /// The newest generation known; `None` until one is.
+    #[must_use]
+    pub fn get(&self) -> Option<Generation> {
+        self.newest.borrow().get()
+    }
+
+    /// Records the generation of an answer of the store.
+    pub fn observe(&self, generation: Generation) -> GenerationStatus {
+        let mut status = GenerationStatus::Current;
+        self.newest.send_if_modified(|newest| {
+            let before = *newest;
+            status = newest.observe(generation);
+            *newest != before
+        });
+        if status == GenerationStatus::Restored {
+            tracing::warn!(generation, "the store came back from an older copy");
+        }
+        status
+    }
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod documents;
 mod folds;
 mod follower;
+mod generation;
 mod gossip;
 mod membership;
 mod push;
@@ -25,6 +26,7 @@
     Documents, Origin, confirm as confirm_document, offer as offer_document, platform_lost,
 };
 pub use follower::Follower;
+pub use generation::StoreGeneration;
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
 pub use serve::serve_control;
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -22,8 +22,8 @@
 use crate::adapter::{Adapter, NativeAdapter};
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
 use crate::control::{
-    BackendTracker, Control, Leave, ListedMembers, LocalChanged, Origin, confirm_document,
-    offer_document, platform_lost,
+    BackendTracker, Control, Leave, ListedMembers, LocalChanged, Origin, StoreGeneration,
+    confirm_document, offer_document, platform_lost,
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
@@ -375,6 +375,12 @@
         turn.poll_time(is_first)
     }
 
+    /// Generation of the platform's store, which the adapter and the other daemons report.
+    #[must_use]
+    pub fn store_generation(&self) -> StoreGeneration {
+        self.cx.documents.generation().clone()
+    }
+
     /// Version of the document in force.
     #[must_use]
     pub fn document_version(&self) -> Option<DocumentVersion> {
