Trust offsets of the store for one generation only

Cause: an offset that was read before the return means another record after it. A daemon that pauses after a change misses the next one; the operator writes only the newest record again, and when this fills the log just up to the daemons' offset, they wait behind it. Daemons are likely to have the same offset, so all miss it. The answer 410 tells only as long as the log is shorter. Ruled out: the membership's versions, which cannot help when nobody has the change; and versions that go back, as the highest wins.

Class of the fault: a position in a store is taken as true for ever. A place is now an offset and the generation in which it was learnt (core::relay::Place).

The directory's lost entries are a fault of their own.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -5,7 +5,7 @@
 
 use baobabreel_core::config::{DocumentVersion, Version};
 use baobabreel_core::id::{DaemonId, Offset};
-use baobabreel_core::relay::{Attestation, Batch};
+use baobabreel_core::relay::{Attestation, Batch, Generation};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -107,6 +107,9 @@
     pub config_digest: u64,
     /// Version of the registry of daemons.
     pub members: Version,
+    /// Newest generation of the platform's store that the daemon knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_generation: Option<Generation>,
 }
 
 /// A membership message with the position of its sender.
--- a/crates/core/src/relay/generation.rs
+++ b/crates/core/src/relay/generation.rs
@@ -4,9 +4,29 @@
 //! offsets out again. It says so by a higher generation; what was known of its contents under a
 //! lower one no longer holds.
 
+use crate::id::Offset;
+
 /// Number of times that the platform's store has come back from an older copy.
 pub type Generation = u64;
 
+/// Place in a topic of the store, which holds for one generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Offset of the next record to read.
+    pub offset: Offset,
+    /// Generation in which the offset was learnt; `None` if the store named none.
+    pub generation: Option<Generation>,
+}
+
+impl Place {
+    /// Whether the offset still means the same in `generation`. A store that names no generation has never lost
+    /// records.
+    #[must_use]
+    pub fn holds_in(self, generation: Option<Generation>) -> bool {
+        generation.is_none() || self.generation == generation
+    }
+}
+
 /// How the generation of an answer compares to the newest one known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GenerationStatus {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -26,7 +26,7 @@
     notice_targets, other_document_relays,
 };
 pub use freshness::Freshness;
-pub use generation::{Generation, GenerationStatus, NewestGeneration};
+pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
 pub use pull::{
     MAX_CONCURRENT_PULLS, PullAdmission, PullLimiter, PullSource, STALE_AFTER, Staleness,
 };
--- a/crates/daemon/src/control/distribution.rs
+++ b/crates/daemon/src/control/distribution.rs
@@ -217,6 +217,7 @@
             config: self.state.version(),
             config_digest: short_digest(&self.state),
             members: self.members.version(),
+            store_generation: None,
         });
     }
 
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -14,7 +14,7 @@
 use baobabreel_client::wire::{
     DocumentAnswer, DocumentNotice, DocumentQuery, PackedDocument, Position,
 };
-use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion};
+use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
     DocumentReadPolicy, Freshness, ReadReason, notice_targets, other_document_relays,
 };
@@ -175,7 +175,11 @@
     let applying = lock(&documents.applying);
     if documents.is_newer(document.version) {
         let config = CompiledConfig::from(&document);
-        let position = Position { config: config.version, ..Position::default() };
+        let position = Position {
+            config: config.version,
+            store_generation: documents.generation.get(),
+            ..Position::default()
+        };
         tracing::info!(
             version = document.version,
             before = documents.version(),
@@ -268,7 +272,10 @@
     let now = cx.clock.now();
     lock(&documents.read_policy).heard(now);
     let version = position.config.offset;
-    if position == Position::default() || !documents.is_newer(version) {
+    if let Some(generation) = position.store_generation {
+        documents.generation.observe(generation);
+    }
+    if position.config == Version::default() || !documents.is_newer(version) {
         return;
     }
     lock(&documents.read_policy).fell_behind(now);
--- a/crates/daemon/src/control/generation.rs
+++ b/crates/daemon/src/control/generation.rs
@@ -16,7 +16,16 @@
         self.newest.borrow().get()
     }
 
-    /// Records the generation of an answer of the store.
+    /// Waits until the newest generation known differs from `known`.
+    pub async fn changed_from(&self, known: Option<Generation>) {
+        let mut newest = self.newest.subscribe();
+        if newest.wait_for(|newest| newest.get() != known).await.is_err() {
+            // The sender lives as long as `self`.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Records the generation of an answer of the store, or one that another daemon knows.
     pub fn observe(&self, generation: Generation) -> GenerationStatus {
         let mut status = GenerationStatus::Current;
         self.newest.send_if_modified(|newest| {
