Split the host module by its jobs

It is a folder now: the description of a backend server (info), its state (local), its statements (condition), the slots (slots) and the dispatch (mod). Code moved as it was, but for a constructor of Admitter and the name that the debug output of SlotGuard gives itself.

--- /dev/null
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -0,0 +1,243 @@
+//! Slots of the local backend server: requests that wait for one, hold one and give it back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use baobabreel_client::wire::CallHead;
+use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::condition::HostedCondition;
+use baobabreel_core::error::ErrorKind;
+use tokio::sync::oneshot;
+
+use super::info::BackendInfo;
+use super::local::{LocalBackend, visible_load};
+use crate::context::Cx;
+use crate::proxy::call_error::CallError;
+use crate::proxy::pool::PooledConnection;
+use crate::sync::lock;
+
+/// Time that must be left for the response to travel back when a queued request starts.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(1);
+
+/// Admission state, and the channels that wake queued requests.
+#[derive(Debug)]
+pub(super) struct Admitter {
+    pub admission: Admission,
+    pub condition: HostedCondition,
+    /// Backend server that `condition` is about; it may have been removed since.
+    pub described: Option<BackendInfo>,
+    waiting: HashMap<TicketId, oneshot::Sender<Result<(), CallError>>>,
+    next_id: TicketId,
+}
+
+impl Admitter {
+    pub fn new(admission: Admission) -> Self {
+        Self {
+            admission,
+            condition: HostedCondition::default(),
+            described: None,
+            waiting: HashMap::new(),
+            next_id: 0,
+        }
+    }
+
+    /// Begins a new condition unless `info` describes the same start of the backend server as before.
+    pub fn describe(&mut self, info: &BackendInfo, now: Duration) {
+        if !self.described.as_ref().is_some_and(|described| described.may_be_start_of(info)) {
+            self.condition = HostedCondition::default();
+            self.follow_limit(now);
+        }
+        self.described = Some(info.clone());
+    }
+
+    /// Applies the limit of the condition to the admission of requests.
+    pub fn follow_limit(&mut self, now: Duration) {
+        let actions = self.admission.set_rate_limit(self.condition.limit(), now);
+        self.apply(actions);
+    }
+
+    /// Starts or refuses the queued requests that `actions` name.
+    pub fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, result) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse { id, kind, retry_after } => {
+                    let e = CallError::new(kind, "the request left the queue");
+                    (id, Err(e.with_retry_after(retry_after)))
+                }
+            };
+            if let Some(tx) = self.waiting.remove(&id) {
+                // A request that stopped waiting releases its slot when its guard is dropped.
+                drop(tx.send(result));
+            }
+        }
+    }
+}
+
+impl LocalBackend {
+    /// Waits until the request has a slot.
+    pub(super) async fn admit(
+        &self,
+        cx: &Cx,
+        head: &CallHead,
+        deadline: Duration,
+    ) -> Result<SlotGuard, CallError> {
+        let now = cx.clock.now();
+        match self.offer(cx, head, deadline, now)? {
+            Accepted::Slot(guard) => Ok(guard),
+            Accepted::Queue(guard, rx) => {
+                wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
+            }
+        }
+    }
+
+    /// Offers the request to admission, which gives it a slot, queues or refuses it.
+    fn offer(
+        &self,
+        cx: &Cx,
+        head: &CallHead,
+        deadline: Duration,
+        now: Duration,
+    ) -> Result<Accepted, CallError> {
+        let mut admitter = lock(&self.admitter);
+        if head.only_if_free && !admitter.admission.has_free_slot(now) {
+            return Err(CallError::no_free_slot(visible_load(&admitter.admission, now)));
+        }
+        admitter.next_id += 1;
+        let id = admitter.next_id;
+        let ticket = Ticket {
+            id,
+            class: head.class,
+            route: &head.route,
+            deadline: deadline.saturating_sub(RESPONSE_MARGIN),
+            target: head.target_ms.map(|left| now + Duration::from_millis(left)),
+        };
+        let offer = admitter.admission.offer(ticket, now);
+        admitter.apply(offer.evicted);
+        let guard = || SlotGuard { cx: Arc::clone(cx), id: Some(id), connection: None };
+        match offer.decision {
+            Decision::Start => Ok(Accepted::Slot(guard())),
+            Decision::Queued => {
+                let (tx, rx) = oneshot::channel();
+                admitter.waiting.insert(id, tx);
+                self.wake_pacer(&admitter);
+                Ok(Accepted::Queue(guard(), rx))
+            }
+            Decision::Refuse { kind, retry_after } => {
+                let e = CallError::new(kind, "the backend server has no room");
+                Err(e.with_retry_after(retry_after))
+            }
+        }
+    }
+
+    /// Starts the queued requests that the rate limit now allows. Returns when it allows the next one; `None` if
+    /// none waits for it.
+    fn start_due(&self, now: Duration) -> Option<Duration> {
+        let mut admitter = lock(&self.admitter);
+        let actions = admitter.admission.start_due(now);
+        admitter.apply(actions);
+        admitter.admission.next_due()
+    }
+
+    /// Wakes [`start_at_rate_limit`] if a queued request waits for the rate limit.
+    pub(super) fn wake_pacer(&self, admitter: &Admitter) {
+        if admitter.admission.next_due().is_some() {
+            self.pacer.notify_one();
+        }
+    }
+
+    /// Ends a request and starts those that its slot allows; `is_complete` tells whether its response was
+    /// received to the end.
+    fn release(&self, id: TicketId, is_complete: bool, now: Duration) {
+        let mut admitter = lock(&self.admitter);
+        admitter.waiting.remove(&id);
+        let actions = if is_complete {
+            admitter.admission.finish(id, now)
+        } else {
+            admitter.admission.cancel(id, now)
+        };
+        admitter.apply(actions);
+        self.wake_pacer(&admitter);
+    }
+}
+
+/// Starts queued requests as the rate limit of the backend server allows it.
+pub async fn start_at_rate_limit(cx: Cx) {
+    loop {
+        let wake = cx.host.pacer.notified();
+        match cx.host.start_due(cx.clock.now()) {
+            // A change of the limit may allow an earlier start.
+            Some(next) => {
+                let time = next.saturating_sub(cx.clock.now());
+                drop(tokio::time::timeout(time, wake).await);
+            }
+            None => wake.await,
+        }
+    }
+}
+
+/// A request that was not refused: it has a slot, or waits for one in the queue.
+enum Accepted {
+    Slot(SlotGuard),
+    Queue(SlotGuard, oneshot::Receiver<Result<(), CallError>>),
+}
+
+/// Waits in the queue for a slot, at most for `timeout`.
+async fn wait_for_slot(
+    guard: SlotGuard,
+    rx: oneshot::Receiver<Result<(), CallError>>,
+    timeout: Duration,
+) -> Result<SlotGuard, CallError> {
+    match tokio::time::timeout(timeout, rx).await {
+        Ok(Ok(Ok(()))) => Ok(guard),
+        Ok(Ok(Err(e))) => {
+            guard.disarm();
+            Err(e)
+        }
+        Ok(Err(_)) => Err(CallError::new(ErrorKind::Overloaded, "the queue was closed")),
+        Err(_) => {
+            Err(CallError::new(ErrorKind::DeadlineUnreachable, "the deadline passed in the queue"))
+        }
+    }
+}
+
+/// Slot or queue position of a request; released on drop.
+pub struct SlotGuard {
+    cx: Cx,
+    id: Option<TicketId>,
+    pub(super) connection: Option<PooledConnection>,
+}
+
+impl std::fmt::Debug for SlotGuard {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SlotGuard").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl SlotGuard {
+    /// Records that the response was received to its end: the connection can be reused.
+    pub fn complete(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+        if let Some(id) = self.id.take() {
+            self.cx.host.release(id, true, self.cx.clock.now());
+        }
+    }
+
+    /// Drops the guard of a request that admission has already removed.
+    fn disarm(mut self) {
+        self.id = None;
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        // Releasing the slot starts the next request, which needs the connection.
+        self.connection = None;
+        if let Some(id) = self.id.take() {
+            self.cx.host.release(id, false, self.cx.clock.now());
+        }
+    }
+}
