--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -28,10 +28,12 @@
         Self { interval: interval(limit), due: now }
     }
 
-    /// Changes the limit; requests that started before count as before.
+    /// Changes the limit; requests that started early are still to be made up for, at the new interval.
     pub fn set_limit(&mut self, limit: RateLimit, now: Duration) {
-        self.interval = interval(limit);
-        self.due = self.due.min(now + self.interval);
+        let interval = interval(limit);
+        let ahead = self.due.saturating_sub(now).div_duration_f64(self.interval);
+        self.due = now + interval.mul_f64(ahead);
+        self.interval = interval;
     }
 
     /// Records that a request starts.
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -162,6 +162,26 @@
     assert!(most <= allowed(20.0), "{most} starts");
 }
 
+/// Guards against a limit that a little change in each response makes ineffective.
+#[test]
+fn limit_that_changes_with_each_response_is_kept() {
+    let mut replay = Replay::new(18, ms(50), ms(600));
+    replay.set_limit(Some(limit(20.0)));
+    let since = replay.now;
+    let mut ended = 0;
+    for _ in 0..12_000_u64 {
+        replay.arrive(Class::Lookup);
+        replay.step();
+        let responses = replay.started.len() - replay.running.len();
+        if responses > ended {
+            ended = responses;
+            replay.set_limit(Some(limit(20.0 - (ended % 7) as f64 * 0.01)));
+        }
+    }
+    let most = replay.most_in_window(since);
+    assert!(most <= allowed(20.0), "{most} starts");
+}
+
 /// Guards against requests that wait at a limited backend server although they cannot start in time.
 #[test]
 fn request_that_the_limit_lets_start_too_late_is_refused_at_once() {
