Do not forget that a backend server leaves when its restarted daemon reports a limit

Found when reading the change before: the report of a daemon that knows only the limit replaced what the calling daemon knew of the same start. Evidence: report_of_a_limit_does_not_replace_that_a_start_is_leaving failed before and passes now.

--- a/crates/core/src/condition/known.rs
+++ b/crates/core/src/condition/known.rs
@@ -65,7 +65,12 @@
         is_from_backend: bool,
         now: Duration,
     ) {
-        if let Some(reported) = reported {
+        if let Some(mut reported) = reported {
+            let leaves = |known: &ReportedCondition| {
+                known.condition.is_leaving
+                    && known.may_be_about(Some(&reported.instance), reported.boot)
+            };
+            reported.condition.is_leaving |= self.get(&daemon, now).is_some_and(leaves);
             self.by_daemon.retain(|_, (_, heard_at)| now < *heard_at + RETENTION);
             self.by_daemon.insert(daemon, (reported, now));
             return;
--- a/crates/core/tests/condition.rs
+++ b/crates/core/tests/condition.rs
@@ -119,3 +119,16 @@
     assert!(!known.may_be_about(None, None));
     assert!(reported(None, leaving()).may_be_about(Some("i-1"), Some(8)));
 }
+
+/// Guards against a daemon that forgets that a backend server leaves because the restarted daemon beside it
+/// reports only its limit.
+#[test]
+fn report_of_a_limit_does_not_replace_that_a_start_is_leaving() {
+    let mut known = KnownConditions::default();
+    known.record(1, Some(reported(Some(7), leaving())), true, ms(0));
+    known.record(1, Some(reported(Some(7), limited(5.0))), true, ms(10));
+    let both = Condition { is_leaving: true, ..limited(5.0) };
+    assert_eq!(known.get(&1, ms(20)), Some(&reported(Some(7), both)));
+    known.record(1, Some(reported(Some(8), limited(5.0))), true, ms(30));
+    assert_eq!(known.get(&1, ms(40)), Some(&reported(Some(8), limited(5.0))), "another start");
+}
