Bound the lines about statements, name what observes them

A limit that changes with each response would write a line for each; the lines have the rate of those about hosted requests now. Changes of slots and policy wake the task that starts requests at the rate limit. observe, observe_unlimited and may_be_same_start were state, state_unlimited and may_be_start_of.

--- a/crates/core/src/condition/hosted.rs
+++ b/crates/core/src/condition/hosted.rs
@@ -64,7 +64,7 @@
     }
 
     /// Records what a response states, whether or not the rest of the response is usable.
-    pub fn state(&mut self, stated: Condition, now: Duration) -> Option<ConditionChange> {
+    pub fn observe(&mut self, stated: Condition, now: Duration) -> Option<ConditionChange> {
         let before = (self.limit, self.is_leaving);
         if let RateStatement::Limited(limit) = stated.rate {
             self.has_stated_rate = true;
@@ -76,7 +76,7 @@
     }
 
     /// Records that a usable response to a request sent at `sent_at` names no limit.
-    pub fn state_unlimited(&mut self, sent_at: Duration) -> Option<ConditionChange> {
+    pub fn observe_unlimited(&mut self, sent_at: Duration) -> Option<ConditionChange> {
         let before = (self.limit, self.is_leaving);
         self.has_stated_rate = true;
         if sent_at > self.named_at {
--- a/crates/core/tests/condition.rs
+++ b/crates/core/tests/condition.rs
@@ -23,9 +23,9 @@
 #[test]
 fn response_to_an_earlier_request_does_not_end_a_limit() {
     let mut condition = HostedCondition::default();
-    assert!(condition.state(limited(20.0), ms(1_000)).is_some());
-    assert_eq!(condition.state_unlimited(ms(900)), None);
-    assert_eq!(condition.state_unlimited(ms(1_000)), None);
+    assert!(condition.observe(limited(20.0), ms(1_000)).is_some());
+    assert_eq!(condition.observe_unlimited(ms(900)), None);
+    assert_eq!(condition.observe_unlimited(ms(1_000)), None);
     assert_eq!(condition.limit().map(RateLimit::per_second), Some(20.0));
 }
 
@@ -33,10 +33,10 @@
 #[test]
 fn response_to_a_later_request_ends_a_limit() {
     let mut condition = HostedCondition::default();
-    condition.state(limited(20.0), ms(1_000));
-    assert!(condition.state(limited(10.0), ms(2_000)).is_some_and(|c| c.limit_before.is_some()));
-    assert_eq!(condition.state_unlimited(ms(1_500)), None);
-    assert!(condition.state_unlimited(ms(2_001)).is_some_and(|change| change.limit.is_none()));
+    condition.observe(limited(20.0), ms(1_000));
+    assert!(condition.observe(limited(10.0), ms(2_000)).is_some_and(|c| c.limit_before.is_some()));
+    assert_eq!(condition.observe_unlimited(ms(1_500)), None);
+    assert!(condition.observe_unlimited(ms(2_001)).is_some_and(|change| change.limit.is_none()));
     assert_eq!(condition.limit(), None);
 }
 
@@ -44,10 +44,10 @@
 #[test]
 fn backend_server_cannot_take_its_leaving_back() {
     let mut condition = HostedCondition::default();
-    assert!(condition.state(leaving(), ms(1)).is_some_and(|change| change.starts_leaving));
-    assert_eq!(condition.state(leaving(), ms(2)), None, "it leaves only once");
-    condition.state(Condition::default(), ms(3));
-    condition.state_unlimited(ms(3));
+    assert!(condition.observe(leaving(), ms(1)).is_some_and(|change| change.starts_leaving));
+    assert_eq!(condition.observe(leaving(), ms(2)), None, "it leaves only once");
+    condition.observe(Condition::default(), ms(3));
+    condition.observe_unlimited(ms(3));
     assert!(condition.is_leaving());
 }
 
@@ -55,9 +55,9 @@
 #[test]
 fn unreadable_limit_changes_nothing() {
     let mut condition = HostedCondition::default();
-    condition.state(limited(20.0), ms(1_000));
+    condition.observe(limited(20.0), ms(1_000));
     let unreadable = Condition { rate: RateStatement::Unreadable, is_leaving: false };
-    assert_eq!(condition.state(unreadable, ms(2_000)), None);
+    assert_eq!(condition.observe(unreadable, ms(2_000)), None);
     assert_eq!(condition.limit().map(RateLimit::per_second), Some(20.0));
 }
 
@@ -82,8 +82,8 @@
     let mut condition = HostedCondition::default();
     assert!(condition.adopt_limit(limited(5.0), ms(10)).is_some());
     assert_eq!(condition.limit().map(RateLimit::per_second), Some(5.0));
-    condition.state(Condition::default(), ms(20));
-    assert!(condition.state_unlimited(ms(15)).is_some());
+    condition.observe(Condition::default(), ms(20));
+    assert!(condition.observe_unlimited(ms(15)).is_some());
     assert_eq!(condition.adopt_limit(limited(5.0), ms(30)), None);
     assert_eq!(condition.limit(), None);
 }
--- a/crates/daemon/src/proxy/host/condition.rs
+++ b/crates/daemon/src/proxy/host/condition.rs
@@ -24,7 +24,7 @@
             lines::log_unreadable_limit(cx, info);
         }
         let now = cx.clock.now();
-        self.record_condition(cx, info, |condition| condition.state(stated, now));
+        self.record_condition(cx, info, |condition| condition.observe(stated, now));
     }
 
     /// Updates the condition of the backend server `info` by a response, unless another one has taken its place.
@@ -36,7 +36,7 @@
     ) {
         let now = cx.clock.now();
         let mut admitter = lock(&self.admitter);
-        if !admitter.described.as_ref().is_some_and(|described| info.may_be_start_of(described)) {
+        if !admitter.described.as_ref().is_some_and(|described| info.may_be_same_start(described)) {
             return;
         }
         let Some(change) = update(&mut admitter.condition) else { return };
@@ -46,7 +46,7 @@
             self.drain_backend(&mut admitter, now);
         }
         drop(admitter);
-        lines::log_condition(info, &change);
+        lines::log_condition(cx, info, &change);
         if change.starts_leaving {
             notify_membership(cx);
         }
--- a/crates/daemon/src/proxy/host/info.rs
+++ b/crates/daemon/src/proxy/host/info.rs
@@ -29,7 +29,7 @@
 
 impl BackendInfo {
     /// Whether `newer` describes the same start of the same backend server; an unknown start time may be any.
-    pub(super) fn may_be_start_of(&self, newer: &Self) -> bool {
+    pub(super) fn may_be_same_start(&self, newer: &Self) -> bool {
         self.address == newer.address
             && self.protocol == newer.protocol
             && self.instance == newer.instance
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -69,7 +69,7 @@
     /// backend server has not restarted.
     pub fn set_backend(&self, mut info: BackendInfo, now: Duration) -> MemberState {
         let known = self.backend.load_full();
-        let is_same = |known: &Arc<Backend>| known.info.may_be_start_of(&info);
+        let is_same = |known: &Arc<Backend>| known.info.may_be_same_start(&info);
         let limit = self.connection_limit;
         let pool = match known.filter(is_same) {
             Some(known) => Arc::clone(&known.pool),
@@ -87,6 +87,7 @@
         if admitter.admission.slots() != slots {
             let actions = admitter.admission.set_slots(slots, now);
             admitter.apply(actions);
+            self.wake_pacer(&admitter);
         }
         if admitter.condition.is_leaving() {
             info.state = MemberState::Draining;
@@ -102,6 +103,7 @@
         let mut admitter = lock(&self.admitter);
         let actions = admitter.admission.set_policy(queue, bulk_share, now);
         admitter.apply(actions);
+        self.wake_pacer(&admitter);
     }
 
     /// The last announcement of the backend server.
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -101,7 +101,7 @@
     cx.host.record_statement(cx, &backend.info, stated);
     check_response(dialect, &response)?;
     if stated.rate == RateStatement::Unlimited {
-        cx.host.record_condition(cx, &backend.info, |c| c.state_unlimited(sent_at));
+        cx.host.record_condition(cx, &backend.info, |c| c.observe_unlimited(sent_at));
     }
     Ok(HostedResponse { response, guard, deadline })
 }
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -44,7 +44,7 @@
 
     /// Begins a new condition unless `info` describes the same start of the backend server as before.
     pub fn describe(&mut self, info: &BackendInfo, now: Duration) {
-        if !self.described.as_ref().is_some_and(|described| described.may_be_start_of(info)) {
+        if !self.described.as_ref().is_some_and(|described| described.may_be_same_start(info)) {
             self.condition = HostedCondition::default();
             self.follow_limit(now);
         }
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -203,13 +203,15 @@
 }
 
 /// Writes the log line of a changed condition of the backend server beside the daemon.
-pub fn log_condition(info: &BackendInfo, change: &ConditionChange) {
+pub fn log_condition(cx: &Cx, info: &BackendInfo, change: &ConditionChange) {
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::Hosted, cx.clock.now()) else { return };
     tracing::info!(
         instance = info.instance,
         boot = info.boot,
         limit_per_s = change.limit.map(RateLimit::per_second),
         limit_per_s_before = change.limit_before.map(RateLimit::per_second),
         starts_leaving = change.starts_leaving,
+        left_out,
         "condition of the backend server changed"
     );
 }
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -17,7 +17,7 @@
     Refused,
     /// An attempt at a backend server failed.
     Attempt,
-    /// The daemon beside the backend server refused or lost a request.
+    /// The daemon beside the backend server refused or lost a request, or the condition of the backend server changed.
     Hosted,
     /// An attempt found no free slot at a backend server.
     Full,
