Tell other daemons a generation of the store only once it has risen

The generation was part of each membership message from the first answer of the store on, which daemons of the version before cannot read, and which costs bytes without news. It is sent now by daemons that have seen it rise.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -107,7 +107,7 @@
     pub config_digest: u64,
     /// Version of the registry of daemons.
     pub members: Version,
-    /// Newest generation of the platform's store that the daemon knows.
+    /// Newest generation of the platform's store, if the daemon has seen it rise.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub store_generation: Option<Generation>,
 }
--- a/crates/core/src/relay/generation.rs
+++ b/crates/core/src/relay/generation.rs
@@ -40,28 +40,34 @@
 
 /// Newest generation known; none before the first answer that names one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct NewestGeneration(Option<Generation>);
+pub struct NewestGeneration {
+    known: Option<Generation>,
+    has_risen: bool,
+}
 
 impl NewestGeneration {
     /// Records the generation of an answer, or one that another daemon knows.
     pub fn observe(&mut self, generation: Generation) -> GenerationStatus {
-        match self.0 {
-            Some(known) if generation < known => GenerationStatus::Outdated,
-            Some(known) if generation == known => GenerationStatus::Current,
-            Some(_) => {
-                self.0 = Some(generation);
-                GenerationStatus::Restored
-            }
-            None => {
-                self.0 = Some(generation);
-                GenerationStatus::Current
-            }
+        match self.known {
+            Some(known) if generation < known => return GenerationStatus::Outdated,
+            Some(known) if generation == known => return GenerationStatus::Current,
+            Some(_) => self.has_risen = true,
+            None => {}
         }
+        self.known = Some(generation);
+        if self.has_risen { GenerationStatus::Restored } else { GenerationStatus::Current }
     }
 
     /// The newest generation known.
     #[must_use]
     pub fn get(self) -> Option<Generation> {
-        self.0
+        self.known
+    }
+
+    /// The newest generation if it has risen since the first one known, for other daemons. The first one is nothing
+    /// new to those that read the store.
+    #[must_use]
+    pub fn news(self) -> Option<Generation> {
+        self.known.filter(|_| self.has_risen)
     }
 }
--- a/crates/core/tests/generation.rs
+++ b/crates/core/tests/generation.rs
@@ -10,9 +10,10 @@
     assert_eq!(newest.get(), None);
     assert_eq!(newest.observe(3), GenerationStatus::Current, "the first one is nothing new");
     assert_eq!(newest.observe(3), GenerationStatus::Current);
+    assert_eq!(newest.news(), None, "a message would only cost bytes");
     assert_eq!(newest.observe(5), GenerationStatus::Restored);
     assert_eq!(newest.observe(3), GenerationStatus::Outdated);
-    assert_eq!(newest.get(), Some(5));
+    assert_eq!((newest.get(), newest.news()), (Some(5), Some(5)));
     assert_eq!(newest.observe(5), GenerationStatus::Current);
 }
 
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -244,7 +244,7 @@
 
     /// Position of this daemon in the streams of the log.
     pub fn position(&self) -> Position {
-        Position { store_generation: self.documents.generation().get(), ..*lock(&self.position) }
+        Position { store_generation: self.documents.generation().news(), ..*lock(&self.position) }
     }
 
     /// Sets the position that [`position`](Self::position) returns.
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -177,7 +177,7 @@
         let config = CompiledConfig::from(&document);
         let position = Position {
             config: config.version,
-            store_generation: documents.generation.get(),
+            store_generation: documents.generation.news(),
             ..Position::default()
         };
         tracing::info!(
--- a/crates/daemon/src/control/generation.rs
+++ b/crates/daemon/src/control/generation.rs
@@ -16,6 +16,12 @@
         self.newest.borrow().get()
     }
 
+    /// The newest generation if other daemons have to be told.
+    #[must_use]
+    pub fn news(&self) -> Option<Generation> {
+        self.newest.borrow().news()
+    }
+
     /// Waits until the newest generation known differs from `known`.
     pub async fn changed_from(&self, known: Option<Generation>) {
         let mut newest = self.newest.subscribe();
