Survive extreme limits of backend servers, and falls of a limit

A limit of over a thousand million requests a second had an interval of zero, and the next change of the limit then divided by it and panicked: extreme_limits_and_changes_are_survived failed so before. The interval is at least a nanosecond now. The same test guards against a limit that falls a hundredfold and holds requests up for as long as those need that started early under the old one: no more are made up for than may start early under the new one.

--- a/crates/core/src/admission/pace.rs
+++ b/crates/core/src/admission/pace.rs
@@ -10,6 +10,9 @@
 /// Longest time between two requests. Only a response tells that a limit has ended, also a limit of 0.
 const MAX_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Shortest time between two requests, above zero so that requests can be counted in intervals.
+const MIN_INTERVAL: Duration = Duration::from_nanos(1);
+
 /// Decides when the next request may start under a rate limit.
 ///
 /// This is the generic cell rate algorithm: each start moves `due` on by one interval, and a request
@@ -28,11 +31,12 @@
         Self { interval: interval(limit), due: now }
     }
 
-    /// Changes the limit; requests that started early are still to be made up for, at the new interval.
+    /// Changes the limit; requests that started early are still to be made up for, at the new interval, but
+    /// at most as many as may start early under the new limit.
     pub fn set_limit(&mut self, limit: RateLimit, now: Duration) {
         let interval = interval(limit);
         let ahead = self.due.saturating_sub(now).div_duration_f64(self.interval);
-        self.due = now + interval.mul_f64(ahead);
+        self.due = now + interval.mul_f64(ahead).min(BURST_TIME.max(interval));
         self.interval = interval;
     }
 
@@ -59,5 +63,5 @@
 }
 
 fn interval(limit: RateLimit) -> Duration {
-    limit.interval().map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL))
+    limit.interval().map_or(MAX_INTERVAL, |interval| interval.clamp(MIN_INTERVAL, MAX_INTERVAL))
 }
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -249,3 +249,33 @@
     }
     assert_eq!(replay.started.len(), started + queued, "a queued request did not start");
 }
+
+/// Guards against a panic or an endless wait on extreme limits and on changes between them.
+#[test]
+fn extreme_limits_and_changes_are_survived() {
+    let mut replay = Replay::new(18, ms(1), ms(600));
+    for per_second in [1e30, 1e12, 0.0, 1e30, 0.001, 1_000.0, 10.0] {
+        replay.set_limit(Some(limit(per_second)));
+        for _ in 0..2_500 {
+            replay.arrive(Class::Lookup);
+            replay.step();
+        }
+    }
+    let started = replay.started.len();
+    replay.set_limit(Some(limit(1_000.0)));
+    for _ in 0..1_000 {
+        replay.arrive(Class::Lookup);
+        replay.step();
+    }
+    let early = replay.started.len();
+    assert!(early > started);
+    replay.set_limit(Some(limit(10.0)));
+    for _ in 0..1_000 {
+        replay.arrive(Class::Lookup);
+        replay.step();
+    }
+    assert!(
+        replay.started.len() >= early + 8,
+        "requests are held up although the limit allows them"
+    );
+}
