Read in place of relays that the store turns away

Callers saw 404 for routes that an acknowledged change had added more than 2 s before.

Cause: relays are chosen by rank. Those that the store turned away stayed relays in the eyes of all others, which therefore did not read; with all relays turned away nobody did, until the store served them again. Class: a daemon relies on others without evidence that they do their part.

A relay whose read fails now says so to its data centre, each time that it fails; it does not count as able to read for 5 s after that, and the next in rank read in its place (ReadRole, LostReaders). Relays themselves go on trying.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -78,6 +78,15 @@
     pub position: Position,
 }
 
+/// Tells a peer whether the sender, on which others of its data centre rely, can read the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadingNotice {
+    /// Identifier of the sender.
+    pub from: DaemonId,
+    /// Whether its last attempt to read succeeded.
+    pub can_read: bool,
+}
+
 /// Streams of the log that daemons apply to their state and forward to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stream {
--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -197,6 +197,8 @@
 pub enum ReadReason {
     /// It is a document relay.
     Relay,
+    /// Document relays cannot read, and it is one of those that read in their place.
+    Substitute,
     /// Its document has too many routes for relays to pass it on in time.
     Large,
     /// No other daemon has sent a message for too long.
@@ -207,6 +209,38 @@
     Unconfirmed,
 }
 
+/// What others of its data centre rely on a daemon for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRole {
+    /// Nothing.
+    None,
+    /// It reads as a document relay.
+    Relay,
+    /// It reads in place of document relays that cannot.
+    Substitute,
+}
+
+impl ReadRole {
+    /// Role of `own` among the live members, of which `can_read` tells those that can read.
+    #[must_use]
+    pub fn of(members: &[&Member], own: &Member, can_read: impl Fn(&Member) -> bool) -> Self {
+        let able = members.iter().copied().filter(|other| other.id == own.id || can_read(other));
+        if is_document_relay(members.iter().copied(), own) {
+            Self::Relay
+        } else if is_document_relay(able, own) {
+            Self::Substitute
+        } else {
+            Self::None
+        }
+    }
+
+    /// Whether others rely on the daemon.
+    #[must_use]
+    pub fn reads(self) -> bool {
+        self != Self::None
+    }
+}
+
 /// Decides whether a daemon reads documents from the platform itself.
 #[derive(Debug, Clone, Default)]
 pub struct DocumentReadPolicy {
@@ -235,10 +269,12 @@
     /// Why this daemon has to read the platform itself, or `None` if it need not; `routes` is the
     /// number of routes of its document.
     #[must_use]
-    pub fn reason(&self, is_relay: bool, routes: usize, now: Duration) -> Option<ReadReason> {
+    pub fn reason(&self, role: ReadRole, routes: usize, now: Duration) -> Option<ReadReason> {
         let behind = self.behind_since.map(|since| now.saturating_sub(since));
-        if is_relay {
+        if role == ReadRole::Relay {
             Some(ReadReason::Relay)
+        } else if role == ReadRole::Substitute {
+            Some(ReadReason::Substitute)
         } else if routes > MAX_RELAYED_ROUTES {
             Some(ReadReason::Large)
         } else if behind.is_some_and(|time| time >= FETCH_TIMEOUT) {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -7,12 +7,14 @@
 //!
 //! A platform that orders whole documents has no log. There, a few relays in each data centre read
 //! the documents and notify the other daemons; [`DocumentReadPolicy`] decides who reads, and
-//! [`Freshness`] tells whether a document is known to be the newest one.
+//! [`Freshness`] tells whether a document is known to be the newest one, and [`LostReaders`] which
+//! daemons cannot read.
 
 mod confirmation;
 mod documents;
 mod freshness;
 mod generation;
+mod lost_readers;
 mod pull;
 mod tree;
 mod window;
@@ -22,11 +24,12 @@
     ReceivedChallenge,
 };
 pub use documents::{
-    DocumentReadPolicy, PollTurn, ReadReason, document_relay_count, is_document_relay, keeps_copy,
-    notice_targets, other_document_relays,
+    DocumentReadPolicy, PollTurn, ReadReason, ReadRole, document_relay_count, is_document_relay,
+    keeps_copy, notice_targets, other_document_relays,
 };
 pub use freshness::Freshness;
 pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
+pub use lost_readers::LostReaders;
 pub use pull::{
     MAX_CONCURRENT_PULLS, PullAdmission, PullLimiter, PullSource, STALE_AFTER, Staleness,
 };
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -321,18 +321,18 @@
 fn uninformed_daemon_reads_documents_itself() {
     let mut reading = DocumentReadPolicy::default();
     reading.heard(MS(1_000));
-    assert_eq!(reading.reason(false, 50, MS(2_000)), None);
-    assert_eq!(reading.reason(true, 50, MS(2_000)), Some(ReadReason::Relay));
-    assert_eq!(reading.reason(false, 20_000, MS(2_000)), Some(ReadReason::Large));
+    assert_eq!(reading.reason(ReadRole::None, 50, MS(2_000)), None);
+    assert_eq!(reading.reason(ReadRole::Relay, 50, MS(2_000)), Some(ReadReason::Relay));
+    assert_eq!(reading.reason(ReadRole::None, 20_000, MS(2_000)), Some(ReadReason::Large));
     // A change must be in force within 2 s, including the time to read it.
-    assert_eq!(reading.reason(false, 50, MS(2_500)), Some(ReadReason::Silence));
+    assert_eq!(reading.reason(ReadRole::None, 50, MS(2_500)), Some(ReadReason::Silence));
     reading.heard(MS(2_500));
     reading.fell_behind(MS(2_500));
     reading.fell_behind(MS(3_400));
     reading.heard(MS(3_400));
-    assert_eq!(reading.reason(false, 50, MS(3_400)), Some(ReadReason::Behind));
+    assert_eq!(reading.reason(ReadRole::None, 50, MS(3_400)), Some(ReadReason::Behind));
     reading.caught_up();
-    assert_eq!(reading.reason(false, 50, MS(3_400)), None);
+    assert_eq!(reading.reason(ReadRole::None, 50, MS(3_400)), None);
 }
 
 /// Guards against a data centre that keeps an old document because all of its relays failed at once, and
@@ -445,3 +445,32 @@
     assert!(freshness.confirmed_by_peer(MS(400), MS(260)));
     assert!(!freshness.is_unknown() && !freshness.is_overdue(MS(9_000)));
 }
+
+/// Guards against a data centre in which nobody reads because all of its relays are turned away, and against
+/// daemons that go on reading in their place afterwards.
+#[test]
+fn others_read_in_place_of_relays_that_cannot() {
+    let all: Vec<Member> =
+        (0..20).map(|i| Member { state: MemberState::Ready, ..member(i, 0) }).collect();
+    let members: Vec<&Member> = all.iter().collect();
+    let relays: Vec<&Member> = all.iter().filter(|own| is_document_relay(&all, own)).collect();
+    let mut lost = LostReaders::default();
+    let roles = |lost: &LostReaders, now| -> Vec<ReadRole> {
+        let role = |own| ReadRole::of(&members, own, |other| !lost.contains(&other.id, now));
+        all.iter().map(role).collect()
+    };
+    let count = |roles: &[ReadRole], role| roles.iter().filter(|known| **known == role).count();
+    assert_eq!(count(&roles(&lost, MS(0)), ReadRole::Substitute), 0);
+    for (lost_relays, relay) in relays.iter().enumerate() {
+        assert!(lost.record(relay.id.clone(), false, MS(100)));
+        let roles = roles(&lost, MS(100));
+        assert_eq!(count(&roles, ReadRole::Relay), relays.len(), "relays go on trying");
+        assert_eq!(count(&roles, ReadRole::Substitute), lost_relays + 1);
+    }
+    assert!(!lost.record(relays[0].id.clone(), false, MS(3_100)), "this is known");
+    let substitutes = |now| count(&roles(&lost, now), ReadRole::Substitute);
+    assert_eq!(substitutes(MS(5_099)), relays.len());
+    assert_eq!(substitutes(MS(5_100)), 1, "only one relay has said so since");
+    assert!(lost.record(relays[0].id.clone(), true, MS(5_200)));
+    assert_eq!(count(&roles(&lost, MS(5_200)), ReadRole::Substitute), 0);
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -19,7 +19,7 @@
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::registry::MemberEntry;
-use baobabreel_core::relay::{RELAYS_PER_DATA_CENTRE, is_document_relay, relays};
+use baobabreel_core::relay::{RELAYS_PER_DATA_CENTRE, ReadRole, relays};
 use eyre::{OptionExt, Result};
 use kameo::actor::{ActorRef, WeakActorRef};
 use serde::Serialize;
@@ -28,7 +28,7 @@
 pub use clock::Clock;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Documents, Follower, Membership, encoded};
+use crate::control::{Distribution, Documents, Follower, Membership, Readers, encoded};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool};
 use crate::settings::{ConfigSource, Settings};
@@ -121,6 +121,8 @@
     pub log: Option<LogClient>,
     /// Newest configuration document, where the configuration comes as documents.
     pub documents: Documents,
+    /// Which daemons of the data centre can read the documents.
+    pub readers: Readers,
     /// HTTP client for short requests.
     pub http: HttpClient,
     position: Mutex<Position>,
@@ -154,6 +156,7 @@
             follower: Follower::default(),
             log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
             documents: Documents::default(),
+            readers: Readers::default(),
             http,
             position: Mutex::default(),
             distribution: OnceLock::new(),
@@ -225,17 +228,34 @@
         self.balance.update(&self.config.load(), &view, self.clock.now());
         self.view.store(Arc::new(view));
         self.members.store(Arc::new(members.clone()));
-        let own_id = self.identity.id.as_str();
-        let own = members.get(own_id);
-        let is_relay = own.is_some_and(|own| match self.settings.source {
-            ConfigSource::Log { .. } => {
-                relays(members.live(), own, RELAYS_PER_DATA_CENTRE).contains(&own_id)
-            }
-            ConfigSource::Documents => is_document_relay(members.live(), own),
-        });
+        self.update_relay();
+    }
+
+    /// Determines whether this daemon is a relay, or reads in place of one.
+    pub fn update_relay(&self) {
+        let is_relay = match self.settings.source {
+            ConfigSource::Log { .. } => self.is_log_relay(),
+            ConfigSource::Documents => self.read_role().reads(),
+        };
         self.relay.store(is_relay, Ordering::Release);
     }
 
+    fn is_log_relay(&self) -> bool {
+        let members = self.members.load();
+        let own_id = self.identity.id.as_str();
+        let Some(own) = members.get(own_id) else { return false };
+        relays(members.live(), own, RELAYS_PER_DATA_CENTRE).contains(&own_id)
+    }
+
+    /// What others rely on this daemon for, where the configuration comes as documents.
+    pub fn read_role(&self) -> ReadRole {
+        let members = self.members.load();
+        let Some(own) = members.get(&self.identity.id) else { return ReadRole::None };
+        let live: Vec<&Member> = members.live().collect();
+        let now = self.clock.now();
+        ReadRole::of(&live, own, |other| self.readers.can_read(other, now))
+    }
+
     /// Current incarnation of this daemon; it can be higher than the one in [`Identity`].
     pub fn incarnation(&self) -> Incarnation {
         let members = self.members.load();
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -16,7 +16,7 @@
 };
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
-    DocumentReadPolicy, Freshness, ReadReason, notice_targets, other_document_relays,
+    DocumentReadPolicy, Freshness, ReadReason, ReadRole, notice_targets, other_document_relays,
 };
 
 use super::generation::StoreGeneration;
@@ -133,9 +133,9 @@
     }
 
     /// Why this daemon should read the platform itself, if it should.
-    pub fn read_reason(&self, is_relay: bool, now: Duration) -> Option<ReadReason> {
+    pub fn read_reason(&self, role: ReadRole, now: Duration) -> Option<ReadReason> {
         let routes = self.newest.load().as_ref().map_or(0, |newest| newest.document.routes.len());
-        let reason = lock(&self.read_policy).reason(is_relay, routes, now);
+        let reason = lock(&self.read_policy).reason(role, routes, now);
         let is_overdue = || lock(&self.freshness).is_overdue(now);
         reason.or_else(|| is_overdue().then_some(ReadReason::Unconfirmed))
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod gossip;
 mod membership;
 mod push;
+mod reading;
 mod registrations;
 mod serve;
 mod snapshots;
@@ -29,6 +30,7 @@
 pub use generation::StoreGeneration;
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
+pub use reading::{Readers, announce as announce_reading};
 pub use serve::serve_control;
 pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
 
--- /dev/null
+++ b/crates/daemon/src/control/reading.rs
@@ -0,0 +1,66 @@
+//! Exchange of which daemons of a data centre can read the platform, so that others read in place of
+//! those that cannot.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use baobabreel_client::wire::ReadingNotice;
+use baobabreel_core::membership::Member;
+use baobabreel_core::relay::LostReaders;
+
+use crate::context::Cx;
+use crate::sync::lock;
+
+/// Path at which a daemon is told whether another one can read the platform.
+pub const READING_PATH: &str = "/peer/v1/reading";
+
+/// Time for a peer to answer such a notice.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Daemons of the data centre that have said that they cannot read the platform.
+#[derive(Debug, Default)]
+pub struct Readers {
+    lost: Mutex<LostReaders>,
+}
+
+impl Readers {
+    /// Whether `member` can read the platform, as far as known.
+    pub fn can_read(&self, member: &Member, now: Duration) -> bool {
+        !lock(&self.lost).contains(&member.id, now)
+    }
+}
+
+/// Tells the daemons of the data centre whether this one, on which they rely, can read the platform.
+pub fn announce(cx: &Cx, can_read: bool) {
+    if !cx.is_relay() {
+        return;
+    }
+    let own = &cx.identity;
+    let notice = ReadingNotice { from: own.id.clone(), can_read };
+    for member in cx.members.load().live() {
+        if member.data_centre != own.data_centre || member.id == own.id {
+            continue;
+        }
+        let (cx, notice, to) = (Arc::clone(cx), notice.clone(), member.peer_addr);
+        tokio::spawn(async move {
+            let taken: Option<()> = cx.ask_peer(to, READING_PATH, &notice, NOTICE_TIMEOUT).await;
+            if taken.is_none() {
+                tracing::debug!(%to, "a peer did not answer the notice about reading");
+            }
+        });
+    }
+}
+
+/// Records what another daemon says about itself, and determines again who reads.
+pub fn note(cx: &Cx, notice: ReadingNotice) {
+    let (daemon, can_read) = (notice.from, notice.can_read);
+    let is_known = cx.members.load().get(&daemon).is_some();
+    if !is_known || daemon == cx.identity.id {
+        return;
+    }
+    let now = cx.clock.now();
+    if lock(&cx.readers.lost).record(daemon.clone(), can_read, now) {
+        tracing::info!(daemon, can_read, "another daemon's reading of the platform changed");
+        cx.update_relay();
+    }
+}
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -23,7 +23,7 @@
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
 use crate::control::{
     BackendTracker, Control, Leave, ListedMembers, LocalChanged, Origin, StoreGeneration,
-    confirm_document, offer_document, platform_lost,
+    announce_reading, confirm_document, offer_document, platform_lost,
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
@@ -329,11 +329,23 @@
         confirm_document(&self.cx);
     }
 
-    /// Records that the adapter cannot read the platform, or no longer reads it.
+    /// Records that the adapter no longer reads the platform, or has to begin anew.
     pub fn platform_lost(&self) {
         platform_lost(&self.cx);
     }
 
+    /// Records that an attempt of the adapter to read the platform failed, so that other daemons read in place of
+    /// this one if they relied on it.
+    pub fn read_failed(&self) {
+        platform_lost(&self.cx);
+        announce_reading(&self.cx, false);
+    }
+
+    /// Records that the adapter can read the platform again.
+    pub fn read_resumed(&self) {
+        announce_reading(&self.cx, true);
+    }
+
     /// Whether the daemon has begun to serve requests, which stays so while it drains. Until then,
     /// the document in force may be outdated.
     #[must_use]
@@ -360,7 +372,9 @@
     #[must_use]
     pub fn read_reason(&self) -> Option<ReadReason> {
         let cx = &self.cx;
-        cx.documents.read_reason(cx.is_relay(), cx.clock.now())
+        // What is known of other readers expires with time.
+        cx.update_relay();
+        cx.documents.read_reason(cx.read_role(), cx.clock.now())
     }
 
     /// How long the next poll of the platform may stay open; `is_first` says that it follows news or a
