Notify relays of newer configurations too, and data centres that have only relays

Cause: a relay with a newer configuration notified only daemons that are not relays, since relays read for themselves. Relays that could not read, because the store turned them away or had lost their polls, heard of it by membership messages, which go to one random daemon each second. A data centre whose members are all relays got no notice from other data centres at all.

All daemons of the data centre are notified now, and two in each other data centre, relays if there are no others. A daemon that reads fetches the configuration from others only after 0.3 s, as its own read mostly returns it at the same time.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -54,29 +54,30 @@
 /// relays there if all of those have died at once and are not yet known to be dead.
 const REMOTE_TARGETS: usize = 2;
 
-/// Live members that `own` notifies of a newer document: all of its data centre that are not
-/// relays, and a few such daemons in each other data centre. `own` itself is left out.
+/// Live members that `own` notifies of a newer document: all of its data centre, and a few in each
+/// other data centre, relays last. `own` itself is left out.
 ///
-/// After a loss of the platform, the polls of the other relays may be lost as well, so
-/// `includes_relays` adds those of the own data centre.
+/// Relays are notified too, since the platform may have turned them away or lost their polls.
 #[must_use]
 pub fn notice_targets<'a>(
     members: impl IntoIterator<Item = &'a Member>,
     own: &Member,
-    includes_relays: bool,
 ) -> Vec<&'a Member> {
     let mut targets = Vec::new();
     for (data_centre, members) in by_data_centre(members) {
         let (relays, others) = split_relays(&members);
         let is_own = data_centre == own.data_centre;
         let max_targets = if is_own { usize::MAX } else { REMOTE_TARGETS };
-        let relays = relays.into_iter().filter(|_| is_own && includes_relays);
-        let ids = others.into_iter().take(max_targets).chain(relays);
+        let ids = others.into_iter().chain(relays.into_iter().rev()).take(max_targets);
         targets.extend(ids.filter(|id| *id != own.id).map(|id| members[id]));
     }
     targets
 }
 
+/// Time for which a daemon that reads the platform waits, once others have a newer document, before it fetches
+/// the document from them. Its own read mostly returns it at the same time.
+pub const OWN_READ_GRACE: Duration = Duration::from_millis(300);
+
 /// Place of a daemon among those of its data centre that poll the platform.
 ///
 /// Polls that all start together, as after a change, end one after another at equal distances, so
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -24,8 +24,8 @@
     ReceivedChallenge,
 };
 pub use documents::{
-    DocumentReadPolicy, PollTurn, ReadReason, ReadRole, document_relay_count, is_document_relay,
-    keeps_copy, notice_targets, other_document_relays,
+    DocumentReadPolicy, OWN_READ_GRACE, PollTurn, ReadReason, ReadRole, document_relay_count,
+    is_document_relay, keeps_copy, notice_targets, other_document_relays,
 };
 pub use freshness::Freshness;
 pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -16,7 +16,8 @@
 };
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
-    DocumentReadPolicy, Freshness, ReadReason, ReadRole, notice_targets, other_document_relays,
+    DocumentReadPolicy, Freshness, OWN_READ_GRACE, ReadReason, ReadRole, notice_targets,
+    other_document_relays,
 };
 
 use super::generation::StoreGeneration;
@@ -195,9 +196,7 @@
         cx.set_config(config, cx.clock.now());
         cx.set_position(position);
         if cx.is_relay() || is_from_other_data_centre(cx, origin) {
-            let is_after_loss =
-                origin == Origin::Platform && !lock(&documents.freshness).is_reading();
-            notify_others(cx, position, is_after_loss);
+            notify_others(cx, position);
         }
     }
     drop(applying);
@@ -246,16 +245,12 @@
     sender.is_some_and(|sender| sender.data_centre != cx.identity.data_centre)
 }
 
-/// Notifies daemons that do not read the platform that this daemon has a newer document. After a loss
-/// of the platform, `includes_relays` adds those that do.
-fn notify_others(cx: &Cx, position: Position, includes_relays: bool) {
+/// Notifies other daemons that this daemon has a newer document.
+fn notify_others(cx: &Cx, position: Position) {
     let members = cx.members.load();
     let Some(own) = members.get(&cx.identity.id) else { return };
     let notice = DocumentNotice { from: cx.identity.peer_addr, position };
-    for to in notice_targets(members.live(), own, includes_relays)
-        .into_iter()
-        .map(|member| member.peer_addr)
-    {
+    for to in notice_targets(members.live(), own).into_iter().map(|member| member.peer_addr) {
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
             let taken: Option<()> = cx.ask_peer(to, NOTICE_PATH, &notice, NOTICE_TIMEOUT).await;
@@ -290,6 +285,9 @@
 
 /// Queries the peers with a newer document one after another until none has a newer one.
 async fn query_sources(cx: Cx) {
+    if lock(&cx.documents.freshness).is_reading() {
+        tokio::time::sleep(OWN_READ_GRACE).await;
+    }
     while let Some(from) = cx.documents.next_source() {
         let query = DocumentQuery { known: cx.documents.version(), with_document: true };
         query_peer(&cx, from, query, PULL_TIMEOUT).await;
