Believe a refusal only if it is certainly about the request

Callers could be told 503, 'not run', for a request that a backend server was running, or the request was sent to a second one: a faulty backend server writes an earlier refusal once more on a kept connection.

Cause: the status for another instance counted as 'not run' before the identifier of the request was compared, and a refusal without an identifier counted for whichever request was waiting. Class: an answer is taken to be about the request that waits for it. Ruled out: refusals with the identifier of another request and Not-Executed were rejected before.

Evidence: repeated_refusal_of_an_earlier_request_is_not_believed failed at the second of five refusals (503 instead of 502), now passes. A refusal without an identifier still counts on the first request of a connection, where none can be earlier.

--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -95,8 +95,8 @@
             return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
     };
+    check_origin(dialect, request_id.as_ref(), &response, connection.is_reused())?;
     guard.connection = Some(connection);
-    check_origin(dialect, request_id.as_ref(), &response)?;
     let stated = dialect.condition.read(response.headers());
     cx.host.record_statement(cx, &backend.info, stated);
     check_response(dialect, &response)?;
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -116,9 +116,16 @@
     pool: Arc<ConnectionPool>,
     sender: Sender,
     permit: OwnedSemaphorePermit,
+    is_reused: bool,
 }
 
 impl PooledConnection {
+    /// Whether it carried other requests before.
+    #[must_use]
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the connection to its pool, after the response has ended.
     pub fn release(self) {
         if self.sender.is_closed() {
@@ -239,7 +246,7 @@
         self.prepare(&mut req);
         if let Some(TakenConnection { mut sender, permit, idle_time }) = self.take_idle() {
             match sender.try_send_request(req).await {
-                Ok(res) => return Ok(self.answered(res, sender, permit)),
+                Ok(res) => return Ok(self.answered(res, sender, permit, true)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => {
@@ -251,7 +258,7 @@
         }
         let (mut sender, permit) = self.connect().await?;
         match sender.try_send_request(req).await {
-            Ok(res) => Ok(self.answered(res, sender, permit)),
+            Ok(res) => Ok(self.answered(res, sender, permit, false)),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(describe(&e.into_error()))),
                 None => Err(SendError::Lost(describe(&e.into_error()))),
@@ -265,11 +272,12 @@
         res: Response<Incoming>,
         sender: Sender,
         permit: OwnedSemaphorePermit,
+        is_reused: bool,
     ) -> (Response<Incoming>, PooledConnection) {
         if let Some(timeout) = keep_alive_timeout(res.headers()) {
             lock(&self.idle_limit).announce(timeout);
         }
-        (res, PooledConnection { pool: Arc::clone(self), sender, permit })
+        (res, PooledConnection { pool: Arc::clone(self), sender, permit, is_reused })
     }
 }
 
--- a/crates/daemon/src/proxy/response_check.rs
+++ b/crates/daemon/src/proxy/response_check.rs
@@ -31,20 +31,29 @@
 }
 
 /// Rejects a response to another request, or from another instance.
+///
+/// A refusal proves that a request did not run only if it is certainly about this one: it names the request, or
+/// no earlier request used the connection.
 pub fn check_origin(
     dialect: &Dialect,
     request_id: Option<&HeaderValue>,
     res: &Response<Incoming>,
+    is_reused_connection: bool,
 ) -> Result<(), CallError> {
     let Some(proofs) = &dialect.proofs else { return Ok(()) };
-    if res.status() == proofs.other_instance {
-        let detail = "another instance has the address of the backend server";
-        return Err(CallError::new(ErrorKind::BackendRefused, detail));
-    }
+    let lost = |detail: &str| Err(CallError::new(ErrorKind::UpstreamLost, detail));
     let response_id = res.headers().get(&dialect.request_id);
     if response_id.is_some() && response_id != request_id {
-        let detail = "the answer belongs to another request";
-        return Err(CallError::new(ErrorKind::UpstreamLost, detail));
+        return lost("the answer belongs to another request");
+    }
+    let is_other_instance = res.status() == proofs.other_instance;
+    let is_refusal = is_other_instance || dialect.not_run.is_in(res.headers());
+    if is_refusal && response_id.is_none() && is_reused_connection {
+        return lost("the refusal may belong to an earlier request of the connection");
+    }
+    if is_other_instance {
+        let detail = "another instance has the address of the backend server";
+        return Err(CallError::new(ErrorKind::BackendRefused, detail));
     }
     Ok(())
 }
