Run a request that has crashed three backend servers in trials only

Cause: no decision used that a backend server ended under a request, and nothing summed that over daemons or kept it over restarts. Class: a failure that the request itself causes is taken for one of the place where it ran.

Ruled out as a design: refusing what was there at three ends.

The daemon beside a backend server that ended (connection lost, and the address refuses connections) records all requests that were lost there; one that a backend server survives is cleared. After three ends a request runs in trials only, two in the whole mesh, the second 10 s after the first, and no other suspect runs there meanwhile: an unlucky request survives its trial. The evidence is in a topic of the store (one record a suspect, 512 at most), which all daemons follow, so it is summed across cuts and survives restarts; a trial is claimed by an append that fails if the topic has grown. Refused at once with 503.

--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -80,6 +80,8 @@
     DeadlineExceeded,
     /// A fault of the daemon itself.
     Internal,
+    /// Backend servers crashed while they ran the same request before.
+    Quarantined,
 }
 
 /// Answer to a request that failed with an error kind.
@@ -112,7 +114,7 @@
 }
 
 /// The answer for each error kind, in the order of [`ErrorKind`], which indexes it.
-pub const ANSWERS: [Answer; 22] = [
+pub const ANSWERS: [Answer; 23] = [
     row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
@@ -135,6 +137,7 @@
     row(ErrorKind::UpstreamLost, "upstream_lost", 502, Outcome::Unknown, 0),
     row(ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, Outcome::Unknown, 0),
     row(ErrorKind::Internal, "internal", 500, Outcome::Unknown, 0),
+    row(ErrorKind::Quarantined, "quarantined", 503, Outcome::NotRun, 0),
 ];
 
 impl ErrorKind {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod idempotency;
 pub mod membership;
 pub mod prelude;
+pub mod quarantine;
 pub mod registration;
 pub mod registry;
 pub mod relay;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::control::{Distribution, Documents, Follower, Membership, Readers, encoded};
 use crate::keys::Keys;
-use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool};
+use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
 use crate::settings::{ConfigSource, Settings};
 use crate::sync::lock;
 use crate::telemetry::{LogRateLimiter, Metrics};
@@ -121,6 +121,8 @@
     pub log: Option<LogClient>,
     /// Newest configuration document, where the configuration comes as documents.
     pub documents: Documents,
+    /// Evidence about requests that crash backend servers.
+    pub quarantine: Arc<Quarantine>,
     /// Which daemons of the data centre can read the documents.
     pub readers: Readers,
     /// HTTP client for short requests.
@@ -156,6 +158,7 @@
             follower: Follower::default(),
             log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
             documents: Documents::default(),
+            quarantine: Arc::default(),
             readers: Readers::default(),
             http,
             position: Mutex::default(),
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -27,7 +27,7 @@
 };
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
-use crate::proxy::start_at_rate_limit;
+use crate::proxy::{Quarantine, start_at_rate_limit};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -395,6 +395,18 @@
         self.cx.documents.generation().clone()
     }
 
+    /// Evidence about requests that crash backend servers, for the adapter to share.
+    #[must_use]
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.cx.quarantine
+    }
+
+    /// Time on the clock of the daemon, as [`Quarantine::merge`] takes it.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.cx.clock.now()
+    }
+
     /// Version of the document in force.
     #[must_use]
     pub fn document_version(&self) -> Option<DocumentVersion> {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,4 +22,5 @@
 pub use control::StoreGeneration;
 pub use daemon::{Addresses, Daemon, Handle};
 pub use dialect::Dialect;
+pub use proxy::{Quarantine, Share};
 pub use settings::Settings;
--- a/crates/daemon/src/proxy/caller_request.rs
+++ b/crates/daemon/src/proxy/caller_request.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::HOST;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 
 use baobabreel_core::error::ErrorKind;
+use baobabreel_core::quarantine::RequestDigest;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::body::ProxyBody;
 use super::call_error::CallError;
@@ -40,6 +43,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: CallerBody,
+    /// Digest, known if the body is in memory.
+    digest: Option<RequestDigest>,
 }
 
 impl CallerRequest {
@@ -79,9 +84,32 @@
             uri: origin_form(&parts.uri),
             headers: parts.headers,
             body,
+            digest: None,
         })
     }
 
+    /// Computes the digest, from all that makes two requests the same; `caller_service` is the service that sends
+    /// the request. Called once the headers are complete.
+    pub fn compute_digest(&mut self, caller_service: &str) {
+        let CallerBody::Buffered(body) = &self.body else { return };
+        let host = self.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+        let target = self.uri.path_and_query().map_or("/", |target| target.as_str());
+        let parts = [
+            self.method.as_str().as_bytes(),
+            host,
+            target.as_bytes(),
+            caller_service.as_bytes(),
+            body,
+        ];
+        let mut hash = Xxh3::new();
+        for part in parts {
+            // The length keeps the end of a part from being taken for the begin of the next one.
+            hash.update(&part.len().to_be_bytes());
+            hash.update(part);
+        }
+        self.digest = Some(hash.digest128());
+    }
+
     /// Whether the body can be sent again.
     #[must_use]
     pub fn can_resend(&self) -> bool {
@@ -101,6 +129,9 @@
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
+        if let Some(digest) = self.digest {
+            headers::write_digest(req.headers_mut(), digest);
+        }
         req
     }
 }
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -160,6 +160,10 @@
 
 /// Reports a failed attempt to the balancer and returns its error.
 fn record_failure(mut guard: CallGuard, e: CallError) -> CallError {
+    if e.kind == ErrorKind::Quarantined {
+        // This is about the request, not about the backend server.
+        return e;
+    }
     if let Some(load) = e.full_load {
         guard.record_full(load.into());
         return e;
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -215,6 +215,8 @@
         if let (Some(name), Some(own)) = (&dialect.caller_service, &self.cx.settings.backend) {
             headers::write_text(&mut req.headers, name, &own.service);
         }
+        let own_service = self.cx.settings.backend.as_ref().map_or("", |own| &own.service);
+        req.compute_digest(own_service);
         Ok(req)
     }
 }
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use baobabreel_core::quarantine::RequestDigest;
 use http::Uri;
 use http::header::{
     AGE, CONNECTION, DATE, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
@@ -25,6 +26,8 @@
 pub const TOKEN: HeaderName = HeaderName::from_static("baobabreel-token");
 /// Host of the caller's request, in calls between daemons, whose `Host` is that of the daemon.
 pub const CALLER_HOST: HeaderName = HeaderName::from_static("baobabreel-host");
+/// Digest of a request, in hexadecimal digits; see [`RequestDigest`].
+pub const DIGEST: HeaderName = HeaderName::from_static("baobabreel-digest");
 /// Tells whether a request with a key is the first attempt.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("baobabreel-attempt");
 /// Marks a recorded response that is sent again.
@@ -75,11 +78,22 @@
 
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
-    for name in [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST] {
+    for name in [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST] {
         headers.remove(name);
     }
 }
 
+/// Writes the digest of a request.
+pub fn write_digest(headers: &mut HeaderMap, digest: RequestDigest) {
+    write_text(headers, &DIGEST, &format!("{digest:032x}"));
+}
+
+/// Removes and parses the digest of a request; `None` if it is absent or malformed.
+pub fn take_digest(headers: &mut HeaderMap) -> Option<RequestDigest> {
+    let value = headers.remove(DIGEST)?;
+    RequestDigest::from_str_radix(value.to_str().ok()?, 16).ok()
+}
+
 /// Size of the request target and the headers as HTTP/1.1 writes them, in bytes.
 #[must_use]
 pub fn section_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -14,7 +14,8 @@
 use baobabreel_core::condition::{RateStatement, ReportedCondition};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::membership::MemberState;
-use http::{HeaderValue, Request, Response, Version};
+use baobabreel_core::quarantine::RequestDigest;
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 
 pub use info::BackendInfo;
@@ -26,6 +27,7 @@
 use super::call_error::CallError;
 use super::headers;
 use super::lines::{self, HostedRequest};
+use super::pool::SendError;
 use super::response_check::{check_origin, check_response};
 use crate::context::{Cx, Phase};
 
@@ -70,10 +72,13 @@
 ) -> Result<HostedResponse, CallError> {
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = ready_backend(cx, head)?;
+    let digest = headers::take_digest(req.headers_mut());
+    cx.quarantine.check(digest, cx.clock.now())?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
     if cx.host.is_draining() {
         return Err(draining());
     }
+    let _permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     let remaining = deadline.saturating_sub(sent_at);
@@ -90,7 +95,12 @@
     let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
-        Ok(Err(e)) => return Err(CallError::from_send_error(e, "the backend server")),
+        Ok(Err(e)) => {
+            if let (SendError::Lost(_), Some(digest)) = (&e, digest) {
+                tokio::spawn(record_if_ended(Arc::clone(cx), backend, digest));
+            }
+            return Err(CallError::from_send_error(e, "the backend server"));
+        }
         Err(_) => {
             return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
@@ -103,9 +113,23 @@
     if stated.rate == RateStatement::Unlimited {
         cx.host.record_condition(cx, &backend.info, |c| c.observe_unlimited(sent_at));
     }
+    // A response at the deadline does not show that the request would have ended well.
+    if let Some(digest) = digest
+        && response.status() != StatusCode::GATEWAY_TIMEOUT
+    {
+        cx.quarantine.record_survival(digest);
+    }
     Ok(HostedResponse { response, guard, deadline })
 }
 
+/// Records evidence against a request whose connection was lost, if the backend server has ended. Connections
+/// also break for other reasons.
+async fn record_if_ended(cx: Cx, backend: Arc<Backend>, digest: RequestDigest) {
+    if let Some(crash) = backend.pool.find_end().await {
+        cx.quarantine.record_crash(digest, crash, cx.clock.now());
+    }
+}
+
 /// The local backend server, if it belongs to the service of the call and is ready.
 fn ready_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
     if cx.phase() >= Phase::Handover {
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use baobabreel_core::quarantine::CrashId;
 use http::header::HOST;
 use http::uri::{Authority, Scheme};
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, Version};
@@ -100,6 +101,8 @@
     idle_limit: Mutex<IdleLimit>,
     permits: Arc<Semaphore>,
     started: Instant,
+    /// The end of the server, until it accepts connections again.
+    end: Mutex<Option<CrashId>>,
 }
 
 /// Idle connection that was taken from its pool.
@@ -149,6 +152,7 @@
             idle_limit: Mutex::default(),
             permits,
             started: Instant::now(),
+            end: Mutex::default(),
         }
     }
 
@@ -190,6 +194,7 @@
             Ok(Err(e)) => return Err(not_sent(&format!("failed to connect: {e}"))),
             Err(_) => return Err(SendError::Unreachable),
         };
+        *lock(&self.end) = None;
         if let Err(e) = stream.set_nodelay(true) {
             tracing::debug!(error = %e, "failed to set TCP_NODELAY");
         }
@@ -211,6 +216,21 @@
         Ok((sender, permit))
     }
 
+    /// Finds out whether the server has ended, so that its address refuses connections. Returns the same number for
+    /// all requests that were lost by one end.
+    pub async fn find_end(&self) -> Option<CrashId> {
+        let known = *lock(&self.end);
+        if known.is_some() {
+            return known;
+        }
+        let connecting = TcpStream::connect(self.addr);
+        let is_refused = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        };
+        is_refused.then(|| *lock(&self.end).get_or_insert_with(rand::random))
+    }
+
     /// Sets the host to the address of the server if the request has none. HTTP/2 has it in the URI, not in a
     /// header.
     fn prepare(&self, req: &mut Request<ProxyBody>) {
