Bound what a daemon keeps of the suspects that others write

The ledger forgot suspects beyond its bound only when this daemon found one itself, and the copy of the store's records had no bound of its own: with a topic that other writers fill, both grew. Found by reading the change. The bound of the ledger is tested in flood_of_suspects_leaves_the_deadly_one; the call after a merge is shown by reading only.

--- a/crates/daemon/src/proxy/quarantine.rs
+++ b/crates/daemon/src/proxy/quarantine.rs
@@ -87,6 +87,7 @@
         let mut ledger = lock(&self.ledger);
         let was_restricted = ledger.get(digest).is_some_and(Suspicion::is_restricted);
         ledger.merge(digest, known, now);
+        ledger.evict();
         log_if_restricted(&ledger, digest, was_restricted);
     }
 
