--- a/crates/daemon/src/proxy/caller_request.rs
+++ b/crates/daemon/src/proxy/caller_request.rs
@@ -103,7 +103,7 @@
         ];
         let mut hash = Xxh3::new();
         for part in parts {
-            // The length keeps the end of a part from being taken for the begin of the next one.
+            // The length keeps the end of a part from being taken for the start of the next one.
             hash.update(&part.len().to_be_bytes());
             hash.update(part);
         }
--- a/crates/daemon/src/proxy/quarantine.rs
+++ b/crates/daemon/src/proxy/quarantine.rs
@@ -181,7 +181,7 @@
         let crashes = suspicion.crash_count();
         ledger.clear(digest);
         drop(ledger);
-        // The next end at another daemon adds to a single one that the others still know of, which is not enough.
+        // A single end that the other daemons still know of does not restrict the request.
         if crashes > 1 {
             tracing::info!(digest = format!("{digest:032x}"), crashes, "suspect request cleared");
             self.share_change(digest);
