Open a new connection for each call to the store

Cause: the client of the store kept idle connections for later calls. Class: a connection is taken to work without evidence. Ruled out: keepalive probes of the kernel, which are on; the connection stays open, only its answers are lost.

A connection now carries one call.

--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -91,9 +91,20 @@
 }
 
 impl HttpClient {
-    /// Creates a client without open connections.
+    /// Creates a client that keeps idle connections for later requests.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_idle_connections(usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each request. An idle connection may have gone silent
+    /// meanwhile, and a request on it then waits for its timeout in vain.
+    #[must_use]
+    pub fn without_reuse() -> Self {
+        Self::with_idle_connections(0)
+    }
+
+    fn with_idle_connections(max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -103,6 +114,7 @@
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(15))
+            .pool_max_idle_per_host(max_idle)
             .build(connector);
         Self { inner, name: None, token: None }
     }
