Tell others of a newer document whoever has read it

Cause: only relays, and daemons that read in their place, notified others of a document from the platform. Class: the others are taken to know without evidence. Ruled out: notices that were lost; none was sent.

--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -190,12 +190,17 @@
             "configuration applied"
         );
         let newest = NewestDocument { document, origin, packed: OnceLock::new() };
+        let reason = documents.read_reason(cx.read_role(), cx.clock.now());
         documents.newest.store(Some(Arc::new(newest)));
         lock(&documents.read_policy).caught_up();
         cx.metrics.record_config(position.config.offset, false);
         cx.set_config(config, cx.clock.now());
         cx.set_position(position);
-        if cx.is_relay() || is_from_other_data_centre(cx, origin) {
+        // A daemon that starts reads what the others have; a large document is read by all.
+        let is_news = origin == Origin::Platform
+            && cx.phase() != Phase::Starting
+            && reason != Some(ReadReason::Large);
+        if cx.is_relay() || is_news || is_from_other_data_centre(cx, origin) {
             notify_others(cx, position);
         }
     }
