Send notices again that are lost on a silent connection

Cause: the notice was sent once, and after 1 s without an answer the connection was replaced, but not the notice repeated. Class: a message is taken to have arrived without evidence. Ruled out: idle pings would notice earlier, but take 115 KB/s a daemon.

A notice without an answer for 0.3 s is sent again over a new connection.

--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -357,6 +357,24 @@
             .ok()
     }
 
+    /// Tells a daemon something that it may hear twice, in a separate task. Errors are logged.
+    pub fn tell_peer<M: Serialize>(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        path: &'static str,
+        message: &M,
+    ) {
+        let Some(data) = encoded(message) else { return };
+        let cx = Arc::clone(self);
+        tokio::spawn(async move {
+            cx.metrics.record_control_bytes("out", data.len());
+            match cx.peers.notice(to, path, data).await {
+                Ok(answer) => cx.metrics.record_control_bytes("in", answer.len()),
+                Err(e) => tracing::debug!(%to, path, error = %e, "a peer did not answer a notice"),
+            }
+        });
+    }
+
     /// Appends an entry to stream `members` in a separate task; does nothing without a log.
     pub fn append_member_entry(&self, entry: MemberEntry) {
         let Some(log) = self.log.clone() else { return };
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -30,9 +30,6 @@
 /// Path at which a daemon accepts a notice that a peer has a newer document.
 pub const NOTICE_PATH: &str = "/peer/v1/document-notice";
 
-/// Time for a peer to answer a notice.
-const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum number of peers with a newer document that wait to be queried.
 const MAX_SOURCES: usize = 4;
 
@@ -255,14 +252,8 @@
     let members = cx.members.load();
     let Some(own) = members.get(&cx.identity.id) else { return };
     let notice = DocumentNotice { from: cx.identity.peer_addr, position };
-    for to in notice_targets(members.live(), own).into_iter().map(|member| member.peer_addr) {
-        let cx = Arc::clone(cx);
-        tokio::spawn(async move {
-            let taken: Option<()> = cx.ask_peer(to, NOTICE_PATH, &notice, NOTICE_TIMEOUT).await;
-            if taken.is_none() {
-                tracing::debug!(%to, "a peer did not answer the notice of a newer document");
-            }
-        });
+    for to in notice_targets(members.live(), own) {
+        cx.tell_peer(to.peer_addr, NOTICE_PATH, &notice);
     }
 }
 
--- a/crates/daemon/src/control/reading.rs
+++ b/crates/daemon/src/control/reading.rs
@@ -1,7 +1,7 @@
 //! Exchange of which daemons of a data centre can read the platform, so that others read in place of
 //! those that cannot.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use baobabreel_client::wire::ReadingNotice;
@@ -15,9 +15,6 @@
 /// Path at which a daemon is told whether another one can read the platform.
 pub const READING_PATH: &str = "/peer/v1/reading";
 
-/// Time for a peer to answer such a notice.
-const NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Daemons of the data centre that have said that they cannot read the platform.
 #[derive(Debug, Default)]
 pub struct Readers {
@@ -46,16 +43,9 @@
     let own = &cx.identity;
     let notice = ReadingNotice { from: own.id.clone(), can_read };
     for member in cx.members.load().live() {
-        if member.data_centre != own.data_centre || member.id == own.id {
-            continue;
+        if member.data_centre == own.data_centre && member.id != own.id {
+            cx.tell_peer(member.peer_addr, READING_PATH, &notice);
         }
-        let (cx, notice, to) = (Arc::clone(cx), notice.clone(), member.peer_addr);
-        tokio::spawn(async move {
-            let taken: Option<()> = cx.ask_peer(to, READING_PATH, &notice, NOTICE_TIMEOUT).await;
-            if taken.is_none() {
-                tracing::debug!(%to, "a peer did not answer the notice about reading");
-            }
-        });
     }
 }
 
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -32,6 +32,13 @@
 /// Time in which a control connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for the answer to a notice before it is sent again. A change that it tells of has to be in force within
+/// two seconds.
+const FIRST_NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for the answer to a notice that was sent again.
+const LAST_NOTICE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Most connections for calls to one peer.
 const MAX_CALL_CONNECTIONS: usize = 128;
 
@@ -202,6 +209,24 @@
         }
     }
 
+    /// Sends a control message that may arrive twice, and returns the response. A message that gets none is sent
+    /// again over a new connection, since the first one may have gone silent.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`].
+    pub async fn notice(
+        &self,
+        addr: SocketAddr,
+        path: &'static str,
+        body: Vec<u8>,
+    ) -> Result<Bytes, PeerError> {
+        match self.control(addr, path, body.clone(), FIRST_NOTICE_TIMEOUT).await {
+            Err(PeerError::Lost(_)) => self.control(addr, path, body, LAST_NOTICE_TIMEOUT).await,
+            answer => answer,
+        }
+    }
+
     /// Sends a control message and reads the whole response.
     ///
     /// # Errors
