Tell other daemons directly which requests crash backend servers

Cause: the evidence went through the store only, so a daemon that the store does not serve counted alone. Class: others are taken to know without evidence. Ruled out: lost evidence; each daemon had its own, 3 ends each.

Each change of the evidence is now also sent to all other daemons, which merge it; the order does not matter, and what the store lacks is written by one that it serves.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -5,6 +5,7 @@
 
 use baobabreel_core::config::{DocumentVersion, Version};
 use baobabreel_core::id::{DaemonId, Offset};
+use baobabreel_core::quarantine::Suspicion;
 use baobabreel_core::relay::{Attestation, Batch, Generation};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -87,6 +88,22 @@
     pub can_read: bool,
 }
 
+/// Tells a peer what the sender knows of requests that crash backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNotice {
+    /// Requests about which the evidence has changed.
+    pub suspects: Vec<SuspectWire>,
+}
+
+/// What a daemon knows of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectWire {
+    /// Digest of the request, in network byte order.
+    pub digest: [u8; 16],
+    /// Evidence against it; `None` if a backend server has survived it.
+    pub suspicion: Option<Suspicion>,
+}
+
 /// Streams of the log that daemons apply to their state and forward to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stream {
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -13,7 +13,8 @@
 };
 pub use control::{
     BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, Position,
-    PullAnswerWire, PullWire, PushAnswer, PushWire, ReadingNotice, Stream, decode, encode,
+    PullAnswerWire, PullWire, PushAnswer, PushWire, ReadingNotice, Stream, SuspectNotice,
+    SuspectWire, decode, encode,
 };
 pub use document::PackedDocument;
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod snapshots;
 mod status;
 mod stream;
+mod suspects;
 
 pub use announce::{Announcement, BackendTracker};
 pub use distribution::Distribution;
@@ -118,6 +119,8 @@
             tasks.spawn(follower::run(Arc::clone(cx), distribution.clone(), stop.clone()));
             tasks.spawn(snapshots::run(Arc::clone(cx), distribution.clone(), stop.clone()));
         }
+        let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
+        tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
         let control = Self { config, membership };
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -2,7 +2,7 @@
 
 use baobabreel_client::wire::{
     CallQuery, CallState, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, PullWire,
-    PushWire, ReadingNotice, decode,
+    PushWire, ReadingNotice, SuspectNotice, decode,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -16,6 +16,7 @@
 use super::membership::ReceivedRequest;
 use super::push::encoded;
 use super::reading::{self, READING_PATH};
+use super::suspects::{self, SUSPECTS_PATH};
 use super::{Control, Distribution};
 use crate::context::Cx;
 use crate::operators::{STATUS_PATH, status as status_doc};
@@ -43,6 +44,7 @@
         DOCUMENT_PATH => document(cx, &body),
         NOTICE_PATH => notice(cx, &body),
         READING_PATH => reading_notice(cx, &body),
+        SUSPECTS_PATH => suspect_notice(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
@@ -108,6 +110,12 @@
     answer(&())
 }
 
+fn suspect_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let notice: SuspectNotice = decode_body(body)?;
+    suspects::note(cx, notice);
+    answer(&())
+}
+
 async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let push: PushWire = decode_body(body)?;
     answer(&distribution_actor(control)?.ask(Pushed(push)).await.map_err(actor_unavailable)?.0)
--- a/crates/daemon/src/proxy/quarantine.rs
+++ b/crates/daemon/src/proxy/quarantine.rs
@@ -1,7 +1,7 @@
 //! Requests that crash backend servers: the evidence that this daemon knows of, and its part in the trials.
 //!
-//! `baobabreel-core` decides. The platform adapter shares the evidence with the other daemons ([`Share`]) and keeps
-//! it over restarts; without an adapter that does, a daemon goes by what it has seen itself.
+//! `baobabreel-core` decides. The daemons tell each other of the evidence. The platform adapter shares it as well
+//! ([`Share`]), keeps it over restarts, and makes sure that each trial has only one daemon.
 
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use super::call_error::CallError;
 use crate::sync::lock;
 
-/// Changes and claims that wait for the adapter; more are dropped.
+/// Changes that wait to be sent to other daemons, and changes and claims that wait for the adapter; more are dropped.
 const SHARE_CAPACITY: usize = 1_024;
 
 /// Longest time to wait for the right to a trial.
@@ -24,6 +24,8 @@
 pub enum Share {
     /// The evidence against a request has changed, or the request was cleared.
     Changed(RequestDigest),
+    /// Other daemons have told of evidence, which the adapter may lack.
+    Learnt,
     /// This daemon wants to try a request. The answer tells whether no other daemon changed anything meanwhile.
     Claim(RequestDigest, oneshot::Sender<bool>),
 }
@@ -41,6 +43,8 @@
     ledger: Mutex<Ledger>,
     running: Mutex<Running>,
     share: OnceLock<mpsc::Sender<Share>>,
+    /// Changes that the other daemons have to be told of.
+    peers: OnceLock<mpsc::Sender<RequestDigest>>,
 }
 
 /// Permission to run a request, until it is dropped.
@@ -68,6 +72,12 @@
         self.share.set(tx).is_ok().then_some(rx)
     }
 
+    /// Returns the requests about which the other daemons have to be told from now on. Later calls return `None`.
+    pub fn attach_peers(&self) -> Option<mpsc::Receiver<RequestDigest>> {
+        let (tx, rx) = mpsc::channel(SHARE_CAPACITY);
+        self.peers.set(tx).is_ok().then_some(rx)
+    }
+
     /// Evidence against a request, if there is any.
     #[must_use]
     pub fn get(&self, digest: RequestDigest) -> Option<Suspicion> {
@@ -82,13 +92,21 @@
         repeated.map(|(digest, suspicion)| (digest, suspicion.clone())).collect()
     }
 
-    /// Adds what other daemons know.
-    pub fn merge(&self, digest: RequestDigest, known: &Suspicion, now: Duration) {
+    /// Adds what other daemons have shared through the adapter; returns whether anything was new.
+    pub fn merge(&self, digest: RequestDigest, known: &Suspicion, now: Duration) -> bool {
         let mut ledger = lock(&self.ledger);
         let was_restricted = ledger.get(digest).is_some_and(Suspicion::is_restricted);
-        ledger.merge(digest, known, now);
+        let is_new = ledger.merge(digest, known, now);
         ledger.evict();
         log_if_restricted(&ledger, digest, was_restricted);
+        is_new
+    }
+
+    /// Adds what another daemon has told of.
+    pub fn learn(&self, digest: RequestDigest, known: &Suspicion, now: Duration) {
+        if self.merge(digest, known, now) {
+            self.share(Share::Learnt);
+        }
     }
 
     /// Clears a request that other daemons have cleared or forgotten.
@@ -156,6 +174,7 @@
             }
         }
         lock(&self.ledger).begin_trial(digest, now);
+        self.tell_peers(digest);
         tracing::info!(digest = format!("{digest:032x}"), "trial of a suspect request");
         Ok(())
     }
@@ -189,8 +208,18 @@
     }
 
     fn share_change(&self, digest: RequestDigest) {
-        let Some(share) = self.share.get() else { return };
-        if share.try_send(Share::Changed(digest)).is_err() {
+        self.tell_peers(digest);
+        self.share(Share::Changed(digest));
+    }
+
+    fn tell_peers(&self, digest: RequestDigest) {
+        if self.peers.get().is_some_and(|peers| peers.try_send(digest).is_err()) {
+            tracing::warn!("evidence about a suspect request is not sent: too much waits");
+        }
+    }
+
+    fn share(&self, share: Share) {
+        if self.share.get().is_some_and(|adapter| adapter.try_send(share).is_err()) {
             tracing::warn!("evidence about a suspect request is not shared: too much waits");
         }
     }
