Read the evidence about requests again once reads of the store were lost

Cause: the open read of the evidence was lost, and it ends by itself only after 15 to 30 s; until then a daemon neither hears of evidence nor can claim a trial. Ruled out: the messages between daemons alone; a claim fails at an outdated end of the topic, so a proper request would stay refused.

--- a/crates/daemon/src/control/reading.rs
+++ b/crates/daemon/src/control/reading.rs
@@ -21,6 +21,8 @@
     lost: Mutex<LostReaders>,
     /// Number of losses of which others have told.
     losses: watch::Sender<u64>,
+    /// Number of times that this daemon could read again.
+    resumptions: watch::Sender<u64>,
 }
 
 impl Readers {
@@ -33,6 +35,16 @@
     pub fn losses(&self) -> watch::Receiver<u64> {
         self.losses.subscribe()
     }
+
+    /// Changes each time that this daemon can read the platform again.
+    pub fn resumptions(&self) -> watch::Receiver<u64> {
+        self.resumptions.subscribe()
+    }
+
+    /// Records that this daemon can read the platform again.
+    pub fn resumed(&self) {
+        self.resumptions.send_modify(|count| *count += 1);
+    }
 }
 
 /// Tells the daemons of the data centre whether this one, on which they rely, can read the platform.
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -351,9 +351,16 @@
 
     /// Records that the adapter can read the platform again.
     pub fn read_resumed(&self) {
+        self.cx.readers.resumed();
         announce_reading(&self.cx, true);
     }
 
+    /// Changes each time that the adapter has recorded that it can read the platform again.
+    #[must_use]
+    pub fn reading_resumptions(&self) -> watch::Receiver<u64> {
+        self.cx.readers.resumptions()
+    }
+
     /// Whether the daemon has begun to serve requests, which stays so while it drains. Until then,
     /// the document in force may be outdated.
     #[must_use]
