Judge a run of a request by its end, not by the first bytes of its answer

Callers' requests would fail as a request crashes one backend server after another (BUDGET), if it crashes them once the answer has begun, or after its caller has left.

Cause: a request counted as survived at the head of its answer, and one whose caller had left was forgotten. Class: a conclusion is drawn before the evidence is complete.

A run is now survived at the end of its answer, lost if the connection breaks on the way, and after its caller has left it is looked whether the backend server has ended (0.2 s later, with a connection of its own at most every 0.2 s). A trial holds until the end.

--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -5,6 +5,7 @@
 mod condition;
 mod info;
 mod local;
+mod run;
 mod slots;
 
 use std::sync::Arc;
@@ -14,7 +15,6 @@
 use baobabreel_core::condition::{RateStatement, ReportedCondition};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::membership::MemberState;
-use baobabreel_core::quarantine::RequestDigest;
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 
@@ -23,6 +23,7 @@
 pub use slots::{SlotGuard, start_at_rate_limit};
 
 use self::local::Backend;
+use self::run::Run;
 use super::body::{Guard, ProxyBody, Tracked};
 use super::call_error::CallError;
 use super::headers;
@@ -78,7 +79,7 @@
     if cx.host.is_draining() {
         return Err(draining());
     }
-    let _permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
+    let permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     let remaining = deadline.saturating_sub(sent_at);
@@ -92,42 +93,53 @@
         req.headers_mut().insert(headers::RETRY, HeaderValue::from_static("1"));
     }
     *req.version_mut() = Version::HTTP_11;
+    guard.run = digest.map(|digest| Run::new(cx, &backend, digest, permit));
     let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
         Ok(Err(e)) => {
-            if let (SendError::Lost(_), Some(digest)) = (&e, digest) {
-                tokio::spawn(record_if_ended(Arc::clone(cx), backend, digest));
-            }
+            guard.end_run(matches!(e, SendError::Lost(_)));
             return Err(CallError::from_send_error(e, "the backend server"));
         }
         Err(_) => {
             return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
     };
-    check_origin(dialect, request_id.as_ref(), &response, connection.is_reused())?;
-    guard.connection = Some(connection);
-    let stated = dialect.condition.read(response.headers());
-    cx.host.record_statement(cx, &backend.info, stated);
-    check_response(dialect, &response)?;
-    if stated.rate == RateStatement::Unlimited {
-        cx.host.record_condition(cx, &backend.info, |c| c.observe_unlimited(sent_at));
+    let is_reused = connection.is_reused();
+    let checked =
+        check_answer(cx, &backend.info, request_id.as_ref(), &response, is_reused, sent_at);
+    if let Err(e) = checked {
+        if e.is_not_run() {
+            guard.end_run(false);
+        }
+        return Err(e);
     }
+    guard.connection = Some(connection);
     // A response at the deadline does not show that the request would have ended well.
-    if let Some(digest) = digest
-        && response.status() != StatusCode::GATEWAY_TIMEOUT
-    {
-        cx.quarantine.record_survival(digest);
+    if response.status() == StatusCode::GATEWAY_TIMEOUT {
+        guard.end_run(false);
     }
     Ok(HostedResponse { response, guard, deadline })
 }
 
-/// Records evidence against a request whose connection was lost, if the backend server has ended. Connections
-/// also break for other reasons.
-async fn record_if_ended(cx: Cx, backend: Arc<Backend>, digest: RequestDigest) {
-    if let Some(crash) = backend.pool.find_end().await {
-        cx.quarantine.record_crash(digest, crash, cx.clock.now());
+/// Checks that a response is about the request, and records what the backend server states in it.
+fn check_answer(
+    cx: &Cx,
+    info: &BackendInfo,
+    request_id: Option<&HeaderValue>,
+    response: &Response<Incoming>,
+    is_reused: bool,
+    sent_at: Duration,
+) -> Result<(), CallError> {
+    let dialect = &cx.settings.dialect;
+    check_origin(dialect, request_id, response, is_reused)?;
+    let stated = dialect.condition.read(response.headers());
+    cx.host.record_statement(cx, info, stated);
+    check_response(dialect, response)?;
+    if stated.rate == RateStatement::Unlimited {
+        cx.host.record_condition(cx, info, |c| c.observe_unlimited(sent_at));
     }
+    Ok(())
 }
 
 /// The local backend server, if it belongs to the service of the call and is ready.
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -12,6 +12,7 @@
 
 use super::info::BackendInfo;
 use super::local::{LocalBackend, visible_load};
+use super::run::Run;
 use crate::context::Cx;
 use crate::proxy::call_error::CallError;
 use crate::proxy::pool::PooledConnection;
@@ -115,7 +116,7 @@
         };
         let offer = admitter.admission.offer(ticket, now);
         admitter.apply(offer.evicted);
-        let guard = || SlotGuard { cx: Arc::clone(cx), id: Some(id), connection: None };
+        let guard = || SlotGuard { cx: Arc::clone(cx), id: Some(id), connection: None, run: None };
         match offer.decision {
             Decision::Start => Ok(Accepted::Slot(guard())),
             Decision::Queued => {
@@ -207,6 +208,8 @@
     cx: Cx,
     id: Option<TicketId>,
     pub(super) connection: Option<PooledConnection>,
+    /// Run at the backend server, once the request was sent and if it has a digest.
+    pub(super) run: Option<Run>,
 }
 
 impl std::fmt::Debug for SlotGuard {
@@ -218,6 +221,9 @@
 impl SlotGuard {
     /// Records that the response was received to its end: the connection can be reused.
     pub fn complete(&mut self) {
+        if let Some(run) = self.run.take() {
+            run.survived();
+        }
         if let Some(connection) = self.connection.take() {
             connection.release();
         }
@@ -226,6 +232,15 @@
         }
     }
 
+    /// Records that the request was not run to its end; `is_lost` tells whether its connection was lost.
+    pub(super) fn end_run(&mut self, is_lost: bool) {
+        match self.run.take() {
+            Some(run) if is_lost => run.lost(),
+            Some(run) => run.dismiss(),
+            None => {}
+        }
+    }
+
     /// Drops the guard of a request that admission has already removed.
     fn disarm(mut self) {
         self.id = None;
@@ -234,6 +249,9 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
+        if self.connection.as_ref().is_some_and(PooledConnection::is_closed) {
+            self.end_run(true);
+        }
         // Releasing the slot starts the next request, which needs the connection.
         self.connection = None;
         if let Some(id) = self.id.take() {
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -3,6 +3,7 @@
 //! A connection carries one request at a time, also with HTTP/2: the limit on connections then means
 //! the same for both protocols, and a connection that breaks fails no other request.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -26,6 +27,9 @@
 /// Time in which a connection must be established; covers two round trips between the most distant regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Shortest time between two connections that are opened only to find out whether the server has ended.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Parameter of the `Keep-Alive` header with the seconds for which the server keeps an idle connection.
 const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
@@ -101,8 +105,19 @@
     idle_limit: Mutex<IdleLimit>,
     permits: Arc<Semaphore>,
     started: Instant,
-    /// The end of the server, until it accepts connections again.
-    end: Mutex<Option<CrashId>>,
+    /// The last end of the server.
+    end: Mutex<Option<ServerEnd>>,
+    /// When the last connection was opened only to find out whether the server has ended.
+    probed_at: Mutex<Option<Instant>>,
+}
+
+/// End of a server: its address refused connections.
+#[derive(Debug, Clone, Copy)]
+struct ServerEnd {
+    id: CrashId,
+    found_at: Instant,
+    /// Whether it has accepted connections since.
+    is_over: bool,
 }
 
 /// Idle connection that was taken from its pool.
@@ -129,6 +144,12 @@
         self.is_reused
     }
 
+    /// Whether the server has closed it.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Returns the connection to its pool, after the response has ended.
     pub fn release(self) {
         if self.sender.is_closed() {
@@ -153,6 +174,7 @@
             permits,
             started: Instant::now(),
             end: Mutex::default(),
+            probed_at: Mutex::default(),
         }
     }
 
@@ -191,10 +213,17 @@
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(not_sent(&format!("failed to connect: {e}"))),
+            Ok(Err(e)) => {
+                if e.kind() == ErrorKind::ConnectionRefused {
+                    self.record_end();
+                }
+                return Err(not_sent(&format!("failed to connect: {e}")));
+            }
             Err(_) => return Err(SendError::Unreachable),
         };
-        *lock(&self.end) = None;
+        if let Some(end) = lock(&self.end).as_mut() {
+            end.is_over = true;
+        }
         if let Err(e) = stream.set_nodelay(true) {
             tracing::debug!(error = %e, "failed to set TCP_NODELAY");
         }
@@ -216,19 +245,48 @@
         Ok((sender, permit))
     }
 
-    /// Finds out whether the server has ended, so that its address refuses connections. Returns the same number for
-    /// all requests that were lost by one end.
-    pub async fn find_end(&self) -> Option<CrashId> {
-        let known = *lock(&self.end);
-        if known.is_some() {
-            return known;
+    /// Finds out whether the server has ended since a time, so that its address refuses connections. Returns the same
+    /// number for all requests that were lost by one end.
+    pub async fn find_end(&self, since: Instant) -> Option<CrashId> {
+        if let Some(known) = self.known_end(since) {
+            return Some(known);
         }
+        *lock(&self.probed_at) = Some(Instant::now());
         let connecting = TcpStream::connect(self.addr);
         let is_refused = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Err(e)) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+            Ok(Err(e)) => e.kind() == ErrorKind::ConnectionRefused,
             Ok(Ok(_)) | Err(_) => false,
         };
-        is_refused.then(|| *lock(&self.end).get_or_insert_with(rand::random))
+        is_refused.then(|| self.record_end())
+    }
+
+    /// Like [`find_end`](Self::find_end), but without a connection of its own if the last one for this is recent.
+    pub async fn find_end_at_low_cost(&self, since: Instant) -> Option<CrashId> {
+        let probed_at = *lock(&self.probed_at);
+        if probed_at.is_some_and(|at| at.elapsed() < PROBE_INTERVAL) {
+            self.known_end(since)
+        } else {
+            self.find_end(since).await
+        }
+    }
+
+    /// Number of the last end of the server, if it is known and came after a time.
+    fn known_end(&self, since: Instant) -> Option<CrashId> {
+        let end = *lock(&self.end);
+        end.filter(|end| end.found_at >= since).map(|end| end.id)
+    }
+
+    /// Records that the address refuses connections; returns the number of the end.
+    fn record_end(&self) -> CrashId {
+        let mut end = lock(&self.end);
+        match *end {
+            Some(known) if !known.is_over => known.id,
+            _ => {
+                let id = rand::random();
+                *end = Some(ServerEnd { id, found_at: Instant::now(), is_over: false });
+                id
+            }
+        }
     }
 
     /// Sets the host to the address of the server if the request has none. HTTP/2 has it in the URI, not in a
