Recognise requests whose small bodies come in chunks

Cause: bodies of unknown length were passed on as they came, so the request had no digest, and could not be sent again either. Class: what cannot be told apart is taken to be new. Ruled out: hashing while the body is passed on; the run has begun by then.

A body of unknown length is read for at most 0.1 s; if it ends by then and has at most 64 KiB, it is kept like one of known length, otherwise passed on as before.

--- a/crates/daemon/src/proxy/caller_request.rs
+++ b/crates/daemon/src/proxy/caller_request.rs
@@ -21,6 +21,10 @@
 /// Largest body that is buffered for retries, in bytes.
 pub const MAX_REPLAY_BYTES: u64 = 64 * 1024;
 
+/// Time in which a body of unknown length may turn out to be small. One that comes more slowly is passed on as it
+/// comes.
+const UNKNOWN_LENGTH_WAIT: Duration = Duration::from_millis(100);
+
 /// Body of a caller's request.
 #[derive(Debug)]
 pub enum CallerBody {
@@ -48,7 +52,7 @@
 }
 
 impl CallerRequest {
-    /// Prepares a request. The body is buffered if its length is known and small, or if `keep_body` is set.
+    /// Prepares a request. The body is buffered if it is small and arrives soon, or if `keep_body` is set.
     ///
     /// # Errors
     ///
@@ -76,6 +80,8 @@
         let is_small = size.exact().is_some_and(|bytes| bytes <= MAX_REPLAY_BYTES);
         let body = if is_small || keep_body {
             CallerBody::Buffered(read_body(body, timeout).await?)
+        } else if size.exact().is_none() {
+            read_unknown(body, max_body, timeout.min(UNKNOWN_LENGTH_WAIT)).await?
         } else {
             CallerBody::Stream(body, max_body)
         };
@@ -152,6 +158,21 @@
     }
 }
 
+/// Buffers a body of unknown length if it turns out to be small.
+async fn read_unknown(
+    body: RequestBody,
+    max_body: u64,
+    wait: Duration,
+) -> Result<CallerBody, CallError> {
+    let limit = usize::try_from(MAX_REPLAY_BYTES.min(max_body)).unwrap_or(usize::MAX);
+    match body.read_start(limit, wait).await {
+        Ok((data, None)) if data.len() <= limit => Ok(CallerBody::Buffered(data)),
+        Ok((data, None)) => Ok(CallerBody::Stream(RequestBody::whole(data), max_body)),
+        Ok((data, Some(rest))) => Ok(CallerBody::Stream(RequestBody::begun(data, rest), max_body)),
+        Err(_) => Err(CallError::transient(ErrorKind::BadRequest, "the body broke off")),
+    }
+}
+
 fn keyed_body_too_large() -> CallError {
     let detail = format!("the body of a request with a key has more than {MAX_REPLAY_BYTES} bytes");
     CallError::new(ErrorKind::BodyTooLarge, detail)
--- a/crates/daemon/src/proxy/request_body.rs
+++ b/crates/daemon/src/proxy/request_body.rs
@@ -2,11 +2,14 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::body::{BodyError, poll_incoming};
 
@@ -29,6 +32,13 @@
     Hyper(Incoming),
     /// In memory; `None` if empty or already read.
     Whole(Option<Bytes>),
+    /// Its first bytes were read before.
+    Begun {
+        /// Bytes that were read; `None` once they are passed on.
+        first: Option<Bytes>,
+        /// Bytes that follow.
+        rest: Box<RequestBody>,
+    },
     /// Received piece by piece from a [`BodySender`].
     Pipe {
         /// Pieces of the body.
@@ -46,6 +56,39 @@
     pub fn whole(data: Bytes) -> Self {
         Self::Whole(Some(data).filter(|data| !data.is_empty()))
     }
+
+    /// Reads the body, but at most `limit` bytes and some more, and for at most `time`. Returns the rest of a body
+    /// that has not ended by then.
+    ///
+    /// # Errors
+    ///
+    /// The body breaks off.
+    pub async fn read_start(
+        mut self,
+        limit: usize,
+        time: Duration,
+    ) -> Result<(Bytes, Option<Self>), BodyError> {
+        let end = Instant::now() + time;
+        let mut first = BytesMut::new();
+        while first.len() <= limit {
+            match tokio::time::timeout_at(end, self.frame()).await {
+                Ok(None) => return Ok((first.freeze(), None)),
+                Ok(Some(frame)) => {
+                    if let Ok(data) = frame?.into_data() {
+                        first.extend_from_slice(&data);
+                    }
+                }
+                Err(_) => break,
+            }
+        }
+        Ok((first.freeze(), Some(self)))
+    }
+
+    /// Body whose first bytes were read before.
+    #[must_use]
+    pub fn begun(first: Bytes, rest: Self) -> Self {
+        Self::Begun { first: Some(first).filter(|first| !first.is_empty()), rest: Box::new(rest) }
+    }
 }
 
 /// Sender of the pieces of a body.
@@ -88,6 +131,10 @@
         match self.get_mut() {
             Self::Hyper(body) => poll_incoming(body, cx),
             Self::Whole(data) => Poll::Ready(data.take().map(|data| Ok(Frame::data(data)))),
+            Self::Begun { first, rest } => match first.take() {
+                Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
+                None => Pin::new(rest.as_mut()).poll_frame(cx),
+            },
             Self::Pipe { pieces, left, ended } => {
                 if *ended {
                     return Poll::Ready(None);
@@ -116,6 +163,7 @@
         match self {
             Self::Hyper(body) => body.is_end_stream(),
             Self::Whole(data) => data.is_none(),
+            Self::Begun { first, rest } => first.is_none() && rest.is_end_stream(),
             Self::Pipe { ended, .. } => *ended,
         }
     }
@@ -127,7 +175,7 @@
                 SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
             }
             Self::Pipe { left: Some(left), .. } => SizeHint::with_exact(*left),
-            Self::Pipe { left: None, .. } => SizeHint::default(),
+            Self::Begun { .. } | Self::Pipe { left: None, .. } => SizeHint::default(),
         }
     }
 }
