--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -4,6 +4,7 @@
 //! and benchmarks can run many daemons in one process.
 
 mod clock;
+mod messages;
 mod view;
 
 use std::net::SocketAddr;
@@ -12,9 +13,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use baobabreel_client::log::{AppendError, LogClient};
+use baobabreel_client::log::LogClient;
 use baobabreel_client::transport::HttpClient;
-use baobabreel_client::wire::{Position, Stream, decode};
+use baobabreel_client::wire::Position;
 use baobabreel_core::config::CompiledConfig;
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{Member, Members};
@@ -22,13 +23,12 @@
 use baobabreel_core::relay::{RELAYS_PER_DATA_CENTRE, ReadRole, relays};
 use eyre::{OptionExt, Result};
 use kameo::actor::{ActorRef, WeakActorRef};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 pub use clock::Clock;
+pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Documents, Follower, Membership, Readers, encoded};
+use crate::control::{Distribution, Documents, Follower, Membership, Readers};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
 use crate::settings::{ConfigSource, Settings};
@@ -280,21 +280,6 @@
         self.relay.load(Ordering::Acquire)
     }
 
-    /// Address of a random live member, from another data centre if possible.
-    ///
-    /// A daemon asks this peer when it has received no news, and most often its whole data centre
-    /// has received none either.
-    pub fn random_peer(&self) -> Option<SocketAddr> {
-        let members = self.members.load();
-        let own = &self.identity;
-        let others: Vec<&Member> = members.live().filter(|member| member.id != own.id).collect();
-        let remote: Vec<&Member> =
-            others.iter().copied().filter(|m| m.data_centre != own.data_centre).collect();
-        let candidates = if remote.is_empty() { others } else { remote };
-        (!candidates.is_empty())
-            .then(|| candidates[rand::random_range(0..candidates.len())].peer_addr)
-    }
-
     /// Returns the client of the log.
     ///
     /// # Errors
@@ -330,74 +315,6 @@
             tracing::error!("the actors of the control plane were already set");
         }
     }
-
-    /// Sends a control message to a daemon and returns its answer.
-    ///
-    /// Errors are logged and returned as `None`.
-    pub async fn ask_peer<M: Serialize, A: DeserializeOwned>(
-        &self,
-        to: SocketAddr,
-        path: &'static str,
-        message: &M,
-        timeout: Duration,
-    ) -> Option<A> {
-        let data = encoded(message)?;
-        self.metrics.record_control_bytes("out", data.len());
-        let answer = self
-            .peers
-            .control(to, path, data, timeout)
-            .await
-            .inspect_err(|e| tracing::debug!(%to, path, error = %e, "a peer did not answer"))
-            .ok()?;
-        self.metrics.record_control_bytes("in", answer.len());
-        decode(&answer)
-            .inspect_err(
-                |e| tracing::warn!(%to, path, error = %e, "a peer sent a malformed answer"),
-            )
-            .ok()
-    }
-
-    /// Tells a daemon something that it may hear twice, in a separate task. Errors are logged.
-    pub fn tell_peer<M: Serialize>(
-        self: &Arc<Self>,
-        to: SocketAddr,
-        path: &'static str,
-        message: &M,
-    ) {
-        let Some(data) = encoded(message) else { return };
-        let cx = Arc::clone(self);
-        tokio::spawn(async move {
-            cx.metrics.record_control_bytes("out", data.len());
-            match cx.peers.notice(to, path, data).await {
-                Ok(answer) => cx.metrics.record_control_bytes("in", answer.len()),
-                Err(e) => tracing::debug!(%to, path, error = %e, "a peer did not answer a notice"),
-            }
-        });
-    }
-
-    /// Appends an entry to stream `members` in a separate task; does nothing without a log.
-    pub fn append_member_entry(&self, entry: MemberEntry) {
-        let Some(log) = self.log.clone() else { return };
-        tokio::spawn(async move { append_entry(&log, &entry).await });
-    }
-}
-
-/// Appends an entry to stream `members`; returns whether the log confirmed it.
-///
-/// After `false`, the entry may have been appended all the same.
-pub async fn append_entry(log: &LogClient, entry: &MemberEntry) -> bool {
-    let data = match serde_json::to_string(entry) {
-        Ok(data) => data,
-        Err(e) => {
-            tracing::error!(error = %e, "failed to encode a member entry");
-            return false;
-        }
-    };
-    let appended = log.append(Stream::Members.name(), &data).await;
-    if let Err(e @ (AppendError::Refused(_) | AppendError::Unknown(_))) = &appended {
-        tracing::warn!(error = %e, "the append of a member entry was not confirmed");
-    }
-    appended.is_ok()
 }
 
 /// Guard that counts a request as in flight until it is dropped.
