--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -3,35 +3,31 @@
 //! [`Daemon::start`] binds the listeners and starts the control plane; [`Daemon::shutdown`] drains
 //! the daemon. Through [`Handle`], an adapter passes on what it learns from its platform.
 
+mod handle;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use baobabreel_client::wire::PackedDocument;
-use baobabreel_core::config::{Document, DocumentVersion};
 use baobabreel_core::idempotency::ISSUE_MARGIN_LEFT;
-use baobabreel_core::membership::Member;
-use baobabreel_core::relay::{PollTurn, ReadReason, keeps_copy};
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use http::{Request, StatusCode};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::adapter::{Adapter, NativeAdapter};
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
-use crate::control::{
-    BackendTracker, Control, Leave, ListedMembers, LocalChanged, Origin, StoreGeneration,
-    announce_reading, confirm_document, offer_document, platform_lost,
-};
+use crate::control::{BackendTracker, Control, Leave, LocalChanged};
 use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
-use crate::proxy::{Quarantine, start_at_rate_limit};
+use crate::proxy::start_at_rate_limit;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
+pub use handle::Handle;
+
 /// Time limit for appending the `leave` entry to the log.
 const LEAVE_APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -306,153 +302,6 @@
     }
 }
 
-/// Receives what the adapter learns from its platform.
-#[derive(Debug, Clone)]
-pub struct Handle {
-    cx: Cx,
-    control: Control,
-}
-
-impl Handle {
-    /// Puts a configuration document of the platform in force, unless a newer one already is.
-    pub fn offer_document(&self, document: Document) {
-        offer_document(&self.cx, document, Origin::Platform);
-    }
-
-    /// Like [`offer_document`](Self::offer_document), for a copy that may be older than the
-    /// document of the platform; see [`confirm_document`](Self::confirm_document).
-    pub fn offer_copy(&self, document: Document) {
-        offer_document(&self.cx, document, Origin::Copy);
-    }
-
-    /// Records that the document in force is the newest one that the platform has.
-    pub fn confirm_document(&self) {
-        confirm_document(&self.cx);
-    }
-
-    /// Records that the adapter no longer reads the platform, or has to begin anew.
-    pub fn platform_lost(&self) {
-        platform_lost(&self.cx);
-    }
-
-    /// Records that an attempt of the adapter to read the platform failed, so that other daemons read in place of
-    /// this one if they relied on it.
-    pub fn read_failed(&self) {
-        platform_lost(&self.cx);
-        announce_reading(&self.cx, false);
-    }
-
-    /// Changes each time that another daemon of the data centre can no longer read the platform. What it lost, this
-    /// daemon may have lost too.
-    #[must_use]
-    pub fn reading_losses(&self) -> watch::Receiver<u64> {
-        self.cx.readers.losses()
-    }
-
-    /// Records that the adapter can read the platform again.
-    pub fn read_resumed(&self) {
-        self.cx.readers.resumed();
-        announce_reading(&self.cx, true);
-    }
-
-    /// Changes each time that the adapter has recorded that it can read the platform again.
-    #[must_use]
-    pub fn reading_resumptions(&self) -> watch::Receiver<u64> {
-        self.cx.readers.resumptions()
-    }
-
-    /// Whether the daemon has begun to serve requests, which stays so while it drains. Until then,
-    /// the document in force may be outdated.
-    #[must_use]
-    pub fn is_serving(&self) -> bool {
-        self.cx.phase() != Phase::Starting
-    }
-
-    /// The document in force, packed as daemons send it to each other.
-    #[must_use]
-    pub fn packed_document(&self) -> Option<PackedDocument> {
-        self.cx.documents.newer_than(None)
-    }
-
-    /// Whether the adapter has to keep a copy of the newest document, which starting daemons read.
-    #[must_use]
-    pub fn keeps_copy(&self) -> bool {
-        let members = self.cx.members.load();
-        let own = members.get(&self.cx.identity.id);
-        own.is_some_and(|own| keeps_copy(members.live(), own))
-    }
-
-    /// Why the adapter has to read the documents of the platform, or `None` if this daemon gets
-    /// them from other daemons.
-    #[must_use]
-    pub fn read_reason(&self) -> Option<ReadReason> {
-        let cx = &self.cx;
-        // What is known of other readers expires with time.
-        cx.update_relay();
-        cx.documents.read_reason(cx.read_role(), cx.clock.now())
-    }
-
-    /// How long the next poll of the platform may stay open.
-    #[must_use]
-    pub fn poll_time(&self) -> Duration {
-        let members = self.cx.members.load();
-        let turn = match members.get(&self.cx.identity.id) {
-            Some(own) => PollTurn::of(members.live(), own),
-            None => PollTurn { rank: 0, readers: 1, data_centre_rank: 0, data_centres: 1 },
-        };
-        turn.poll_time(self.cx.clock.wall())
-    }
-
-    /// Generation of the platform's store, which the adapter and the other daemons report.
-    #[must_use]
-    pub fn store_generation(&self) -> StoreGeneration {
-        self.cx.documents.generation().clone()
-    }
-
-    /// Evidence about requests that crash backend servers, for the adapter to share.
-    #[must_use]
-    pub fn quarantine(&self) -> &Quarantine {
-        &self.cx.quarantine
-    }
-
-    /// Time on the clock of the daemon, as [`Quarantine::merge`] takes it.
-    #[must_use]
-    pub fn now(&self) -> Duration {
-        self.cx.clock.now()
-    }
-
-    /// Version of the document in force.
-    #[must_use]
-    pub fn document_version(&self) -> Option<DocumentVersion> {
-        self.cx.documents.version()
-    }
-
-    /// Adds the daemons that the platform lists to the members; returns once this is done.
-    pub async fn introduce(&self, members: Vec<Member>) {
-        if self.control.membership.ask(ListedMembers(members)).await.is_err() {
-            tracing::debug!("the membership actor has stopped");
-        }
-    }
-
-    /// This daemon as a member.
-    #[must_use]
-    pub fn own_member(&self) -> Option<Member> {
-        self.cx.members.load().get(&self.cx.identity.id).cloned()
-    }
-
-    /// Whether a backend server beside this daemon is known and has not stopped.
-    #[must_use]
-    pub fn has_backend(&self) -> bool {
-        self.cx.host.info().is_some()
-    }
-
-    /// Number of live members, this daemon included.
-    #[must_use]
-    pub fn live_members(&self) -> usize {
-        self.cx.members.load().live().count()
-    }
-}
-
 /// Answers a request to the listener for the backend server, which announces its state.
 async fn answer_backend(
     cx: Cx,
