Let few losses make all daemons of a data centre read the store at once

Daemons that read in place of a relay told of their own late answers too, and each such notice made the 19 others of the data centre read again, both the configuration and the evidence; so many reads at once are slow on a tenth of a core, and slow reads are late answers. Class: a repair that adds to the load which it answers.

Only relays tell of lost reads now, as others rely only on them, and a daemon takes at most one such notice a second as a reason to read at once (LostReaders::raises_alarm). many_losses_raise_few_alarms is new.

--- a/crates/core/src/relay/lost_readers.rs
+++ b/crates/core/src/relay/lost_readers.rs
@@ -15,10 +15,15 @@
 /// Largest number of daemons that are remembered; more than a data centre has.
 const MAX_DAEMONS: usize = 1_024;
 
+/// Shortest time between two losses for which all others read at once. Relays lose their reads one after another, and
+/// many reads at once make each of them slow.
+const ALARM_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Daemons that have said that they cannot read the platform.
 #[derive(Debug, Default)]
 pub struct LostReaders {
     until: BTreeMap<DaemonId, Duration>,
+    alarmed_at: Option<Duration>,
 }
 
 impl LostReaders {
@@ -37,6 +42,15 @@
         !was_lost
     }
 
+    /// Whether all others have to read at once because of a loss that is new.
+    pub fn raises_alarm(&mut self, now: Duration) -> bool {
+        let is_due = self.alarmed_at.is_none_or(|at| now >= at + ALARM_INTERVAL);
+        if is_due {
+            self.alarmed_at = Some(now);
+        }
+        is_due
+    }
+
     /// Whether a daemon cannot read, as far as known.
     #[must_use]
     pub fn contains(&self, daemon: &str, now: Duration) -> bool {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -511,3 +511,20 @@
         assert!(targets.iter().all(|target| target.id != own.id));
     }
 }
+
+/// Guards against a herd of reads: each of many losses makes all others read at once, which makes their reads slow and
+/// so causes further losses.
+#[test]
+fn many_losses_raise_few_alarms() {
+    let mut lost = LostReaders::default();
+    let mut alarms = 0;
+    for ms in (0..4_000).step_by(10) {
+        let daemon = format!("daemon-{}", ms / 10 % 20);
+        let is_lost = ms / 200 % 2 == 0;
+        let is_new = lost.record(daemon, !is_lost, MS(ms));
+        if is_new && is_lost && lost.raises_alarm(MS(ms)) {
+            alarms += 1;
+        }
+    }
+    assert!((1..=4).contains(&alarms), "{alarms} alarms in 4 s");
+}
--- a/crates/daemon/src/control/reading.rs
+++ b/crates/daemon/src/control/reading.rs
@@ -6,7 +6,7 @@
 
 use baobabreel_client::wire::ReadingNotice;
 use baobabreel_core::membership::Member;
-use baobabreel_core::relay::LostReaders;
+use baobabreel_core::relay::{LostReaders, ReadRole};
 use tokio::sync::watch;
 
 use crate::context::Cx;
@@ -19,8 +19,8 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     lost: Mutex<LostReaders>,
-    /// Number of losses of which others have told.
-    losses: watch::Sender<u64>,
+    /// Number of losses elsewhere for which this daemon had to read at once.
+    alarms: watch::Sender<u64>,
     /// Number of times that this daemon could read again.
     resumptions: watch::Sender<u64>,
 }
@@ -31,9 +31,9 @@
         !lock(&self.lost).contains(&member.id, now)
     }
 
-    /// Changes each time that another daemon can no longer read the platform.
-    pub fn losses(&self) -> watch::Receiver<u64> {
-        self.losses.subscribe()
+    /// Changes each time that this daemon has to read at once because others can no longer do so.
+    pub fn alarms(&self) -> watch::Receiver<u64> {
+        self.alarms.subscribe()
     }
 
     /// Changes each time that this daemon can read the platform again.
@@ -47,9 +47,9 @@
     }
 }
 
-/// Tells the daemons of the data centre whether this one, on which they rely, can read the platform.
+/// Tells the daemons of the data centre whether this one, if they rely on it, can read the platform.
 pub fn announce(cx: &Cx, can_read: bool) {
-    if !cx.is_relay() {
+    if cx.read_role() != ReadRole::Relay {
         return;
     }
     let own = &cx.identity;
@@ -69,11 +69,15 @@
         return;
     }
     let now = cx.clock.now();
-    if lock(&cx.readers.lost).record(daemon.clone(), can_read, now) {
-        tracing::info!(daemon, can_read, "another daemon's reading of the platform changed");
-        cx.update_relay();
-        if !can_read {
-            cx.readers.losses.send_modify(|count| *count += 1);
-        }
+    let mut lost = lock(&cx.readers.lost);
+    if !lost.record(daemon.clone(), can_read, now) {
+        return;
+    }
+    let is_alarm = !can_read && lost.raises_alarm(now);
+    drop(lost);
+    tracing::info!(daemon, can_read, "another daemon's reading of the platform changed");
+    cx.update_relay();
+    if is_alarm {
+        cx.readers.alarms.send_modify(|count| *count += 1);
     }
 }
--- a/crates/daemon/src/daemon/handle.rs
+++ b/crates/daemon/src/daemon/handle.rs
@@ -51,11 +51,11 @@
         announce_reading(&self.cx, false);
     }
 
-    /// Changes each time that another daemon of the data centre can no longer read the platform. What it lost, this
-    /// daemon may have lost too.
+    /// Changes each time that a daemon on which others of the data centre rely can no longer read the platform. What it
+    /// lost, this daemon may have lost too.
     #[must_use]
-    pub fn reading_losses(&self) -> watch::Receiver<u64> {
-        self.cx.readers.losses()
+    pub fn reading_alarms(&self) -> watch::Receiver<u64> {
+        self.cx.readers.alarms()
     }
 
     /// Records that the adapter can read the platform again.
