Let as many daemons read in place of a lost relay as there are relays

Cause: all daemons of a data centre read the whole configuration while one relay had lost its reads, over links of 7 Mbit/s and with a tenth of a core, and the relay counted as lost for a second, until its lost poll had timed out. Class: a repair that adds to the load which it answers.

For each lost relay, as many others read as there are relays, so all do once the relays of a small data centre, or all of a large one, are lost.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -196,7 +196,7 @@
 pub enum ReadReason {
     /// It is a document relay.
     Relay,
-    /// A document relay cannot read, and all others read in its place.
+    /// A document relay cannot read, and it is one of those that read in its place.
     Substitute,
     /// Its document has too many routes for relays to pass it on in time.
     Large,
@@ -222,19 +222,19 @@
 impl ReadRole {
     /// Role of `own` among the live members, of which `can_read` tells those that can read.
     ///
-    /// While a document relay cannot, all others of its data centre read in its place. Which of them the
-    /// platform serves is not known, and to find out one after another would take too long.
+    /// For each document relay that cannot, as many others of its data centre read as there are relays. Which of
+    /// them the platform serves is not known, and to find out one after another would take too long. If a single
+    /// relay has lost its reads, the documents that all others read at once would fill their links.
     #[must_use]
     pub fn of(members: &[&Member], own: &Member, can_read: impl Fn(&Member) -> bool) -> Self {
         let local = local_members(members.iter().copied(), own);
-        let (relays, _) = split_relays(&local);
+        let (relays, others) = split_relays(&local);
         if relays.contains(&own.id.as_str()) {
-            Self::Relay
-        } else if relays.iter().all(|id| can_read(local[id])) {
-            Self::None
-        } else {
-            Self::Substitute
+            return Self::Relay;
         }
+        let lost_relays = relays.iter().filter(|id| !can_read(local[*id])).count();
+        let mut substitutes = others.iter().take(lost_relays * relays.len());
+        if substitutes.any(|id| *id == own.id) { Self::Substitute } else { Self::None }
     }
 
     /// Whether others rely on the daemon.
