--- a/crates/core/src/relay/lost_readers.rs
+++ b/crates/core/src/relay/lost_readers.rs
@@ -15,7 +15,7 @@
 /// Largest number of daemons that are remembered; more than a data centre has.
 const MAX_DAEMONS: usize = 1_024;
 
-/// Shortest time between two losses for which all others read at once. Relays lose their reads one after another, and
+/// Shortest time between two losses for which others read at once. Relays lose their reads one after another, and
 /// many reads at once make each of them slow.
 const ALARM_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,7 +42,7 @@
         !was_lost
     }
 
-    /// Whether all others have to read at once because of a loss that is new.
+    /// Whether this daemon has to read at once because of a loss that is new; records that it does.
     pub fn raises_alarm(&mut self, now: Duration) -> bool {
         let is_due = self.alarmed_at.is_none_or(|at| now >= at + ALARM_INTERVAL);
         if is_due {
