--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""A request with a body over 64 KiB crashes each worker that begins to run it, and comes again."""
+"""After a planned restart, a daemon gives requests up at which workers are at work, behind a daemon restarted before."""
 
 import asyncio
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -9,56 +10,84 @@
 sys.dont_write_bytecode = True
 import harness as h  # noqa: E402
 
-# Size of the body; the configuration allows 67,108,864 bytes.
-BODY_BYTES = int(os.environ.get("BODY_BYTES", 100_000))
-# Time after which a crashed worker is back.
-DOWN_S = 2.0
-# Time over which the request comes again, and the pause between two attempts of its client.
-RUN_S, PAUSE_S = 45.0, 1.0
-# Crashes after which the rule begins to count, and retries that it allows from `stability` after.
-CRASHES, ALLOWED_RETRIES = 3, 3
+GRACE_S = 6.0
+# Time after which the platform starts a daemon again that has ended, and between the two restarts.
+RESTART_S, CALM_S = 0.5, 8.0
+# Time that a request runs, the timeout of its route and the time budget of its client.
+WORK_S, TIMEOUT_MS = 1.3, 2000
+# What happens: `1` all restarts, `0` none, `last` only that of the client's machine.
+TROUBLE = os.environ.get("TROUBLE", "1")
+# Requests after the restart and the pause between two.
+REQUESTS, PAUSE_S = 10, 0.05
 
 
-async def case(d):
-    service = "pedidos"
-    routes = {"confirm": h.route("reorder.example", "/confirm/", service, "non_idempotent")}
-    await d.start([service] * 4, h.config(7, routes, [service]))
-    crashes, arrivals = [], []
+async def restart(d, machine):
+    """Stops a daemon as planned and starts it again; returns the time of its SIGTERM."""
+    machine.signal(signal.SIGTERM)
+    stopped = d.record.now()
+    if not await machine.wait_for_end(GRACE_S):
+        raise h.NotRun("the daemon did not end within the grace period")
+    await asyncio.sleep(RESTART_S)
+    machine.start_daemon()
+    return stopped
+
+
+async def wait_until_ready(machine):
+    raw = h.message("GET /readyz HTTP/1.1", [("Host", machine.ip)])
+    for _ in range(500):
+        try:
+            head, _ = await h.call(machine.addr("ready"), raw, 0.9)
+            if head.first[1] == "200":
+                return
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.01)
+    raise h.NotRun("the daemon did not get ready")
 
-    async def crash(worker, head, body, writer):
-        if head.first[1] != "/confirm/deadly":
-            return False
-        arrivals.append((d.record.now(), head.get("request-id")))
-        if not d.has_trouble:
-            return False
-        crashes.append(d.record.now())
-        worker.crash()
-        asyncio.get_running_loop().call_later(
-            DOWN_S, lambda: asyncio.create_task(worker.start()))
-        return True
 
+async def case(d):
+    near, far = "archivo", "pedidos"
+    routes = {"confirm": h.route("reorder.example", "/confirm/", far, "non_idempotent",
+                                 timeout=f"{TIMEOUT_MS}ms", priority=1)}
+    await d.start([near, far, near, far], h.config(7, routes, [near, far]))
+    entry = d.machines[0]
     for machine in d.machines:
-        machine.worker.on_run = crash
-    await asyncio.sleep(h.STABILITY_S + 1)
-    body = b"x" * BODY_BYTES
-    start, turn = d.record.now(), 0
-    while d.record.now() - start < RUN_S:
-        ready = [machine for machine in d.machines if machine.is_ready]
-        machine = ready[turn % len(ready)]
-        turn += 1
-        # A new client attempt, with the same method, path, caller and body.
-        await d.send(machine, "POST", "reorder.example", "/confirm/deadly", body, kept=False)
+        machine.worker.work_s = WORK_S
+    await asyncio.sleep(h.STABILITY_S + 2)
+    # The rolling restart comes to the machines beside the workers first, then to that of the client.
+    if TROUBLE == "1":
+        for machine in (d.machines[1], d.machines[3]):
+            await restart(d, machine)
+            await asyncio.sleep(CALM_S)
+    stopped = await restart(d, entry) if TROUBLE != "0" else d.record.now()
+    # The platform's readiness check happens to come early in its second.
+    await wait_until_ready(entry)
+    d.record.write(f"{entry.name} is ready again, {d.record.now() - stopped:.3f} s after its SIGTERM")
+    broken = []
+
+    async def client():
+        sent = d.record.now()
+        request, status, _ = await d.send(entry, "POST", "reorder.example", "/confirm/1",
+                                          deadline_ms=TIMEOUT_MS, kept=False)
+        ended = d.record.now()
+        began = [at for machine in d.machines for at, ran, _ in machine.worker.runs if ran == request]
+        if not began:
+            return
+        is_at_work = ended < began[0] + WORK_S
+        in_time = ended - sent < TIMEOUT_MS / 1000
+        if status != 200 and is_at_work and in_time and ended < stopped + GRACE_S + 1:
+            broken.append((request, status, ended - sent, began[0] + WORK_S - ended))
+
+    tasks = []
+    for _ in range(REQUESTS):
+        tasks.append(asyncio.create_task(client()))
         await asyncio.sleep(PAUSE_S)
-    if len(crashes) < CRASHES:
-        d.record.write(f"{len(crashes)} crashes, {len(arrivals)} arrivals")
-        return None
-    counted_from = crashes[CRASHES - 1] + h.STABILITY_S
-    late = [at for at, _ in arrivals if at > counted_from]
-    d.record.write(f"{len(crashes)} crashes; the third at {crashes[CRASHES - 1]:.3f}; "
-                   f"{len(late)} retries reached workers later than {counted_from:.3f}")
-    if len(late) > ALLOWED_RETRIES:
-        return (f"BUDGET broken: {len(late)} retries reached workers later than `stability` after "
-                f"the third crash; {ALLOWED_RETRIES} are allowed")
+    await asyncio.gather(*tasks)
+    for request, status, after, left in broken:
+        d.record.write(f"{request} was answered {status} after {after:.3f} s; its worker was at work for {left:.3f} s more")
+    if broken:
+        return (f"LOST broken: within `grace` + 1 s after the SIGTERM of the machine, {len(broken)} requests were given up "
+                f"at which their workers were at work")
     return None
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
-"""One answer that a worker truncates takes down the requests behind it, which sound workers are running."""
+"""The machines whose daemons read the store are lost just before a change, so the others keep the old configuration."""
 
 import asyncio
+import json
 import os
-import random
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -10,93 +11,96 @@
 sys.dont_write_bytecode = True
 import harness as h  # noqa: E402
 
-# Share of the answers that the faulty worker truncates, and the size of an answer.
-TRUNCATED_SHARE, ANSWER_BYTES = 0.03, 100_000
-# Requests that a client sends before the first is answered, number of clients, and their pause.
-PIPELINED, CLIENTS, PAUSE_S = 5, 8, 0.3
-RUN_S = 40.0
-# Requests that the rule allows to end so.
-ALLOWED = 3
+CONFIG_DEADLINE_S = 2.0
+MACHINES = 8
+OLD, NEW = "archivo", "tarifas"
+# Pause between two requests of the client of each machine.
+PAUSE_S = 0.05
+# Losses in one run at the most, each with a change; the run ends with the first that breaks the rule.
+ROUNDS = int(os.environ.get("ROUNDS", "5"))
+# Time for which the machines are dark, and from their return to the next loss.
+DARK_S, CALM_S = 6.0, 12.0
+# Part of a second, counted from the start of the daemons, in which the loss comes; `RANDOM_PHASE=1` leaves it to chance.
+PHASE_S = 0.85
 
 
-async def case(d):
-    service = "archivo"
-    routes = {"history": h.route("reorder.example", "/history/", service)}
-    other = "envios"
-    await d.start([service] * 3 + [other], h.config(7, routes, [service, other]))
-    # Clients beside a worker of another service, so that all workers of `service` are as near.
-    machine = d.machines[3]
-    draw = random.Random(int(os.environ.get("SEED", "1")))
-    faulty = d.machines[0].worker
-    answer = b"a" * ANSWER_BYTES
-    run_by = {}
+def configuration(version, service):
+    routes = {"history": h.route("reorder.example", "/history/", service, timeout="1000ms")}
+    return h.config(version, routes, [OLD, NEW])
+
+
+def reads_store(d, machine):
+    """Whether the daemon reads the store, by its last log line about that."""
+    with open(os.path.join(d.folder, f"{machine.name}.log"), encoding="utf-8") as file:
+        log = file.read()
+    return log.rfind("other daemons read the store") <= log.rfind("reads the store again")
 
-    async def answer_large(worker, head, body, writer):
-        request = head.get("request-id")
-        run_by[request] = worker
-        await asyncio.sleep(draw.uniform(0.02, 0.2))
-        headers = [("Request-Id", request), ("Response-Signature", f"sig.{len(answer)}.{request}")]
-        raw = h.message("HTTP/1.1 200 OK", headers, answer)
-        if d.has_trouble and worker is faulty and draw.random() < TRUNCATED_SHARE:
-            d.record.write(f"worker {worker.id} truncates the answer to {request}")
-            writer.write(raw[:-ANSWER_BYTES // 4])
-            await writer.drain()
-            writer.close()
-        else:
-            writer.write(raw)
-        return True
 
-    for each in d.machines[:3]:
-        each.worker.on_run = answer_large
-    await asyncio.sleep(h.STABILITY_S + 1)
-    until = d.record.now() + RUN_S
-    unanswered, counts = [], {"sent": 0, "complete": 0, "closes": 0}
+async def case(d):
+    services = [OLD if index % 2 == 0 else NEW for index in range(MACHINES)]
+    await d.start(services, configuration(7, OLD))
+    start = d.record.now()
+    sent, out = {}, set()
 
-    async def client(number):
-        await asyncio.sleep(PAUSE_S * number / CLIENTS)
-        reader = writer = None
-        while d.record.now() < until:
-            if writer is None:
-                reader, writer = await asyncio.open_connection(*machine.addr("outbound"),
-                                                               limit=1 << 22)
-            requests = []
-            for _ in range(PIPELINED):
-                requests.append(f"{counts['sent']:016x}")
-                counts["sent"] += 1
-                writer.write(h.message("GET /history/1 HTTP/1.1", [
-                    ("Host", "reorder.example"), ("Request-Id", requests[-1]),
-                    ("Deadline-Ms", 2500)]))
-            complete = 0
-            try:
-                while complete < PIPELINED:
-                    head = await asyncio.wait_for(h.read_head(reader), 3)
-                    if head is None:
-                        break
-                    await asyncio.wait_for(h.read_body(reader, head, True), 3)
-                    complete += 1
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                pass
-            counts["complete"] += complete
-            if complete < PIPELINED:
-                counts["closes"] += 1
-                writer.close()
-                writer = None
-                broken, behind = requests[complete], requests[complete + 1:]
-                d.record.write(f"client: {machine.name} closed the connection in the answer to {broken}, "
-                               f"no answers to {' '.join(behind)}")
-                # Those that it had passed on to a worker that is sound.
-                unanswered.extend(r for r in behind if r in run_by and run_by[r] is not faulty)
+    async def client(machine):
+        while True:
             await asyncio.sleep(PAUSE_S)
+            if machine in out or not machine.is_ready:
+                continue
+            request = f"{len(sent):016x}"
+            sent[request] = (d.record.now(), machine)
+            await d.send(machine, "GET", "reorder.example", "/history/1", deadline_ms=1000,
+                         request=request)
 
-    await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-    d.record.write(f"{counts['sent']} requests, {counts['complete']} complete answers, {counts['closes']} "
-                   f"connections closed; run by sound workers, without an answer: {len(unanswered)}")
-    for request in unanswered:
-        d.record.write(f"{request} was run by worker {run_by[request].id} and has no answer")
-    if len(unanswered) > ALLOWED:
-        return (f"LOST broken: {len(unanswered)} requests from kept connections were passed on to sound "
-                f"workers and have no answer; {ALLOWED} are allowed")
+    for machine in d.machines:
+        d.tasks.append(asyncio.create_task(client(machine)))
+    await asyncio.sleep(CALM_S - 4)
+    version, (before, after) = 7, (OLD, NEW)
+    for number in range(ROUNDS):
+        readers = [machine for machine in d.machines if reads_store(d, machine)]
+        names = " ".join(machine.name for machine in readers)
+        d.record.write(f"loss {number + 1}: those that read the store: {names}")
+        if len(readers) > MACHINES // 2:
+            raise h.NotRun("too many daemons read the store")
+        if os.environ.get("RANDOM_PHASE") != "1":
+            await asyncio.sleep((PHASE_S - (d.record.now() - start)) % 1.0)
+        if d.has_trouble:
+            # To the others, a stopped process is like one without power: it does not answer.
+            for machine in readers:
+                out.add(machine)
+                machine.signal(signal.SIGSTOP)
+                machine.worker.stop()
+        version += 3
+        d.store.put("keyed.op", "config", json.dumps(configuration(version, after)).encode())
+        acked = d.record.now()
+        d.record.write(f"the store acknowledges r{version}, which moves the route from {before} to {after}")
+        await asyncio.sleep(DARK_S)
+        late = late_runs(d, sent, out, before, acked)
+        for at, request, name in late:
+            d.record.write(f"{request}, sent to {name} {at - acked:.3f} s after the ack, was run by {before}")
+        if late:
+            return (f"CONFIG broken: {len(late)} requests were sent later than `configDeadline` after the ack of "
+                    f"r{version} and run by the old service, the last {late[-1][0] - acked:.3f} s after it")
+        d.record.write("all requests sent after the deadline were run by the new service")
+        for machine in list(out):
+            machine.kill()
+            machine.start_daemon()
+            await machine.worker.start()
+        await asyncio.sleep(CALM_S)
+        out.clear()
+        before, after = after, before
     return None
 
 
+def late_runs(d, sent, out, service, acked):
+    """Requests sent after the deadline to machines that were not lost, and run by `service`."""
+    late = []
+    for machine in d.machines:
+        for _, request, _ in machine.worker.runs:
+            sent_at, to = sent[request]
+            if machine.service == service and sent_at > acked + CONFIG_DEADLINE_S and to not in out:
+                late.append((sent_at, request, to.name))
+    return sorted(late)
+
+
 h.run(case, FOLDER)
