--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import sys
 
@@ -16,12 +17,10 @@
 OLD, NEW = "archivo", "tarifas"
 # Pause between two requests of the client of each machine.
 PAUSE_S = 0.05
-# Losses in one run at the most, each with a change; the run ends with the first that breaks the rule.
-ROUNDS = int(os.environ.get("ROUNDS", "5"))
-# Time for which the machines are dark, and from their return to the next loss.
-DARK_S, CALM_S = 6.0, 12.0
-# Part of a second, counted from the start of the daemons, in which the loss comes; `RANDOM_PHASE=1` leaves it to chance.
-PHASE_S = 0.8
+# Deployments that a run starts, one after the other, at the most; it ends with the first that breaks the rule.
+ROUNDS = int(os.environ.get("ROUNDS", "9"))
+# Time from the start of the daemons to the loss, up to a second more by chance, and for which the machines are dark.
+CALM_S, DARK_S = 6.5, 3.5
 
 
 def configuration(version, service):
@@ -37,9 +36,23 @@
 
 
 async def case(d):
+    for number in range(ROUNDS):
+        d.record.write(f"deployment {number + 1}")
+        verdict = await play(d)
+        if verdict is not None:
+            return verdict
+        d.stop()
+        for machine in d.machines:
+            machine.worker.stop()
+        d.store.server.close()
+        d.machines, d.tasks, d.connections, d.store = [], [], {}, h.Store()
+    return None
+
+
+async def play(d):
+    """Starts a deployment, loses the machines that read the store, and changes the configuration."""
     services = [OLD if index % 2 == 0 else NEW for index in range(MACHINES)]
     await d.start(services, configuration(7, OLD))
-    # The daemons that are left probe each other once a second from their start on.
     start = d.machines[0].started_at
     sent, out = {}, set()
 
@@ -55,41 +68,28 @@
 
     for machine in d.machines:
         d.tasks.append(asyncio.create_task(client(machine)))
-    await asyncio.sleep(CALM_S - 4)
-    version, (before, after) = 7, (OLD, NEW)
-    for number in range(ROUNDS):
-        readers = [machine for machine in d.machines if reads_store(d, machine)]
-        names = " ".join(machine.name for machine in readers)
-        d.record.write(f"loss {number + 1}: those that read the store: {names}")
-        if len(readers) > MACHINES // 2:
-            raise h.NotRun("too many daemons read the store")
-        if os.environ.get("RANDOM_PHASE") != "1":
-            await asyncio.sleep((PHASE_S - (d.record.now() - start)) % 1.0)
-        if d.has_trouble:
-            # To the others, a stopped process is like one without power: it does not answer.
-            for machine in readers:
-                out.add(machine)
-                machine.signal(signal.SIGSTOP)
-                machine.worker.stop()
-        version += 3
-        d.store.put("keyed.op", "config", json.dumps(configuration(version, after)).encode())
-        acked = d.record.now()
-        d.record.write(f"the store acknowledges r{version}, which moves the route from {before} to {after}")
-        await asyncio.sleep(DARK_S)
-        late = late_runs(d, sent, out, before, acked)
-        for at, request, name in late:
-            d.record.write(f"{request}, sent to {name} {at - acked:.3f} s after the ack, was run by {before}")
-        if late:
-            return (f"CONFIG broken: {len(late)} requests were sent later than `configDeadline` after the ack of "
-                    f"r{version} and run by the old service, the last {late[-1][0] - acked:.3f} s after it")
-        d.record.write("all requests sent after the deadline were run by the new service")
-        for machine in list(out):
-            machine.kill()
-            machine.start_daemon()
-            await machine.worker.start()
-        await asyncio.sleep(CALM_S)
-        out.clear()
-        before, after = after, before
+    await asyncio.sleep(start + CALM_S + random.random() - d.record.now())
+    readers = [machine for machine in d.machines if reads_store(d, machine)]
+    d.record.write("these read the store: " + " ".join(machine.name for machine in readers))
+    if len(readers) > MACHINES // 2:
+        raise h.NotRun("too many daemons read the store")
+    if d.has_trouble:
+        # To the others, a stopped process is like one without power: it does not answer.
+        for machine in readers:
+            out.add(machine)
+            machine.signal(signal.SIGSTOP)
+            machine.worker.stop()
+    d.store.put("keyed.op", "config", json.dumps(configuration(9, NEW)).encode())
+    acked = d.record.now()
+    d.record.write(f"the store acknowledges r9, which moves the route from {OLD} to {NEW}")
+    await asyncio.sleep(DARK_S)
+    late = late_runs(d, sent, out, OLD, acked)
+    for at, request, name in late:
+        d.record.write(f"{request}, sent to {name} {at - acked:.3f} s after the ack, was run by {OLD}")
+    if late:
+        return (f"CONFIG broken: {len(late)} requests were sent later than `configDeadline` after the ack of r9 and "
+                f"run by the old service, the last {late[-1][0] - acked:.3f} s after it")
+    d.record.write("all requests sent after the deadline were run by the new service")
     return None
 
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -659,6 +659,9 @@
     deployment = Deployment(folder)
 
     async def main():
+        # The daemons end with the case, also if the case is told to end.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await asyncio.wait_for(case(deployment), 110)
         finally:
@@ -666,16 +669,14 @@
 
     try:
         verdict = asyncio.run(main())
-    except Exception as e:  # An error of a stand-in says nothing about the rule.
-        deployment.record.write(f"the case could not run: {e!r}")
-        print(f"could not run: {e!r}")
-        sys.stdout.flush()
-        os._exit(2)
-    finally:
-        for machine in deployment.machines:
-            machine.kill()
-        deployment.temporary.cleanup()
-    deployment.record.write(f"verdict: {verdict or 'the rule held'}")
-    print(verdict or "the rule held", flush=True)
+        code, text = (1, verdict) if verdict else (0, "the rule held")
+    # An error of a stand-in, or an early end, says nothing about the rule.
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as e:
+        code, text = 2, f"the case could not run: {e!r}"
+    for machine in deployment.machines:
+        machine.kill()
+    deployment.temporary.cleanup()
+    deployment.record.write(f"verdict: {text}")
+    print(text, flush=True)
     # Skips the end of the interpreter, which complains of connections that are still open.
-    os._exit(1 if verdict else 0)
+    os._exit(code)
