Keep a running call when its sender has not heard of the restart

Cause: the called daemon answered each query that named another incarnation with "answered", before it looked for the call. A daemon that had restarted is named by its old incarnation until its caller hears of the new one (the directory is not written again at a restart), so the sender read "not known under this name" as "lost".

Mend: the state of a call is looked up by its identifier, which is unique per transmission, whatever incarnation the query names. The incarnation only decides what is said of a call that is not known: "not run" if no earlier process can have run it, else the new state "unknown", and such a call is refused should it arrive later. Table and waiting are pure code in core::calls.

Ruled out: an early deadline (the budget left was 1 s), the shutdown of the called daemon (in calm), a silent connection (other queries over the same address were answered).

Store calls: none are made on this path.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 use baobabreel_core::balance::LoadReport;
+use baobabreel_core::calls::CallState;
 use baobabreel_core::condition::{Condition, RateLimit, RateStatement, ReportedCondition};
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
@@ -75,19 +76,43 @@
 pub struct CallQuery {
     /// Identifier of the attempt.
     pub id: u64,
-    /// Incarnation of the daemon that the call was sent to.
+    /// Incarnation of the daemon as its caller knew it when the call was sent.
     pub incarnation: Incarnation,
 }
 
-/// What a daemon knows about a call that was sent to it.
+/// What a daemon knows about a call that was sent to it; see [`CallState`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CallState {
-    /// The call has arrived and is not yet answered.
+pub enum CallStateWire {
+    /// See [`CallState::Active`].
     Active,
-    /// The call was answered a short time ago.
+    /// See [`CallState::Answered`].
     Answered,
-    /// The call has not arrived, and will not run if it arrives later.
+    /// See [`CallState::NotRun`].
     NotRun,
+    /// See [`CallState::Unknown`].
+    Unknown,
+}
+
+impl From<CallState> for CallStateWire {
+    fn from(state: CallState) -> Self {
+        match state {
+            CallState::Active => Self::Active,
+            CallState::Answered => Self::Answered,
+            CallState::NotRun => Self::NotRun,
+            CallState::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<CallStateWire> for CallState {
+    fn from(wire: CallStateWire) -> Self {
+        match wire {
+            CallStateWire::Active => Self::Active,
+            CallStateWire::Answered => Self::Answered,
+            CallStateWire::NotRun => Self::NotRun,
+            CallStateWire::Unknown => Self::Unknown,
+        }
+    }
 }
 
 /// Load of a backend server as seen by the daemon beside it.
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -9,7 +9,8 @@
 mod operator;
 
 pub use call::{
-    AnswerHead, CallHead, CallQuery, CallState, ConditionWire, DecodeHeadError, KeyHead, LoadWire,
+    AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
+    LoadWire,
 };
 pub use control::{
     BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, Position,
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,9 +1,10 @@
 //! Serves control messages that other daemons send over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallState, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, PullWire,
+    CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, PullWire,
     PushWire, ReadingNotice, SuspectNotice, decode,
 };
+use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -135,10 +136,13 @@
 
 fn call_state(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let query: CallQuery = decode_body(body)?;
-    if query.incarnation != cx.incarnation() {
-        return answer(&CallState::Answered);
-    }
-    answer(&cx.calls.state(query.id, cx.clock.now()))
+    let addressee = if query.incarnation == cx.incarnation() {
+        Addressee::ThisProcess
+    } else {
+        Addressee::OtherProcess
+    };
+    let state = cx.calls.query(query.id, addressee, cx.clock.now());
+    answer(&CallStateWire::from(state))
 }
 
 async fn own_status(cx: &Cx, control: &Control) -> Result<Vec<u8>, StatusCode> {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -247,8 +247,8 @@
                 let detail = "the connection to the daemon went silent before the call arrived";
                 return Err(CallError::new(ErrorKind::NoBackendServer, detail));
             }
-            WaitResult::Lost(detail) => {
-                return Err(CallError::new(ErrorKind::UpstreamLost, detail));
+            WaitResult::Lost(reason) => {
+                return Err(CallError::new(ErrorKind::UpstreamLost, reason.to_string()));
             }
             WaitResult::DeadlinePassed => {
                 return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
