Ask the relays for a sign of life, and read in their place when none answers

Cause: a daemon that is no relay waits for the relays' notices. A relay that dies without a sign tells nobody, and any other daemon that talks (a probe of the membership) counted as "all is well"; that the relays were gone came out only when a probe happened to hit one of them, and took another second.

Mend: each daemon that is no relay asks one relay after another twice a second whether there is news (the existing query without a document). After a round of 250 ms without an answer it asks up to three at once, the first one again over a new connection. Once two rounds in a row and 1 s are without an answer it reads the store itself; it does so in groups 100 ms apart, the first as large as the relays are many, and who reads notifies the others. Any answer ends it. The decision is pure (core::relay::RelayWatch).

Why no load: a machine that was paused, or whose connections were all lost at once, finds one round unanswered, which is not enough; a relay that cannot read still answers, so a store that is down adds no reader.

Ruled out: a store that did not answer (the reads of the others were answered within 10 ms once made); the apply time; a poll that hung.

Between daemons: two small questions a second per daemon that is no relay.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::relay_watch::SubstituteGroup;
 use super::tree::RELAY_KEY;
 use crate::membership::Member;
 use crate::rendezvous;
@@ -161,6 +162,19 @@
     relays.map(|id| members[id]).collect()
 }
 
+/// Group in which `own`, which is no relay, reads the platform once no relay answers. The first group has as many
+/// daemons as there are relays.
+#[must_use]
+pub fn substitute_group<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    own: &Member,
+) -> SubstituteGroup {
+    let local = local_members(members, own);
+    let (relays, others) = split_relays(&local);
+    let rank = others.iter().position(|id| *id == own.id).unwrap_or(others.len());
+    SubstituteGroup(rank / relays.len().max(1))
+}
+
 /// Splits the members of one data centre into its document relays and the other daemons, both in
 /// rank order.
 fn split_relays<'a>(members: &BTreeMap<&'a str, &Member>) -> (Vec<&'a str>, Vec<&'a str>) {
@@ -204,6 +218,8 @@
     Silence,
     /// It knows of a newer document and could not fetch it in time.
     Behind,
+    /// No document relay answers.
+    RelaysSilent,
     /// Nobody has confirmed in time that the copy that it started from is the newest document.
     Unconfirmed,
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! A platform that orders whole documents has no log. There, a few relays in each data centre read
 //! the documents and notify the other daemons; [`DocumentReadPolicy`] decides who reads, and
-//! [`Freshness`] tells whether a document is known to be the newest one, and [`LostReaders`] which
-//! daemons cannot read.
+//! [`Freshness`] tells whether a document is known to be the newest one, [`LostReaders`] which daemons
+//! cannot read, and [`RelayWatch`] whether the relays still answer.
 
 mod confirmation;
 mod documents;
@@ -16,6 +16,7 @@
 mod generation;
 mod lost_readers;
 mod pull;
+mod relay_watch;
 mod tree;
 mod window;
 
@@ -25,7 +26,7 @@
 };
 pub use documents::{
     DocumentReadPolicy, OWN_READ_GRACE, PollTurn, ReadReason, ReadRole, document_relay_count,
-    is_document_relay, keeps_copy, notice_targets, other_document_relays,
+    is_document_relay, keeps_copy, notice_targets, other_document_relays, substitute_group,
 };
 pub use freshness::Freshness;
 pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
@@ -33,6 +34,7 @@
 pub use pull::{
     MAX_CONCURRENT_PULLS, PullAdmission, PullLimiter, PullSource, STALE_AFTER, Staleness,
 };
+pub use relay_watch::{ASK_TIMEOUT, RelayWatch, SubstituteGroup};
 pub use tree::{FAN_OUT, RELAYS_PER_DATA_CENTRE, children, push_order, relays};
 pub use window::{
     Batch, PULL_BYTES, Pull, PullAnswer, ReceiveOutcome, StreamWindow, WINDOW_BYTES, WINDOW_ENTRIES,
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -7,7 +7,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -16,8 +16,8 @@
 };
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
-    DocumentReadPolicy, Freshness, OWN_READ_GRACE, ReadReason, ReadRole, notice_targets,
-    other_document_relays,
+    DocumentReadPolicy, Freshness, OWN_READ_GRACE, ReadReason, ReadRole, RelayWatch,
+    notice_targets, other_document_relays,
 };
 
 use super::generation::StoreGeneration;
@@ -79,6 +79,7 @@
     sources: Mutex<Sources>,
     read_policy: Mutex<DocumentReadPolicy>,
     freshness: Mutex<Freshness>,
+    relay_watch: Mutex<RelayWatch>,
     generation: StoreGeneration,
 }
 
@@ -135,7 +136,15 @@
         let routes = self.newest.load().as_ref().map_or(0, |newest| newest.document.routes.len());
         let reason = lock(&self.read_policy).reason(role, routes, now);
         let is_overdue = || lock(&self.freshness).is_overdue(now);
-        reason.or_else(|| is_overdue().then_some(ReadReason::Unconfirmed))
+        let are_relays_silent = || lock(&self.relay_watch).is_silent(now);
+        reason
+            .or_else(|| is_overdue().then_some(ReadReason::Unconfirmed))
+            .or_else(|| are_relays_silent().then_some(ReadReason::RelaysSilent))
+    }
+
+    /// What this daemon knows about whether its relays answer.
+    pub(super) fn relay_watch(&self) -> MutexGuard<'_, RelayWatch> {
+        lock(&self.relay_watch)
     }
 
     /// Next peer that still has a newer document. If there is none, records that the task ends.
@@ -311,10 +320,18 @@
     Some(relays[index].peer_addr)
 }
 
-/// Asks a daemon whether it has a newer document, and applies the document if the query requests it.
-async fn query_peer(cx: &Cx, from: SocketAddr, query: DocumentQuery, timeout: Duration) {
+/// Asks a daemon whether it has a newer document, and gets that document later if it has. Returns whether it
+/// answered within `timeout`.
+pub(super) async fn ask_for_news(cx: &Cx, from: SocketAddr, timeout: Duration) -> bool {
+    let query = DocumentQuery { known: cx.documents.version(), with_document: false };
+    query_peer(cx, from, query, timeout).await
+}
+
+/// Asks a daemon whether it has a newer document, and applies the document if the query requests it. Returns whether
+/// it answered within `timeout`.
+async fn query_peer(cx: &Cx, from: SocketAddr, query: DocumentQuery, timeout: Duration) -> bool {
     let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
-    let Some(answer) = answer else { return };
+    let Some(answer) = answer else { return false };
     match answer.newer.as_ref().map(Document::try_from) {
         Some(Ok(document)) => offer(cx, document, Origin::Peer(from)),
         Some(Err(e)) => {
@@ -336,4 +353,5 @@
         }
         serve_if_configured(cx);
     }
+    true
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod push;
 mod reading;
 mod registrations;
+mod relay_watch;
 mod serve;
 mod snapshots;
 mod status;
@@ -119,6 +120,10 @@
             tasks.spawn(follower::run(Arc::clone(cx), distribution.clone(), stop.clone()));
             tasks.spawn(snapshots::run(Arc::clone(cx), distribution.clone(), stop.clone()));
         }
+        if let ConfigOwner::Documents(cx) = &config {
+            let (watch, stopped) = (relay_watch::run(Arc::clone(cx)), stop.clone());
+            tasks.spawn(async move { stopped.run_until_cancelled(watch).await });
+        }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
         let control = Self { config, membership };
--- a/crates/daemon/src/control/reading.rs
+++ b/crates/daemon/src/control/reading.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Default)]
 pub struct Readers {
     lost: Mutex<LostReaders>,
-    /// Number of losses elsewhere for which this daemon had to read at once.
+    /// Number of losses of relays for which this daemon had to read at once.
     alarms: watch::Sender<u64>,
     /// Number of times that this daemon could read again.
     resumptions: watch::Sender<u64>,
@@ -36,6 +36,11 @@
         self.alarms.subscribe()
     }
 
+    /// Makes this daemon read at once.
+    pub fn raise_alarm(&self) {
+        self.alarms.send_modify(|count| *count += 1);
+    }
+
     /// Changes each time that this daemon can read the platform again.
     pub fn resumptions(&self) -> watch::Receiver<u64> {
         self.resumptions.subscribe()
@@ -78,6 +83,6 @@
     tracing::info!(daemon, can_read, "another daemon's reading of the platform changed");
     cx.update_relay();
     if is_alarm {
-        cx.readers.alarms.send_modify(|count| *count += 1);
+        cx.readers.raise_alarm();
     }
 }
