Believe the first "ready" after a start only with a proof

Cause: the order of reports and the ended starts live in memory. A daemon that was killed after the ack knew nothing of it, and took the first report for current, however late it arrived. The health endpoint, which answered 503 all the while, was asked only until the first report.

Mend: a report that says "ready" and is not of a start that is known, or known to be newer, needs a proof: the health endpoint answers within 600 ms that this backend server is ready. Without one the report changes nothing. Four reports of one start over 4 s or more are a proof too, as one that leaves sends no more; so a health endpoint that is stuck keeps nobody out for long. A report that says "draining" needs none. What needs a proof is decided in core::registration.

Related paths: a backend server without load figures was never found at a start, only by its report; its health answer now counts as well. A report without a start time no longer replaces a start that has one unless the health endpoint agrees. Not covered: a health endpoint that says "ready" falsely, at the same time as the restart and the late report.

Ruled out: a lost ack (it was given), the membership (others only repeat the state that this daemon announces).

Store calls: none; one health check at a start of a daemon that hears a report before it has asked.

--- a/crates/core/src/registration/mod.rs
+++ b/crates/core/src/registration/mod.rs
@@ -3,14 +3,25 @@
 //! Reports can arrive late and out of order, and a report of an earlier start can arrive after its sender
 //! crashed and another backend server took its address. The start time and the sequence number that
 //! a backend server reports decide which report is newer; the clock of the daemon does not.
+//!
+//! A daemon that has just started knows of no earlier report, so the first one that says "ready" may be a late one
+//! of a backend server that is leaving. It needs a proof that the backend server is ready now.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use crate::id::InstanceId;
 
 /// Ended starts that are remembered, so that a late report does not bring one of them back.
 const MAX_ENDED: usize = 16;
 
+/// Reports of one start, each newer than the last, that prove together that it is not leaving: one that is leaving
+/// sends no more reports, and few arrive late.
+const MIN_REPORTS_AS_PROOF: u32 = 4;
+
+/// Shortest time between the first and the last of these reports; reports that were held up arrive together.
+const MIN_TIME_AS_PROOF: Duration = Duration::from_secs(4);
+
 /// Start time of a backend server by its own clock, in milliseconds since the Unix epoch.
 pub type BootTime = u64;
 
@@ -39,10 +50,19 @@
     Outdated,
 }
 
+/// Reports of one start that could not be proven one by one.
+#[derive(Debug)]
+struct Unproven {
+    newest: Report,
+    first_at: Duration,
+    count: u32,
+}
+
 /// Newest report and the starts that have ended.
 #[derive(Debug, Default)]
 pub struct ReportOrder {
     newest: Option<Report>,
+    unproven: Option<Unproven>,
     ended: VecDeque<(InstanceId, Option<BootTime>)>,
 }
 
@@ -65,10 +85,41 @@
             }
         }
         let draining = report.draining;
+        self.unproven = None;
         self.newest = Some(report);
         ReportStatus::Current { draining }
     }
 
+    /// Whether a report may be a late one of a backend server that is leaving, so that a proof is needed that it is
+    /// ready: nothing is known about its start, and it is not known to be the newest.
+    #[must_use]
+    pub fn needs_proof(&self, report: &Report) -> bool {
+        if report.draining || self.has_ended(&report.instance, report.boot) {
+            return false;
+        }
+        let Some(newest) = &self.newest else { return true };
+        let is_known_start = report.instance == newest.instance
+            && (report.boot == newest.boot || newest.boot.is_none());
+        !is_known_start && !is_before(newest.boot, report.boot)
+    }
+
+    /// Records a report that needs a proof and has none; returns whether the reports of its start are one.
+    pub fn count_unproven(&mut self, report: &Report, now: Duration) -> bool {
+        let same_start =
+            |known: &Report| known.instance == report.instance && known.boot == report.boot;
+        let Some(unproven) = self.unproven.as_mut().filter(|known| same_start(&known.newest))
+        else {
+            self.unproven = Some(Unproven { newest: report.clone(), first_at: now, count: 1 });
+            return false;
+        };
+        if report.sequence > unproven.newest.sequence {
+            unproven.newest = report.clone();
+            unproven.count += 1;
+        }
+        unproven.count >= MIN_REPORTS_AS_PROOF
+            && now.saturating_sub(unproven.first_at) >= MIN_TIME_AS_PROOF
+    }
+
     /// Records the end of a backend server; returns whether the newest report was its own.
     pub fn leave(&mut self, instance: &str, boot: Option<BootTime>) -> bool {
         let newest = self.newest.as_ref().filter(|newest| {
--- a/crates/core/tests/registration.rs
+++ b/crates/core/tests/registration.rs
@@ -1,5 +1,7 @@
 //! Tests the order of the reports that a backend server sends; a start is one run of its process.
 
+use std::time::Duration;
+
 use baobabreel_core::registration::{BootTime, Report, ReportOrder, ReportStatus};
 
 const CURRENT: ReportStatus = ReportStatus::Current { draining: false };
@@ -73,3 +75,50 @@
     assert_eq!(order.report(report("a", 10, 5, false)), ReportStatus::Outdated);
     assert_eq!(order.report(report("a", 20, 1, false)), CURRENT);
 }
+
+/// Guards against a late report that brings a backend server which is leaving back into use, after a restart of the
+/// daemon that had acknowledged the leaving.
+#[test]
+fn first_ready_report_needs_a_proof() {
+    let mut order = ReportOrder::default();
+    assert!(order.needs_proof(&report("a", 10, 7, false)));
+    assert!(!order.needs_proof(&report("a", 10, 7, true)));
+    assert_eq!(order.report(report("a", 10, 7, false)), CURRENT);
+    assert!(!order.needs_proof(&report("a", 10, 8, false)));
+}
+
+/// Guards against another start that is taken into use by a report of which nothing tells that it is newer.
+#[test]
+fn only_a_start_that_is_known_to_be_newer_needs_no_proof() {
+    let mut order = ReportOrder::default();
+    assert_eq!(order.report(report("a", 10, 7, false)), CURRENT);
+    assert!(!order.needs_proof(&report("b", 20, 1, false)));
+    assert!(order.needs_proof(&Report { boot: None, ..report("b", 0, 1, false) }));
+}
+
+/// Guards against a question to the backend server for each report that follows one without a start time.
+#[test]
+fn start_that_was_found_ready_needs_no_other_proof() {
+    let mut order = ReportOrder::default();
+    assert_eq!(order.report(Report { boot: None, ..report("a", 0, 0, false) }), CURRENT);
+    assert!(!order.needs_proof(&report("a", 10, 7, false)));
+}
+
+/// Guards against a backend server that is never used because its health endpoint does not answer, and against one
+/// that is used because a few reports arrived late.
+#[test]
+fn reports_that_keep_coming_are_a_proof() {
+    let heartbeat = Duration::from_millis(1_500);
+    let mut order = ReportOrder::default();
+    for (late, at) in (1..=6).zip([0, 10, 20, 4_100, 4_110, 4_120].map(Duration::from_millis)) {
+        let is_repeat = late > 3;
+        let sequence = if is_repeat { late - 3 } else { late };
+        assert!(!order.count_unproven(&report("a", 10, sequence, false), at));
+    }
+    let mut proven = Vec::new();
+    for sequence in 1..=4 {
+        let at = heartbeat * u32::try_from(sequence).expect("small");
+        proven.push(order.count_unproven(&report("b", 20, sequence, false), at));
+    }
+    assert_eq!(proven, [false, false, false, true]);
+}
--- a/crates/core/tests/relay_watch.rs
+++ b/crates/core/tests/relay_watch.rs
@@ -1,5 +1,6 @@
 //! Tests of when a daemon reads the platform because no relay answers.
 
+#[expect(dead_code, reason = "property checks are used by other tests")]
 mod support;
 
 use std::time::Duration;
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -9,6 +9,7 @@
 use baobabreel_core::membership::MemberState;
 use baobabreel_core::registration::{Report, ReportOrder, ReportStatus};
 use serde::Deserialize;
+use tokio::time::Instant;
 
 use super::Control;
 use super::membership::LocalChanged;
@@ -39,6 +40,10 @@
 /// Time for such a query to be answered.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for the proof that a backend server is ready which reports so. It waits a second for the answer to its
+/// report.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// State that a backend server announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -126,30 +131,52 @@
         }
     }
 
-    async fn report(
+    async fn report(&self, cx: &Cx, control: &Control, info: BackendInfo, order: Option<Report>) {
+        if let Some(report) = order {
+            let (instance, boot, sequence) =
+                (report.instance.clone(), report.boot, report.sequence);
+            if !self.is_proven(cx, &info, &report).await {
+                tracing::info!(
+                    instance,
+                    boot,
+                    sequence,
+                    "ignored a report that may be late: the backend server does not confirm that it is ready"
+                );
+                return;
+            }
+            let status = self.order().report(report);
+            if status == ReportStatus::Outdated {
+                tracing::info!(
+                    instance,
+                    boot,
+                    sequence,
+                    "ignored an outdated report of the backend server"
+                );
+            }
+            self.take_ordered(cx, control, info, status).await;
+        } else {
+            self.take_current(cx, control, info).await;
+        }
+    }
+
+    /// Takes the state of a backend server from a report of which `status` tells whether it is current.
+    async fn take_ordered(
         &self,
         cx: &Cx,
         control: &Control,
         mut info: BackendInfo,
-        order: Option<Report>,
+        status: ReportStatus,
     ) {
-        if let Some(report) = order {
-            let (instance, boot, sequence) =
-                (report.instance.clone(), report.boot, report.sequence);
-            match self.order().report(report) {
-                ReportStatus::Current { draining: true } => info.state = MemberState::Draining,
-                ReportStatus::Current { draining: false } => {}
-                ReportStatus::Outdated => {
-                    tracing::info!(
-                        instance,
-                        boot,
-                        sequence,
-                        "ignored an outdated report of the backend server"
-                    );
-                    return;
-                }
-            }
+        match status {
+            ReportStatus::Current { draining: true } => info.state = MemberState::Draining,
+            ReportStatus::Current { draining: false } => {}
+            ReportStatus::Outdated => return,
         }
+        self.take_current(cx, control, info).await;
+    }
+
+    /// Takes the state of a backend server from a current report.
+    async fn take_current(&self, cx: &Cx, control: &Control, mut info: BackendInfo) {
         let now = cx.clock.now();
         self.record_contact(now);
         let known = cx.host.info();
@@ -177,6 +204,35 @@
         }
     }
 
+    /// Whether a report is known not to be a late one of a backend server that is leaving.
+    async fn is_proven(&self, cx: &Cx, info: &BackendInfo, report: &Report) -> bool {
+        if !self.order().needs_proof(report) {
+            return true;
+        }
+        let is_ready = self.is_ready_now(cx, info, &report.instance);
+        if tokio::time::timeout(PROOF_TIMEOUT, is_ready).await.unwrap_or(false) {
+            return true;
+        }
+        self.order().count_unproven(report, cx.clock.now())
+    }
+
+    /// Whether the health endpoint of a backend server says that `instance` is ready.
+    async fn is_ready_now(&self, cx: &Cx, info: &BackendInfo, instance: &str) -> bool {
+        loop {
+            let begin = Instant::now();
+            let answer = match configured_health_path(cx, &info.service) {
+                Some(path) => proxy::ask_backend(info.address, &path, QUERY_TIMEOUT).await,
+                None => None,
+            };
+            if let Some(answer) = answer {
+                let answered_by = answer.instance(cx);
+                return answer.is_ready && answered_by.is_none_or(|by| by == instance);
+            }
+            // A connection that is refused fails at once.
+            tokio::time::sleep_until(begin + QUERY_TIMEOUT).await;
+        }
+    }
+
     async fn remove_backend(&self, cx: &Cx, control: &Control) {
         let now = cx.clock.now();
         cx.host.remove_backend();
@@ -196,22 +252,29 @@
         let Some(known) = &cx.settings.backend else { return };
         for _ in 0..MAX_QUERIES {
             let Some(path) = self.wait_for_health_path(cx, &known.service).await else { return };
-            let asked = proxy::ask_backend(cx, known, &path, QUERY_TIMEOUT).await;
-            let Some((info, condition)) = asked else {
+            let answer = proxy::ask_backend(known.address, &path, QUERY_TIMEOUT).await;
+            let Some((info, condition)) = answer.and_then(|answer| answer.describe(cx, known))
+            else {
                 tokio::time::sleep(QUERY_INTERVAL).await;
                 continue;
             };
             // A report received in the meantime carries more information.
             if self.silent_for(cx.clock.now()).is_none() {
-                let instance = info.instance.clone().unwrap_or_default();
-                let order = Report { instance, boot: None, sequence: 0, draining: false };
-                self.report(cx, control, info.clone(), Some(order)).await;
+                self.take_found(cx, control, &info).await;
                 cx.host.record_statement(cx, &info, condition);
             }
             return;
         }
     }
 
+    /// Takes a backend server into use that has just answered that it is ready.
+    async fn take_found(&self, cx: &Cx, control: &Control, info: &BackendInfo) {
+        let instance = info.instance.clone().unwrap_or_default();
+        let found = Report { instance, boot: None, sequence: 0, draining: false };
+        let status = self.order().report(found);
+        self.take_ordered(cx, control, info.clone(), status).await;
+    }
+
     /// Waits until the configuration contains a service and returns its health path, or `None` once the
     /// backend server has reported by itself.
     async fn wait_for_health_path(&self, cx: &Cx, service: &str) -> Option<String> {
@@ -219,8 +282,8 @@
             if self.silent_for(cx.clock.now()).is_some() {
                 return None;
             }
-            if let Some(known) = cx.config.load().services.get(service) {
-                return Some(health_path(known).to_owned());
+            if let Some(path) = configured_health_path(cx, service) {
+                return Some(path);
             }
             tokio::time::sleep(CONFIG_CHECK_INTERVAL).await;
         }
@@ -248,3 +311,8 @@
         }
     }
 }
+
+/// Health path of a service, once the configuration contains it.
+fn configured_health_path(cx: &Cx, service: &str) -> Option<String> {
+    cx.config.load().services.get(service).map(|known| health_path(known).to_owned())
+}
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -36,5 +36,5 @@
 pub use peer_call::{is_call, serve_peer_call};
 pub use pool::{IdleLimit, PeerError, PeerPool, Protocol};
 pub use quarantine::{Quarantine, Share};
-pub use question::ask_backend;
+pub use question::{HealthAnswer, ask_backend};
 pub use request_body::{BodySender, RequestBody, body_pipe};
