Refuse requests late in a shutdown that may outlast it

A request that came late in the notice of a shutdown was taken whatever time it had; one that was still running at the drain limit was cut without an answer, and its caller could not tell whether it had run.

Cause: until the notice ends, the phase alone decided; the time that the request may take was not compared with the time that the daemon has. With a grace of 6 s on the platform, requests sent within 3 s are excused if they are cut in the last sixth, and nothing is taken after 3 s; but the sleeps of the phases added up their delays, so a request sent some 10 ms after 3 s was still taken. With a longer grace the notice lasts longer than 3 s, and with one under 6 s the drain ended before the last sixth.

Mend: core::drain::DrainPlan. From `drain_long_until` on (2.9 s on the platform, at once elsewhere) a request is taken only if it ends before the drain does, whatever the phase; calls of other daemons, which can go elsewhere, from the begin. Others get 503, not run, with the connection closed. The phases begin at fixed times after the begin.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod calls;
 pub mod condition;
 pub mod config;
+pub mod drain;
 pub mod error;
 pub mod id;
 pub mod idempotency;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -17,6 +17,7 @@
 use baobabreel_client::transport::HttpClient;
 use baobabreel_client::wire::Position;
 use baobabreel_core::config::CompiledConfig;
+use baobabreel_core::drain::DrainPlan;
 use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::registry::MemberEntry;
@@ -133,6 +134,7 @@
     phase: AtomicU8,
     relay: AtomicBool,
     requests: AtomicUsize,
+    drain_started: OnceLock<Duration>,
 }
 
 /// Shared reference to the state of a daemon.
@@ -167,6 +169,7 @@
             phase: AtomicU8::new(Phase::Starting as u8),
             relay: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
+            drain_started: OnceLock::new(),
             settings,
             identity,
             clock,
@@ -189,6 +192,33 @@
     pub fn advance(&self, phase: Phase) {
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
+
+    /// Begins to drain, unless that has begun already.
+    pub fn begin_drain(&self) {
+        self.drain_started.get_or_init(|| self.clock.now());
+        self.advance(Phase::Closing);
+    }
+
+    /// Whether a request of a caller is taken that may run until `deadline`.
+    pub fn admits_request(&self, deadline: Duration) -> bool {
+        self.admits(deadline, self.settings.drain_long_until)
+    }
+
+    /// Whether a call of another daemon is taken that may run until `deadline`. That daemon can send it elsewhere.
+    pub fn admits_call(&self, deadline: Duration) -> bool {
+        self.admits(deadline, Duration::ZERO)
+    }
+
+    fn admits(&self, deadline: Duration, long_until: Duration) -> bool {
+        let Some(started) = self.drain_started.get() else { return true };
+        let now = self.clock.now();
+        let plan = DrainPlan {
+            long_until,
+            refuse_from: self.settings.drain_notice,
+            end: self.settings.drain_notice + self.settings.drain_limit,
+        };
+        plan.admits(now.saturating_sub(*started), deadline.saturating_sub(now))
+    }
 }
 
 impl Context {
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 use eyre::{Result, WrapErr};
 use http::{Request, StatusCode};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -212,15 +213,16 @@
     /// limit of the settings.
     pub async fn shutdown(self) -> bool {
         tracing::info!("draining");
-        self.cx.advance(Phase::Closing);
+        self.cx.begin_drain();
+        let begin = Instant::now();
         let (notice, host_notice) = (self.cx.settings.drain_notice, self.cx.settings.host_notice);
         let members_notice = host_notice.min(MAX_MEMBERS_NOTICE);
-        tokio::time::sleep(host_notice - members_notice).await;
+        tokio::time::sleep_until(begin + host_notice - members_notice).await;
         self.cx.advance(Phase::Leaving);
         self.notify_membership().await;
-        tokio::time::sleep(members_notice).await;
+        tokio::time::sleep_until(begin + host_notice).await;
         self.cx.advance(Phase::Handover);
-        tokio::time::sleep(notice.saturating_sub(host_notice)).await;
+        tokio::time::sleep_until(begin + notice.max(host_notice)).await;
         self.cx.advance(Phase::Draining);
         let drain_start = self.cx.clock.now();
         let may_have_owned_keys = self.hand_over_keys().await;
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -86,11 +86,7 @@
         Phase::Starting => {
             return Err(CallError::new(ErrorKind::NotReady, "no configuration yet"));
         }
-        Phase::Draining => {
-            let mut e = CallError::new(ErrorKind::Draining, "the daemon is draining");
-            e.close = true;
-            return Err(e);
-        }
+        Phase::Draining => return Err(draining()),
         Phase::Serving | Phase::Closing | Phase::Leaving | Phase::Handover => {}
     }
     let (parts, body) = req.into_parts();
@@ -105,6 +101,9 @@
         e
     };
     let call = Call::new(cx, config, route, &parts, span, start).map_err(with_route)?;
+    if !cx.admits_request(call.deadline) {
+        return Err(with_route(draining()));
+    }
     let closing = cx.phase() > Phase::Serving;
     let mut res = call.serve(parts, body).await.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
@@ -113,6 +112,13 @@
     Ok((name, res))
 }
 
+/// Error for a request that is not taken because the daemon shuts down.
+fn draining() -> CallError {
+    let mut e = CallError::new(ErrorKind::Draining, "the daemon is draining");
+    e.close = true;
+    e
+}
+
 /// Error for a request that matches no route.
 fn no_route(cx: &Cx) -> CallError {
     if cx.documents.is_unconfirmed() {
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -72,7 +72,7 @@
     started: &mut Option<Duration>,
 ) -> Result<HostedResponse, CallError> {
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
-    let backend = ready_backend(cx, head)?;
+    let backend = ready_backend(cx, head, deadline)?;
     let digest = headers::take_digest(req.headers_mut());
     cx.quarantine.check(digest, cx.clock.now())?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
@@ -142,9 +142,9 @@
     Ok(())
 }
 
-/// The local backend server, if it belongs to the service of the call and is ready.
-fn ready_backend(cx: &Cx, head: &CallHead) -> Result<Arc<Backend>, CallError> {
-    if cx.phase() >= Phase::Handover {
+/// The local backend server, if it belongs to the service of the call and is ready, and the call ends in time.
+fn ready_backend(cx: &Cx, head: &CallHead, deadline: Duration) -> Result<Arc<Backend>, CallError> {
+    if cx.phase() >= Phase::Handover || !cx.admits_call(deadline) {
         return Err(CallError::new(ErrorKind::Draining, "the daemon is draining"));
     }
     let none = || CallError::new(ErrorKind::NoBackendServer, "no backend server is announced here");
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -129,6 +129,8 @@
     pub drain_limit: Duration,
     /// Time between the announcement of a drain and the refusal of new requests.
     pub drain_notice: Duration,
+    /// Time after the announcement of a drain until which requests of callers are taken that may outlast the drain.
+    pub drain_long_until: Duration,
     /// Time between the announcement of a drain and the refusal of new calls to the backend server
     /// beside the daemon; at most `drain_notice`.
     pub host_notice: Duration,
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -169,6 +169,7 @@
             limits: limits?,
             drain_limit,
             drain_notice,
+            drain_long_until: Duration::ZERO,
             host_notice: drain_notice,
             threads: usize::try_from(threads).ok()?,
             policy,
