Let a few daemons remember that a backend server is leaving

Cause: what a daemon has acknowledged is bound to it beyond its process, but it has no other memory, and asked nobody who has.

A start that is recalled is drained; the next start of the same backend server is not affected.

Not covered: all four witnesses and the daemon lost at once, beside a false health answer.

Ruled out: the store as the memory; it may be down at the ack, and each ack would cost a write.

Store calls: none; up to four small messages at a leave and at a start.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::call::ConditionWire;
 use super::document::PackedDocument;
 use super::gossip::GossipWire;
 
@@ -88,6 +89,22 @@
     pub can_read: bool,
 }
 
+/// Tells a peer that the backend server beside the sender is leaving, so that it remembers it for the sender.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Address of the sender for other daemons.
+    pub daemon: SocketAddr,
+    /// The start of the backend server that is leaving.
+    pub condition: ConditionWire,
+}
+
+/// Asks a peer what it was told with a [`LeavingNotice`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingQuery {
+    /// Address of the daemon beside the backend server.
+    pub daemon: SocketAddr,
+}
+
 /// Tells a peer what the sender knows of requests that crash backend servers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNotice {
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -13,9 +13,9 @@
     LoadWire,
 };
 pub use control::{
-    BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, Position,
-    PullAnswerWire, PullWire, PushAnswer, PushWire, ReadingNotice, Stream, SuspectNotice,
-    SuspectWire, decode, encode,
+    BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, LeavingNotice,
+    LeavingQuery, Position, PullAnswerWire, PullWire, PushAnswer, PushWire, ReadingNotice, Stream,
+    SuspectNotice, SuspectWire, decode, encode,
 };
 pub use document::PackedDocument;
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
--- a/crates/core/src/registration/mod.rs
+++ b/crates/core/src/registration/mod.rs
@@ -7,10 +7,18 @@
 //! A daemon that has just started knows of no earlier report, so the first one that says "ready" may be a late one
 //! of a backend server that is leaving. It needs a proof that the backend server is ready now.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::id::InstanceId;
+use crate::membership::Member;
+use crate::rendezvous;
+
+/// Rendezvous key by which witnesses are chosen, followed by the identifier of the daemon.
+const WITNESS_KEY: &[u8] = b"witness of ";
+
+/// Daemons that remember for another one that its backend server is leaving; not all of them end at once often.
+const WITNESSES: usize = 4;
 
 /// Ended starts that are remembered, so that a late report does not bring one of them back.
 const MAX_ENDED: usize = 16;
@@ -58,6 +66,19 @@
     count: u32,
 }
 
+/// Members that remember for daemon `id`, beyond its restarts, that its backend server is leaving.
+#[must_use]
+pub fn witnesses<'a>(members: impl IntoIterator<Item = &'a Member>, id: &str) -> Vec<&'a Member> {
+    let others: BTreeMap<&str, &Member> = members
+        .into_iter()
+        .filter(|member| member.id != id)
+        .map(|member| (member.id.as_str(), member))
+        .collect();
+    let key = [WITNESS_KEY, id.as_bytes()].concat();
+    let ranked = rendezvous::rank(&key, others.keys().copied());
+    ranked.into_iter().take(WITNESSES).map(|id| others[id]).collect()
+}
+
 /// Newest report and the starts that have ended.
 #[derive(Debug, Default)]
 pub struct ReportOrder {
@@ -77,11 +98,16 @@
                 return ReportStatus::Outdated;
             }
             let same_start = report.instance == newest.instance && report.boot == newest.boot;
-            if same_start {
-                if report.sequence <= newest.sequence {
-                    return ReportStatus::Outdated;
-                }
-                report.draining |= newest.draining;
+            if same_start && report.sequence <= newest.sequence {
+                return ReportStatus::Outdated;
+            }
+            // A backend server that was found by its health endpoint is without a start time.
+            let may_be_same_start = same_start
+                || report.instance == newest.instance
+                    && (report.boot.is_none() || newest.boot.is_none());
+            report.draining |= may_be_same_start && newest.draining;
+            if report.instance == newest.instance && report.boot.is_none() {
+                (report.boot, report.sequence) = (newest.boot, newest.sequence);
             }
         }
         let draining = report.draining;
@@ -103,6 +129,29 @@
         !is_known_start && !is_before(newest.boot, report.boot)
     }
 
+    /// Records that a start is leaving, as another daemon remembers; what is known itself counts more. Without its
+    /// start time it could not be told from the next start, so it is ignored.
+    pub fn recall_leaving(&mut self, instance: &str, boot: Option<BootTime>) {
+        if boot.is_some() && self.newest.is_none() && !self.has_ended(instance, boot) {
+            let instance = instance.to_owned();
+            self.newest = Some(Report { instance, boot, sequence: 0, draining: true });
+        }
+    }
+
+    /// Start time of a backend server, if its newest report told it.
+    #[must_use]
+    pub fn known_boot(&self, instance: &str) -> Option<BootTime> {
+        self.newest.as_ref().filter(|newest| newest.instance == instance)?.boot
+    }
+
+    /// Whether a start is known to be leaving or to have ended.
+    #[must_use]
+    pub fn is_leaving(&self, instance: &str, boot: Option<BootTime>) -> bool {
+        let newest = self.newest.as_ref().filter(|newest| newest.instance == instance);
+        self.has_ended(instance, boot)
+            || newest.is_some_and(|newest| newest.draining && newest.boot == boot)
+    }
+
     /// Records a report that needs a proof and has none; returns whether the reports of its start are one.
     pub fn count_unproven(&mut self, report: &Report, now: Duration) -> bool {
         let same_start =
--- a/crates/core/tests/registration.rs
+++ b/crates/core/tests/registration.rs
@@ -1,8 +1,13 @@
 //! Tests the order of the reports that a backend server sends; a start is one run of its process.
 
+#[expect(dead_code, reason = "property checks are used by other tests")]
+mod support;
+
 use std::time::Duration;
 
-use baobabreel_core::registration::{BootTime, Report, ReportOrder, ReportStatus};
+use baobabreel_core::membership::Member;
+use baobabreel_core::registration::{BootTime, Report, ReportOrder, ReportStatus, witnesses};
+use support::member;
 
 const CURRENT: ReportStatus = ReportStatus::Current { draining: false };
 const DRAINING: ReportStatus = ReportStatus::Current { draining: true };
@@ -122,3 +127,65 @@
     }
     assert_eq!(proven, [false, false, false, true]);
 }
+
+/// Guards against a backend server that is leaving and is used again after a restart of its daemon, because its health
+/// endpoint says falsely that it is ready or a report comes late, although another daemon remembers.
+#[test]
+fn recalled_start_stays_out_of_use() {
+    let mut order = ReportOrder::default();
+    order.recall_leaving("a", Some(10));
+    assert!(order.is_leaving("a", Some(10)));
+    let found = Report { boot: None, ..report("a", 0, 0, false) };
+    assert_eq!(order.report(found), DRAINING);
+    assert_eq!(order.report(report("a", 10, 7, false)), DRAINING);
+    assert_eq!(order.report(report("a", 20, 1, false)), CURRENT, "the next start is not leaving");
+}
+
+/// Guards against the next start of a backend server that is never used, because a report without a start time came
+/// between.
+#[test]
+fn next_start_under_the_same_id_is_used_after_a_recalled_one() {
+    let mut order = ReportOrder::default();
+    order.recall_leaving("a", Some(10));
+    assert_eq!(order.report(Report { boot: None, ..report("a", 0, 900, false) }), DRAINING);
+    assert_eq!(order.report(report("a", 10, 1, false)), DRAINING);
+    assert_eq!(order.report(report("a", 20, 1, false)), CURRENT);
+    let mut order = ReportOrder::default();
+    order.recall_leaving("a", None);
+    assert_eq!(order.report(report("a", 20, 1, false)), CURRENT);
+}
+
+/// Guards against an old memory of others that ends a start which this daemon knows to be ready.
+#[test]
+fn recalled_start_does_not_replace_a_known_one() {
+    let mut order = ReportOrder::default();
+    assert_eq!(order.report(report("b", 20, 1, false)), CURRENT);
+    order.recall_leaving("a", Some(10));
+    assert!(!order.is_leaving("a", Some(10)));
+    assert_eq!(order.report(report("b", 20, 2, false)), CURRENT);
+}
+
+/// Guards against a draining backend server that is ready again by a report without a start time.
+#[test]
+fn report_without_start_time_does_not_end_a_drain() {
+    let mut order = ReportOrder::default();
+    assert_eq!(order.report(report("a", 10, 1, true)), DRAINING);
+    assert_eq!(order.report(Report { boot: None, ..report("a", 0, 2, false) }), DRAINING);
+}
+
+/// Guards against witnesses that a restarted daemon does not find again, and against a daemon that is its own.
+#[test]
+fn witnesses_are_others_and_stay_the_same() {
+    let members: Vec<Member> = (0..20).map(|i| member(i, i % 3)).collect();
+    let id = &members[7].id;
+    let chosen: Vec<&str> = witnesses(&members, id).into_iter().map(|m| m.id.as_str()).collect();
+    assert_eq!(chosen.len(), 4);
+    assert!(!chosen.contains(&id.as_str()));
+    let without_others = members.iter().filter(|m| m.id == *id || chosen.contains(&m.id.as_str()));
+    let mut again: Vec<&str> =
+        witnesses(without_others, id).into_iter().map(|m| m.id.as_str()).collect();
+    again.sort_unstable();
+    let mut chosen = chosen;
+    chosen.sort_unstable();
+    assert_eq!(again, chosen);
+}
--- a/crates/daemon/src/control/announce.rs
+++ b/crates/daemon/src/control/announce.rs
@@ -13,6 +13,7 @@
 
 use super::Control;
 use super::membership::LocalChanged;
+use super::witnesses;
 use crate::adapter::BackendMessage;
 use crate::context::Cx;
 use crate::proxy::{self, BackendInfo, Protocol, health_path};
@@ -122,11 +123,13 @@
         match message {
             BackendMessage::Report { info, order } => self.report(cx, control, info, order).await,
             BackendMessage::Leave { instance, boot } => {
+                let boot = boot.or(self.order().known_boot(&instance));
                 let was_current = self.order().leave(&instance, boot);
                 tracing::info!(instance, boot, was_current, "backend server leaves");
                 if was_current {
                     self.remove_backend(cx, control).await;
                 }
+                witnesses::tell(cx, witnesses::leaving(&instance, boot)).await;
             }
         }
     }
@@ -135,6 +138,7 @@
         if let Some(report) = order {
             let (instance, boot, sequence) =
                 (report.instance.clone(), report.boot, report.sequence);
+            let begins_to_leave = report.draining && !self.order().is_leaving(&instance, boot);
             if !self.is_proven(cx, &info, &report).await {
                 tracing::info!(
                     instance,
@@ -154,6 +158,9 @@
                 );
             }
             self.take_ordered(cx, control, info, status).await;
+            if begins_to_leave {
+                witnesses::tell(cx, witnesses::leaving(&instance, boot)).await;
+            }
         } else {
             self.take_current(cx, control, info).await;
         }
@@ -210,12 +217,27 @@
             return true;
         }
         let is_ready = self.is_ready_now(cx, info, &report.instance);
-        if tokio::time::timeout(PROOF_TIMEOUT, is_ready).await.unwrap_or(false) {
+        let (is_ready, ()) =
+            tokio::join!(tokio::time::timeout(PROOF_TIMEOUT, is_ready), self.recall(cx));
+        // What another daemon remembers tells more than the health endpoint.
+        if is_ready.unwrap_or(false) || !self.order().needs_proof(report) {
             return true;
         }
         self.order().count_unproven(report, cx.clock.now())
     }
 
+    /// Learns from other daemons whether the backend server is leaving, which this one may have forgotten in a restart.
+    async fn recall(&self, cx: &Cx) {
+        for known in witnesses::ask(cx).await {
+            tracing::info!(
+                instance = known.instance,
+                boot = known.boot,
+                "another daemon remembers that the backend server is leaving"
+            );
+            self.order().recall_leaving(&known.instance, known.boot);
+        }
+    }
+
     /// Whether the health endpoint of a backend server says that `instance` is ready.
     async fn is_ready_now(&self, cx: &Cx, info: &BackendInfo, instance: &str) -> bool {
         loop {
@@ -252,7 +274,10 @@
         let Some(known) = &cx.settings.backend else { return };
         for _ in 0..MAX_QUERIES {
             let Some(path) = self.wait_for_health_path(cx, &known.service).await else { return };
-            let answer = proxy::ask_backend(known.address, &path, QUERY_TIMEOUT).await;
+            let (answer, ()) = tokio::join!(
+                proxy::ask_backend(known.address, &path, QUERY_TIMEOUT),
+                self.recall(cx)
+            );
             let Some((info, condition)) = answer.and_then(|answer| answer.describe(cx, known))
             else {
                 tokio::time::sleep(QUERY_INTERVAL).await;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -22,6 +22,7 @@
 mod status;
 mod stream;
 mod suspects;
+mod witnesses;
 
 pub use announce::{Announcement, BackendTracker};
 pub use distribution::Distribution;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,8 +1,8 @@
 //! Serves control messages that other daemons send over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, PullWire,
-    PushWire, ReadingNotice, SuspectNotice, decode,
+    CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, LeavingNotice,
+    LeavingQuery, PullWire, PushWire, ReadingNotice, SuspectNotice, decode,
 };
 use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use super::push::encoded;
 use super::reading::{self, READING_PATH};
 use super::suspects::{self, SUSPECTS_PATH};
+use super::witnesses::{self, LEAVING_PATH, LEAVING_QUERY_PATH};
 use super::{Control, Distribution};
 use crate::context::Cx;
 use crate::operators::{STATUS_PATH, status as status_doc};
@@ -46,6 +47,8 @@
         NOTICE_PATH => notice(cx, &body),
         READING_PATH => reading_notice(cx, &body),
         SUSPECTS_PATH => suspect_notice(cx, &body),
+        LEAVING_PATH => leaving_notice(cx, &body),
+        LEAVING_QUERY_PATH => leaving_query(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
@@ -117,6 +120,17 @@
     answer(&())
 }
 
+fn leaving_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let notice: LeavingNotice = decode_body(body)?;
+    witnesses::note(cx, notice);
+    answer(&())
+}
+
+fn leaving_query(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: LeavingQuery = decode_body(body)?;
+    answer(&witnesses::answer(cx, query))
+}
+
 async fn entries(control: &Control, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let push: PushWire = decode_body(body)?;
     answer(&distribution_actor(control)?.ask(Pushed(push)).await.map_err(actor_unavailable)?.0)
