--- a/crates/core/src/registration/mod.rs
+++ b/crates/core/src/registration/mod.rs
@@ -7,18 +7,14 @@
 //! A daemon that has just started knows of no earlier report, so the first one that says "ready" may be a late one
 //! of a backend server that is leaving. It needs a proof that the backend server is ready now.
 
-use std::collections::{BTreeMap, VecDeque};
+mod witnesses;
+
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::id::InstanceId;
-use crate::membership::Member;
-use crate::rendezvous;
-
-/// Rendezvous key by which witnesses are chosen, followed by the identifier of the daemon.
-const WITNESS_KEY: &[u8] = b"witness of ";
 
-/// Daemons that remember for another one that its backend server is leaving; not all of them end at once often.
-const WITNESSES: usize = 4;
+pub use witnesses::witnesses;
 
 /// Ended starts that are remembered, so that a late report does not bring one of them back.
 const MAX_ENDED: usize = 16;
@@ -66,19 +62,6 @@
     count: u32,
 }
 
-/// Members that remember for daemon `id`, beyond its restarts, that its backend server is leaving.
-#[must_use]
-pub fn witnesses<'a>(members: impl IntoIterator<Item = &'a Member>, id: &str) -> Vec<&'a Member> {
-    let others: BTreeMap<&str, &Member> = members
-        .into_iter()
-        .filter(|member| member.id != id)
-        .map(|member| (member.id.as_str(), member))
-        .collect();
-    let key = [WITNESS_KEY, id.as_bytes()].concat();
-    let ranked = rendezvous::rank(&key, others.keys().copied());
-    ranked.into_iter().take(WITNESSES).map(|id| others[id]).collect()
-}
-
 /// Newest report and the starts that have ended.
 #[derive(Debug, Default)]
 pub struct ReportOrder {
--- a/crates/daemon/src/control/witnesses.rs
+++ b/crates/daemon/src/control/witnesses.rs
@@ -46,16 +46,18 @@
     tracing::warn!("no other daemon could be told that the backend server is leaving");
 }
 
-/// Asks the witnesses which starts of the backend server beside this daemon are leaving.
-pub async fn ask(cx: &Cx) -> Vec<ReportedCondition> {
+/// Asks the witnesses which starts of the backend server beside this daemon are leaving; `None` if none answers.
+pub async fn ask(cx: &Cx) -> Option<Vec<ReportedCondition>> {
     let query = LeavingQuery { daemon: cx.identity.peer_addr };
     let answers: FuturesUnordered<_> = witness_addresses(cx)
         .into_iter()
         .map(|to| cx.ask_peer::<_, Option<ConditionWire>>(to, LEAVING_QUERY_PATH, &query, TIMEOUT))
         .collect();
-    let known = answers.filter_map(|answer| async move { answer.flatten() });
-    let known: Vec<ReportedCondition> = known.map(Into::into).collect().await;
-    known.into_iter().filter(|known| known.condition.is_leaving).collect()
+    let answers: Vec<Option<ConditionWire>> =
+        answers.filter_map(|answer| async move { answer }).collect().await;
+    let known = answers.iter().flatten().cloned().map(ReportedCondition::from);
+    let leaving = known.filter(|known| known.condition.is_leaving).collect();
+    (!answers.is_empty()).then_some(leaving)
 }
 
 fn witness_addresses(cx: &Cx) -> Vec<SocketAddr> {
