Ask other relays when the same ones do not answer

A daemon whose relay did not answer asked the same three again in each later round, so in a data centre with more relays it read the store although others answered. From the third round on it asks the next three.

Before: questions_go_round_and_slow_down, extended, found 3 of 8 relays asked after four unanswered rounds. After: all 8.

--- a/crates/core/src/relay/relay_watch.rs
+++ b/crates/core/src/relay/relay_watch.rs
@@ -15,8 +15,8 @@
 /// Time for an answer. The next round of questions follows it.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Relays that are asked at once after an unanswered round; the first one is asked again, since only the
-/// connection to it may have been lost.
+/// Relays that are asked at once after an unanswered round. The one that was asked before is among those of the next
+/// round, since only the connection to it may have been lost; later rounds ask others.
 const MAX_ASKED: usize = 3;
 
 /// Unanswered rounds after which the relays may count as silent. A daemon that was paused itself finds one round
@@ -45,8 +45,8 @@
 pub struct RelayWatch {
     answered_at: Duration,
     failed_rounds: u32,
-    /// Index of the relay that was asked last.
-    last_asked: usize,
+    /// Index of the first relay of the last round.
+    first_asked: usize,
     group: SubstituteGroup,
 }
 
@@ -64,11 +64,13 @@
     /// Begins a round of a daemon of `group`; returns the indices of those of `relays` relays that are asked.
     pub fn begin_round(&mut self, relays: usize, group: SubstituteGroup) -> Vec<usize> {
         self.group = group;
-        if self.failed_rounds == 0 {
-            self.last_asked = self.last_asked.wrapping_add(1);
-            return (0..relays.min(1)).map(|_| self.last_asked % relays).collect();
-        }
-        (0..relays.min(MAX_ASKED)).map(|i| self.last_asked.wrapping_add(i) % relays).collect()
+        let (step, count) = match self.failed_rounds {
+            0 => (1, 1),
+            1 => (0, MAX_ASKED),
+            _ => (MAX_ASKED, MAX_ASKED),
+        };
+        self.first_asked = self.first_asked.wrapping_add(step);
+        (0..count.min(relays)).map(|i| self.first_asked.wrapping_add(i) % relays).collect()
     }
 
     /// Records that a relay answered, or that this daemon relies on none.
--- a/crates/core/tests/relay_watch.rs
+++ b/crates/core/tests/relay_watch.rs
@@ -92,6 +92,15 @@
     }
     asked.sort_unstable();
     assert_eq!(asked, [0, 1, 2]);
+    let mut others = RelayWatch::default();
+    let mut asked: Vec<usize> = Vec::new();
+    for _ in 0..4 {
+        asked.extend(others.begin_round(8, SubstituteGroup(0)));
+        let _ = others.unanswered(MS(900));
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 8, "lost relays are not asked again and again in place of others");
     for _ in 0..10 {
         let _ = watch.unanswered(MS(2_000));
     }
