Log and count responses that do not reach their callers

A delivery begins when a request is dispatched and ends when the kernel has the whole response. One that ends before writes "response not delivered" with its stage and the phase of the daemon, limited in rate as the other lines about requests, and counts in baobabreel.responses.undelivered. The line "stopped" says how long the stop took and what was in flight. No change of behaviour.

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -239,7 +239,8 @@
         if tokio::time::timeout(CLOSE_TIMEOUT, self.tasks.wait()).await.is_err() {
             tracing::warn!("connections were still open when the daemon stopped");
         }
-        tracing::info!(whole, "stopped");
+        let took_ms = begin.elapsed().as_millis();
+        tracing::info!(whole, took_ms, in_flight = self.cx.in_flight(), "stopped");
         whole
     }
 
--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -45,8 +45,23 @@
     pub idle: Duration,
 }
 
+/// Observer of the delivery of one response, which failed if it is dropped before [`written`](Self::written).
+pub trait Delivery: Send + 'static {
+    /// The response is ready; writing begins.
+    fn ready(&mut self);
+
+    /// The kernel has the whole response.
+    fn written(self);
+}
+
 /// Handler for the requests of a connection.
 pub trait Service: Clone + Send + Sync + 'static {
+    /// Observer of the delivery of a response.
+    type Delivery: Delivery;
+
+    /// Begins the delivery of the response to a request.
+    fn begin_delivery(&self, req: &Request<RequestBody>) -> Self::Delivery;
+
     /// Handles a request.
     fn call(
         &self,
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -51,13 +51,16 @@
 
     /// Reads until the caller disconnects. After the last request, `answers` is closed and the rest of the
     /// input is discarded.
-    pub(super) async fn run(mut self, answers: mpsc::Sender<PendingResponse>) {
+    pub(super) async fn run(mut self, answers: mpsc::Sender<PendingResponse<S::Delivery>>) {
         if self.read_requests(answers).await == ReadEnd::Finished {
             self.wait_for_disconnect().await;
         }
     }
 
-    async fn read_requests(&mut self, answers: mpsc::Sender<PendingResponse>) -> ReadEnd {
+    async fn read_requests(
+        &mut self,
+        answers: mpsc::Sender<PendingResponse<S::Delivery>>,
+    ) -> ReadEnd {
         loop {
             let head = match self.next_head(&answers).await {
                 Ok(Ok(head)) => head,
@@ -87,7 +90,7 @@
     async fn dispatch(
         &mut self,
         head: Head,
-        answers: &mpsc::Sender<PendingResponse>,
+        answers: &mpsc::Sender<PendingResponse<S::Delivery>>,
     ) -> Result<bool, ReadEnd> {
         let Head { request, framing, keep_alive, expects_continue } = head;
         let closing = self.service.is_closing() || self.stop.is_cancelled();
@@ -100,9 +103,11 @@
             answers.send(continue_pending).await.ok().ok_or(ReadEnd::Disconnected)?;
         }
         let (parts, ()) = request.into_parts();
-        let task = tokio::spawn(self.service.call(Request::from_parts(parts, body)));
-        let source = ResponseSource::Task(task.into());
-        let pending = PendingResponse::new(source, &method, version, !may_follow);
+        let req = Request::from_parts(parts, body);
+        let delivery = self.service.begin_delivery(&req);
+        let source = ResponseSource::Task(tokio::spawn(self.service.call(req)).into());
+        let pending =
+            PendingResponse::new(source, &method, version, !may_follow).tracked_by(delivery);
         answers.send(pending).await.ok().ok_or(ReadEnd::Disconnected)?;
         if let Some((mut sender, framing)) = unread {
             self.read_body(&mut sender, framing).await?;
@@ -171,7 +176,7 @@
     /// ends reading without a response.
     async fn next_head(
         &mut self,
-        answers: &mpsc::Sender<PendingResponse>,
+        answers: &mpsc::Sender<PendingResponse<S::Delivery>>,
     ) -> Result<Result<Head, ReadEnd>, HeadError> {
         let limits = self.service.limits();
         let mut started = None;
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::Delivery;
 use super::head::has_option;
 use crate::proxy::{BodyError, ProxyBody};
 
@@ -53,8 +54,10 @@
 
 /// Response to be written after those before it.
 #[derive(Debug)]
-pub(super) struct PendingResponse {
+pub(super) struct PendingResponse<D> {
     source: ResponseSource,
+    /// Observer of its delivery; `None` if it is not about a whole request.
+    delivery: Option<D>,
     /// Whether the request method is `HEAD`.
     is_head: bool,
     version: Version,
@@ -62,14 +65,19 @@
     close: bool,
 }
 
-impl PendingResponse {
+impl<D> PendingResponse<D> {
     pub(super) fn new(
         source: ResponseSource,
         method: &Method,
         version: Version,
         close: bool,
     ) -> Self {
-        Self { source, is_head: *method == Method::HEAD, version, close }
+        Self { source, delivery: None, is_head: *method == Method::HEAD, version, close }
+    }
+
+    /// Sets the observer of its delivery.
+    pub(super) fn tracked_by(self, delivery: D) -> Self {
+        Self { delivery: Some(delivery), ..self }
     }
 }
 
@@ -100,11 +108,11 @@
     }
 
     /// Writes responses until the last one.
-    pub(super) async fn run(
+    pub(super) async fn run<D: Delivery>(
         mut self,
-        mut answers: mpsc::Receiver<PendingResponse>,
+        mut answers: mpsc::Receiver<PendingResponse<D>>,
     ) -> io::Result<()> {
-        while let Some(pending) = answers.recv().await {
+        while let Some(mut pending) = answers.recv().await {
             let res = match pending.source {
                 ResponseSource::Immediate(res) => *res,
                 ResponseSource::Continue => {
@@ -113,6 +121,9 @@
                 }
                 ResponseSource::Task(mut task) => (&mut task.0).await.map_err(io::Error::other)?,
             };
+            if let Some(delivery) = &mut pending.delivery {
+                delivery.ready();
+            }
             let wants_close = pending.close || has_option(res.headers(), "close");
             if wants_close {
                 self.no_more_requests.cancel();
@@ -120,6 +131,9 @@
             // Requests that have been read get their responses before the connection is closed.
             let close = wants_close && answers.is_empty();
             let closed = self.write_response(res, pending.is_head, pending.version, close).await?;
+            if let Some(delivery) = pending.delivery {
+                delivery.written();
+            }
             if closed {
                 break;
             }
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -17,6 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::BoundedListener;
+use super::delivery::Delivery;
 use super::prefixed::PrefixedStream;
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
@@ -133,6 +134,12 @@
 }
 
 impl Service for CallerService {
+    type Delivery = Delivery;
+
+    fn begin_delivery(&self, req: &Request<RequestBody>) -> Delivery {
+        Delivery::begin(&self.cx, req)
+    }
+
     fn call(
         &self,
         req: Request<RequestBody>,
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -3,6 +3,7 @@
 //! Each has a socket of its own, so that callers cannot reach the interfaces for daemons and operators.
 
 mod callers;
+mod delivery;
 mod peers;
 mod prefixed;
 mod small;
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -110,6 +110,20 @@
     }
 }
 
+/// Writes the log line of a response that did not reach its caller. `stage` tells how far it had come.
+pub fn log_undelivered(cx: &Cx, request: &str, stage: &str, start: Duration) {
+    let now = cx.clock.now();
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::Undelivered, now) else { return };
+    tracing::info!(
+        request,
+        stage,
+        phase = ?cx.phase(),
+        took_ms = millis(now, start),
+        left_out,
+        "response not delivered"
+    );
+}
+
 /// Failed attempt at a backend server.
 #[derive(Debug)]
 pub struct FailedAttempt<'a> {
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -17,7 +17,7 @@
 mod headers;
 mod host;
 mod keyed;
-mod lines;
+pub mod lines;
 mod peer_call;
 mod pool;
 mod quarantine;
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -25,13 +25,15 @@
     Answered,
     /// A backend server answered a request.
     Ran,
+    /// A response did not reach its caller.
+    Undelivered,
 }
 
 /// Number of variants of [`LogLineKind`].
-const KIND_COUNT: usize = 7;
+const KIND_COUNT: usize = 8;
 
 /// Lines per second of each kind, in the order of [`LogLineKind`].
-const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2];
+const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2, 20];
 
 /// Capacity of a token bucket, in seconds at its rate.
 const BURST_SECS: f64 = 2.0;
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -21,6 +21,7 @@
     requests: Counter<u64>,
     latency: Histogram<f64>,
     retries: Counter<u64>,
+    undelivered: Counter<u64>,
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
@@ -55,6 +56,10 @@
                 .u64_counter("baobabreel.retries")
                 .with_description("Second tries by route")
                 .build(),
+            undelivered: meter
+                .u64_counter("baobabreel.responses.undelivered")
+                .with_description("Responses that did not reach their callers, by stage")
+                .build(),
             control_bytes: meter
                 .u64_counter("baobabreel.control.bytes")
                 .with_unit("By")
@@ -94,6 +99,11 @@
         self.retries.add(1, &[KeyValue::new("route", route.to_owned())]);
     }
 
+    /// Counts a response that did not reach its caller; the stage tells how far it had come.
+    pub fn record_undelivered(&self, stage: &'static str) {
+        self.undelivered.add(1, &[KeyValue::new("stage", stage)]);
+    }
+
     /// Counts the bytes of a control message; the direction is `in` or `out`.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
