--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -15,8 +15,8 @@
 /// How far the response to one request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
-    /// The request is in progress.
-    Running,
+    /// The request is in progress, or its response waits behind an earlier one.
+    Pending,
     /// The response is ready and being written.
     Writing,
     /// The kernel has the whole response.
@@ -28,7 +28,7 @@
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
-            Self::Running => "running",
+            Self::Pending => "pending",
             Self::Writing => "writing",
             Self::Written => "written",
         }
@@ -48,7 +48,7 @@
     /// Begins the delivery of the response to `req`.
     pub fn begin<B>(cx: &Cx, req: &Request<B>) -> Self {
         let request = request_id(cx, req.headers());
-        Self { cx: cx.clone(), request, start: cx.clock.now(), stage: Stage::Running }
+        Self { cx: cx.clone(), request, start: cx.clock.now(), stage: Stage::Pending }
     }
 }
 
