Wait for the caller to close before a connection is closed

What callers saw: a response that was ready, or had been sent in part, did not arrive whole ("connection reset"), when the caller had sent something more on a connection that the daemon closed: a pipelined request that crossed the close, or the rest of a body behind a refusal.

Input that arrives at a closed socket is answered with a reset, and the kernel discards what it holds of the response.

The daemon ends its side, reads and discards what comes, and closes when the caller has closed, or after 1 s. The time is the bound on what such a connection costs; it counts towards the limit on connections meanwhile.

Class: an answer counts as delivered before it is. Ruled out: that Linux drops what the caller's kernel has already received (it does not; only what is on its way or waits at the daemon).

--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -23,6 +23,10 @@
 /// Most requests of one connection that are in progress at once.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 
+/// Time for a caller to close the connection after the last response. Input that arrives at a closed socket is answered
+/// with a reset, which discards what the caller has not received yet.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
 /// Why the head of a request cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadError {
@@ -92,13 +96,21 @@
     let (tx, rx) = mpsc::channel(MAX_PIPELINED_REQUESTS);
     let no_more_requests = CancellationToken::new();
     let reader = reader::Reader::new(read, buf, service.clone(), no_more_requests.clone(), stop);
-    let writer = writer::Writer::new(write, no_more_requests);
-    tokio::select! {
-        () = reader.run(tx) => tracing::trace!("caller left"),
-        ended = writer.run(rx) => {
-            if let Err(e) = ended {
-                tracing::info!(error = %e, "caller connection failed");
-            }
+    let writer = writer::Writer::new(write, no_more_requests.clone());
+    let mut reading = std::pin::pin!(reader.run(tx));
+    let written = tokio::select! {
+        () = &mut reading => {
+            tracing::trace!("caller left");
+            return;
         }
+        written = writer.run(rx) => written,
+    };
+    if let Err(e) = written {
+        tracing::info!(error = %e, "caller connection failed");
+        return;
+    }
+    no_more_requests.cancel();
+    if tokio::time::timeout(LINGER_TIME, reading).await.is_err() {
+        tracing::debug!("the caller did not close its connection after the last response");
     }
 }
