Count a request as in flight until its response is delivered

What callers saw: responses of requests that had run were cut when their daemon was stopped as planned, if the caller read slowly, was behind a slow link, or had more requests on its way.

With nothing in flight the stop closes connections for 0.4 s and ends the process. The exit closes sockets with unread input, which resets them: the kernel then discards also what it holds of earlier responses.

Before: ready_responses_are_written_before_the_daemon_ends got 0 of 84 responses whose requests had run (100 pipelined requests, responses of 65,000 bytes, a caller that begins to read after 9 s; drain limit 20 s). The new lines showed id-50 in stage "writing" and the ones behind it "pending" when the process ended, 6.7 s after SIGTERM, in_flight 0. After: all are received, exit status 0. The count goes with the response until the kernel has all of it (HTTP/1.1: after the last write; HTTP/2: after the last frame was taken), within the drain limit as before.

--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -230,7 +230,7 @@
         self.config.store(Arc::new(config));
     }
 
-    /// Sum of the requests of callers, the calls to backend servers, and the requests that hold or
+    /// Sum of the requests of callers whose responses are not delivered yet, the calls to backend servers, and the requests that hold or
     /// wait for a slot of the backend server beside the daemon.
     ///
     /// One request can count more than once; the sum is 0 only when the daemon is idle.
@@ -240,9 +240,9 @@
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
-    pub fn count_request(&self) -> RequestCount<'_> {
+    pub fn count_request(self: &Arc<Self>) -> RequestCount {
         self.requests.fetch_add(1, Ordering::AcqRel);
-        RequestCount(&self.requests)
+        RequestCount(Arc::clone(self))
     }
 
     /// Applies the queue length and the bulk share that `config` sets for the service of the
@@ -349,10 +349,10 @@
 
 /// Guard that counts a request as in flight until it is dropped.
 #[derive(Debug)]
-pub struct RequestCount<'a>(&'a AtomicUsize);
+pub struct RequestCount(Cx);
 
-impl Drop for RequestCount<'_> {
+impl Drop for RequestCount {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -107,7 +107,11 @@
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let service = service_fn(move |req: Request<Incoming>| {
         let cx = Arc::clone(&cx);
-        async move { Ok::<_, Infallible>(handle_request(cx, req.map(RequestBody::Hyper)).await) }
+        async move {
+            let delivery = Delivery::begin(&cx, &req);
+            let res = handle_request(cx, req.map(RequestBody::Hyper)).await;
+            Ok::<_, Infallible>(delivery.attach(res))
+        }
     });
     let conn = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -1,16 +1,23 @@
 //! Delivery of responses to callers.
 //!
-//! A [`Delivery`] begins when a request is dispatched and ends when the kernel has the whole response. One that ends
-//! before is logged and counted, so that an operator can tell a request that was cut while it ran from a response that
-//! was ready and not sent.
+//! A [`Delivery`] begins when a request is dispatched and ends when the kernel has the whole response. Until then the
+//! request counts as in flight, so that a daemon that shuts down does not end before. A delivery that fails is logged
+//! and counted, so that an operator can tell a request that was cut while it ran from a response that was ready and not
+//! sent.
 
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::Request;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::{Body, Frame, SizeHint};
 
-use crate::context::Cx;
+use crate::context::{Cx, RequestCount};
 use crate::http1;
 use crate::proxy::lines::{self, request_id};
+use crate::proxy::{BodyError, ProxyBody};
 
 /// How far the response to one request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,13 +49,25 @@
     request: String,
     start: Duration,
     stage: Stage,
+    _count: RequestCount,
 }
 
 impl Delivery {
     /// Begins the delivery of the response to `req`.
     pub fn begin<B>(cx: &Cx, req: &Request<B>) -> Self {
-        let request = request_id(cx, req.headers());
-        Self { cx: cx.clone(), request, start: cx.clock.now(), stage: Stage::Pending }
+        Self {
+            cx: Arc::clone(cx),
+            request: request_id(cx, req.headers()),
+            start: cx.clock.now(),
+            stage: Stage::Pending,
+            _count: cx.count_request(),
+        }
+    }
+
+    /// Attaches the delivery to a response whose end only its body sees.
+    pub fn attach(mut self, res: Response<ProxyBody>) -> Response<TrackedBody> {
+        self.stage = Stage::Writing;
+        res.map(|inner| TrackedBody { inner, delivery: Some(self) })
     }
 }
 
@@ -71,3 +90,51 @@
         lines::log_undelivered(&self.cx, &self.request, self.stage.name(), self.start);
     }
 }
+
+/// Body of a response that ends its delivery when its last frame was taken.
+#[derive(Debug)]
+pub struct TrackedBody {
+    inner: ProxyBody,
+    delivery: Option<Delivery>,
+}
+
+impl TrackedBody {
+    fn end(&mut self) {
+        if let Some(delivery) = self.delivery.take() {
+            http1::Delivery::written(delivery);
+        }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.end();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        // A body that says that it has ended is not polled for its end.
+        if self.inner.is_end_stream() {
+            self.end();
+        }
+    }
+}
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -45,9 +45,8 @@
     span: &'a Span,
 }
 
-/// Serves a request of a caller.
+/// Serves a request of a caller, which the listener counts as in flight.
 pub async fn serve_caller(cx: Cx, req: Request<RequestBody>) -> Response<ProxyBody> {
-    let _count = cx.count_request();
     let start = cx.clock.now();
     let share = cx.settings.trace_share;
     let span = Span::start("entry", TraceContext::read(req.headers()), share, start);
--- a/crates/testsuite/tests/response_delivery.rs
+++ b/crates/testsuite/tests/response_delivery.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use baobabreel_test_support::mesh::NodeSpec;
-use baobabreel_testsuite::{Fleet, LIMIT};
+use baobabreel_test_support::process::Signal;
+use baobabreel_testsuite::{Fleet, LIMIT, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -17,6 +18,9 @@
 /// Time without an event after which the daemon has nothing left to do.
 const SETTLED: Duration = Duration::from_millis(500);
 
+/// Longer than the stop of an idle daemon takes, which stays for the keys that it owned.
+const IDLE_STOP: Duration = Duration::from_secs(9);
+
 /// Connects with a small receive buffer.
 async fn connect(to: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -57,6 +61,38 @@
     count
 }
 
+/// Guards against responses that are ready, wait for a caller that reads slowly, and are cut by the exit of the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn ready_responses_are_written_before_the_daemon_ends() {
+    /// More responses than the kernel holds for a connection.
+    const REQUESTS: usize = 100;
+    let spec = NodeSpec::new("a1", "hobart-a", "catalogue")
+        .setting("\"drain_notice_ms\": 300")
+        .setting("\"drain_limit_ms\": 20000");
+    let mut fleet = Fleet::ready(vec![(spec, "catalogue")]).await;
+    let mut stream = connect(fleet.nodes[0].callers).await;
+    let requests: String = (0..REQUESTS).map(|n| request(&format!("id-{n}"), "")).collect();
+    stream.write_all(requests.as_bytes()).await.expect("it is sent");
+    let mut ran = 0;
+    wait_until("no further request is taken before responses are read", async || {
+        tokio::time::sleep(SETTLED).await;
+        let before = std::mem::replace(&mut ran, fleet.nodes[0].journal().len());
+        ran > 0 && ran == before
+    })
+    .await;
+    fleet.nodes[0].daemon.signal(Signal::Terminate).expect("it runs");
+    // The daemon is idle but for the responses that wait to be written.
+    let early_end = fleet.nodes[0].daemon.wait(IDLE_STOP).await.ok();
+    let received = count_responses(&mut stream).await;
+    let status = match early_end {
+        Some(status) => status,
+        None => fleet.nodes[0].daemon.wait(LIMIT).await.expect("it ends"),
+    };
+    let ran = fleet.nodes[0].journal().iter().filter(|entry| entry.ran()).count();
+    assert_eq!(received, ran, "each request that ran is answered");
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against a response that is lost since its caller has sent more on a connection which the daemon closes: input
 /// at a closed connection is answered with a reset, which discards what the caller has not received.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
