Count all times of a shutdown from its begin

What callers saw: a daemon that was held up (paused, starved) in its notice drained for the whole drain limit after that, past the time at which its supervisor kills it; requests in progress then end without an answer.

Cause: wait_until_idle, the append of the leave entry and the time for the next owners of keys each counted from when their step was reached, so that delays added up. Closing took up to 0.4 s, also where a short grace period leaves less.

Before, on, time_in_which_a_daemon_is_paused_counts_as_drain (notice 1 s, drain limit 2.5 s, a pause of 3 s): thread 'time_in_which_a_daemon_is_paused_counts_as_drain' panicked at crates/testsuite/tests/drain_end.rs:119:5: the daemon ended after 5.767746658s

DrainPlan now has the end of each step: the drain cuts a step short that begins late, and connections are closed by a time that the settings give (on the platform three quarters of the exit margin), with 0.1 s at least for what is ready. A daemon without delays ends when it did before, but for one whose append of the leave entry takes longer than its drain limit.

--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -212,13 +212,21 @@
     fn admits(&self, deadline: Duration, long_until: Duration) -> bool {
         let Some(started) = self.drain_started.get() else { return true };
         let now = self.clock.now();
-        let plan = DrainPlan {
-            long_until,
-            refuse_from: self.settings.drain_notice,
-            end: self.settings.drain_notice + self.settings.drain_limit,
-        };
+        let plan = DrainPlan { long_until, ..self.drain_plan() };
         plan.admits(now.saturating_sub(*started), deadline.saturating_sub(now))
     }
+
+    /// Times of the drain.
+    pub fn drain_plan(&self) -> DrainPlan {
+        let settings = &self.settings;
+        let end = settings.drain_notice + settings.drain_limit;
+        DrainPlan {
+            long_until: settings.drain_long_until,
+            refuse_from: settings.drain_notice,
+            end,
+            close_by: end + settings.drain_close,
+        }
+    }
 }
 
 impl Context {
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -29,7 +29,7 @@
 
 pub use handle::Handle;
 
-/// Time limit for appending the `leave` entry to the log.
+/// Longest time for appending the `leave` entry to the log.
 const LEAVE_APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest time for the other members to learn that this daemon is leaving; a shorter `host_notice`
@@ -37,9 +37,6 @@
 /// it.
 const MAX_MEMBERS_NOTICE: Duration = Duration::from_secs(1);
 
-/// Time limit for closing idle connections and for the end of the remaining tasks.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time after the start of the drain during which the next owners of keys can ask for outcomes.
 ///
 /// Keys issued more than [`ISSUE_MARGIN_LEFT`] after the takeover are known not to have run here.
@@ -224,19 +221,20 @@
         self.cx.advance(Phase::Handover);
         tokio::time::sleep_until(begin + notice.max(host_notice)).await;
         self.cx.advance(Phase::Draining);
-        let drain_start = self.cx.clock.now();
-        let may_have_owned_keys = self.hand_over_keys().await;
-        let whole = self.wait_until_idle().await;
+        let plan = self.cx.drain_plan();
+        let step_end = |time| begin + plan.step_end(begin.elapsed(), time);
+        let handover_end = step_end(HANDOVER_TIME);
+        let may_have_owned_keys = self.hand_over_keys(step_end(LEAVE_APPEND_TIMEOUT)).await;
+        let whole = self.wait_until_idle(begin + plan.end).await;
         if may_have_owned_keys {
-            let waited = self.cx.clock.now().saturating_sub(drain_start);
-            let handover_time = HANDOVER_TIME.min(self.cx.settings.drain_limit);
-            tokio::time::sleep(handover_time.saturating_sub(waited)).await;
+            tokio::time::sleep_until(handover_end).await;
         }
         self.stop_serving.cancel();
         self.leave().await;
         self.stop.cancel();
         self.tasks.close();
-        if tokio::time::timeout(CLOSE_TIMEOUT, self.tasks.wait()).await.is_err() {
+        let close_timeout = plan.close_timeout(begin.elapsed());
+        if tokio::time::timeout(close_timeout, self.tasks.wait()).await.is_err() {
             tracing::warn!("connections were still open when the daemon stopped");
         }
         let took_ms = begin.elapsed().as_millis();
@@ -251,14 +249,14 @@
         }
     }
 
-    async fn wait_until_idle(&self) -> bool {
+    /// Waits until no request is in flight, at most until `end`; returns whether that came true.
+    async fn wait_until_idle(&self, end: Instant) -> bool {
         let idle = async {
             while self.cx.in_flight() > 0 {
                 tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
             }
         };
-        let limit = self.cx.settings.drain_limit;
-        let is_idle = tokio::time::timeout(limit, idle).await.is_ok();
+        let is_idle = tokio::time::timeout_at(end, idle).await.is_ok();
         if !is_idle {
             tracing::warn!(
                 requests = self.cx.in_flight(),
@@ -271,16 +269,16 @@
     /// Hands the idempotency keys over to the next owners, by appending a `leave` entry to the log.
     ///
     /// This happens before the running requests end, because the next owners take over at once and
-    /// can ask this daemon for its outcomes only while it is running. Returns whether it may have
-    /// owned keys.
-    async fn hand_over_keys(&self) -> bool {
+    /// can ask this daemon for its outcomes only while it is running. Waits for the log until `end`
+    /// at most. Returns whether it may have owned keys.
+    async fn hand_over_keys(&self, end: Instant) -> bool {
         if !self.cx.keys.retire() {
             return false;
         }
         let Some(log) = &self.cx.log else { return true };
         let entry = self.cx.identity.leave();
         let append = append_entry(log, &entry);
-        match tokio::time::timeout(LEAVE_APPEND_TIMEOUT, append).await {
+        match tokio::time::timeout_at(end, append).await {
             Ok(_) => {}
             Err(_) => tracing::warn!("the log did not take the leave entry in time"),
         }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -127,6 +127,8 @@
     pub limits: Limits,
     /// Longest time for running requests to finish at shutdown.
     pub drain_limit: Duration,
+    /// Time after the drain limit in which all connections are closed.
+    pub drain_close: Duration,
     /// Time between the announcement of a drain and the refusal of new requests.
     pub drain_notice: Duration,
     /// Time after the announcement of a drain until which requests of callers are taken that may outlast the drain.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use baobabreel_core::config::{Kind, MAX_SCHEMA, RecordKey};
+use baobabreel_core::drain::CLOSE_TIMEOUT;
 use baobabreel_core::idempotency::MAX_ISSUER_BYTES;
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
@@ -168,6 +169,7 @@
             token,
             limits: limits?,
             drain_limit,
+            drain_close: CLOSE_TIMEOUT,
             drain_notice,
             drain_long_until: Duration::ZERO,
             host_notice: drain_notice,
