Answer the requests of callers that have no response when the drain ends

What callers saw: at the end of a planned stop, the connections of requests still in progress, also of those that waited in a queue and had never been sent, closed without an answer.

Cause: when the drain limit had passed, the process ended with the tasks of these requests.

Ruled out: a refusal that was written and lost; the callers got no byte, and the process had 12 requests in flight when it ended.

Before, on, requests_in_the_own_queue_are_refused_as_not_run and requests_at_another_daemon_are_answered_with_an_open_outcome: assertion `left == right` failed: RawAnswer { status: None, headers: {}, body: b"", whole: false } left: (0, "") right: (502, "unknown")

At the end, a request that was sent to no backend server is answered as not run (draining, 503), any other one, and each one with a key, as open (upstream_lost, 502), both with "Connection: close". Each attempt carries a mark that is set where it is sent and cleared when it is refused as not run, so an earlier attempt that may have run counts. core::drain chooses the moment: 250 ms before the connections have to be closed, and not before the drain limit. The line "stopped" says how many requests were answered as what.

--- a/crates/core/src/drain/mod.rs
+++ b/crates/core/src/drain/mod.rs
@@ -8,9 +8,14 @@
 
 use std::time::Duration;
 
+use crate::error::ErrorKind;
+
 /// Longest time for closing connections, with the responses to the last requests.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for the answers to be written that requests without a response get at the end.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// Time for closing connections that a daemon has even if it was held up until after its end.
 const MIN_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -21,7 +26,7 @@
     pub long_until: Duration,
     /// From when no request is taken.
     pub refuse_from: Duration,
-    /// When running requests are aborted.
+    /// From when running requests may be aborted.
     pub end: Duration,
     /// When all connections are closed.
     pub close_by: Duration,
@@ -42,9 +47,22 @@
         elapsed.saturating_add(time).min(self.end)
     }
 
+    /// When requests that still have no response are answered by an error. A response that comes after the end of
+    /// the drain is better than an error, as long as there is time to write either.
+    #[must_use]
+    pub fn answer_at(&self) -> Duration {
+        self.close_by.saturating_sub(ANSWER_TIME).max(self.end)
+    }
+
     /// How long connections may take to close, from `elapsed` after the begin on.
     #[must_use]
     pub fn close_timeout(&self, elapsed: Duration) -> Duration {
         self.close_by.saturating_sub(elapsed).clamp(MIN_CLOSE_TIMEOUT, CLOSE_TIMEOUT)
     }
 }
+
+/// Error for a request that has no response when the drain ends.
+#[must_use]
+pub fn answer_at_end(may_have_run: bool) -> ErrorKind {
+    if may_have_run { ErrorKind::UpstreamLost } else { ErrorKind::Draining }
+}
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use baobabreel_core::drain::DrainPlan;
+use baobabreel_core::drain::{DrainPlan, answer_at_end};
+use baobabreel_core::error::Outcome;
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -48,3 +49,22 @@
     assert_eq!(PLAN.close_timeout(MS(6_500)), MS(200));
     assert_eq!(PLAN.close_timeout(MS(9_000)), MS(100));
 }
+
+/// Guards against a response that comes in the last moment and is replaced by an error, and against errors for which
+/// there is no time left or that come before the drain has ended.
+#[test]
+fn requests_are_answered_as_late_as_there_is_time_to_write() {
+    assert_eq!(PLAN.answer_at(), MS(6_450));
+    assert_eq!(PLAN.answer_at() + PLAN.close_timeout(PLAN.answer_at()), PLAN.close_by);
+    let short = DrainPlan { close_by: MS(6_225), ..PLAN };
+    assert_eq!(short.answer_at(), short.end);
+}
+
+/// Guards against a request that may have run and is reported as not run, and the other way round.
+#[test]
+fn answer_at_the_end_says_whether_the_request_ran() {
+    assert_eq!(answer_at_end(false).answer().outcome, Outcome::NotRun);
+    assert_eq!(answer_at_end(false).answer().status, 503);
+    assert_eq!(answer_at_end(true).answer().outcome, Outcome::Unknown);
+    assert_eq!(answer_at_end(true).answer().status, 502);
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -4,6 +4,7 @@
 //! and benchmarks can run many daemons in one process.
 
 mod clock;
+mod drain_end;
 mod messages;
 mod view;
 
@@ -26,6 +27,7 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 
 pub use clock::Clock;
+pub use drain_end::DrainEnd;
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
@@ -128,6 +130,8 @@
     pub readers: Readers,
     /// HTTP client for short requests.
     pub http: HttpClient,
+    /// End of the drain.
+    pub drain_end: DrainEnd,
     position: Mutex<Position>,
     distribution: OnceLock<WeakActorRef<Distribution>>,
     membership: OnceLock<WeakActorRef<Membership>>,
@@ -163,6 +167,7 @@
             quarantine: Arc::default(),
             readers: Readers::default(),
             http,
+            drain_end: DrainEnd::default(),
             position: Mutex::default(),
             distribution: OnceLock::new(),
             membership: OnceLock::new(),
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -207,7 +207,7 @@
     /// Callers are told first, as they may take longer to switch to another daemon, and then the
     /// other daemons. New calls to the backend server beside it are refused before requests of
     /// callers are, so that running calls have time to end. Running requests get up to the drain
-    /// limit of the settings.
+    /// limit of the settings; those of callers that have no response then are answered by an error.
     pub async fn shutdown(self) -> bool {
         tracing::info!("draining");
         self.cx.begin_drain();
@@ -225,7 +225,12 @@
         let step_end = |time| begin + plan.step_end(begin.elapsed(), time);
         let handover_end = step_end(HANDOVER_TIME);
         let may_have_owned_keys = self.hand_over_keys(step_end(LEAVE_APPEND_TIMEOUT)).await;
-        let whole = self.wait_until_idle(begin + plan.end).await;
+        let whole = self.wait_until_idle(begin + plan.answer_at()).await;
+        if !whole {
+            // Responses that came while the daemon was held up are passed on first.
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+            self.cx.drain_end.reach();
+        }
         if may_have_owned_keys {
             tokio::time::sleep_until(handover_end).await;
         }
@@ -238,7 +243,15 @@
             tracing::warn!("connections were still open when the daemon stopped");
         }
         let took_ms = begin.elapsed().as_millis();
-        tracing::info!(whole, took_ms, in_flight = self.cx.in_flight(), "stopped");
+        let answered = self.cx.drain_end.answered();
+        tracing::info!(
+            whole,
+            took_ms,
+            in_flight = self.cx.in_flight(),
+            answered_not_run = answered.not_run,
+            answered_unknown = answered.unknown,
+            "stopped"
+        );
         whole
     }
 
@@ -260,7 +273,7 @@
         if !is_idle {
             tracing::warn!(
                 requests = self.cx.in_flight(),
-                "the drain limit has passed; running requests are aborted"
+                "the drain limit has passed; requests without a response are answered, others are aborted"
             );
         }
         is_idle
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -24,6 +24,7 @@
 use super::host;
 use super::peer_call::CALL_PREFIX;
 use super::pool::{PooledConnection, SendError};
+use super::sends::SendMark;
 use crate::context::{Cx, is_able};
 
 /// Largest response body that is buffered before the head of the response is passed on, in bytes.
@@ -233,6 +234,9 @@
     let condition = cx.balance.condition_at(to.addr, cx.clock.now()).map(Into::into);
     let head = CallHead { id: rand::random(), condition, ..head.clone() };
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
+    if let Some(mark) = req.extensions().get::<SendMark>() {
+        mark.set();
+    }
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
         match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -213,16 +213,22 @@
     /// Makes one attempt at the backend server of `guard`.
     async fn attempt(
         &self,
-        req: Request<ProxyBody>,
+        mut req: Request<ProxyBody>,
         service: &ServiceName,
         guard: CallGuard,
         options: SendOptions,
     ) -> Result<Response<ProxyBody>, CallError> {
         let head = self.head(service, options)?;
+        let mark = self.sends.begin();
+        req.extensions_mut().insert(mark.clone());
         let is_repeatable = self.route.spec.is_idempotent();
         let daemon = guard.name().to_owned();
         let sent = dispatch::attempt(self.cx, &head, req, guard, self.deadline, is_repeatable);
-        let mut res = sent.await?;
+        let mut res = sent.await.inspect_err(|e| {
+            if e.is_not_run() {
+                mark.clear();
+            }
+        })?;
         res.extensions_mut().insert(AnsweredBy { daemon, attempts: options.number });
         Ok(res)
     }
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -24,6 +24,7 @@
 use super::caller_request::CallerRequest;
 use super::lines::{self, CallerLogLine};
 use super::request_body::RequestBody;
+use super::sends::Sends;
 use super::{headers, keyed};
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
@@ -42,6 +43,7 @@
     /// Identifier of the request, for its log lines.
     request_id: String,
     marked_as_retry: bool,
+    sends: Sends,
     span: &'a Span,
 }
 
@@ -104,7 +106,7 @@
         return Err(with_route(draining()));
     }
     let closing = cx.phase() > Phase::Serving;
-    let mut res = call.serve(parts, body).await.map_err(with_route)?;
+    let mut res = call.serve_until_drain_end(parts, body).await.map_err(with_route)?;
     if closing && res.version() == Version::HTTP_11 {
         res.headers_mut().insert(http::header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -176,6 +178,7 @@
             target,
             request_id,
             marked_as_retry,
+            sends: Sends::default(),
             span,
         })
     }
@@ -185,6 +188,25 @@
         self.deadline.saturating_sub(self.cx.clock.now())
     }
 
+    /// Serves the request, or returns an error at the end of the drain.
+    async fn serve_until_drain_end(
+        &self,
+        parts: Parts,
+        body: RequestBody,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        tokio::select! {
+            // First, as the slot of a request that ends here must not start another one.
+            biased;
+            () = self.cx.drain_end.reached() => {
+                let kind = self.cx.drain_end.answer(self.sends.may_have_run());
+                let mut e = CallError::new(kind, "the daemon stopped before there was a response");
+                e.close = true;
+                Err(e)
+            }
+            served = self.serve(parts, body) => served,
+        }
+    }
+
     /// Serves the request, through the owner of its key if it has one that applies.
     async fn serve(
         &self,
--- a/crates/daemon/src/proxy/entry/owner.rs
+++ b/crates/daemon/src/proxy/entry/owner.rs
@@ -32,6 +32,8 @@
         body: RequestBody,
     ) -> Result<Response<ProxyBody>, CallError> {
         let attempt = keyed::read_attempt(&parts.headers);
+        // An earlier attempt with the same key may have run.
+        self.sends.begin().set();
         let error_before_owner = |e| keyed::error_before_owner(e, attempt);
         let req = self.prepare(parts, body, true).await;
         let req = req.and_then(BufferedRequest::new).map_err(error_before_owner)?;
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -30,6 +30,7 @@
 use super::lines::{self, HostedRequest};
 use super::pool::SendError;
 use super::response_check::{check_origin, check_response};
+use super::sends::SendMark;
 use crate::context::{Cx, Phase};
 
 /// Response of the backend server, with the slot that it holds until its end.
@@ -82,6 +83,9 @@
     let permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
+    if let Some(mark) = req.extensions().get::<SendMark>() {
+        mark.set();
+    }
     let remaining = deadline.saturating_sub(sent_at);
     let dialect = &cx.settings.dialect;
     headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -24,6 +24,7 @@
 mod question;
 mod request_body;
 mod response_check;
+mod sends;
 
 pub use active::ActiveCalls;
 pub use balance::Balancers;
--- a/crates/test-support/src/backend/settings.rs
+++ b/crates/test-support/src/backend/settings.rs
@@ -99,6 +99,11 @@
         self
     }
 
+    /// Number of requests that run at the same time.
+    pub fn slot_count(&self) -> u32 {
+        self.slots
+    }
+
     /// Sets how many requests over the slots wait before more are shed with 503 (default 10).
     pub fn shed_above_slots_by(mut self, extra: u32) -> Self {
         self.extra = extra;
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -45,6 +45,7 @@
         let backend = ChildSettings::new(binary("backend"))
             .arg(format!("--service={service}"))
             .arg(format!("--name={}", spec.name))
+            .arg(format!("--slots={}", spec.backend.slot_count()))
             .arg(format!("--announce-url=http://{announce}"))
             .arg("--journal")
             .arg(daemon.folder().join("journal"));
--- a/crates/testsuite/tests/drain_end.rs
+++ b/crates/testsuite/tests/drain_end.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use baobabreel_test_support::mesh::NodeSpec;
-use baobabreel_test_support::process::Signal;
-use baobabreel_testsuite::{Fleet, LIMIT, h1};
+use baobabreel_test_support::process::{OutputLine, Signal};
+use baobabreel_testsuite::{Fleet, LIMIT, RawAnswer, h1};
+use tokio::task::JoinHandle;
 
-/// Time for a request to be passed on.
+/// Time between requests that are sent one after the other, and for the last one to be passed on.
 const APART: Duration = Duration::from_millis(150);
 
 /// Time allowed beyond the times of the settings.
@@ -21,6 +22,87 @@
 /// Work that ends after the drain.
 const LONG_WORK: [(&str, &str); 2] = [("x-work-us", "9000000"), ("baobabreel-timeout-ms", "20000")];
 
+/// Node of a service whose backend server has one slot; its daemon drains for 1 s after a notice of 0.5 s.
+fn node(name: &str, service: &str) -> NodeSpec {
+    NodeSpec::new(name, "hobart-a", service)
+        .backend(|backend| backend.slots(1))
+        .setting("\"drain_notice_ms\": 500")
+        .setting("\"drain_limit_ms\": 1000")
+}
+
+/// Sends requests to the first node, of which the first one runs and the others wait for its slot, and has the
+/// daemon end. Returns their answers in the order of sending.
+async fn answers_at_end(fleet: &mut Fleet, requests: usize) -> Vec<RawAnswer> {
+    let callers = fleet.nodes[0].callers;
+    let mut running: Vec<JoinHandle<RawAnswer>> = Vec::new();
+    for i in 0..requests {
+        running.push(tokio::spawn(async move {
+            h1(callers, &format!("/bids/{i}"), &LONG_WORK, "").await
+        }));
+        tokio::time::sleep(APART).await;
+    }
+    fleet.nodes[0].daemon.signal(Signal::Terminate).expect("it runs");
+    let mut answers = Vec::new();
+    for answer in running {
+        answers.push(answer.await.expect("the request ends"));
+    }
+    answers
+}
+
+fn assert_answer(answer: &RawAnswer, status: u16, outcome: &str) {
+    assert_eq!(
+        (answer.code(), answer.header("baobabreel-outcome")),
+        (status, outcome),
+        "{answer:?}"
+    );
+    assert_eq!(answer.header("connection"), "close", "{answer:?}");
+    assert!(answer.whole, "{answer:?}");
+}
+
+/// Checks that the first daemon ends with the status for cut requests, and what it logs of them.
+async fn assert_end(fleet: &mut Fleet, not_run: u64, unknown: u64) {
+    let daemon = &mut fleet.nodes[0].daemon;
+    let status = daemon.wait(LIMIT).await.expect("it ends");
+    assert_eq!(status.code(), Some(3), "{status}");
+    let is_stopped =
+        |line: &OutputLine| line.json().is_some_and(|line| line["message"] == "stopped");
+    let line = daemon.wait_for_line(LIMIT, is_stopped).await.expect("a line");
+    let line = line.json().expect("a line of the log");
+    assert_eq!(
+        (&line["answered_not_run"], &line["answered_unknown"]),
+        (&not_run.into(), &unknown.into()),
+        "{line}"
+    );
+}
+
+/// Guards against requests in the queue of the backend server beside a daemon whose connection closes without an
+/// answer when the drain ends, and against one that runs and gets none, or one that says that it did not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_in_the_own_queue_are_refused_as_not_run() {
+    let specs = vec![(node("a1", "catalogue"), "catalogue"), (node("a2", "yard"), "yard")];
+    let mut fleet = Fleet::ready(specs).await;
+    let answers = answers_at_end(&mut fleet, 4).await;
+    assert_answer(&answers[0], 502, "unknown");
+    for queued in &answers[1..] {
+        assert_answer(queued, 503, "not_run");
+    }
+    assert_end(&mut fleet, 3, 1).await;
+    let ran = fleet.nodes[0].journal();
+    assert!(ran.len() <= 1, "a request ran that was refused as not run: {ran:?}");
+}
+
+/// Guards against requests that another daemon runs or queues and whose connection closes without an answer when the
+/// drain ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_at_another_daemon_are_answered_with_an_open_outcome() {
+    let specs = vec![(node("a1", "yard"), "yard"), (node("a2", "catalogue"), "catalogue")];
+    let mut fleet = Fleet::ready(specs).await;
+    for answer in answers_at_end(&mut fleet, 3).await {
+        assert_answer(&answer, 502, "unknown");
+    }
+    assert_end(&mut fleet, 0, 3).await;
+}
+
 /// Guards against a daemon that was held up in its notice and then drains for the whole drain limit, past the time at
 /// which its supervisor kills it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
