Tell in daemon_first which calls were lost, how and when

The message now lists each lost call with its end and its times since the begin of the leaving, and says how long the leaving took. No check and no bound changes.

--- a/crates/testsuite/tests/drain.rs
+++ b/crates/testsuite/tests/drain.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use baobabreel_test_support::load::LoadReport;
+use baobabreel_test_support::load::{CallEnd, LoadReport};
 use baobabreel_test_support::mesh::Mesh;
 use baobabreel_testsuite::{
     LIMIT, assert_consistent, journals, mixed_load, ready_mesh, specs, wait_until,
@@ -29,12 +29,27 @@
     wait_until("the leaver works", async || mesh.nodes[LEAVER].backend.journal().len() > 20).await;
     let left = start.elapsed();
     leave(mesh).await;
+    let ended = start.elapsed();
     let report = load.await.expect("no panic").expect("load runs");
     assert_consistent(&report, &journals(mesh));
-    assert_eq!(report.lost, 0, "{:?}", report.by_status);
+    assert_eq!(report.lost, 0, "{:?}\n{}", report.by_status, describe_lost(&report, left, ended));
     (report, left)
 }
 
+/// Describes the calls that broke off or timed out, with their times relative to the leaving, which was asked for at
+/// `left` and had ended at `ended`.
+fn describe_lost(report: &LoadReport, left: Duration, ended: Duration) -> String {
+    let is_lost = |end| matches!(end, CallEnd::Broken | CallEnd::TimedOut);
+    let lost = report.calls.iter().filter(|call| is_lost(call.end));
+    let lines = lost.map(|call| {
+        let from = call.intended.as_secs_f64() - left.as_secs_f64();
+        let to = from + call.latency.as_secs_f64();
+        format!("{:?} from {from:+.4} s to {to:+.4} s: {call:?}", call.end)
+    });
+    let lasted = ended.saturating_sub(left);
+    format!("left within {lasted:?}; lost:\n{}", lines.collect::<Vec<_>>().join("\n"))
+}
+
 /// Guards against new work for a backend server that leaves, and against work that its end cuts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn backend_server_first() {
