Answer what has arrived from callers when a daemon stops

Cause: on the stop, serve_callers left its loop and dropped the listener, and the kernel reset the connections in its backlog. On open connections, the reads raced against the stop in selects without an order: a request that was in the socket buffer was dropped unread about every second time.

Now, on the stop: - the connections that wait in the backlog are accepted, until none is left, for 20 ms at most and within the limit on connections; then the listener closes, and open connections 5 ms later, - each connection reads what has arrived before it looks at the stop. A request is answered as any other in the last phase (503, draining, not_run, connection closed), - a connection that was accepted less than 50 ms ago stays open until then, for its first request: a caller that has connected is about to send.

With no connection open, the stop takes no longer. A connection that is open and idle adds 5 ms, a new one at most 50 ms; the limit of 400 ms on the end of all connections stays. abort() takes the same way.

Ruled out: accepting asynchronously once more, as the runtime may not have been told of the connections yet. Not covered by a deterministic test: the 50 ms.

--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -202,6 +202,8 @@
                 None => Instant::now() + limits.idle,
             };
             tokio::select! {
+                // A request that has arrived is read before the connection closes.
+                biased;
                 filled = fill(&mut self.read, &mut self.buf) => {
                     if let Err(end) = filled {
                         return Ok(Err(end));
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -16,9 +16,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::BoundedListener;
 use super::delivery::Delivery;
 use super::prefixed::PrefixedStream;
+use super::{Accepted, BoundedListener, close_connections, serve_until, wait_for_close};
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
 use crate::proxy::{CallError, ProxyBody, RequestBody, section_bytes, serve_caller};
@@ -45,39 +45,42 @@
 /// Serves callers until `stop` is cancelled, then waits for the open connections to end.
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
     let connections = TaskTracker::new();
+    let closing = CancellationToken::new();
     let listener = BoundedListener::new(listener, cx.settings.limits.caller_connections);
+    let serve = |accepted| {
+        connections.spawn(serve_connection(Arc::clone(&cx), accepted, closing.clone()));
+    };
     loop {
-        let (stream, permit) = tokio::select! {
+        let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let (cx, stop) = (Arc::clone(&cx), stop.clone());
-        connections.spawn(async move {
-            serve_connection(cx, stream, stop).await;
-            drop(permit);
-        });
+        serve(accepted);
     }
     // New connections are refused from here on, so that callers try another daemon at once.
-    drop(listener);
-    connections.close();
-    connections.wait().await;
+    listener.close().into_iter().for_each(serve);
+    close_connections(&connections, &closing).await;
 }
 
-async fn serve_connection(cx: Cx, mut stream: TcpStream, stop: CancellationToken) {
+async fn serve_connection(cx: Cx, accepted: Accepted, closing: CancellationToken) {
+    let Accepted { mut stream, at, permit: _permit } = accepted;
     let service = CallerService { cx };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
     let is_http2 = tokio::select! {
-        () = stop.cancelled() => return,
+        // A request that has arrived is read before the connection closes.
+        biased;
         detected = detected => match detected {
             Some(is_http2) => is_http2,
             None => return,
         },
+        () = wait_for_close(&closing, at) => return,
     };
     if is_http2 {
-        serve_http2(service.cx, PrefixedStream::new(buf, stream), stop).await;
+        let close = wait_for_close(&closing, at);
+        serve_http2(service.cx, PrefixedStream::new(buf, stream), close).await;
     } else {
-        http1::serve_connection(stream, buf, service, stop).await;
+        http1::serve_connection(stream, buf, service, closing).await;
     }
 }
 
@@ -103,7 +106,7 @@
     }
 }
 
-async fn serve_http2(cx: Cx, stream: PrefixedStream, stop: CancellationToken) {
+async fn serve_http2(cx: Cx, stream: PrefixedStream, close: impl Future<Output = ()>) {
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let service = service_fn(move |req: Request<Incoming>| {
         let cx = Arc::clone(&cx);
@@ -118,15 +121,7 @@
         .max_header_list_size(u32::try_from(header_bytes).unwrap_or(u32::MAX))
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
-    let ended = tokio::select! {
-        ended = &mut conn => ended,
-        () = stop.cancelled() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
-        }
-    };
-    if let Err(e) = ended {
+    if let Err(e) = serve_until(close, conn).await {
         tracing::debug!(error = %e, "caller connection failed");
     }
 }
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::BoundedListener;
+use super::{Accepted, BoundedListener};
 use crate::context::Cx;
 use crate::control::{Control, serve_control};
 use crate::proxy::{CallError, ProxyBody, has_token, is_call, serve_peer_call};
@@ -40,7 +40,7 @@
     let header_bytes = cx.settings.limits.header_bytes * HEADER_FACTOR;
     let listener = BoundedListener::new(listener, cx.settings.limits.peer_connections);
     loop {
-        let (stream, permit) = tokio::select! {
+        let Accepted { stream, permit, .. } = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
--- a/crates/daemon/src/listeners/small.rs
+++ b/crates/daemon/src/listeners/small.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use super::BoundedListener;
+use super::{Accepted, BoundedListener};
 
 /// Time limit for receiving a request head.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,7 +73,7 @@
 {
     let listener = BoundedListener::new(listener, MAX_CONNECTIONS);
     loop {
-        let (stream, permit) = tokio::select! {
+        let Accepted { stream, permit, .. } = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
