Set a keepalive interval that the kernel takes

Cause: the kernel takes keepalive times in whole seconds. The interval of 500 ms was cut to 0, which it refuses; the retries, which are set after the interval, were then not set at all. Interval and retries stayed at the defaults of the system (75 s and 9), so a connection that fell silent while an answer was awaited was closed after 676 s, not 2 s.

Ruled out: other settings of the kind. HttpClient is the only place that sets keepalive options (searched: crates, platform); the pings of HTTP/2 between daemons are timers of hyper, which take fractions.

Now idle time, interval and retries are 1 s, 1 s and 2: 3 s after the last byte. The time follows from the options and the rule of the kernel; no link that drops packets was run. The idle time was in force before, so a healthy connection gets no more probes than it did.

Read, not run: whether it does harm that all daemons find a silent store sooner. Each loop that reads the store has one read open; after a failure it waits for 50 to 100 ms (100 ms less jitter), doubled up to 1 s for configuration and evidence, 2 s for the directory, 5 s for the log of the own dialect (which begins at 250 to 500 ms). Their polls ended before through their own timeouts, in the same way and with the same delays. A store that is paused still has a kernel that answers the probes, so it loses no connection. The tests of the platform were not run.

--- a/crates/client/src/transport/mod.rs
+++ b/crates/client/src/transport/mod.rs
@@ -19,12 +19,13 @@
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Idle time after which the kernel sends TCP keepalive probes. They detect a connection
-/// that goes silent for good while an answer is awaited.
+/// Idle time after which the kernel sends TCP keepalive probes, in whole seconds. They detect a
+/// connection that goes silent for good while an answer is awaited, 3 s after its last byte. A request
+/// that the other end has not acknowledged is not probed for; the timeout of the request ends it.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
-/// Time between two keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two keepalive probes, in whole seconds: the kernel takes no fractions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Unanswered keepalive probes after which the connection is closed.
 const KEEPALIVE_RETRIES: u32 = 2;
