Give the relay of the tests a rate and little room

What tests could not play: a link with little room or a low rate, on which a daemon's answer waits in its kernel. And a relay lost what an end had sent before it reset its connection, so a soak would have blamed a daemon for bytes that were sent.

Relay::set_rate paces each direction of a connection; Relay::start_narrow limits the bytes that fit on the way, by small chunks and socket buffers. A read error is brought on as the end of the stream, after what came before it; once one end does not take bytes any more, the rest for it is discarded, and what it sent still goes to the other end.

--- a/crates/test-support/src/net/mod.rs
+++ b/crates/test-support/src/net/mod.rs
@@ -1,28 +1,38 @@
 //! TCP forwarder that emulates the network between two ends.
 //!
-//! It sits on loopback in front of a target and delays, holds, silences or cuts what passes through.
+//! It sits on loopback in front of a target and delays, paces, holds, silences or cuts what passes through. What one
+//! end has sent before it closes or resets a connection still arrives; a reset arrives as a close.
 //! The handshake of a connection is not delayed, and a target that refuses connections shows up as a
 //! connection that is closed right after it was established.
 
 mod pump;
+mod room;
 
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use eyre::WrapErr;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use room::Room;
+
 /// Wait before the port is bound again when that has failed.
 const REBIND_WAIT: Duration = Duration::from_millis(5);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// What the relay does now; connections have numbers from 1.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rules {
     delay: Duration,
+    /// Bytes per second of one connection in one direction.
+    rate: Option<u32>,
     hold: bool,
     refuse: bool,
     silenced_up_to: u64,
@@ -73,14 +83,27 @@
     /// # Errors
     /// The address cannot be listened on.
     pub async fn start_on(listen: SocketAddr, target: SocketAddr) -> eyre::Result<Relay> {
-        let listener = TcpListener::bind(listen)
-            .await
-            .wrap_err_with(|| format!("failed to listen on {listen}"))?;
+        Self::start_in_room(listen, target, Room::default())
+    }
+
+    /// Starts a forwarder to `target` on a free port of 127.0.0.1. About `bytes` fit into each direction of a
+    /// connection, so that an end that does not read soon blocks the other one.
+    ///
+    /// # Errors
+    /// No port can be listened on.
+    pub async fn start_narrow(target: SocketAddr, bytes: u32) -> eyre::Result<Relay> {
+        let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self::start_in_room(listen, target, Room::of_bytes(bytes))
+    }
+
+    fn start_in_room(listen: SocketAddr, target: SocketAddr, room: Room) -> eyre::Result<Relay> {
+        let listener =
+            bind(listen, room).wrap_err_with(|| format!("failed to listen on {listen}"))?;
         let addr = listener.local_addr().wrap_err("failed to read the listening address")?;
         let (rules, rules_rx) = watch::channel(Rules::default());
         let (listening_tx, listening) = watch::channel(true);
         let counters = Arc::new(Counters::default());
-        let acceptor = Acceptor { addr, target, counters: Arc::clone(&counters) };
+        let acceptor = Acceptor { addr, target, room, counters: Arc::clone(&counters) };
         tokio::spawn(acceptor.run(listener, rules_rx, listening_tx));
         Ok(Relay { addr, rules, listening, counters })
     }
@@ -95,6 +118,11 @@
         self.rules.send_modify(|rules| rules.delay = delay);
     }
 
+    /// Sets the bytes per second that pass in each direction of a connection; without a rate, nothing is paced.
+    pub fn set_rate(&self, bytes_per_s: Option<u32>) {
+        self.rules.send_modify(|rules| rules.rate = bytes_per_s);
+    }
+
     /// Makes all existing connections silent for good: they stay open and nothing passes. New
     /// connections work.
     pub fn silence_existing(&self) {
@@ -137,6 +165,7 @@
 struct Acceptor {
     addr: SocketAddr,
     target: SocketAddr,
+    room: Room,
     counters: Arc<Counters>,
 }
 
@@ -155,7 +184,7 @@
                 // Only a closed listener makes the system refuse connections.
                 listener = None;
             } else if listener.is_none() {
-                listener = TcpListener::bind(self.addr).await.ok();
+                listener = bind(self.addr, self.room).ok();
             }
             let is_listening = listener.is_some();
             listening.send_if_modified(|old| std::mem::replace(old, is_listening) != is_listening);
@@ -177,11 +206,11 @@
         stream: TcpStream,
         rules: watch::Receiver<Rules>,
     ) -> impl Future<Output = ()> + Send + use<> {
-        let (target, counters) = (self.target, Arc::clone(&self.counters));
+        let (target, room, counters) = (self.target, self.room, Arc::clone(&self.counters));
         async move {
             let _open = OpenConnection::new(&counters.open);
             let mut cut_rules = rules.clone();
-            let forward = pump::forward(id, stream, target, rules, &counters);
+            let forward = pump::forward(id, stream, (target, room), rules, &counters);
             tokio::select! {
                 () = forward => {}
                 _ = cut_rules.wait_for(|rules| id <= rules.cut_up_to) => {}
@@ -190,6 +219,15 @@
     }
 }
 
+/// Listens on an address; accepted connections inherit the buffers of the listener.
+fn bind(addr: SocketAddr, room: Room) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    room.apply(&socket)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
     match listener {
         Some(listener) => listener.accept().await.ok().map(|(stream, _)| stream),
--- a/crates/test-support/src/net/pump.rs
+++ b/crates/test-support/src/net/pump.rs
@@ -3,75 +3,87 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 
+use super::room::Room;
 use super::{Counters, Rules};
 use crate::timer;
 
-/// Most bytes read at once.
-const CHUNK: usize = 16 * 1024;
-/// Chunks on their way in one direction (4 MiB, more than 1 Gbit/s at a delay of 30 ms).
-const CHUNKS_ON_THE_WAY: usize = 256;
-
 /// Chunk with the time of its delivery; an empty chunk is the end of the stream.
 type Chunk = (Instant, Bytes);
 
-/// Forwards both directions until both have ended or one has failed.
+/// Forwards both directions until both have ended.
 pub(super) async fn forward(
     id: u64,
     near: TcpStream,
-    target: SocketAddr,
+    (target, room): (SocketAddr, Room),
     rules: watch::Receiver<Rules>,
     counters: &Counters,
 ) {
-    let Ok(far) = TcpStream::connect(target).await else {
+    let Ok(far) = connect(target, room).await else {
         return;
     };
     // Delays of Nagle's algorithm would add to the delay that is set.
     drop((near.set_nodelay(true), far.set_nodelay(true)));
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
-    let there = direction(id, near_rx, far_tx, rules.clone(), &counters.to_target);
-    let back = direction(id, far_rx, near_tx, rules, &counters.from_target);
-    // Either error ends the connection, which is all that the two ends can see of it.
+    let there = direction(id, near_rx, far_tx, room, rules.clone(), &counters.to_target);
+    let back = direction(id, far_rx, near_tx, room, rules, &counters.from_target);
+    // Only the end of the relay is an error.
     drop(tokio::try_join!(there, back));
 }
 
+async fn connect(target: SocketAddr, room: Room) -> io::Result<TcpStream> {
+    let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    room.apply(&socket)?;
+    socket.connect(target).await
+}
+
 async fn direction(
     id: u64,
     rx: OwnedReadHalf,
     tx: OwnedWriteHalf,
+    room: Room,
     rules: watch::Receiver<Rules>,
     delivered: &AtomicU64,
 ) -> io::Result<()> {
-    let (chunk_tx, chunk_rx) = mpsc::channel(CHUNKS_ON_THE_WAY);
-    let read = read(rx, rules.clone(), chunk_tx);
+    let (chunk_tx, chunk_rx) = mpsc::channel(room.chunks);
+    let read = read(rx, room, rules.clone(), chunk_tx);
     let write = write(id, tx, rules, chunk_rx, delivered);
     tokio::try_join!(read, write).map(|_| ())
 }
 
 async fn read(
     mut rx: OwnedReadHalf,
+    room: Room,
     rules: watch::Receiver<Rules>,
     chunks: mpsc::Sender<Chunk>,
 ) -> io::Result<()> {
+    let mut free_at = Instant::now();
     loop {
-        let mut chunk = BytesMut::with_capacity(CHUNK);
-        rx.read_buf(&mut chunk).await?;
-        let end = chunk.is_empty();
-        let deliver_at = Instant::now() + rules.borrow().delay;
-        if chunks.send((deliver_at, chunk.freeze())).await.is_err() || end {
+        let mut chunk = BytesMut::with_capacity(room.chunk_bytes);
+        // What came before a reset is on its way, and arrives.
+        let end = !matches!(rx.read_buf(&mut chunk).await, Ok(length) if length > 0);
+        let Rules { delay, rate, .. } = *rules.borrow();
+        free_at = free_at.max(Instant::now())
+            + rate.map_or(Duration::ZERO, |rate| transfer_time(chunk.len(), rate));
+        if chunks.send((free_at + delay, chunk.freeze())).await.is_err() || end {
             return Ok(());
         }
     }
 }
 
+/// Time that a number of bytes takes at a rate in bytes per second.
+fn transfer_time(bytes: usize, rate: u32) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / f64::from(rate.max(1)))
+}
+
 async fn write(
     id: u64,
     mut tx: OwnedWriteHalf,
@@ -79,6 +91,7 @@
     mut chunks: mpsc::Receiver<Chunk>,
     delivered: &AtomicU64,
 ) -> io::Result<()> {
+    let mut is_open = true;
     while let Some((deliver_at, chunk)) = chunks.recv().await {
         timer::sleep_until(deliver_at).await;
         let passing =
@@ -86,11 +99,16 @@
         if !passing {
             return Err(io::Error::other("relay stopped"));
         }
-        if chunk.is_empty() {
-            return tx.shutdown().await;
+        if !is_open {
+            continue;
         }
         delivered.fetch_add(chunk.len() as u64, Ordering::Relaxed);
-        tx.write_all(&chunk).await?;
+        // Once this end has closed, the other direction brings that to the other end, after what was sent before.
+        is_open = if chunk.is_empty() {
+            tx.shutdown().await.is_ok()
+        } else {
+            tx.write_all(&chunk).await.is_ok()
+        };
     }
     Ok(())
 }
