Give a call up for silence only if another daemon can run it

What callers saw: 502 ("the daemon is out of reach") while the backend server was at work on their request, when the daemon beside it stood still for a moment.

Cause: a call without any sign of life was given up after 1.2 s if its route is idempotent, whether or not another attempt was allowed, paid for, or possible, and after 2 s otherwise, although nothing is gained then by an error before the deadline.

Before: long_stall_of_a_daemon_does_not_end_its_commands (stall of 2.7 s) and stall_of_the_only_daemon_does_not_end_its_lookups (1.7 s) got 502 "the daemon is out of reach". After: a silent daemon is given up after 1.2 s only if attempts, budget and servers allow another attempt at that moment; otherwise the call waits for its deadline, a broken connection, or a state that ends it. Both tests pass.

--- a/crates/core/src/calls/watch.rs
+++ b/crates/core/src/calls/watch.rs
@@ -25,13 +25,9 @@
 const QUERY_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Time since the last sign of life of the called daemon after which a call that can be sent elsewhere is given
-/// up.
+/// up. Any other call gains nothing from an error before its deadline: a daemon that stalls still answers.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1_200);
 
-/// Time after which any other call is given up. A daemon that stalls for a moment still answers, and a call
-/// that cannot be sent again gains nothing from an earlier error.
-const GIVE_UP_NOT_REPEATABLE_AFTER: Duration = Duration::from_secs(2);
-
 /// Age of a call from which "not run" is not trusted, since the called daemon may have forgotten that the call
 /// ended.
 const MAX_TRUSTED_AGE: Duration = Duration::from_secs(RETENTION.as_secs() / 2);
@@ -66,24 +62,23 @@
     NotRun,
     /// Give the call up unless the response arrives within a moment; the call may have run.
     AwaitResponse(LossReason),
-    /// Give the call up now; it may have run.
+    /// Give the call up now; it may have run, and can be sent to another daemon.
     Lost(LossReason),
 }
 
 /// What the sender of a call knows while it waits for the response.
 #[derive(Debug)]
 pub struct CallWatch {
-    is_repeatable: bool,
     sent_at: Duration,
     last_heard: Duration,
     unanswered: u32,
 }
 
 impl CallWatch {
-    /// Watches a call that is sent now. `is_repeatable` tells whether it can be sent to another daemon.
+    /// Watches a call that is sent now.
     #[must_use]
-    pub fn new(is_repeatable: bool, now: Duration) -> Self {
-        Self { is_repeatable, sent_at: now, last_heard: now, unanswered: 0 }
+    pub fn new(now: Duration) -> Self {
+        Self { sent_at: now, last_heard: now, unanswered: 0 }
     }
 
     /// Time to wait before the next query if `remaining` is left until the deadline. An unanswered query is
@@ -99,11 +94,17 @@
         interval(remaining) / QUERY_TIMEOUT_DIVISOR
     }
 
-    /// Decides after a query, whose answer is `None` if it did not come in time.
-    pub fn decide(&mut self, answer: Option<CallState>, now: Duration) -> NextStep {
+    /// Decides after a query, whose answer is `None` if it did not come in time. `can_resend` tells whether the call
+    /// can be sent to another daemon now.
+    pub fn decide(
+        &mut self,
+        answer: Option<CallState>,
+        now: Duration,
+        can_resend: impl FnOnce() -> bool,
+    ) -> NextStep {
         let Some(state) = answer else {
             self.unanswered += 1;
-            return self.decide_unanswered(now);
+            return self.decide_unanswered(now, can_resend);
         };
         self.unanswered = 0;
         self.last_heard = now;
@@ -118,10 +119,9 @@
         }
     }
 
-    fn decide_unanswered(&self, now: Duration) -> NextStep {
+    fn decide_unanswered(&self, now: Duration, can_resend: impl FnOnce() -> bool) -> NextStep {
         let silence = now.saturating_sub(self.last_heard);
-        let limit = if self.is_repeatable { GIVE_UP_AFTER } else { GIVE_UP_NOT_REPEATABLE_AFTER };
-        if self.unanswered >= MAX_UNANSWERED && silence >= limit {
+        if self.unanswered >= MAX_UNANSWERED && silence >= GIVE_UP_AFTER && can_resend() {
             NextStep::Lost(LossReason::Unreachable)
         } else {
             NextStep::Wait
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -93,6 +93,13 @@
         self.parts == self.capacity && !retries_recently && self.take(now)
     }
 
+    /// Whether a token for a retry is left.
+    #[must_use]
+    pub fn has_token(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        self.available() > 0
+    }
+
     fn take(&mut self, now: Duration) -> bool {
         self.refill(now);
         match self.parts.checked_sub(PARTS_PER_TOKEN) {
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -165,6 +165,11 @@
         self.policy == Policy::Plain || self.budgets.try_spend(&route.budget, service, use_for, now)
     }
 
+    /// Whether the budgets have a retry left.
+    pub fn can_retry(&self, route: &RouteState, service: &str, now: Duration) -> bool {
+        self.policy == Policy::Plain || self.budgets.can_retry(&route.budget, service, now)
+    }
+
     /// Records that the host daemon of a backend server of `service` does not answer.
     pub fn record_unreachable(&self, service: &str, member: &Member, now: Duration) {
         if let Some(balancer) = self.find(service) {
--- a/crates/daemon/src/proxy/budgets.rs
+++ b/crates/daemon/src/proxy/budgets.rs
@@ -103,6 +103,19 @@
         }
     }
 
+    /// Whether no budget is used up.
+    pub fn can_retry(&self, route: &Mutex<RetryBudget>, service: &str, now: Duration) -> bool {
+        let has_token = |budget: &mut RetryBudget| budget.has_token(now);
+        match &self.shared {
+            SharedBudgets::Daemon(daemon) => {
+                has_token(&mut lock(route)) && has_token(&mut lock(daemon))
+            }
+            SharedBudgets::Mesh(mesh) => {
+                lock(mesh).services.get_mut(service).is_some_and(has_token)
+            }
+        }
+    }
+
     /// Takes one retry or hedge; false if a budget is used up.
     pub fn try_spend(
         &self,
--- a/crates/daemon/src/proxy/call_wait.rs
+++ b/crates/daemon/src/proxy/call_wait.rs
@@ -29,11 +29,11 @@
 
 /// How long to wait for a response.
 #[derive(Debug)]
-pub struct WaitOptions<F> {
+pub struct WaitOptions<F, R> {
     /// Time at which the wait ends at the latest.
     pub deadline: Duration,
-    /// Whether the call can be sent to another daemon if this one is silent.
-    pub is_repeatable: bool,
+    /// Tells whether the call can be sent to another daemon now, if this one is silent.
+    pub can_resend: R,
     /// Called each time that the called daemon does not answer a query or an attempt to connect.
     pub on_silence: F,
 }
@@ -52,11 +52,11 @@
     cx: &Cx,
     to: Callee,
     id: CallId,
-    options: &WaitOptions<impl Fn()>,
+    options: &WaitOptions<impl Fn(), impl Fn() -> bool>,
     exchange: impl Future<Output = T>,
 ) -> WaitResult<T> {
     let mut exchange = std::pin::pin!(exchange);
-    let mut watch = CallWatch::new(options.is_repeatable, cx.clock.now());
+    let mut watch = CallWatch::new(cx.clock.now());
     loop {
         let remaining = options.deadline.saturating_sub(cx.clock.now());
         let wait = watch.query_delay(remaining).min(remaining);
@@ -77,7 +77,7 @@
             // Other connections to this daemon may have gone silent too.
             cx.peers.close_connections(to.addr);
         }
-        match watch.decide(state, cx.clock.now()) {
+        match watch.decide(state, cx.clock.now(), &options.can_resend) {
             NextStep::Wait => {}
             NextStep::NotRun => return WaitResult::NotRun,
             NextStep::AwaitResponse(reason) => {
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -74,7 +74,7 @@
     req: Request<ProxyBody>,
     mut guard: CallGuard,
     deadline: Duration,
-    is_repeatable: bool,
+    can_resend: impl Fn() -> bool,
 ) -> Result<Response<ProxyBody>, CallError> {
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::forward_to_backend(cx, head, req).await {
@@ -86,7 +86,7 @@
             Err(e) => return Err(record_failure(guard, e)),
         }
     } else {
-        match send_to_member(cx, head, req, guard.name(), deadline, is_repeatable).await {
+        match send_to_member(cx, head, req, guard.name(), deadline, can_resend).await {
             Ok(answer) => {
                 guard.record_response(Some(answer.load.into()));
                 guard.keep_connection(answer.connection);
@@ -188,7 +188,7 @@
     req: Request<ProxyBody>,
     name: &str,
     deadline: Duration,
-    is_repeatable: bool,
+    can_resend: impl Fn() -> bool,
 ) -> Result<PeerResponse, CallError> {
     let view = cx.view.load_full();
     let Some(member) = view.find(&head.service, name) else {
@@ -199,7 +199,7 @@
         tracing::debug!(to = name, "the daemon did not answer");
         cx.balance.record_unreachable(&head.service, member, cx.clock.now());
     };
-    let options = WaitOptions { deadline, is_repeatable, on_silence };
+    let options = WaitOptions { deadline, can_resend, on_silence };
     let result = send_call(cx, to, head, req, &options).await;
     if result.as_ref().map_or_else(|e| !e.is_local, |_| true) {
         cx.balance.record_answer(&member.data_centre);
@@ -218,7 +218,7 @@
     to: Callee,
     head: &CallHead,
     mut req: Request<ProxyBody>,
-    options: &WaitOptions<impl Fn()>,
+    options: &WaitOptions<impl Fn(), impl Fn() -> bool>,
 ) -> Result<PeerResponse, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() = format!("{CALL_PREFIX}{path}").parse().map_err(|e| {
@@ -316,7 +316,7 @@
         head.service = service;
         head.retry |= tried.len() > 1;
         head.remaining_ms = remaining_ms(cx, deadline)?;
-        let e = match attempt(cx, &head, request(), guard, deadline, false).await {
+        let e = match attempt(cx, &head, request(), guard, deadline, || false).await {
             Ok(res) => return Ok(res),
             Err(e) => e,
         };
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -25,11 +25,13 @@
     number: u32,
     /// Whether the backend server should refuse it if no slot is free, instead of queueing it.
     only_if_free: bool,
+    /// Whether the body can be sent again.
+    can_replay: bool,
 }
 
 impl Default for SendOptions {
     fn default() -> Self {
-        Self { number: 1, only_if_free: false }
+        Self { number: 1, only_if_free: false, can_replay: false }
     }
 }
 
@@ -63,7 +65,8 @@
             let (only_if_free, is_further_attempt) =
                 (search.has_attempts_left(), search.has_full_servers());
             let target = (service.clone(), guard.shared_name());
-            let options = SendOptions { number: progress.number, only_if_free };
+            let can_replay = req.can_resend();
+            let options = SendOptions { number: progress.number, only_if_free, can_replay };
             let result = if options.number == 1 && self.route.spec.hedge {
                 self.hedged(req, &service, guard, options, &mut progress).await
             } else {
@@ -98,7 +101,7 @@
                 earlier = Some(e);
                 continue;
             }
-            let attempt = self.attempt_state(progress.number, req);
+            let attempt = self.attempt_state(progress.number, req.can_resend());
             let failure = if e.is_not_run() { Failure::NotRun } else { Failure::MayHaveRun };
             if decide_retry(&attempt, failure) != RetryDecision::Retry
                 || !self.try_spend(BudgetUse::Retry)
@@ -117,16 +120,25 @@
     }
 
     /// State of attempt `number`, as the retry and hedging decisions need it.
-    fn attempt_state(&self, number: u32, req: &CallerRequest) -> Attempt {
+    fn attempt_state(&self, number: u32, can_replay: bool) -> Attempt {
         Attempt {
             idempotent: self.route.spec.is_idempotent(),
             number,
             marked_as_retry: self.marked_as_retry,
             remaining: self.remaining(),
-            max_retries: if req.can_resend() { self.route.spec.retries } else { 0 },
+            max_retries: if can_replay { self.route.spec.retries } else { 0 },
         }
     }
 
+    /// Whether another attempt could follow now if the one at `daemon` were given up.
+    fn can_resend(&self, options: SendOptions, daemon: &String) -> bool {
+        let attempt = self.attempt_state(options.number, options.can_replay);
+        let (cx, now) = (self.cx, self.cx.clock.now());
+        decide_retry(&attempt, Failure::MayHaveRun) == RetryDecision::Retry
+            && cx.balance.can_retry(&self.state, &self.service, now)
+            && self.choose(std::slice::from_ref(daemon)).is_ok()
+    }
+
     /// Starts the search for a free slot. A request that cannot be sent again is not searched for: it queues at
     /// the first backend server.
     fn start_search(&self, req: &CallerRequest) -> FreeSlotSearch<(ServiceName, Arc<str>)> {
@@ -178,7 +190,8 @@
         progress: &mut Progress,
     ) -> Result<Response<ProxyBody>, CallError> {
         let target = self.target.map(|target| target.saturating_sub(self.cx.clock.now()));
-        let delay = hedge_delay(&self.attempt_state(1, req), &self.state.latency(), target);
+        let delay =
+            hedge_delay(&self.attempt_state(1, req.can_resend()), &self.state.latency(), target);
         let first = self.attempt(req.attempt(), service, guard, options);
         let Some(delay) = delay.filter(|_| req.can_resend()) else {
             return first.await;
@@ -196,7 +209,7 @@
         progress.tried.push(guard.name().to_owned());
         progress.number += 1;
         self.cx.metrics.record_retry(&self.route.name);
-        let options = SendOptions { number: progress.number, only_if_free: true };
+        let options = SendOptions { number: progress.number, only_if_free: true, can_replay: true };
         let mut second = std::pin::pin!(self.attempt(req.attempt(), &service, guard, options));
         tokio::select! {
             result = &mut first => match result {
@@ -221,9 +234,9 @@
         let head = self.head(service, options)?;
         let mark = self.sends.begin();
         req.extensions_mut().insert(mark.clone());
-        let is_repeatable = self.route.spec.is_idempotent();
         let daemon = guard.name().to_owned();
-        let sent = dispatch::attempt(self.cx, &head, req, guard, self.deadline, is_repeatable);
+        let can_resend = || self.can_resend(options, &daemon);
+        let sent = dispatch::attempt(self.cx, &head, req, guard, self.deadline, can_resend);
         let mut res = sent.await.inspect_err(|e| {
             if e.is_not_run() {
                 mark.clear();
--- a/crates/daemon/src/proxy/entry/owner.rs
+++ b/crates/daemon/src/proxy/entry/owner.rs
@@ -76,7 +76,7 @@
                 head.key = Some(key_head(&owner));
                 let to = Callee { addr: peer_addr, incarnation: owner.incarnation };
                 let deadline = self.deadline;
-                let options = WaitOptions { deadline, is_repeatable: false, on_silence: || {} };
+                let options = WaitOptions { deadline, can_resend: || false, on_silence: || {} };
                 let sent = dispatch::send_call(cx, to, &head, req.to_request(), &options);
                 let answer = sent.await.map_err(|e| owner_error(e, attempt))?;
                 Ok(relay_response(cx, answer, self.deadline))
