Answer what has arrived from other daemons when a daemon stops

What callers saw: nothing was shown for a caller. A call of another daemon that had arrived when its receiver stopped was reset, or its connection closed, without an answer; by the code, the calling daemon must then report a request as one that may have run although it never ran.

Cause: as for callers, the backlog was dropped with the listener. Besides, the graceful shutdown of hyper-util tells a connection to close before it polls it again, and hyper closes a connection between two requests without reading.

serve_peers now takes the same way as serve_callers: the backlog is accepted, and each connection is polled, and so reads what has arrived, before it is told to close.

A caller that connects and sends nothing for 50 ms on a busy machine is still closed, and the load counts that as broken.

--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -9,11 +9,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-use super::{Accepted, BoundedListener};
+use super::{Accepted, BoundedListener, close_connections, serve_until, wait_for_close};
 use crate::context::Cx;
 use crate::control::{Control, serve_control};
 use crate::proxy::{CallError, ProxyBody, has_token, is_call, serve_peer_call};
@@ -36,28 +36,37 @@
 
 /// Serves other daemons until `stop` is cancelled, then waits for the open connections to end.
 pub async fn serve_peers(cx: Cx, control: Control, listener: TcpListener, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
-    let header_bytes = cx.settings.limits.header_bytes * HEADER_FACTOR;
+    let connections = TaskTracker::new();
+    let closing = CancellationToken::new();
     let listener = BoundedListener::new(listener, cx.settings.limits.peer_connections);
+    let serve = |accepted| {
+        let (cx, control) = (Arc::clone(&cx), control.clone());
+        connections.spawn(serve_connection(cx, control, accepted, closing.clone()));
+    };
     loop {
-        let Accepted { stream, permit, .. } = tokio::select! {
+        let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
-        let (cx, control) = (Arc::clone(&cx), control.clone());
-        let service = service_fn(move |req| handle_request(Arc::clone(&cx), control.clone(), req));
-        let builder = builder(header_bytes);
-        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let conn = graceful.watch(conn);
-        tokio::spawn(async move {
-            if let Err(e) = conn.await {
-                tracing::debug!(error = %e, "peer connection failed");
-            }
-            drop(permit);
-        });
+        serve(accepted);
+    }
+    listener.close().into_iter().for_each(serve);
+    close_connections(&connections, &closing).await;
+}
+
+async fn serve_connection(
+    cx: Cx,
+    control: Control,
+    accepted: Accepted,
+    closing: CancellationToken,
+) {
+    let Accepted { stream, at, permit: _permit } = accepted;
+    let builder = builder(cx.settings.limits.header_bytes * HEADER_FACTOR);
+    let service = service_fn(move |req| handle_request(Arc::clone(&cx), control.clone(), req));
+    let conn = builder.serve_connection(TokioIo::new(stream), service);
+    if let Err(e) = serve_until(wait_for_close(&closing, at), conn).await {
+        tracing::debug!(error = %e, "peer connection failed");
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
 fn builder(header_bytes: usize) -> auto::Builder<TokioExecutor> {
--- a/crates/testsuite/tests/arrived_at_stop.rs
+++ b/crates/testsuite/tests/arrived_at_stop.rs
@@ -25,6 +25,9 @@
 /// Request of a caller.
 const REQUEST: &str = "GET /lots/1 HTTP/1.1\r\nhost: catalogue\r\n\r\n";
 
+/// Call of another daemon, without the head that describes it.
+const CALL: &str = "POST /peer/v1/call/lots HTTP/1.1\r\nhost: a1\r\ncontent-length: 0\r\n\r\n";
+
 /// A daemon that stops 2 s after the begin of its shutdown, beside another one.
 async fn fleet() -> Fleet {
     let stopped = NodeSpec::new("a1", "hobart-a", "yard")
@@ -150,6 +153,27 @@
     }
 }
 
+/// Guards against a call of another daemon that is reset without an answer when the daemon stops, so that the other one
+/// must report a request as one that may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn call_of_another_daemon_is_answered() {
+    let mut fleet = fleet().await;
+    let peers = fleet.nodes[0].peers;
+    let mut used = connect(peers, Some(CALL)).await;
+    let new = arrive_before_the_stop(&mut fleet, async || {
+        send(&mut used, CALL).await;
+        let mut new = connect(peers, None).await;
+        send(&mut new, CALL).await;
+        new
+    })
+    .await;
+    for (what, streams) in [("open", used), ("not yet accepted", new)] {
+        let answers = answers(streams).await;
+        let answered = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 400 "));
+        assert_eq!(answered.count(), CONNECTIONS, "{what}: {answers:#?}");
+    }
+}
+
 /// Guards against a stop that does not end because callers keep connecting.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn daemon_stops_while_callers_keep_connecting() {
