Wait in arrived_at_stop.rs until the daemon may own keys

The tests take the stop as due 2 s after the begin of the shutdown, which holds only for a daemon that has appended its join: one that has not hands no keys over, and stops after 1 s (seen in trials with one node: took_ms 1001 to 1009 in 5 of 9 stops). No run of the file had failed by that; it would have failed without reason. They now wait for the entry. The daemon is also paused 700 ms before its stop in place of 300, so that a busy machine does not pause it after its end.

--- a/crates/testsuite/tests/arrived_at_stop.rs
+++ b/crates/testsuite/tests/arrived_at_stop.rs
@@ -5,7 +5,7 @@
 
 use baobabreel_test_support::mesh::NodeSpec;
 use baobabreel_test_support::process::Signal;
-use baobabreel_testsuite::{Fleet, LIMIT, h2};
+use baobabreel_testsuite::{Fleet, LIMIT, h2, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -17,7 +17,7 @@
 const STOP: Duration = Duration::from_secs(2);
 
 /// Time before the stop at which the daemon is paused.
-const PAUSE_BEFORE: Duration = Duration::from_millis(300);
+const PAUSE_BEFORE: Duration = Duration::from_millis(700);
 
 /// Longest time that a daemon takes from its stop to its end, with room for a busy machine.
 const MAX_END: Duration = Duration::from_millis(1_500);
@@ -34,7 +34,14 @@
         .setting("\"drain_notice_ms\": 1000")
         .setting("\"drain_limit_ms\": 1000");
     let host = NodeSpec::new("a2", "hobart-a", "catalogue");
-    Fleet::ready(vec![(stopped, "yard"), (host, "catalogue")]).await
+    let fleet = Fleet::ready(vec![(stopped, "yard"), (host, "catalogue")]).await;
+    // Without this entry it would not wait for the handover of its keys, and stop after 1 s.
+    wait_until("it may own keys", async || {
+        let entries = fleet.log.records("members");
+        entries.iter().any(|entry| entry.data.contains("join") && entry.data.contains("\"a1\""))
+    })
+    .await;
+    fleet
 }
 
 /// Begins the shutdown of the first daemon, pauses it shortly before its stop, and runs `arrive`.
