Refuse the queued calls of other daemons when the drain ends

What callers saw: of a daemon that stops, calls that still waited for its backend server ended with "connection closed before message completed", so their callers got 502 although they had not run.

Cause: the queue of the backend server outlived the drain, and the end of the process was the only end of a call in it.

Before, on, queued_calls_of_other_daemons_are_refused_as_not_run: assertion `left == right` failed: [...] left: ["unknown", "unknown", "unknown"] right: ["unknown", "not_run", "not_run"]

At the end of the drain a call that was not sent to the backend server is refused as draining, before a free slot can start it, and its daemon can send it elsewhere. A call that runs goes on as before until the process ends.

--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -15,9 +15,10 @@
 use super::call_error::CallError;
 use super::caller_request::MAX_REPLAY_BYTES;
 use super::headers;
-use super::host;
+use super::host::{self, HostedResponse};
 use super::keyed::{self, BufferedRequest};
 use super::request_body::RequestBody;
+use super::sends::Sends;
 use crate::context::Cx;
 use crate::telemetry::{Span, TraceContext};
 
@@ -109,7 +110,7 @@
     *inner.method_mut() = parts.method;
     *inner.uri_mut() = uri;
     *inner.headers_mut() = headers;
-    let admitted = host::forward_to_backend(cx, head, inner).await?;
+    let admitted = forward_until_drain_end(cx, head, inner).await?;
     let (mut parts, body) = admitted.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     let body = host::track_body(cx, body, admitted.deadline, Guard::Host(admitted.guard));
@@ -117,6 +118,29 @@
     Ok(Response::from_parts(parts, body))
 }
 
+/// Passes a call to the backend server. At the end of the drain, one that is still in the queue is refused, as its
+/// daemon can send it elsewhere; one that runs goes on.
+async fn forward_until_drain_end(
+    cx: &Cx,
+    head: &CallHead,
+    mut req: Request<ProxyBody>,
+) -> Result<HostedResponse, CallError> {
+    let sends = Sends::default();
+    req.extensions_mut().insert(sends.begin());
+    let mut forwarded = std::pin::pin!(host::forward_to_backend(cx, head, req));
+    tokio::select! {
+        // First, as the slot of a request that ends here must not start another one.
+        biased;
+        () = cx.drain_end.reached() => {}
+        result = &mut forwarded => return result,
+    }
+    if sends.may_have_run() {
+        return forwarded.await;
+    }
+    let kind = cx.drain_end.answer(false);
+    Err(CallError::new(kind, "the daemon stopped while the call was in the queue"))
+}
+
 /// URI of the request inside a call.
 fn inner_uri(uri: &Uri) -> Option<Uri> {
     let path = uri.path_and_query()?.as_str().strip_prefix(CALL_PREFIX)?;
--- a/crates/testsuite/tests/drain_end.rs
+++ b/crates/testsuite/tests/drain_end.rs
@@ -30,12 +30,12 @@
         .setting("\"drain_limit_ms\": 1000")
 }
 
-/// Sends requests to the first node, of which the first one runs and the others wait for its slot, and has the
-/// daemon end. Returns their answers in the order of sending.
-async fn answers_at_end(fleet: &mut Fleet, requests: usize) -> Vec<RawAnswer> {
-    let callers = fleet.nodes[0].callers;
+/// Sends a request to each of the nodes `entries`, of which the first one runs and the others wait for its slot, and
+/// has the daemon of the first node end. Returns their answers in the order of sending.
+async fn answers_at_end(fleet: &mut Fleet, entries: &[usize]) -> Vec<RawAnswer> {
     let mut running: Vec<JoinHandle<RawAnswer>> = Vec::new();
-    for i in 0..requests {
+    for (i, entry) in entries.iter().enumerate() {
+        let callers = fleet.nodes[*entry].callers;
         running.push(tokio::spawn(async move {
             h1(callers, &format!("/bids/{i}"), &LONG_WORK, "").await
         }));
@@ -81,7 +81,7 @@
 async fn requests_in_the_own_queue_are_refused_as_not_run() {
     let specs = vec![(node("a1", "catalogue"), "catalogue"), (node("a2", "yard"), "yard")];
     let mut fleet = Fleet::ready(specs).await;
-    let answers = answers_at_end(&mut fleet, 4).await;
+    let answers = answers_at_end(&mut fleet, &[0; 4]).await;
     assert_answer(&answers[0], 502, "unknown");
     for queued in &answers[1..] {
         assert_answer(queued, 503, "not_run");
@@ -97,12 +97,26 @@
 async fn requests_at_another_daemon_are_answered_with_an_open_outcome() {
     let specs = vec![(node("a1", "yard"), "yard"), (node("a2", "catalogue"), "catalogue")];
     let mut fleet = Fleet::ready(specs).await;
-    for answer in answers_at_end(&mut fleet, 3).await {
+    for answer in answers_at_end(&mut fleet, &[0; 3]).await {
         assert_answer(&answer, 502, "unknown");
     }
     assert_end(&mut fleet, 0, 3).await;
 }
 
+/// Guards against queued calls of other daemons that start when the slot of a request becomes free that ends with the
+/// drain, and against ones that break off so that their callers cannot tell that they did not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn queued_calls_of_other_daemons_are_refused_as_not_run() {
+    let specs = vec![(node("a1", "catalogue"), "catalogue"), (node("a2", "yard"), "yard")];
+    let mut fleet = Fleet::ready(specs).await;
+    let answers = answers_at_end(&mut fleet, &[0, 1, 1]).await;
+    let outcomes = answers.iter().map(|answer| answer.header("baobabreel-outcome"));
+    assert_eq!(outcomes.collect::<Vec<_>>(), ["unknown", "not_run", "not_run"], "{answers:?}");
+    assert_end(&mut fleet, 2, 1).await;
+    let ran = fleet.nodes[0].journal();
+    assert!(ran.len() <= 1, "a call ran that was refused as not run: {ran:?}");
+}
+
 /// Guards against a daemon that was held up in its notice and then drains for the whole drain limit, past the time at
 /// which its supervisor kills it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
