End a response at its deadline though its caller does not read

What was seen: a caller over HTTP/1.1 that reads the head of a response and nothing more kept the backend server, its slot and the connection to it for 30 s, with a deadline of 1 s.

Cause: the deadline of a response is checked when its body is polled. While the writer waits for the caller to take what it has of the body, it polls nothing until the write ends or its own timeout of 30 s passes.

Ruled out: the pool and the host daemon. The daemon that serves the caller waits in the write; with another daemon in between, the host daemon follows as soon as the first drops its stream.

Now a write of a part of a body ends with the body's deadline. Nothing is lost that would have arrived whole: after such a write the body was polled, past its deadline, and the response cut. A body that was received to its end is not cut by this. The body is also dropped before the last write of a response that broke off, which may wait for the caller as long.

Not mended here: a caller over HTTP/2 that grants no window. hyper polls a body only when it may send.

--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -181,7 +181,7 @@
                 Some(frame) => frame,
                 None => {
                     if !buf.is_empty() {
-                        self.write(&buf).await?;
+                        self.write_part(&buf, &mut body).await?;
                         buf.clear();
                     }
                     std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await
@@ -192,12 +192,14 @@
                     let Ok(data) = frame.into_data() else { continue };
                     append_data(&mut buf, &data, framing);
                     if buf.len() >= MAX_BUFFERED_BYTES {
-                        self.write(&buf).await?;
+                        self.write_part(&buf, &mut body).await?;
                         buf.clear();
                     }
                 }
                 // Without its end marker the caller sees that the response is incomplete.
                 Some(Err(e)) => {
+                    // The caller may be slow to read, and what the body holds is of no more use.
+                    drop(body);
                     self.write(&buf).await?;
                     return Err(io::Error::other(e));
                 }
@@ -213,6 +215,17 @@
         Ok(close)
     }
 
+    /// Writes what has been read of `body`, unless the body is aborted before the caller takes it.
+    async fn write_part(&mut self, data: &[u8], body: &mut ProxyBody) -> io::Result<()> {
+        tokio::select! {
+            biased;
+            written = self.write(data) => written,
+            () = std::future::poll_fn(|cx| body.poll_abort(cx)) => {
+                Err(io::Error::other(BodyError::DeadlinePassed))
+            }
+        }
+    }
+
     async fn write(&mut self, data: &[u8]) -> io::Result<()> {
         match tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(data)).await {
             Ok(written) => written,
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -151,6 +151,18 @@
         let data = data.into();
         if data.is_empty() { Self::Empty } else { Self::Full(data) }
     }
+
+    /// Whether the body is aborted now. One that has been received to its end is not, nor is one
+    /// without a deadline.
+    pub fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match self {
+            Self::Tracked(tracked) if !tracked.inner.is_end_stream() => {
+                tracked.deadline.as_mut().poll(cx)
+            }
+            Self::Buffered { rest, .. } => rest.poll_abort(cx),
+            Self::Empty | Self::Full(_) | Self::Stream { .. } | Self::Tracked(_) => Poll::Pending,
+        }
+    }
 }
 
 /// Polls a body that hyper reads from a connection.
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -18,6 +18,10 @@
 /// Most bytes of a request head that [`RawBackend`] reads.
 const MAX_HEAD: usize = 64 * 1024;
 
+/// Time without progress after which a write to a connection whose other end has sent its end is
+/// given up.
+const STUCK_AFTER_END: Duration = Duration::from_secs(1);
+
 /// Answer as a caller sees it.
 #[derive(Debug)]
 pub struct RawAnswer {
@@ -277,11 +281,38 @@
         tokio::time::sleep(pause).await;
     }
     if let Some((rest, pause)) = endless_rest {
-        while stream.write_all(&rest).await.is_ok() {
-            tokio::time::sleep(pause).await;
-        }
-        lock(&shared).endless_closed_at = Some(Instant::now());
+        let closed_at = write_until_closed(stream, &rest, pause).await;
+        lock(&shared).endless_closed_at = Some(closed_at);
         return;
     }
     drop(stream.shutdown().await);
 }
+
+/// Writes `rest` again and again; returns when the other end closed the connection.
+///
+/// The end of its direction is seen at once, while a write that waits for it to read may fail much
+/// later, at a probe of the kernel. The end counts if the other end takes nothing after it.
+async fn write_until_closed(stream: TcpStream, rest: &[u8], pause: Duration) -> Instant {
+    let (mut read, mut write) = stream.into_split();
+    let mut end = tokio::spawn(async move {
+        drop(read.read_u8().await);
+        Instant::now()
+    });
+    let mut written_at = Instant::now();
+    let mut ended_at = None;
+    loop {
+        tokio::select! {
+            written = write.write_all(rest) => {
+                if written.is_err() {
+                    break;
+                }
+                written_at = Instant::now();
+                tokio::time::sleep(pause).await;
+            }
+            ended = &mut end, if ended_at.is_none() => ended_at = ended.ok(),
+            () = tokio::time::sleep(STUCK_AFTER_END), if ended_at.is_some() => break,
+        }
+    }
+    let failed_at = Instant::now();
+    ended_at.filter(|ended_at| *ended_at > written_at).unwrap_or(failed_at)
+}
--- a/crates/testsuite/tests/endless.rs
+++ b/crates/testsuite/tests/endless.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use baobabreel_testsuite::{Fleet, FleetNode, RawAnswer, exchange, h1, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 
 /// Deadline of the requests, in milliseconds.
 const TIMEOUT_MS: &str = "1000";
@@ -22,6 +24,9 @@
 /// Pause between the parts of a slow answer.
 const SLOW: Duration = Duration::from_millis(100);
 
+/// Receive buffer of a caller that reads nothing; the daemon cannot write much before it has to wait.
+const RECEIVE_BUFFER_BYTES: u32 = 4 * 1_024;
+
 const GOOD: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello";
 
 /// Start and repeated rest of each endless answer.
@@ -140,3 +145,31 @@
     let findings = play_all().await;
     assert!(findings.late_bodies.is_empty(), "{:#?}", findings.late_bodies);
 }
+
+/// Guards against an endless body that holds the backend server past the deadline because its caller
+/// does not read it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_body_ends_at_the_deadline_though_its_caller_reads_nothing() {
+    let (fleet, backend) = Fleet::with_raw_backend().await;
+    let headers = [("baobabreel-timeout-ms", TIMEOUT_MS)];
+    for to in fleet.nodes.iter().map(|node| node.callers) {
+        backend.answer_with(&[(GOOD, Duration::ZERO)]);
+        wait_until("a good answer", async || h1(to, "/lots", &headers, "").await.code() == 200)
+            .await;
+        let chunk = format!("2000\r\n{}\r\n", "a".repeat(0x2000));
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        backend.answer_endlessly(head, &chunk, Duration::ZERO);
+        let begin = Instant::now();
+        let caller = TcpSocket::new_v4().expect("a socket");
+        caller.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("an option");
+        let mut caller = caller.connect(to).await.expect("it listens");
+        caller.write_all(request(to).as_bytes()).await.expect("it is read");
+        let mut status = [0; 12];
+        caller.read_exact(&mut status).await.expect("an answer");
+        assert_eq!(&status, b"HTTP/1.1 200", "at {to}");
+        wait_until("the connection is closed", async || backend.endless_closed_at().is_some())
+            .await;
+        let closed = backend.endless_closed_at().map(|at| at - begin);
+        assert!(closed <= Some(ANSWER_LIMIT), "at {to}: closed after {closed:?}");
+    }
+}
