Propose the eviction of a member that died again after it woke

What callers would see: a daemon is paused until it is evicted, wakes, registers again and later dies. Keys that it owned get owner_changing until its entry in the member tables is forgotten, 15 minutes after its death: nobody proposes its eviction.

Cause: a daemon that wakes registers again with the same incarnation, and the record that this incarnation was evicted, which keeps daemons from proposing it twice, was kept until the member was forgotten.

Ruled out: that a later incarnation or the refutation of its death clears the record; the statement of a woken member raises its sequence only.

Now the record goes when the member returns. A member that dies again may be evicted again; an eviction of a daemon that is not registered changes nothing. Not covered: an eviction that reaches the member table only after the return of the member.

--- a/crates/core/src/membership/departed.rs
+++ b/crates/core/src/membership/departed.rs
@@ -33,7 +33,7 @@
 pub(super) struct DepartedMembers {
     entries: BTreeMap<DaemonId, DepartedEntry>,
     tombstones: BTreeMap<DaemonId, Tombstone>,
-    /// Evicted incarnations, kept until the member is replaced by a tombstone.
+    /// Evicted incarnations, kept until the member returns or is replaced by a tombstone.
     evicted: BTreeMap<DaemonId, Incarnation>,
 }
 
@@ -50,10 +50,12 @@
         self.entries.insert(id.to_owned(), entry);
     }
 
-    /// Removes the timers and the tombstone of a member that has returned with a newer statement.
+    /// Removes what is kept of a member that has returned with a newer statement. It registers again
+    /// with the same incarnation, so an earlier eviction does not count for its next death.
     pub(super) fn remove_entry(&mut self, id: &str) {
         self.entries.remove(id);
         self.tombstones.remove(id);
+        self.evicted.remove(id);
     }
 
     /// Incarnation and sequence number in the tombstone of a member, if it has one. Statements that
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -149,6 +149,28 @@
     }
 }
 
+/// Guards against a daemon that woke after its eviction, registered again and then died, and whose
+/// eviction nobody proposes: its keys would have no owner.
+#[test]
+fn second_death_of_an_incarnation_is_proposed_again() {
+    for seed in 0..10 {
+        let mut net = converged_network(24, 2, seed, &SwimSettings::new());
+        net.frozen[5] = true;
+        net.run_secs(24);
+        let (id, incarnation) = (member(5, 0).id, 1_000);
+        for i in (0..24).filter(|i| *i != 5) {
+            net.handle(i, Event::Evicted { id: id.clone(), incarnation });
+        }
+        net.frozen[5] = false;
+        net.run_secs(30);
+        assert!(net.has_converged(), "seed {seed}: it is not known again");
+        let proposed = net.evictions.len();
+        net.frozen[5] = true;
+        net.run_secs(60);
+        assert!(net.evictions.len() > proposed, "seed {seed}: not proposed again");
+    }
+}
+
 /// Guards against daemons that restart after the others have declared them dead and then stay isolated,
 /// because nothing tells them of the other members.
 #[test]
