Say which endless answer a connection outlives

One of 10 runs of this file, with the former measure of the close, ended with "the connection is closed: not within 40s", which tells neither the case nor what the caller got; the cause stays unknown. The wait now names both. No change of a check: the time of the caller's end is taken before, that of the close by the backend server.

--- a/crates/testsuite/tests/endless.rs
+++ b/crates/testsuite/tests/endless.rs
@@ -104,13 +104,11 @@
                 // The time is that of the last byte: parsing tiny chunks takes longer than receiving them.
                 let bytes = exchange(to, request(to).as_bytes(), false).await;
                 let answered = begin.elapsed();
-                wait_until("the connection is closed", async || {
-                    backend.endless_closed_at().is_some()
-                })
-                .await;
-                let closed = backend.endless_closed_at().map(|at| at - begin).unwrap_or_default();
                 let answer = RawAnswer::parse(bytes).await;
                 let got = (answer.code(), answer.whole, answer.body.len());
+                let what = format!("{name}: {got:?} after {answered:?}, the connection is closed");
+                wait_until(&what, async || backend.endless_closed_at().is_some()).await;
+                let closed = backend.endless_closed_at().map(|at| at - begin).unwrap_or_default();
                 let added = peak_memory_kib(&fleet).saturating_sub(memory);
                 let text = format!(
                     "{name}: {got:?} after {answered:?}, closed after {closed:?}, {added} KiB added"
