--- a/crates/testsuite/tests/response_delivery.rs
+++ b/crates/testsuite/tests/response_delivery.rs
@@ -48,7 +48,7 @@
     // What came before a reset counts.
     drop(read.expect("the connection ends"));
     let mut count = 0;
-    let mut rest = &data[..];
+    let mut rest = &*data;
     while let Some(end) = rest.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
         let head = String::from_utf8_lossy(&rest[..end]).into_owned();
         let whole = end + 4 + content_length(&head);
