--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -23,8 +23,8 @@
 /// Most requests of one connection that are in progress at once.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 
-/// Time for a caller to close the connection after the last response. Input that arrives at a closed socket is answered
-/// with a reset, which discards what the caller has not received yet.
+/// Time for a caller to close the connection after the last bytes that were written. Input that arrives at a closed
+/// socket is answered with a reset, which discards what the caller has not received yet.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Why the head of a request cannot be read.
@@ -96,7 +96,7 @@
     let (tx, rx) = mpsc::channel(MAX_PIPELINED_REQUESTS);
     let no_more_requests = CancellationToken::new();
     let reader = reader::Reader::new(read, buf, service.clone(), no_more_requests.clone(), stop);
-    let writer = writer::Writer::new(write, no_more_requests.clone());
+    let mut writer = writer::Writer::new(write, no_more_requests.clone());
     let mut reading = std::pin::pin!(reader.run(tx));
     let written = tokio::select! {
         () = &mut reading => {
@@ -107,10 +107,10 @@
     };
     if let Err(e) = written {
         tracing::info!(error = %e, "caller connection failed");
-        return;
     }
     no_more_requests.cancel();
-    if tokio::time::timeout(LINGER_TIME, reading).await.is_err() {
+    let Some(last_write) = writer.finish().await else { return };
+    if tokio::time::timeout_at(last_write + LINGER_TIME, reading).await.is_err() {
         tracing::debug!("the caller did not close its connection after the last response");
     }
 }
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -100,15 +100,17 @@
         if expects_continue && unread.is_some() {
             let continue_pending =
                 PendingResponse::new(ResponseSource::Continue, &method, version, false);
-            answers.send(continue_pending).await.ok().ok_or(ReadEnd::Disconnected)?;
+            answers.send(continue_pending).await.ok().ok_or(ReadEnd::Finished)?;
         }
+        // Before the request is passed on: the writer may close the connection while none is waiting.
+        let place = answers.reserve().await.ok().ok_or(ReadEnd::Finished)?;
         let (parts, ()) = request.into_parts();
         let req = Request::from_parts(parts, body);
         let delivery = self.service.begin_delivery(&req);
         let source = ResponseSource::Task(tokio::spawn(self.service.call(req)).into());
         let pending =
             PendingResponse::new(source, &method, version, !may_follow).tracked_by(delivery);
-        answers.send(pending).await.ok().ok_or(ReadEnd::Disconnected)?;
+        place.send(pending);
         if let Some((mut sender, framing)) = unread {
             self.read_body(&mut sender, framing).await?;
             sender.finish().await;
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -13,6 +13,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::Delivery;
@@ -100,18 +101,21 @@
     write: OwnedWriteHalf,
     /// Cancelled to stop the reader before the connection is closed.
     no_more_requests: CancellationToken,
+    /// When the kernel last took bytes.
+    last_write: Option<Instant>,
 }
 
 impl Writer {
     pub(super) fn new(write: OwnedWriteHalf, no_more_requests: CancellationToken) -> Self {
-        Self { write, no_more_requests }
+        Self { write, no_more_requests, last_write: None }
     }
 
     /// Writes responses until the last one.
     pub(super) async fn run<D: Delivery>(
-        mut self,
+        &mut self,
         mut answers: mpsc::Receiver<PendingResponse<D>>,
     ) -> io::Result<()> {
+        let mut closing = false;
         while let Some(mut pending) = answers.recv().await {
             let res = match pending.source {
                 ResponseSource::Immediate(res) => *res,
@@ -124,12 +128,12 @@
             if let Some(delivery) = &mut pending.delivery {
                 delivery.ready();
             }
-            let wants_close = pending.close || has_option(res.headers(), "close");
-            if wants_close {
+            closing |= pending.close || has_option(res.headers(), "close");
+            if closing {
                 self.no_more_requests.cancel();
             }
-            // Requests that have been read get their responses before the connection is closed.
-            let close = wants_close && answers.is_empty();
+            // Requests that have been passed on get their responses before the connection is closed.
+            let close = (closing || answers.is_closed()) && answers.is_empty();
             let closed = self.write_response(res, pending.is_head, pending.version, close).await?;
             if let Some(delivery) = pending.delivery {
                 delivery.written();
@@ -138,7 +142,15 @@
                 break;
             }
         }
-        self.write.shutdown().await
+        Ok(())
+    }
+
+    /// Ends the daemon's side of the connection; returns when the kernel last took bytes for the caller.
+    pub(super) async fn finish(mut self) -> Option<Instant> {
+        if let Err(e) = self.write.shutdown().await {
+            tracing::trace!(error = %e, "the caller has closed the connection");
+        }
+        self.last_write
     }
 
     /// Writes one response; returns whether the connection is to be closed after it.
@@ -228,7 +240,10 @@
 
     async fn write(&mut self, data: &[u8]) -> io::Result<()> {
         match tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(data)).await {
-            Ok(written) => written,
+            Ok(written) => {
+                self.last_write = Some(Instant::now());
+                written
+            }
             Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
         }
     }
