--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -27,7 +27,7 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 
 pub use clock::Clock;
-pub use drain_end::DrainEnd;
+pub use drain_end::{AnsweredAtEnd, DrainEnd};
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
@@ -243,8 +243,8 @@
         self.config.store(Arc::new(config));
     }
 
-    /// Sum of the requests of callers whose responses are not delivered yet, the calls to backend servers, and the requests that hold or
-    /// wait for a slot of the backend server beside the daemon.
+    /// Sum of the requests of callers whose responses are not delivered yet, the calls to backend
+    /// servers, and the requests that hold or wait for a slot of the backend server beside the daemon.
     ///
     /// One request can count more than once; the sum is 0 only when the daemon is idle.
     pub fn in_flight(&self) -> usize {
--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivery of responses to callers.
 //!
-//! A [`Delivery`] begins when a request is dispatched and ends when the kernel has the whole response. Until then the
-//! request counts as in flight, so that a daemon that shuts down does not end before. A delivery that fails is logged
+//! A [`Delivery`] begins when a request is dispatched and ends when the kernel has the whole response; over HTTP/2,
+//! when the library has taken its last frame, as it does not tell when that is written. Until then the request counts as in flight, so that a daemon that shuts down does not end before. A delivery that fails is logged
 //! and counted, so that an operator can tell a request that was cut while it ran from a response that was ready and not
 //! sent.
 
@@ -16,8 +16,7 @@
 
 use crate::context::{Cx, RequestCount};
 use crate::http1;
-use crate::proxy::lines::{self, request_id};
-use crate::proxy::{BodyError, ProxyBody};
+use crate::proxy::{BodyError, ProxyBody, log_undelivered, request_id};
 
 /// How far the response to one request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,7 +86,7 @@
             return;
         }
         self.cx.metrics.record_undelivered(self.stage.name());
-        lines::log_undelivered(&self.cx, &self.request, self.stage.name(), self.start);
+        log_undelivered(&self.cx, &self.request, self.stage.name(), self.start);
     }
 }
 
--- a/crates/daemon/src/proxy/entry/owner.rs
+++ b/crates/daemon/src/proxy/entry/owner.rs
@@ -33,7 +33,7 @@
     ) -> Result<Response<ProxyBody>, CallError> {
         let attempt = keyed::read_attempt(&parts.headers);
         // An earlier attempt with the same key may have run.
-        self.sends.begin().set();
+        self.sends.record_earlier();
         let error_before_owner = |e| keyed::error_before_owner(e, attempt);
         let req = self.prepare(parts, body, true).await;
         let req = req.and_then(BufferedRequest::new).map_err(error_before_owner)?;
--- a/crates/daemon/src/proxy/sends.rs
+++ b/crates/daemon/src/proxy/sends.rs
@@ -14,6 +14,11 @@
         SendMark { sends: self.clone(), is_sent: Arc::default() }
     }
 
+    /// Records that the request may have run before it came to this daemon.
+    pub fn record_earlier(&self) {
+        self.0.fetch_add(1, Ordering::AcqRel);
+    }
+
     /// Whether the request may have run.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
