Let an aborted daemon refuse what still arrives

Cause: since what has arrived is read before connections close, a daemon that a test aborts in its own process, as a crash would end it, served two more calls on its old connections, 5 ms after the abort; the questions about them went to the daemon that had been started in its place. A trace of the identifiers showed it. Processes are not concerned: they end, and a planned stop refuses calls before it closes connections.

Now an aborted daemon is in its last phase, in which it refuses all that is new.

--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -307,6 +307,8 @@
 
     /// Stops the daemon at once without draining it, like a crash.
     pub fn abort(self) {
+        // What has arrived is still read before connections close; a crashed daemon would not serve it.
+        self.cx.advance(Phase::Draining);
         self.stop.cancel();
         self.stop_serving.cancel();
         if let Some(distribution) = self.control.config.distribution() {
