--- a/crates/client/tests/keepalive.rs
+++ b/crates/client/tests/keepalive.rs
@@ -49,7 +49,7 @@
 async fn assert_silence_is_found(client: HttpClient) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let server = listener.local_addr().expect("an address");
-    let uri = format!("http://{server}/log-read");
+    let uri = format!("http://{server}/news");
     let request = tokio::spawn(async move { client.get(&uri, TIMEOUT).await });
     let (mut accepted, _) = listener.accept().await.expect("a connection");
     accepted.read_u8().await.expect("a request");
--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -4,6 +4,9 @@
 //! responses are written in the order of the requests; when requests were served one at a time, a short
 //! request waited for all those before it on its connection. The connection is read continuously, so
 //! that a disconnected caller is noticed at once and its requests are cancelled.
+//!
+//! A connection ends in two steps: after the last response the daemon ends its side, then it discards what still comes
+//! until the caller closes too.
 
 mod chunks;
 mod head;
--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -1,9 +1,9 @@
 //! Delivery of responses to callers.
 //!
 //! A [`Delivery`] begins when a request is dispatched and ends when the kernel has the whole response; over HTTP/2,
-//! when the library has taken its last frame, as it does not tell when that is written. Until then the request counts as in flight, so that a daemon that shuts down does not end before. A delivery that fails is logged
-//! and counted, so that an operator can tell a request that was cut while it ran from a response that was ready and not
-//! sent.
+//! when the library has taken its last frame, as it does not tell when that is written. Until then the request counts
+//! as in flight, so that a daemon that shuts down does not end before. A delivery that fails is logged and counted, so
+//! that an operator can tell a request that was cut while it ran from a response that was ready and not sent.
 
 use std::pin::Pin;
 use std::sync::Arc;
