Look up the tenant of a request by its API key

Callers with API keys were served without any check: requests with unknown keys ran, the key itself was passed on to backend servers, and the tenant was what the caller claimed. The configuration's tenants were not read at all.

The entry daemon now looks the key up once, in the version that the request is pinned to. A request without a valid key gets 401 and the connection goes on; the key is removed, the tenant header is set by the daemon, and the class of the tenant goes before that of its route, at the host daemon too. The host daemon refuses a call whose key a newer version has taken away. A version in which two tenants have a key in common is refused as a whole. Without tenants in the configuration nothing changes.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -10,9 +10,10 @@
 use baobabreel_core::condition::{Condition, RateLimit, RateStatement, ReportedCondition};
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
-use baobabreel_core::id::{DaemonId, Incarnation, InstanceId, RouteName, ServiceName};
+use baobabreel_core::id::{DaemonId, Incarnation, InstanceId, RouteName, ServiceName, TenantName};
 use baobabreel_core::idempotency::Attempt;
 use baobabreel_core::registration::BootTime;
+use baobabreel_core::tenants::KeyDigest;
 use http::HeaderValue;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -71,6 +72,15 @@
     pub condition: Option<ConditionWire>,
 }
 
+/// Tenant of a call, in a header of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TenantHead {
+    /// Name of the tenant.
+    pub name: TenantName,
+    /// Digest of the API key that the caller sent.
+    pub key_digest: KeyDigest,
+}
+
 /// Asks a daemon for the state of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallQuery {
@@ -236,6 +246,20 @@
     }
 }
 
+impl From<&TenantHead> for HeaderValue {
+    fn from(head: &TenantHead) -> Self {
+        to_header(head)
+    }
+}
+
+impl TryFrom<&HeaderValue> for TenantHead {
+    type Error = DecodeHeadError;
+
+    fn try_from(value: &HeaderValue) -> Result<Self, Self::Error> {
+        from_header(value)
+    }
+}
+
 impl From<&AnswerHead> for HeaderValue {
     fn from(head: &AnswerHead) -> Self {
         to_header(head)
--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -69,6 +69,17 @@
     /// Milliseconds since the document of the answering daemon was last known to be the platform's
     /// newest one.
     pub confirmed_ms: Option<u64>,
+    /// What only some deployments need.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub extension: Option<DocumentExtension>,
+}
+
+/// Further parts of a [`DocumentAnswer`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentExtension {
+    /// Milliseconds since a query to the platform was sent whose answer proves that it had no newer document, as far as
+    /// the answering daemon knows.
+    pub proof_ms: Option<u64>,
 }
 
 /// Tells a peer that the sender has a newer document.
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -10,12 +10,12 @@
 
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
-    LoadWire,
+    LoadWire, TenantHead,
 };
 pub use control::{
-    BatchWire, CodecError, DocumentAnswer, DocumentNotice, DocumentQuery, Envelope, LeavingNotice,
-    LeavingQuery, Position, PullAnswerWire, PullWire, PushAnswer, PushWire, ReadingNotice, Stream,
-    SuspectNotice, SuspectWire, decode, encode,
+    BatchWire, CodecError, DocumentAnswer, DocumentExtension, DocumentNotice, DocumentQuery,
+    Envelope, LeavingNotice, LeavingQuery, Position, PullAnswerWire, PullWire, PushAnswer,
+    PushWire, ReadingNotice, Stream, SuspectNotice, SuspectWire, decode, encode,
 };
 pub use document::PackedDocument;
 pub use gossip::{GossipWire, MemberWire, ProbeWire};
--- a/crates/core/src/config/compiled.rs
+++ b/crates/core/src/config/compiled.rs
@@ -11,6 +11,7 @@
 use super::spec::{BackendServerPolicy, RouteSpec, ServiceSpec, Spec};
 use super::state::ConfigState;
 use crate::id::{BackendServerName, RouteName, SchemaVersion, ServiceName};
+use crate::tenants::TenantTable;
 
 /// A route ready for matching.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,6 +44,8 @@
     pub passed_over: Vec<(RecordKey, SchemaVersion)>,
     /// Caller limits that override those of the daemon's settings.
     pub limits: Option<CallerLimits>,
+    /// Tenants; without them, requests need no API key.
+    pub tenants: Option<TenantTable>,
 }
 
 impl CompiledConfig {
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -15,6 +15,7 @@
 use super::record::Version;
 use super::spec::{Class, RouteSpec, ServiceSpec, WeightedService};
 use crate::id::{RouteName, ServiceName};
+use crate::tenants::{SharedKeyError, Tenant, TenantTable};
 
 /// Generation of all versions that are made from documents.
 const DOCUMENT_GENERATION: u64 = 1;
@@ -29,7 +30,7 @@
 pub type DocumentVersion = u64;
 
 /// Complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Document {
     /// Version of the document.
     pub version: DocumentVersion,
@@ -39,6 +40,9 @@
     pub services: Vec<DocumentService>,
     /// Limits on the requests that callers may send.
     pub limits: CallerLimits,
+    /// All tenants; absent if requests need no API key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenants: Option<Vec<Tenant>>,
 }
 
 /// Route of a document.
@@ -62,6 +66,9 @@
     pub target_latency: Option<Duration>,
     /// Maximum number of backend servers that one request is sent to.
     pub max_attempts: u32,
+    /// Whether its requests need no API key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub anonymous: bool,
 }
 
 /// Service of a document.
@@ -101,6 +108,7 @@
             target_latency: route.target_latency,
             retries: route.max_attempts.saturating_sub(1),
             hedge: route.idempotent,
+            anonymous: route.anonymous,
         }
     }
 }
@@ -116,8 +124,10 @@
     }
 }
 
-impl From<&Document> for CompiledConfig {
-    fn from(document: &Document) -> Self {
+impl TryFrom<&Document> for CompiledConfig {
+    type Error = SharedKeyError;
+
+    fn try_from(document: &Document) -> Result<Self, SharedKeyError> {
         let routes = document.routes.iter().map(|route| {
             let spec = RouteSpec::from(route);
             Arc::new(Route { name: route.name.clone(), schema: MAX_SCHEMA, spec })
@@ -129,9 +139,10 @@
             routes: routes.collect(),
             services,
             limits: Some(document.limits.clone()),
+            tenants: document.tenants.clone().map(TenantTable::new).transpose()?,
             ..Self::default()
         };
         config.sort_routes();
-        config
+        Ok(config)
     }
 }
--- a/crates/core/src/config/spec.rs
+++ b/crates/core/src/config/spec.rs
@@ -75,6 +75,8 @@
     pub retries: u32,
     /// Whether a slow request may be hedged, that is, sent a second time.
     pub hedge: bool,
+    /// Whether its requests need no API key although there are tenants.
+    pub anonymous: bool,
 }
 
 /// Content of a service form.
@@ -232,6 +234,7 @@
             target_latency: None,
             retries: DEFAULT_RETRIES,
             hedge: false,
+            anonymous: false,
         }
     }
 }
@@ -251,6 +254,7 @@
             target_latency: None,
             retries: route.retries,
             hedge: route.hedge,
+            anonymous: false,
         }
     }
 }
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -82,6 +82,10 @@
     Internal,
     /// Backend servers crashed while they ran the same request before.
     Quarantined,
+    /// The request has no valid API key.
+    Unauthenticated,
+    /// The tenant has used up its quota.
+    QuotaExceeded,
 }
 
 /// Answer to a request that failed with an error kind.
@@ -114,7 +118,7 @@
 }
 
 /// The answer for each error kind, in the order of [`ErrorKind`], which indexes it.
-pub const ANSWERS: [Answer; 23] = [
+pub const ANSWERS: [Answer; 25] = [
     row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
@@ -138,6 +142,8 @@
     row(ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, Outcome::Unknown, 0),
     row(ErrorKind::Internal, "internal", 500, Outcome::Unknown, 0),
     row(ErrorKind::Quarantined, "quarantined", 503, Outcome::NotRun, 0),
+    row(ErrorKind::Unauthenticated, "unauthenticated", 401, Outcome::NotRun, 0),
+    row(ErrorKind::QuotaExceeded, "quota_exceeded", 429, Outcome::NotRun, 1),
 ];
 
 impl ErrorKind {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -20,3 +20,5 @@
 pub type SchemaVersion = u32;
 /// Name of a service.
 pub type ServiceName = String;
+/// Name of a tenant.
+pub type TenantName = String;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
+pub mod tenants;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -7,6 +7,6 @@
 pub use crate::error::{ErrorKind, Outcome};
 pub use crate::id::{
     BackendServerName, ChangeId, DaemonId, DataCentre, Incarnation, Offset, RouteName,
-    SchemaVersion, ServiceName,
+    SchemaVersion, ServiceName, TenantName,
 };
 pub use crate::membership::{Member, MemberState};
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -34,6 +34,7 @@
         timeout: Duration::from_secs(1),
         target_latency: None,
         max_attempts: 1,
+        anonymous: false,
     };
     Document {
         version: 1,
@@ -45,6 +46,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        tenants: None,
     }
 }
 
@@ -53,7 +55,7 @@
 fn longest_prefix_of_the_host_is_found() {
     fn property(routes: Vec<(bool, u16)>, host: bool, request: u16, rest: u8) -> bool {
         let document = document(&routes);
-        let config = CompiledConfig::from(&document);
+        let config = CompiledConfig::try_from(&document).expect("no key is shared");
         let path = path(request) + if rest.is_multiple_of(2) { "" } else { "x1" };
         let host = HOSTS[usize::from(host)];
         let request_line = RequestLine { host: Some(host), method: "GET", path: &path };
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -173,6 +173,7 @@
         position: cx.position(),
         newer,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        extension: None,
     }
 }
 
@@ -181,7 +182,13 @@
     let documents = &cx.documents;
     let applying = lock(&documents.applying);
     if documents.is_newer(document.version) {
-        let config = CompiledConfig::from(&document);
+        let config = match CompiledConfig::try_from(&document) {
+            Ok(config) => config,
+            Err(e) => {
+                tracing::error!(version = document.version, error = %e, "configuration refused");
+                return;
+            }
+        };
         let position = Position {
             config: config.version,
             store_generation: documents.generation.news(),
--- a/crates/daemon/src/dialect/mod.rs
+++ b/crates/daemon/src/dialect/mod.rs
@@ -70,6 +70,8 @@
     pub not_run: NotRunMark,
     /// Header with the service of the instance that the request comes from.
     pub caller_service: Option<HeaderName>,
+    /// Header with the tenant of the request.
+    pub tenant: Option<HeaderName>,
     /// Header with the load of a backend server.
     pub load: Option<HeaderName>,
     /// Parses what a backend server states about itself in the headers of a response.
@@ -95,6 +97,7 @@
                 value: Some(HeaderValue::from_static("not_run")),
             },
             caller_service: None,
+            tenant: None,
             load: None,
             condition: ConditionReader(|_| Condition::default()),
             proofs: None,
--- a/crates/daemon/src/proxy/call_error.rs
+++ b/crates/daemon/src/proxy/call_error.rs
@@ -5,7 +5,7 @@
 use baobabreel_client::wire::LoadWire;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::RouteName;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Response, StatusCode};
 
 use super::body::ProxyBody;
@@ -114,6 +114,9 @@
         if let Some(after) = retry_after.filter(|_| answer.retryable) {
             headers.insert(RETRY_AFTER, retry_after_value(after, dialect));
         }
+        if self.kind == ErrorKind::Unauthenticated {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if self.close {
             headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -255,7 +255,7 @@
         Ok(CallHead {
             route: self.route.name.clone(),
             service: service.clone(),
-            class: self.route.spec.class,
+            class: self.class,
             remaining_ms: dispatch::remaining_ms(self.cx, self.deadline)?,
             id: 0,
             retry: options.number > 1 || self.marked_as_retry,
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -5,12 +5,13 @@
 //! idempotency key to the daemon that owns the key.
 
 mod attempts;
+mod authenticate;
 mod owner;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use baobabreel_core::config::{CompiledConfig, Route};
+use baobabreel_core::config::{Class, CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::routing::{RequestLine, find_route};
@@ -18,6 +19,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version};
 
+use self::authenticate::{Authenticated, authenticate, class_of};
 use super::balance::RouteState;
 use super::body::ProxyBody;
 use super::call_error::CallError;
@@ -34,6 +36,10 @@
     cx: &'a Cx,
     config: Arc<CompiledConfig>,
     route: Arc<Route>,
+    /// Tenant of the request; `None` if its route needs no API key.
+    tenant: Option<Authenticated>,
+    /// Class of the request.
+    class: Class,
     /// Service that the request goes to; picked at random once if the route splits its traffic.
     service: ServiceName,
     state: Arc<RouteState>,
@@ -157,6 +163,7 @@
         span: &'a Span,
         start: Duration,
     ) -> Result<Self, CallError> {
+        let tenant = authenticate(cx, &config, &route, &parts.headers)?;
         let requested = headers::read_timeout(&parts.headers, &cx.settings.dialect.timeout)
             .map_err(|detail| CallError::new(ErrorKind::BadRequest, detail))?;
         let max_timeout = Duration::from_millis(route.spec.timeout_ms);
@@ -168,10 +175,13 @@
         let service = route.spec.pick_service(rand::random()).clone();
         let target = route.spec.target_latency.map(|latency| start + latency);
         let request_id = lines::request_id(cx, &parts.headers);
+        let class = class_of(&route, tenant.as_ref());
         Ok(Self {
             cx,
             config,
             route,
+            tenant,
+            class,
             service,
             state,
             deadline,
@@ -242,6 +252,7 @@
         if let (Some(name), Some(own)) = (&dialect.caller_service, &self.cx.settings.backend) {
             headers::write_text(&mut req.headers, name, &own.service);
         }
+        authenticate::write_headers(self.cx, &self.config, self.tenant.as_ref(), &mut req.headers);
         let own_service = self.cx.settings.backend.as_ref().map_or("", |own| &own.service);
         req.compute_digest(own_service);
         Ok(req)
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use baobabreel_client::wire::{DecodeHeadError, TenantHead};
 use baobabreel_core::quarantine::RequestDigest;
 use http::Uri;
 use http::header::{
@@ -28,6 +29,8 @@
 pub const CALLER_HOST: HeaderName = HeaderName::from_static("baobabreel-host");
 /// Digest of a request, in hexadecimal digits; see [`RequestDigest`].
 pub const DIGEST: HeaderName = HeaderName::from_static("baobabreel-digest");
+/// Tenant of a request, in calls between daemons; see [`TenantHead`].
+pub const TENANT_HEAD: HeaderName = HeaderName::from_static("baobabreel-tenant");
 /// Tells whether a request with a key is the first attempt.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("baobabreel-attempt");
 /// Marks a recorded response that is sent again.
@@ -78,7 +81,7 @@
 
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
-    for name in [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST] {
+    for name in [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST, TENANT_HEAD] {
         headers.remove(name);
     }
 }
@@ -94,6 +97,15 @@
     RequestDigest::from_str_radix(value.to_str().ok()?, 16).ok()
 }
 
+/// Removes and parses the tenant of a call; `None` if it has none.
+///
+/// # Errors
+///
+/// The header is malformed, so the tenant is not known.
+pub fn take_tenant(headers: &mut HeaderMap) -> Result<Option<TenantHead>, DecodeHeadError> {
+    headers.remove(TENANT_HEAD).map(|value| TenantHead::try_from(&value)).transpose()
+}
+
 /// Size of the request target and the headers as HTTP/1.1 writes them, in bytes.
 #[must_use]
 pub fn section_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -7,6 +7,7 @@
 mod local;
 mod run;
 mod slots;
+mod tenant;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,12 +76,17 @@
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = ready_backend(cx, head, deadline)?;
     let digest = headers::take_digest(req.headers_mut());
+    let tenant = headers::take_tenant(req.headers_mut())
+        .map_err(|e| CallError::new(ErrorKind::BadRequest, e.to_string()))?;
     cx.quarantine.check(digest, cx.clock.now())?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
     if cx.host.is_draining() {
         return Err(draining());
     }
     let permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
+    if let Some(tenant) = &tenant {
+        tenant::check_key(cx, head, tenant)?;
+    }
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     if let Some(mark) = req.extensions().get::<SendMark>() {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -40,6 +40,41 @@
     pub peer_connections: usize,
     /// Most concurrent connections to the backend server.
     pub backend_connections: usize,
+    /// Memory that the process may use, in bytes; `None` if it is not known.
+    pub memory_bytes: Option<u64>,
+    /// File descriptors that the process may open; `None` if it is not known.
+    pub descriptors: Option<usize>,
+    /// Rate of the instance's link, in bits per second; `None` if it is not known.
+    pub link_bits_per_sec: Option<u64>,
+}
+
+/// Revocation of API keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RevocationSettings {
+    /// Time after the acknowledgement of a configuration from which no request with a key that it took away may run.
+    pub bound: Duration,
+}
+
+/// Accuracy of the quotas of tenants, which all daemons share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaSettings {
+    /// Time over which the requests of a tenant are summed.
+    pub window: Duration,
+    /// Part of the requests that a quota allows in a window that may be sent beyond it.
+    pub overage: f64,
+    /// Number of requests in a window that may be sent beyond that.
+    pub slack: f64,
+}
+
+/// Bounds of roll-outs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RolloutSettings {
+    /// Part of the requests of a service that a release which may be bad gets at most.
+    pub canary_share: f64,
+    /// Number of requests that it may get beyond that.
+    pub canary_slack: f64,
+    /// Time after which a release that has shown to be bad must get no request.
+    pub rollback_within: Duration,
 }
 
 /// How requests are balanced, admitted and retried.
@@ -142,6 +177,12 @@
     pub policy: Policy,
     /// Limits on retries.
     pub retry: RetrySettings,
+    /// Revocation of API keys; `None` if it may take as long as that of any other part of a configuration.
+    pub revocation: Option<RevocationSettings>,
+    /// Quotas of tenants; `None` if they are not kept.
+    pub quota: Option<QuotaSettings>,
+    /// Roll-outs; `None` if there are none.
+    pub rollout: Option<RolloutSettings>,
     /// Newest schema version that the daemon uses.
     pub max_schema: SchemaVersion,
     /// Share of requests whose spans are written, 0 to 1.
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -176,6 +176,9 @@
             threads: usize::try_from(threads).ok()?,
             policy,
             retry: RetrySettings::default(),
+            revocation: None,
+            quota: None,
+            rollout: None,
             max_schema: u32::try_from(max_schema).ok()?,
             trace_share,
             log_filter,
@@ -238,6 +241,9 @@
             caller_connections: usize::try_from(callers).ok()?,
             peer_connections: usize::try_from(peers).ok()?,
             backend_connections: usize::try_from(backend).ok()?,
+            memory_bytes: None,
+            descriptors: None,
+            link_bits_per_sec: None,
         })
     }
 
--- a/crates/testsuite/tests/documents.rs
+++ b/crates/testsuite/tests/documents.rs
@@ -25,6 +25,7 @@
             header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         },
+        tenants: None,
     }
 }
 
