--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -39,6 +39,9 @@
 /// from each other, so each notices it by itself.
 const POLL_END_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same where reads that do not wait notice the loss too. The polls then are the smaller part of the calls.
+const POLL_END_INTERVAL_BESIDE_READS: Duration = Duration::from_secs(4);
+
 /// Shortest time for which a poll is open. One that ended slightly before its time is not followed by another
 /// one for the rest of it.
 const MIN_POLL_TIME: Duration = Duration::from_millis(100);
@@ -123,9 +126,20 @@
     /// How long a poll that begins at `now`, the time of day, may stay open.
     #[must_use]
     pub fn poll_time(self, now: Duration) -> Duration {
-        let round = POLL_END_INTERVAL.mul_f64(self.readers as f64).min(MAX_POLL_TIME);
+        self.poll_time_for(POLL_END_INTERVAL, now)
+    }
+
+    /// Like [`poll_time`](Self::poll_time), where some reader of the data centre also reads the platform about once a
+    /// second without waiting, which notices lost polls too.
+    #[must_use]
+    pub fn poll_time_beside_reads(self, now: Duration) -> Duration {
+        self.poll_time_for(POLL_END_INTERVAL_BESIDE_READS, now)
+    }
+
+    fn poll_time_for(self, end_interval: Duration, now: Duration) -> Duration {
+        let round = end_interval.mul_f64(self.readers as f64).min(MAX_POLL_TIME);
         let data_centre_part = self.data_centre_rank as f64 / self.data_centres as f64;
-        let end = POLL_END_INTERVAL.mul_f64(self.rank as f64 + data_centre_part).as_millis();
+        let end = end_interval.mul_f64(self.rank as f64 + data_centre_part).as_millis();
         let round_ms = round.as_millis();
         let left_ms = (end + round_ms - now.as_millis() % round_ms) % round_ms;
         let left = Duration::from_millis(u64::try_from(left_ms).unwrap_or_default());
@@ -162,6 +176,39 @@
     relays.map(|id| members[id]).collect()
 }
 
+/// The document relays of the data centre of `own`, and those of the others, except itself; each in rank order.
+#[must_use]
+pub fn document_relays<'a>(
+    members: impl IntoIterator<Item = &'a Member>,
+    own: &Member,
+) -> (Vec<&'a Member>, Vec<&'a Member>) {
+    let (mut local, mut remote) = (Vec::new(), Vec::new());
+    for (data_centre, members) in by_data_centre(members) {
+        let relays = split_relays(&members).0.into_iter().filter(|id| *id != own.id);
+        let found = if data_centre == own.data_centre { &mut local } else { &mut remote };
+        found.extend(relays.map(|id| members[id]));
+    }
+    (local, remote)
+}
+
+/// Number of daemons of the data centre that read the platform for it before `own` does; `None` if `own` does not, or
+/// only for itself.
+#[must_use]
+pub fn reader_rank(
+    members: &[&Member],
+    own: &Member,
+    can_read: impl Fn(&Member) -> bool,
+) -> Option<usize> {
+    if !ReadRole::of(members, own, &can_read).reads() {
+        return None;
+    }
+    let local = local_members(members.iter().copied(), own);
+    let (relays, others) = split_relays(&local);
+    let readers = relays.into_iter().chain(others);
+    let mut able = readers.filter(|id| *id == own.id || can_read(local[id]));
+    able.position(|id| id == own.id)
+}
+
 /// Group in which `own`, which is no relay, reads the platform once no relay answers. The first group has as many
 /// daemons as there are relays.
 #[must_use]
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -26,7 +26,8 @@
 };
 pub use documents::{
     DocumentReadPolicy, OWN_READ_GRACE, PollTurn, ReadReason, ReadRole, document_relay_count,
-    is_document_relay, keeps_copy, notice_targets, other_document_relays, substitute_group,
+    document_relays, is_document_relay, keeps_copy, notice_targets, other_document_relays,
+    reader_rank, substitute_group,
 };
 pub use freshness::Freshness;
 pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
