Serve requests with API keys only under a lease on the configuration

What callers saw: where a bound on revocation was set, a daemon that the store turned away, or that had just started, accepted a revoked key for any time. Cause: the bound of the settings was read and not used. Change: each completed read of the operator's topic proves the version in force as of the time when it was sent, on the boot clock. Without a valid proof, requests with keys get 503 before the key is judged; the lease is checked again before each attempt and right before a request goes to the backend server, where the entry daemon's time left (TenantHead::lease_ms) or the host's own lease counts. Without a bound nothing changes.

--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -79,6 +79,9 @@
     pub name: TenantName,
     /// Digest of the API key that the caller sent.
     pub key_digest: KeyDigest,
+    /// Milliseconds for which the entry daemon may still have calls started, where revocation has a bound.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_ms: Option<u64>,
 }
 
 /// Asks a daemon for the state of a call.
--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -194,10 +194,15 @@
         self.next_read_at = now + self.part(doubled.min(longest) * (0.5 + jitter));
     }
 
-    /// Records that a read gave a proof that is newer than those known.
-    pub fn read_proved(&mut self) {
+    /// Records that a read ended without a failure.
+    pub fn read_ended(&mut self) {
         self.is_reading = false;
         self.failed_reads = 0;
+    }
+
+    /// Records that a read ended and gave a proof that is newer than those known.
+    pub fn read_proved(&mut self) {
+        self.read_ended();
         self.is_own = true;
     }
 
--- a/crates/daemon/src/context/clock.rs
+++ b/crates/daemon/src/context/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Monotonic clock that counts from the start of the daemon, and the wall clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -21,6 +23,14 @@
         self.start.elapsed()
     }
 
+    /// Time since the start of the machine; also advances while the machine is suspended, and nobody sets it.
+    #[must_use]
+    pub fn boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+        Duration::new(secs, u32::try_from(time.tv_nsec).unwrap_or_default())
+    }
+
     /// Wall-clock time since the Unix epoch; zero if the clock is set to an earlier time.
     #[must_use]
     pub fn wall(&self) -> Duration {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -31,7 +31,7 @@
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Documents, Follower, Membership, Readers};
+use crate::control::{Distribution, Documents, Follower, Lease, Membership, Readers};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
 use crate::settings::{ConfigSource, Settings};
@@ -124,6 +124,8 @@
     pub log: Option<LogClient>,
     /// Newest configuration document, where the configuration comes as documents.
     pub documents: Documents,
+    /// Lease on the freshness of the configuration, where revocation has a bound.
+    pub lease: Lease,
     /// Evidence about requests that crash backend servers.
     pub quarantine: Arc<Quarantine>,
     /// Which daemons of the data centre can read the documents.
@@ -164,6 +166,7 @@
             follower: Follower::default(),
             log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
             documents: Documents::default(),
+            lease: Lease::new(settings.revocation),
             quarantine: Arc::default(),
             readers: Readers::default(),
             http,
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -169,11 +169,12 @@
     // Read before the position: the age then belongs to the document in the position or to an older one.
     let age = lock(&cx.documents.freshness).age(cx.clock.now());
     let newer = if query.with_document { cx.documents.newer_than(query.known) } else { None };
+    let position = cx.position();
     DocumentAnswer {
-        position: cx.position(),
+        position,
         newer,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        extension: None,
+        extension: cx.lease.extension(cx, position),
     }
 }
 
@@ -337,6 +338,7 @@
 /// Asks a daemon whether it has a newer document, and applies the document if the query requests it. Returns whether
 /// it answered within `timeout`.
 async fn query_peer(cx: &Cx, from: SocketAddr, query: DocumentQuery, timeout: Duration) -> bool {
+    let queried_at = cx.clock.boot();
     let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
     let Some(answer) = answer else { return false };
     match answer.newer.as_ref().map(Document::try_from) {
@@ -346,6 +348,9 @@
         }
         None => {}
     }
+    if let Some(extension) = &answer.extension {
+        cx.lease.adopt(cx, answer.position, extension, queried_at);
+    }
     if !query.with_document {
         note_position(cx, from, answer.position);
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod follower;
 mod generation;
 mod gossip;
+mod lease;
 mod membership;
 mod push;
 mod reading;
@@ -31,6 +32,7 @@
 };
 pub use follower::Follower;
 pub use generation::StoreGeneration;
+pub use lease::Lease;
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
 pub use reading::{Readers, announce as announce_reading};
@@ -124,6 +126,8 @@
         if let ConfigOwner::Documents(cx) = &config {
             let (watch, stopped) = (relay_watch::run(Arc::clone(cx)), stop.clone());
             tasks.spawn(async move { stopped.run_until_cancelled(watch).await });
+            let (queries, stopped) = (lease::run(Arc::clone(cx)), stop.clone());
+            tasks.spawn(async move { stopped.run_until_cancelled(queries).await });
         }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
--- a/crates/daemon/src/daemon/handle.rs
+++ b/crates/daemon/src/daemon/handle.rs
@@ -109,7 +109,36 @@
             Some(own) => PollTurn::of(members.live(), own),
             None => PollTurn { rank: 0, readers: 1, data_centre_rank: 0, data_centres: 1 },
         };
-        turn.poll_time(self.cx.clock.wall())
+        let wall = self.cx.clock.wall();
+        if self.cx.lease.is_needed(&self.cx) {
+            turn.poll_time_beside_reads(wall)
+        } else {
+            turn.poll_time(wall)
+        }
+    }
+
+    /// Time on the clock by which proofs are dated; see [`document_proved`](Self::document_proved).
+    #[must_use]
+    pub fn proof_clock(&self) -> Duration {
+        self.cx.clock.boot()
+    }
+
+    /// Records that a query which was sent at `sent_at` has returned all documents that the platform had, and that they
+    /// were offered.
+    pub fn document_proved(&self, sent_at: Duration) {
+        self.cx.lease.prove(&self.cx, sent_at);
+    }
+
+    /// Waits until the adapter has to read the platform at once to prove that the document is the newest one. Returns
+    /// the time for the answer. The end of the read has to be reported.
+    pub async fn proof_needed(&self) -> Duration {
+        self.cx.lease.read_needed(&self.cx).await
+    }
+
+    /// Records that such a read failed. What is wrong with it may be wrong with an open poll too.
+    pub fn proof_failed(&self) {
+        self.cx.lease.read_failed(&self.cx);
+        self.cx.readers.raise_alarm();
     }
 
     /// Generation of the platform's store, which the adapter and the other daemons report.
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire};
+use baobabreel_client::wire::{AnswerHead, CallHead, LoadWire, TenantHead};
 use baobabreel_core::balance::Failure as EndpointFailure;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
@@ -22,6 +22,7 @@
 use super::call_wait::{self, Callee, WaitOptions, WaitResult};
 use super::headers;
 use super::host;
+use super::lease;
 use super::peer_call::CALL_PREFIX;
 use super::pool::{PooledConnection, SendError};
 use super::sends::SendMark;
@@ -76,6 +77,14 @@
     deadline: Duration,
     can_resend: impl Fn() -> bool,
 ) -> Result<Response<ProxyBody>, CallError> {
+    let tenant = req.headers().get(headers::TENANT_HEAD).cloned();
+    let record_failure = |guard, e: CallError| {
+        let tenant = tenant.as_ref().and_then(|value| TenantHead::try_from(value).ok());
+        if lease::is_cause(cx, head.version, tenant.as_ref(), &e) {
+            return e;
+        }
+        record_failure(guard, e)
+    };
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::forward_to_backend(cx, head, req).await {
             Ok(admitted) => {
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -9,13 +9,14 @@
 use baobabreel_core::retry::{Attempt, Failure, RetryDecision, decide_retry, hedge_delay};
 use http::{Request, Response};
 
-use super::Call;
+use super::{Call, authenticate};
 use crate::proxy::balance::CallGuard;
 use crate::proxy::body::ProxyBody;
 use crate::proxy::budgets::BudgetUse;
 use crate::proxy::call_error::CallError;
 use crate::proxy::caller_request::CallerRequest;
 use crate::proxy::dispatch;
+use crate::proxy::lease;
 use crate::proxy::lines::{self, AnsweredBy, FailedAttempt};
 
 /// Options of one attempt.
@@ -93,7 +94,12 @@
                 continue;
             }
             let e = combine(earlier.take(), e);
-            if !req.can_resend() || !is_worth_retrying(&e) || self.remaining().is_zero() {
+            let tenant = self.tenant.as_ref().map(|tenant| &tenant.head);
+            if !req.can_resend()
+                || !is_worth_retrying(&e)
+                || self.remaining().is_zero()
+                || lease::is_cause(self.cx, self.config.version, tenant, &e)
+            {
                 return Err(e);
             }
             if is_misdirected(&e) && refusals < self.cx.settings.retry.max_misdirected_retries {
@@ -232,6 +238,8 @@
         options: SendOptions,
     ) -> Result<Response<ProxyBody>, CallError> {
         let head = self.head(service, options)?;
+        let tenant = self.tenant.as_ref();
+        authenticate::renew_lease(self.cx, &self.config, tenant, req.headers_mut())?;
         let mark = self.sends.begin();
         req.extensions_mut().insert(mark.clone());
         let daemon = guard.name().to_owned();
--- a/crates/daemon/src/proxy/entry/authenticate.rs
+++ b/crates/daemon/src/proxy/entry/authenticate.rs
@@ -11,7 +11,7 @@
 
 use crate::context::Cx;
 use crate::proxy::call_error::CallError;
-use crate::proxy::headers;
+use crate::proxy::{headers, lease};
 
 /// Start of the value of `Authorization`; the API key follows.
 const SCHEME: &str = "Bearer ";
@@ -40,6 +40,7 @@
     let Some(tenants) = config.tenants.as_ref().filter(|_| !route.spec.anonymous) else {
         return Ok(None);
     };
+    lease::check_version(cx, config.version)?;
     let key = read_key(headers)?;
     let Some(tenant) = tenants.find(key) else {
         return Err(if cx.documents.is_unconfirmed() {
@@ -49,7 +50,8 @@
             unauthenticated("the API key is not known")
         });
     };
-    let head = TenantHead { name: tenant.name.clone(), key_digest: digest_key(key) };
+    let (name, key_digest) = (tenant.name.clone(), digest_key(key));
+    let head = TenantHead { name, key_digest, lease_ms: None };
     Ok(Some(Authenticated { tenant: Arc::clone(tenant), head }))
 }
 
@@ -91,6 +93,25 @@
     }
 }
 
+/// Checks the lease again before an attempt, and tells the host daemon how long it lasts.
+///
+/// # Errors
+///
+/// [`ErrorKind::NotReady`] if it has ended.
+pub(super) fn renew_lease(
+    cx: &Cx,
+    config: &CompiledConfig,
+    authenticated: Option<&Authenticated>,
+    headers: &mut HeaderMap,
+) -> Result<(), CallError> {
+    let Some(Authenticated { head, .. }) = authenticated else { return Ok(()) };
+    if let Some(left) = lease::time_left(cx, config.version, head)? {
+        let head = TenantHead { lease_ms: Some(lease::to_millis(left)), ..head.clone() };
+        headers.insert(headers::TENANT_HEAD, (&head).into());
+    }
+    Ok(())
+}
+
 /// Class of a request: that of its tenant, if it has one, otherwise that of its route.
 pub(super) fn class_of(route: &Route, authenticated: Option<&Authenticated>) -> Class {
     authenticated.and_then(|found| found.tenant.class).unwrap_or(route.spec.class)
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -252,7 +252,9 @@
         if let (Some(name), Some(own)) = (&dialect.caller_service, &self.cx.settings.backend) {
             headers::write_text(&mut req.headers, name, &own.service);
         }
-        authenticate::write_headers(self.cx, &self.config, self.tenant.as_ref(), &mut req.headers);
+        let tenant = self.tenant.as_ref();
+        authenticate::write_headers(self.cx, &self.config, tenant, &mut req.headers);
+        authenticate::renew_lease(self.cx, &self.config, tenant, &mut req.headers)?;
         let own_service = self.cx.settings.backend.as_ref().map_or("", |own| &own.service);
         req.compute_digest(own_service);
         Ok(req)
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -28,6 +28,7 @@
 use super::body::{Guard, ProxyBody, Tracked};
 use super::call_error::CallError;
 use super::headers;
+use super::lease;
 use super::lines::{self, HostedRequest};
 use super::pool::SendError;
 use super::response_check::{check_origin, check_response};
@@ -78,6 +79,7 @@
     let digest = headers::take_digest(req.headers_mut());
     let tenant = headers::take_tenant(req.headers_mut())
         .map_err(|e| CallError::new(ErrorKind::BadRequest, e.to_string()))?;
+    let lease_end = tenant.as_ref().map(|tenant| lease::end_at_entry(cx, tenant));
     cx.quarantine.check(digest, cx.clock.now())?;
     let mut guard = cx.host.admit(cx, head, deadline).await?;
     if cx.host.is_draining() {
@@ -87,6 +89,9 @@
     if let Some(tenant) = &tenant {
         tenant::check_key(cx, head, tenant)?;
     }
+    if let Some(lease_end) = lease_end {
+        lease::check_at_host(cx, lease_end)?;
+    }
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     if let Some(mark) = req.extensions().get::<SendMark>() {
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -17,6 +17,7 @@
 mod headers;
 mod host;
 mod keyed;
+mod lease;
 mod lines;
 mod peer_call;
 mod pool;
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -25,6 +25,8 @@
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
+    proof_age: Gauge<f64>,
+    lease_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -73,6 +75,15 @@
                 .u64_gauge("baobabreel.config.held")
                 .with_description("1 while the daemon holds its last whole version")
                 .build(),
+            proof_age: meter
+                .f64_gauge("baobabreel.revocation.proof.age")
+                .with_unit("s")
+                .with_description("Age of the proof that the configuration is the newest one")
+                .build(),
+            lease_refusals: meter
+                .u64_counter("baobabreel.revocation.refusals")
+                .with_description("Requests with API keys refused for lack of such a proof")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -115,6 +126,16 @@
         self.held.record(u64::from(held), &[]);
     }
 
+    /// Records the age of the proof that the configuration is the newest one.
+    pub fn record_proof_age(&self, age: Duration) {
+        self.proof_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Counts a request that was refused for lack of such a proof.
+    pub fn record_lease_refusal(&self) {
+        self.lease_refusals.add(1, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
