Share the quotas of tenants among all daemons

Callers saw: a tenant could send any number of requests, whatever its quota. Cause: no daemon counted the requests of a tenant. Change: each tenant has an account at the daemon that ranks first for its name. Entry daemons lease tokens from it for a quarter of a second, in advance where demand is steady. A holder grants only the part of the rate that belongs to the members in contact, a new one waits 1.5 s and starts without tokens, and a daemon that was paused for a second starts anew. While no account answers, a daemon spends its part of a reserve. Before: no limit.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod membership;
 pub mod prelude;
 pub mod quarantine;
+pub mod quota;
 pub mod registration;
 pub mod registry;
 pub mod relay;
--- /dev/null
+++ b/crates/core/src/quota/account.rs
@@ -0,0 +1,280 @@
+//! Accounts of tenants, at the daemon that ranks first for their names.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::contact::{Contacts, SETTLE, Sighting};
+use super::{Bounds, HANDOVER, PAUSE};
+use crate::id::{DaemonId, DataCentre, TenantName};
+use crate::membership::Members;
+use crate::rendezvous;
+use crate::tenants::Quota;
+
+/// Time for which the granted share of the rate is remembered. An account that was not used for that long is dropped,
+/// and made again from what is remembered.
+const HISTORY: Duration = Duration::from_secs(10);
+
+/// Longest time after which an entry daemon may ask again for tokens that there are.
+const MAX_PACE: Duration = Duration::from_millis(100);
+/// Time between two reviews of the contact with other daemons.
+const REVIEW: Duration = Duration::from_millis(50);
+
+/// Answer of a holder to a request for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// The daemon holds the account.
+    Granted {
+        /// Number of tokens, possibly none.
+        tokens: u32,
+        /// Time until the account has a further token.
+        wait: Duration,
+    },
+    /// The account is held by another daemon, or the leases of its previous holder may not have expired.
+    NotHeld,
+}
+
+/// Token bucket of one tenant. Its time is the integral over the granted share of the rate.
+#[derive(Debug, Clone, Copy)]
+struct Account {
+    quota: Quota,
+    tokens: f64,
+    updated: f64,
+    used_at: Duration,
+}
+
+impl Account {
+    fn update(&mut self, quota: Quota, share_time: f64) {
+        // What has accrued so far accrued at the old rate.
+        self.tokens += self.quota.per_sec * (share_time - self.updated).max(0.0);
+        self.tokens = self.tokens.min(capacity(&self.quota)).min(capacity(&quota));
+        self.updated = share_time;
+        self.quota = quota;
+    }
+}
+
+/// Largest balance; with less than one token, no request could ever be sent.
+fn capacity(quota: &Quota) -> f64 {
+    quota.burst.max(1.0)
+}
+
+/// Accounts of the tenants for which a daemon ranks first, and its contact with other daemons.
+#[derive(Debug)]
+pub struct Accounts {
+    own: DaemonId,
+    bounds: Bounds,
+    contacts: Contacts,
+    candidates: BTreeSet<DaemonId>,
+    accounts: BTreeMap<TenantName, Account>,
+    /// Integral of the share over time, in seconds.
+    share_time: f64,
+    share: f64,
+    /// Earlier values of `share_time`, the oldest one first.
+    history: VecDeque<(Duration, f64)>,
+    advanced: Duration,
+    next_review: Duration,
+    /// Time at which accounts can be granted from, whoever held them before.
+    opens_at: Duration,
+    /// Members that are no longer candidates, and the time at which their accounts can be granted from.
+    gone: BTreeMap<DaemonId, Duration>,
+}
+
+impl Accounts {
+    /// Accounts of a daemon that starts at `now`. Others may have held them before.
+    #[must_use]
+    pub fn new(own: DaemonId, own_centre: DataCentre, bounds: Bounds, now: Duration) -> Self {
+        let contacts = Contacts::new(own.clone(), own_centre);
+        Self {
+            candidates: BTreeSet::from([own.clone()]),
+            own,
+            bounds,
+            contacts,
+            accounts: BTreeMap::new(),
+            share_time: 0.0,
+            share: 0.0,
+            history: VecDeque::new(),
+            advanced: now,
+            next_review: now,
+            opens_at: now + HANDOVER,
+            gone: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the members.
+    pub fn set_members(&mut self, members: &Members, now: Duration) {
+        self.advance(now);
+        self.contacts.set_members(members, self.bounds.forgettable_share());
+        self.review(now);
+    }
+
+    /// Records a message from another daemon.
+    pub fn on_message(&mut self, from: &str, seen: Sighting, now: Duration) {
+        self.advance(now);
+        if self.contacts.on_message(from, seen, now) {
+            // Not all others know this daemon yet, and ask the previous holder.
+            self.opens_at = self.opens_at.max(now + HANDOVER);
+        }
+    }
+
+    /// What to send with a message to another daemon.
+    #[must_use]
+    pub fn sighting(&self, of: &str) -> Sighting {
+        // Others count this daemon's data centre after `SETTLE`, when its own accounts open as well.
+        let is_settled = self.advanced + SETTLE >= self.opens_at;
+        let view = is_settled.then(|| self.contacts.view());
+        Sighting { view, knows_receiver: self.contacts.knows(of) }
+    }
+
+    /// Contact with other daemons.
+    #[must_use]
+    pub fn contacts(&self) -> &Contacts {
+        &self.contacts
+    }
+
+    /// Brings the state to `now`. It must be called several times a second; after a gap of [`PAUSE`], other daemons
+    /// may hold the accounts.
+    pub fn advance(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.advanced);
+        self.advanced = self.advanced.max(now);
+        if gap > PAUSE {
+            self.accounts.clear();
+            self.contacts.clear();
+            self.history.clear();
+            self.opens_at = now + HANDOVER;
+        } else {
+            self.share_time += self.share * gap.as_secs_f64();
+        }
+        if gap > PAUSE || now >= self.next_review {
+            self.review(now);
+        }
+    }
+
+    /// Determines anew who is in contact, and so which accounts this daemon holds.
+    fn review(&mut self, now: Duration) {
+        self.next_review = now + REVIEW;
+        self.history.push_back((now, self.share_time));
+        while self.history.front().is_some_and(|(at, _)| *at + HISTORY < now) {
+            self.history.pop_front();
+        }
+        self.accounts.retain(|_, account| account.used_at + HISTORY > now);
+        self.gone.retain(|_, opens_at| *opens_at + HISTORY > now);
+        self.contacts.advance(now);
+        self.share = self.contacts.share(now);
+        self.update_candidates(now);
+    }
+
+    fn update_candidates(&mut self, now: Duration) {
+        let candidates = self.contacts.candidates(now);
+        if candidates == self.candidates {
+            return;
+        }
+        for id in self.candidates.difference(&candidates) {
+            // A member that left has granted nothing since.
+            let has_left = self.contacts.has_left(id);
+            let delay = if has_left { self.bounds.lease() } else { HANDOVER };
+            self.gone.insert(id.clone(), now + delay);
+        }
+        self.gone.retain(|id, _| !candidates.contains(id));
+        self.candidates = candidates;
+        let (own, candidates) = (&self.own, &self.candidates);
+        self.accounts.retain(|tenant, _| first(tenant, candidates) == Some(own.as_str()));
+    }
+
+    /// The daemon that holds the account of a tenant, if any is in contact.
+    #[must_use]
+    pub fn holder(&self, tenant: &str) -> Option<&str> {
+        first(tenant, &self.candidates)
+    }
+
+    /// Whether this daemon holds the account of a tenant.
+    #[must_use]
+    pub fn is_holder(&self, tenant: &str) -> bool {
+        self.holder(tenant) == Some(self.own.as_str())
+    }
+
+    /// Grants at most `wanted` tokens of a tenant.
+    pub fn grant(&mut self, tenant: &str, quota: Quota, wanted: u32, now: Duration) -> Decision {
+        self.advance(now);
+        if !self.is_holder(tenant) {
+            return Decision::NotHeld;
+        }
+        if !self.accounts.contains_key(tenant) {
+            let opens_at = self.opening(tenant);
+            if now < opens_at {
+                return Decision::NotHeld;
+            }
+            let accrued = quota.per_sec * (self.share_time - self.share_time_at(opens_at)).max(0.0);
+            let tokens = accrued.min(capacity(&quota));
+            let account = Account { quota, tokens, updated: self.share_time, used_at: now };
+            self.accounts.insert(tenant.to_owned(), account);
+        }
+        let Some(account) = self.accounts.get_mut(tenant) else { return Decision::NotHeld };
+        account.update(quota, self.share_time);
+        account.used_at = now;
+        let tokens = wanted.min(account.tokens as u32);
+        account.tokens -= f64::from(tokens);
+        let rate = (quota.per_sec * self.share).max(f64::MIN_POSITIVE);
+        let mut wait = (1.0 - account.tokens).max(0.0) / rate;
+        if tokens == 0 {
+            // Daemons that ask again at once would get one token each time.
+            wait = wait.max((capacity(&quota) / rate / 2.0).min(MAX_PACE.as_secs_f64()));
+        }
+        let wait = Duration::from_secs_f64(wait.min(self.bounds.window.as_secs_f64()));
+        Decision::Granted { tokens, wait }
+    }
+
+    /// Time from which this daemon may grant tokens of an account that it holds: when those of each earlier holder have
+    /// expired.
+    fn opening(&self, tenant: &str) -> Duration {
+        let ranks_before_own =
+            |id: &str| rendezvous::first(tenant.as_bytes(), [id, self.own.as_str()]) == Some(id);
+        let gone = self.gone.iter().filter(|(id, _)| ranks_before_own(id));
+        gone.map(|(_, opens_at)| *opens_at).fold(self.opens_at, Duration::max)
+    }
+
+    /// The integral of the share at `time`; a later value if it is not remembered.
+    fn share_time_at(&self, time: Duration) -> f64 {
+        let sample = self.history.iter().find(|(at, _)| *at >= time);
+        sample.map_or(self.share_time, |(_, share_time)| *share_time)
+    }
+
+    /// Drops the accounts of all tenants that `keeps` does not name.
+    pub fn retain(&mut self, keeps: impl Fn(&str) -> bool) {
+        self.accounts.retain(|tenant, _| keeps(tenant));
+    }
+
+    /// Number of requests of a tenant that this daemon may send in a window while no account answers. Where the
+    /// reserve has less than one request for each member, the members that rank first for the tenant have one each.
+    #[must_use]
+    pub fn reserve_part(&self, tenant: &str, quota: &Quota) -> u32 {
+        let reserve = self.bounds.reserve(quota);
+        let counted = self.contacts.counted();
+        let each = reserve / counted.len().max(1) as f64;
+        if each >= 1.0 {
+            return each as u32;
+        }
+        let ranked = rendezvous::rank(tenant.as_bytes(), counted.iter().map(String::as_str));
+        u32::from(ranked.iter().take(reserve as usize).any(|id| *id == self.own))
+    }
+
+    /// Part of the rates that this daemon grants.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Number of accounts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Whether there is no account.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+}
+
+fn first<'a>(tenant: &str, candidates: &'a BTreeSet<DaemonId>) -> Option<&'a str> {
+    rendezvous::first(tenant.as_bytes(), candidates.iter().map(String::as_str))
+}
--- a/crates/core/src/tenants/table.rs
+++ b/crates/core/src/tenants/table.rs
@@ -78,6 +78,12 @@
         self.by_name.values()
     }
 
+    /// Whether any tenant has a quota.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        self.iter().any(|tenant| tenant.quota.is_some())
+    }
+
     /// Number of tenants.
     #[must_use]
     pub fn len(&self) -> usize {
--- /dev/null
+++ b/crates/core/tests/quota_support/mod.rs
@@ -0,0 +1,321 @@
+//! A mesh of simulated daemons that keep the quota of one tenant.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use baobabreel_core::membership::{MemberState, Members};
+use baobabreel_core::quota::*;
+use baobabreel_core::tenants::Quota;
+
+use crate::support::member;
+
+/// Number of daemons, and of their data centres.
+pub const DAEMONS: usize = 9;
+pub const CENTRES: usize = 3;
+/// Time between two steps; a message and its answer take one.
+pub const STEP: Duration = Duration::from_millis(5);
+pub const BOUNDS: Bounds = Bounds { window: Duration::from_secs(5), overage: 0.1, slack: 20.0 };
+
+const TENANT: &str = "tenant-1";
+/// Time after which others suspect a member that does not answer, declare it dead, and hear that it is back.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_200);
+const DEAD_AFTER: Duration = Duration::from_millis(4_200);
+const BACK_AFTER: Duration = Duration::from_millis(400);
+/// Largest difference between the times at which two daemons hear of the same change.
+const SPREAD_STEPS: usize = 60;
+
+/// Something that happens to the mesh.
+#[derive(Debug, Clone)]
+pub enum Disturbance {
+    Cut { centre: usize, time: Duration },
+    Pause { daemon: usize, time: Duration },
+    Crash { daemon: usize, time: Duration },
+    Leave { daemon: usize, time: Duration },
+    CrashAll { time: Duration },
+    Limit { per_sec: f64 },
+}
+
+#[derive(Debug)]
+struct Daemon {
+    accounts: Accounts,
+    allowances: Allowances,
+    down_until: Duration,
+    /// Whether the daemon starts anew when it is up again; a paused one goes on.
+    restarts: bool,
+    down_since: Duration,
+    up_since: Duration,
+    has_left: bool,
+    incarnation: u64,
+    /// Requests that are due, in parts of one.
+    due: f64,
+}
+
+pub struct Mesh {
+    pub quota: Quota,
+    pub refused: usize,
+    daemons: Vec<Daemon>,
+    /// Time until which each data centre is cut off.
+    cut_until: [Duration; CENTRES],
+    sent: Vec<Duration>,
+    limits: Vec<(Duration, Quota)>,
+}
+
+fn id(daemon: usize) -> String {
+    member(daemon, daemon % CENTRES).id
+}
+
+fn start(daemon: usize, now: Duration) -> (Accounts, Allowances) {
+    let own = member(daemon, daemon % CENTRES);
+    (Accounts::new(own.id, own.data_centre, BOUNDS, now), Allowances::new(BOUNDS))
+}
+
+impl Mesh {
+    pub fn new(quota: Quota) -> Self {
+        let new_daemon = |daemon| {
+            let (accounts, allowances) = start(daemon, Duration::ZERO);
+            Daemon {
+                accounts,
+                allowances,
+                down_until: Duration::ZERO,
+                restarts: false,
+                down_since: Duration::ZERO,
+                up_since: Duration::ZERO,
+                has_left: false,
+                incarnation: 1_000,
+                due: 0.0,
+            }
+        };
+        let mut mesh = Self {
+            quota,
+            refused: 0,
+            daemons: (0..DAEMONS).map(new_daemon).collect(),
+            cut_until: [Duration::ZERO; CENTRES],
+            sent: Vec::new(),
+            limits: vec![(Duration::ZERO, quota)],
+        };
+        for daemon in 0..DAEMONS {
+            mesh.update_members(daemon, Duration::ZERO);
+        }
+        mesh
+    }
+
+    /// The daemon that ranks first for the tenant.
+    pub fn holder(&self) -> usize {
+        let ids: Vec<String> = (0..DAEMONS).map(id).collect();
+        let ranked =
+            baobabreel_core::rendezvous::first(TENANT.as_bytes(), ids.iter().map(String::as_str));
+        ids.iter().position(|id| Some(id.as_str()) == ranked).expect("a holder")
+    }
+
+    pub fn reserve_parts(&self, tenant: &str) -> impl Iterator<Item = u32> {
+        self.daemons.iter().map(|daemon| daemon.accounts.reserve_part(tenant, &self.quota))
+    }
+
+    fn is_up(&self, daemon: usize, now: Duration) -> bool {
+        now >= self.daemons[daemon].down_until
+    }
+
+    fn is_linked(&self, a: usize, b: usize, now: Duration) -> bool {
+        let (a, b) = (a % CENTRES, b % CENTRES);
+        a == b || (now >= self.cut_until[a] && now >= self.cut_until[b])
+    }
+
+    /// Members as `observer` knows them: changes arrive late, at each daemon at another time. A data centre that is
+    /// cut off stays live, since the membership takes long to find out.
+    fn update_members(&mut self, observer: usize, now: Duration) {
+        let mut members = Members::default();
+        for (index, other) in self.daemons.iter().enumerate() {
+            let mut statement = member(index, index % CENTRES);
+            statement.incarnation = other.incarnation;
+            let spread = STEP * (((observer * 7 + index * 13) % SPREAD_STEPS) as u32);
+            let down_for = now.saturating_sub(other.down_since + spread);
+            let up_for = now.saturating_sub(other.up_since + spread);
+            let was_down = other.down_since > Duration::ZERO;
+            let seems_down = was_down && (now < other.down_until || up_for < BACK_AFTER);
+            statement.state = match () {
+                () if index == observer || !seems_down => MemberState::Ready,
+                () if other.has_left => MemberState::Left,
+                () if down_for > DEAD_AFTER => MemberState::Dead,
+                () if down_for > SUSPECT_AFTER => MemberState::Suspect,
+                () => MemberState::Ready,
+            };
+            members.merge(statement);
+        }
+        self.daemons[observer].accounts.set_members(&members, now);
+    }
+
+    fn disturb(&mut self, event: &Disturbance, now: Duration) {
+        let mut stop = |daemon: usize, time: Duration, restarts: bool, has_left: bool| {
+            let daemon = &mut self.daemons[daemon];
+            if now < daemon.down_until {
+                return;
+            }
+            (daemon.down_since, daemon.down_until) = (now, now + time);
+            daemon.up_since = now + time;
+            (daemon.restarts, daemon.has_left) = (restarts, has_left);
+        };
+        match *event {
+            Disturbance::Cut { centre, time } => self.cut_until[centre] = now + time,
+            Disturbance::Pause { daemon, time } => stop(daemon, time, false, false),
+            Disturbance::Crash { daemon, time } => stop(daemon, time, true, false),
+            Disturbance::Leave { daemon, time } => stop(daemon, time, true, true),
+            Disturbance::CrashAll { time } => {
+                (0..DAEMONS).for_each(|daemon| stop(daemon, time, true, false));
+            }
+            Disturbance::Limit { per_sec } => {
+                self.quota = Quota { per_sec, burst: per_sec };
+                self.limits.push((now, self.quota));
+            }
+        }
+    }
+
+    pub fn run(
+        &mut self,
+        events: &[(Duration, Disturbance)],
+        end: Duration,
+        mut send: impl FnMut(&mut Self, Duration, usize),
+    ) {
+        let mut events: VecDeque<_> = events.iter().collect();
+        let mut now = Duration::ZERO;
+        for step in 0.. {
+            now += STEP;
+            if now >= end {
+                return;
+            }
+            while let Some((_, event)) = events.front().filter(|(at, _)| *at <= now) {
+                self.disturb(event, now);
+                events.pop_front();
+            }
+            for daemon in 0..DAEMONS {
+                if !self.is_up(daemon, now) {
+                    continue;
+                }
+                if std::mem::take(&mut self.daemons[daemon].restarts) {
+                    let (accounts, allowances) = start(daemon, now);
+                    let known = &mut self.daemons[daemon];
+                    (known.accounts, known.allowances) = (accounts, allowances);
+                    known.incarnation += 1;
+                }
+                if (step + daemon) % 20 == 0 {
+                    self.update_members(daemon, now);
+                    self.keep_contact(daemon, step, now);
+                }
+            }
+            send(self, now, step);
+        }
+    }
+
+    fn keep_contact(&mut self, daemon: usize, step: usize, now: Duration) {
+        self.daemons[daemon].accounts.advance(now);
+        let random = (step * 31 + daemon) as u64;
+        let due: Vec<String> = self.daemons[daemon]
+            .accounts
+            .contacts()
+            .due(now, random)
+            .into_iter()
+            .cloned()
+            .collect();
+        for to in due {
+            let to = (0..DAEMONS).find(|other| id(*other) == to).expect("a daemon");
+            self.exchange(daemon, to, 0, now);
+        }
+    }
+
+    /// Asks `to` for tokens; the answer takes no time in the simulation.
+    fn exchange(&mut self, from: usize, to: usize, wanted: u32, now: Duration) -> Option<Decision> {
+        if !self.is_up(to, now) || !self.is_linked(from, to, now) {
+            return None;
+        }
+        let quota = self.quota;
+        let seen = self.daemons[from].accounts.sighting(&id(to));
+        let holder = &mut self.daemons[to].accounts;
+        holder.on_message(&id(from), seen, now);
+        let decision = (wanted > 0).then(|| holder.grant(TENANT, quota, wanted, now));
+        let seen = holder.sighting(&id(from));
+        self.daemons[from].accounts.on_message(&id(to), seen, now);
+        decision
+    }
+
+    /// Sends `count` requests, which may be a part of one, at a daemon.
+    pub fn send_at_rate(&mut self, daemon: usize, count: f64, _step: usize, now: Duration) {
+        self.daemons[daemon].due += count;
+        while self.daemons[daemon].due >= 1.0 {
+            self.daemons[daemon].due -= 1.0;
+            if self.is_up(daemon, now) {
+                self.send(daemon, now);
+            }
+        }
+    }
+
+    fn send(&mut self, daemon: usize, now: Duration) {
+        if self.spends(daemon, now) {
+            self.sent.push(now);
+        } else {
+            self.refused += 1;
+        }
+    }
+
+    /// As the entry daemon does.
+    fn spends(&mut self, daemon: usize, now: Duration) -> bool {
+        let lease = BOUNDS.lease();
+        let entry = &mut self.daemons[daemon];
+        entry.accounts.advance(now);
+        let allowance = entry.allowances.tenant(TENANT);
+        allowance.on_arrival(now);
+        if allowance.take(now).is_some() {
+            return true;
+        }
+        if allowance.refused_for(now).is_some() {
+            return false;
+        }
+        if !allowance.is_silent(now) {
+            let holder = entry.accounts.holder(TENANT).map(str::to_owned);
+            let holder = (0..DAEMONS).find(|other| holder.as_deref() == Some(&id(*other)));
+            allowance.begin_wait();
+            let wanted = allowance.wanted(lease, now);
+            allowance.end_wait();
+            let decision = holder.and_then(|holder| {
+                if holder == daemon {
+                    Some(self.daemons[daemon].accounts.grant(TENANT, self.quota, wanted, now))
+                } else {
+                    self.exchange(daemon, holder, wanted, now)
+                }
+            });
+            let allowance = self.daemons[daemon].allowances.tenant(TENANT);
+            allowance.on_decision(decision.unwrap_or(Decision::NotHeld), lease, now, now);
+            if allowance.take(now).is_some() {
+                return true;
+            }
+        }
+        let entry = &mut self.daemons[daemon];
+        let allowance = entry.allowances.tenant(TENANT);
+        let part = entry.accounts.reserve_part(TENANT, &self.quota);
+        allowance.is_silent(now) && allowance.take_reserve(part, BOUNDS.window, now).is_some()
+    }
+
+    pub fn sent_between(&self, from: Duration, to: Duration) -> usize {
+        self.sent.iter().filter(|at| (from..to).contains(at)).count()
+    }
+
+    /// Checks every window that begins with a request. A lower limit binds from a window after its change on.
+    pub fn check_bound(&self) -> Result<(), String> {
+        let mut end = 0;
+        for (index, from) in self.sent.iter().enumerate() {
+            let to = *from + BOUNDS.window;
+            while self.sent.get(end).is_some_and(|at| *at < to) {
+                end += 1;
+            }
+            let changed = self.limits.iter().enumerate().filter(|(i, (at, _))| {
+                let until = self.limits.get(i + 1).map_or(Duration::MAX, |(at, _)| *at);
+                *at < to && until > from.saturating_sub(BOUNDS.window)
+            });
+            let per_sec = changed.map(|(_, (_, quota))| quota.per_sec).fold(0.0, f64::max);
+            let allowed = per_sec * (BOUNDS.window.as_secs_f64() + 1.0);
+            let bound = allowed * (1.0 + BOUNDS.overage) + BOUNDS.slack;
+            if (end - index) as f64 > bound {
+                return Err(format!("{} requests from {from:?} on, {bound} allowed", end - index));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/daemon/src/context/clock.rs
+++ b/crates/daemon/src/context/clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rustix::time::{ClockId, clock_gettime};
+
 /// Monotonic clock that counts from the start of the daemon, and the wall clock.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
@@ -21,6 +23,12 @@
         self.start.elapsed()
     }
 
+    /// Time since the machine started; also advances while it is suspended.
+    #[must_use]
+    pub fn boot(&self) -> Duration {
+        Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
+    }
+
     /// Wall-clock time since the Unix epoch; zero if the clock is set to an earlier time.
     #[must_use]
     pub fn wall(&self) -> Duration {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -33,7 +33,7 @@
 
 use crate::control::{Distribution, Documents, Follower, Membership, Readers};
 use crate::keys::Keys;
-use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
+use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine, Quotas};
 use crate::settings::{ConfigSource, Settings};
 use crate::sync::lock;
 use crate::telemetry::{LogRateLimiter, Metrics};
@@ -126,6 +126,8 @@
     pub documents: Documents,
     /// Evidence about requests that crash backend servers.
     pub quarantine: Arc<Quarantine>,
+    /// Quotas of tenants, if they are kept.
+    pub quotas: Option<Quotas>,
     /// Which daemons of the data centre can read the documents.
     pub readers: Readers,
     /// HTTP client for short requests.
@@ -165,6 +167,7 @@
             log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
             documents: Documents::default(),
             quarantine: Arc::default(),
+            quotas: settings.quota.map(|quota| Quotas::new(quota, &identity, clock.boot())),
             readers: Readers::default(),
             http,
             drain_end: DrainEnd::default(),
@@ -273,6 +276,9 @@
         let view = MeshView::new(members.iter());
         self.balance.update(&self.config.load(), &view, self.clock.now());
         self.view.store(Arc::new(view));
+        if let Some(quotas) = &self.quotas {
+            quotas.set_members(members, self.clock.boot());
+        }
         self.members.store(Arc::new(members.clone()));
         self.update_relay();
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod gossip;
 mod membership;
 mod push;
+mod quota;
 mod reading;
 mod registrations;
 mod relay_watch;
@@ -33,6 +34,7 @@
 pub use generation::StoreGeneration;
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
+pub use quota::ask_holder;
 pub use reading::{Readers, announce as announce_reading};
 pub use serve::serve_control;
 pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
@@ -127,6 +129,8 @@
         }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
+        let (quota_task, stopped) = (quota::run(Arc::clone(cx)), stop.clone());
+        tasks.spawn(async move { stopped.run_until_cancelled(quota_task).await });
         let control = Self { config, membership };
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -2,7 +2,7 @@
 
 use baobabreel_client::wire::{
     CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, LeavingNotice,
-    LeavingQuery, PullWire, PushWire, ReadingNotice, SuspectNotice, decode,
+    LeavingQuery, PullWire, PushWire, QuotaRequest, ReadingNotice, SuspectNotice, decode,
 };
 use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use super::documents::{self, DOCUMENT_PATH, NOTICE_PATH};
 use super::membership::ReceivedRequest;
 use super::push::encoded;
+use super::quota::{self, QUOTA_PATH};
 use super::reading::{self, READING_PATH};
 use super::suspects::{self, SUSPECTS_PATH};
 use super::witnesses::{self, LEAVING_PATH, LEAVING_QUERY_PATH};
@@ -46,6 +47,7 @@
         DOCUMENT_PATH => document(cx, &body),
         NOTICE_PATH => notice(cx, &body),
         READING_PATH => reading_notice(cx, &body),
+        QUOTA_PATH => quota_request(cx, &body),
         SUSPECTS_PATH => suspect_notice(cx, &body),
         LEAVING_PATH => leaving_notice(cx, &body),
         LEAVING_QUERY_PATH => leaving_query(cx, &body),
@@ -120,6 +122,11 @@
     answer(&())
 }
 
+fn quota_request(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let request: QuotaRequest = decode_body(body)?;
+    answer(&quota::answer(cx, &request).ok_or(StatusCode::NOT_FOUND)?)
+}
+
 fn leaving_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let notice: LeavingNotice = decode_body(body)?;
     witnesses::note(cx, notice);
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -27,7 +27,7 @@
 use super::lines::{self, CallerLogLine};
 use super::request_body::RequestBody;
 use super::sends::Sends;
-use super::{headers, keyed};
+use super::{headers, keyed, quota};
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
@@ -222,6 +222,23 @@
         &self,
         parts: Parts,
         body: RequestBody,
+    ) -> Result<Response<ProxyBody>, CallError> {
+        let tenant = self.tenant.as_ref().map(|found| &*found.tenant);
+        let spent = quota::spend(self.cx, tenant).await?;
+        let served = self.serve_within_quota(parts, body).await;
+        if let (Some(spent), Err(e)) = (spent, &served)
+            && e.is_not_run()
+        {
+            spent.give_back(self.cx);
+        }
+        served
+    }
+
+    /// Serves the request after its tenant's quota has allowed it.
+    async fn serve_within_quota(
+        &self,
+        parts: Parts,
+        body: RequestBody,
     ) -> Result<Response<ProxyBody>, CallError> {
         self.cx.balance.on_request(&self.state, &self.service, self.cx.clock.now());
         if self.cx.settings.dialect.own_headers
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -23,6 +23,8 @@
     retries: Counter<u64>,
     undelivered: Counter<u64>,
     control_bytes: Counter<u64>,
+    quota_refusals: Counter<u64>,
+    quota_reserve: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
 }
@@ -65,6 +67,14 @@
                 .with_unit("By")
                 .with_description("Bodies of control messages by direction")
                 .build(),
+            quota_refusals: meter
+                .u64_counter("baobabreel.quota.refusals")
+                .with_description("Requests refused by the quotas of their tenants, by reason")
+                .build(),
+            quota_reserve: meter
+                .u64_counter("baobabreel.quota.reserve")
+                .with_description("Requests sent from the reserve, as no account answered")
+                .build(),
             config_offset: meter
                 .u64_gauge("baobabreel.config.offset")
                 .with_description("Offset of the configuration in force")
@@ -109,6 +119,16 @@
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
     }
 
+    /// Counts a request that a quota refused; the reason is `limit` or `no_account`.
+    pub fn record_quota_refusal(&self, reason: &'static str) {
+        self.quota_refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a request that was sent from the reserve.
+    pub fn record_quota_reserve(&self) {
+        self.quota_reserve.add(1, &[]);
+    }
+
     /// Records the offset of the configuration in force and whether it is held.
     pub fn record_config(&self, offset: u64, held: bool) {
         self.config_offset.record(offset, &[]);
