Divide the burst of a quota between the sides of a partition

Callers saw: nothing yet; a test found the fault. Cause: after a partition of some seconds, the holder on each side had saved a whole burst. Change: the largest balance is the granted share of the burst.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -43,18 +43,19 @@
 }
 
 impl Account {
-    fn update(&mut self, quota: Quota, share_time: f64) {
+    fn update(&mut self, quota: Quota, share_time: f64, share: f64) {
         // What has accrued so far accrued at the old rate.
         self.tokens += self.quota.per_sec * (share_time - self.updated).max(0.0);
-        self.tokens = self.tokens.min(capacity(&self.quota)).min(capacity(&quota));
+        self.tokens = self.tokens.min(capacity(&self.quota, share)).min(capacity(&quota, share));
         self.updated = share_time;
         self.quota = quota;
     }
 }
 
-/// Largest balance; with less than one token, no request could ever be sent.
-fn capacity(quota: &Quota) -> f64 {
-    quota.burst.max(1.0)
+/// Largest balance of a holder that grants a part `share` of the rate; the rest of the burst is for holders on other
+/// sides of a partition. With less than one token, no request could ever be sent.
+fn capacity(quota: &Quota, share: f64) -> f64 {
+    (quota.burst * share).max(1.0)
 }
 
 /// Accounts of the tenants for which a daemon ranks first, and its contact with other daemons.
@@ -203,12 +204,12 @@
                 return Decision::NotHeld;
             }
             let accrued = quota.per_sec * (self.share_time - self.share_time_at(opens_at)).max(0.0);
-            let tokens = accrued.min(capacity(&quota));
+            let tokens = accrued.min(capacity(&quota, self.share));
             let account = Account { quota, tokens, updated: self.share_time, used_at: now };
             self.accounts.insert(tenant.to_owned(), account);
         }
         let Some(account) = self.accounts.get_mut(tenant) else { return Decision::NotHeld };
-        account.update(quota, self.share_time);
+        account.update(quota, self.share_time, self.share);
         account.used_at = now;
         let tokens = wanted.min(account.tokens as u32);
         account.tokens -= f64::from(tokens);
@@ -216,7 +217,8 @@
         let mut wait = (1.0 - account.tokens).max(0.0) / rate;
         if tokens == 0 {
             // Daemons that ask again at once would get one token each time.
-            wait = wait.max((capacity(&quota) / rate / 2.0).min(MAX_PACE.as_secs_f64()));
+            wait =
+                wait.max((capacity(&quota, self.share) / rate / 2.0).min(MAX_PACE.as_secs_f64()));
         }
         let wait = Duration::from_secs_f64(wait.min(self.bounds.window.as_secs_f64()));
         Decision::Granted { tokens, wait }
