Test the quotas of two daemons, and links that fail between two data centres

Callers saw: 429 with `Retry-After: 0.000` when the pause after an empty account was about to end. Cause: the time to wait was not bounded from below. Change: it is at least 5 ms. A test with two daemons checks refusals, `Retry-After` and returned tokens; the simulated mesh also has links that fail between two of three data centres.

--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -32,13 +32,17 @@
             at += Duration::from_millis(u64::from(u16::arbitrary(g)) % 3_000);
             let daemon = usize::from(u8::arbitrary(g)) % DAEMONS;
             let time = Duration::from_millis(300 + u64::from(u16::arbitrary(g)) % 6_000);
-            let event = match u8::arbitrary(g) % 14 {
+            let event = match u8::arbitrary(g) % 15 {
                 0 | 1 => Disturbance::Cut { centre: daemon % CENTRES, time },
                 2 | 3 => Disturbance::Pause { daemon, time },
                 4 => Disturbance::Crash { daemon, time },
                 5 => Disturbance::Leave { daemon, time },
                 6 => Disturbance::CrashAll { time: Duration::from_millis(500) },
                 7 => Disturbance::Suspect { daemon, time: time.min(Duration::from_millis(1_400)) },
+                9 => {
+                    let between = (daemon % CENTRES, (daemon + 1) % CENTRES);
+                    Disturbance::CutLink { between, time }
+                }
                 8 => Disturbance::Limit { per_sec: 20.0 + f64::from(u8::arbitrary(g)) },
                 _ => {
                     let factor = *g.choose(&[0.0, 0.5, 2.0, 8.0]).expect("a factor");
@@ -100,6 +104,7 @@
     let quota = Quota { per_sec: 200.0, burst: 400.0 };
     let daemon = Mesh::new(quota).holder();
     let centre = daemon % CENTRES;
+    let other_centre = Mesh::new(quota).holder_without(centre) % CENTRES;
     let burst = load(SECOND * 10, 10.0, &everywhere());
     let cases = [
         // The paused holder wakes and still has its balance, while another one has granted a burst.
@@ -117,6 +122,14 @@
         // Both sides of a partition have the burst.
         vec![(SECOND * 4, Disturbance::Cut { centre, time: SECOND * 20 }), burst.clone()],
         vec![burst.clone(), (SECOND * 11, Disturbance::Cut { centre, time: SECOND * 2 })],
+        // Two data centres reach a third one, and not each other.
+        vec![
+            (
+                SECOND * 4,
+                Disturbance::CutLink { between: (centre, other_centre), time: SECOND * 20 },
+            ),
+            burst.clone(),
+        ],
         // Each daemon starts with a burst.
         vec![burst, (SECOND * 11, Disturbance::CrashAll { time: SECOND / 10 })],
     ];
@@ -175,20 +188,23 @@
     }
 }
 
-/// Guards against a refused request that costs a token, and a lease that is used after its end because it was returned.
+/// Guards against a refused request that costs a token, and against leases that are used after their end.
 #[test]
 fn request_that_has_not_run_returns_its_token() {
     let at = Duration::from_millis;
     let lease = BOUNDS.lease();
     let mut allowance = Allowance::default();
-    let granted = Decision::Granted { tokens: 1, wait: Duration::ZERO };
+    let granted = Decision::Granted { tokens: 2, wait: Duration::ZERO };
     assert!(!allowance.on_decision(granted, lease, at(1_000), at(1_002)));
     let token = allowance.take(at(1_003)).expect("a token");
+    assert!(allowance.take(at(1_003)).is_some());
     assert_eq!(allowance.take(at(1_003)), None);
     allowance.give_back(token, at(1_010));
     let token = allowance.take(at(1_020)).expect("the returned token");
     allowance.give_back(token, at(1_000) + lease);
-    assert_eq!(allowance.take(at(1_000) + lease), None);
+    assert_eq!(allowance.take(at(1_000) + lease), None, "a lease that was returned late");
+    assert!(!allowance.on_decision(granted, lease, at(1_500), at(1_502)));
+    assert_eq!(allowance.take(at(1_500) + lease), None, "a lease that was not used");
     let reserved = allowance.take_reserve(1, BOUNDS.window, at(2_000)).expect("the reserve");
     assert_eq!(allowance.take_reserve(1, BOUNDS.window, at(2_001)), None);
     allowance.give_back(reserved, at(2_002));
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -5,6 +5,7 @@
 
 use baobabreel_core::membership::{MemberState, Members};
 use baobabreel_core::quota::*;
+use baobabreel_core::rendezvous::first;
 use baobabreel_core::tenants::Quota;
 
 use crate::support::member;
@@ -27,6 +28,11 @@
 /// Something that happens to the mesh.
 #[derive(Debug, Clone)]
 pub enum Disturbance {
+    /// Two data centres that do not reach each other; both reach the third one.
+    CutLink {
+        between: (usize, usize),
+        time: Duration,
+    },
     Cut {
         centre: usize,
         time: Duration,
@@ -83,6 +89,7 @@
     daemons: Vec<Daemon>,
     /// Time until which each data centre is cut off.
     cut_until: [Duration; CENTRES],
+    link_cut: ((usize, usize), Duration),
     load: (f64, Vec<usize>),
     sent: Vec<Duration>,
     limits: Vec<(Duration, Quota)>,
@@ -119,6 +126,7 @@
             refused: 0,
             daemons: (0..DAEMONS).map(new_daemon).collect(),
             cut_until: [Duration::ZERO; CENTRES],
+            link_cut: ((0, 0), Duration::ZERO),
             load: (0.0, Vec::new()),
             sent: Vec::new(),
             limits: vec![(Duration::ZERO, quota)],
@@ -131,10 +139,16 @@
 
     /// The daemon that ranks first for the tenant.
     pub fn holder(&self) -> usize {
-        let ids: Vec<String> = (0..DAEMONS).map(id).collect();
-        let ranked =
-            baobabreel_core::rendezvous::first(TENANT.as_bytes(), ids.iter().map(String::as_str));
-        ids.iter().position(|id| Some(id.as_str()) == ranked).expect("a holder")
+        self.holder_without(CENTRES)
+    }
+
+    /// The daemon that ranks first for the tenant outside a data centre.
+    pub fn holder_without(&self, centre: usize) -> usize {
+        let daemons: Vec<usize> = (0..DAEMONS).filter(|i| i % CENTRES != centre).collect();
+        let ids: Vec<String> = daemons.iter().copied().map(id).collect();
+        let first = first(TENANT.as_bytes(), ids.iter().map(String::as_str));
+        let index = ids.iter().position(|id| Some(id.as_str()) == first);
+        daemons[index.expect("a holder")]
     }
 
     pub fn reserve_parts(&self, tenant: &str) -> impl Iterator<Item = u32> {
@@ -147,7 +161,9 @@
 
     fn is_linked(&self, a: usize, b: usize, now: Duration) -> bool {
         let (a, b) = (a % CENTRES, b % CENTRES);
-        a == b || (now >= self.cut_until[a] && now >= self.cut_until[b])
+        let ((c, d), until) = self.link_cut;
+        let is_cut = now < until && ((a, b) == (c, d) || (a, b) == (d, c));
+        a == b || (!is_cut && now >= self.cut_until[a] && now >= self.cut_until[b])
     }
 
     /// Members as `observer` knows them: changes arrive late, at each daemon at another time. A data centre that is
@@ -187,6 +203,7 @@
         };
         match *event {
             Disturbance::Cut { centre, time } => self.cut_until[centre] = now + time,
+            Disturbance::CutLink { between, time } => self.link_cut = (between, now + time),
             Disturbance::Pause { daemon, time } => stop(daemon, time, false, false),
             Disturbance::Crash { daemon, time } => stop(daemon, time, true, false),
             Disturbance::Leave { daemon, time } => stop(daemon, time, true, true),
--- a/crates/daemon/src/proxy/quota.rs
+++ b/crates/daemon/src/proxy/quota.rs
@@ -25,6 +25,9 @@
 /// Longest time that a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
+/// Shortest time to wait that a caller is told; in less, a request hardly comes back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(5);
+
 /// State of the quotas at one daemon.
 #[derive(Debug)]
 pub struct QuotaState {
@@ -243,5 +246,5 @@
         "limit" => "the tenant has used up its quota",
         _ => "the daemon that keeps the tenant's quota does not answer",
     };
-    CallError::new(ErrorKind::QuotaExceeded, detail).with_retry_after(wait)
+    CallError::new(ErrorKind::QuotaExceeded, detail).with_retry_after(wait.max(MIN_RETRY_AFTER))
 }
