--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod lease;
 mod membership;
 mod push;
+mod quota;
 mod reading;
 mod registrations;
 mod relay_watch;
@@ -35,6 +36,7 @@
 pub use lease::Lease;
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
+pub use quota::ask_holder;
 pub use reading::{Readers, announce as announce_reading};
 pub use serve::serve_control;
 pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
@@ -131,6 +133,8 @@
         }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
+        let (quota_task, stopped) = (quota::run(Arc::clone(cx)), stop.clone());
+        tasks.spawn(async move { stopped.run_until_cancelled(quota_task).await });
         let control = Self { config, membership };
         tasks.spawn(tick(control.clone(), stop.clone()));
         control
