Roll out a release with a canary and roll back a bad one

What callers saw: with an order for a roll-out nothing happened, and the backend servers of the new release got requests as soon as they were listed, so that a bad release reached all callers of its service.

Cause: members carried no release, orders were ignored, and nothing compared releases.

Change: members carry the release that their backend server reports. One daemon at a time decides on a roll-out, from reports of the entry daemons, and stores each phase with a conditional append to a topic of the daemons' own; the status for the operator follows from that record. Entry daemons send a small part of the requests to the canary, on as few of its backend servers as give it the load for each slot that the old release has. Daemons without contact to the decider use the old release. Without bounds in the settings nothing changes.

Before: no order was carried out.

--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -83,6 +83,7 @@
         peer_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
         state: MemberState::Ready,
         slots: 10,
+        release: None,
     }
 }
 
--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -13,6 +13,7 @@
 use super::call::ConditionWire;
 use super::document::PackedDocument;
 use super::gossip::GossipWire;
+use super::rollout::RolloutNotice;
 
 /// Error: a message cannot be encoded or decoded.
 #[derive(Debug)]
@@ -80,6 +81,9 @@
     /// Milliseconds since a query to the platform was sent whose answer proves that it had no newer document, as far as
     /// the answering daemon knows.
     pub proof_ms: Option<u64>,
+    /// Roll-outs that run or ended recently, as far as the answering daemon knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutNotice>,
 }
 
 /// Tells a peer that the sender has a newer document.
--- a/crates/client/src/wire/gossip.rs
+++ b/crates/client/src/wire/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, ServiceName};
+use baobabreel_core::id::{DaemonId, DataCentre, Incarnation, Release, ServiceName};
 use baobabreel_core::membership::{
     Delta, Filter, Member, MemberState, Probe, ProbeAnswer, ProbeRequest, SyncRequest,
 };
@@ -27,6 +27,9 @@
     pub state: MemberState,
     /// Slots of the backend server.
     pub slots: u32,
+    /// Release of the backend server; older daemons do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub release: Option<Release>,
 }
 
 impl From<Member> for MemberWire {
@@ -40,6 +43,7 @@
             peer_addr: member.peer_addr,
             state: member.state,
             slots: member.slots,
+            release: member.release,
         }
     }
 }
@@ -55,6 +59,7 @@
             peer_addr: member.peer_addr,
             state: member.state,
             slots: member.slots,
+            release: member.release,
         }
     }
 }
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod log;
 mod operator;
+mod rollout;
 
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
@@ -24,3 +25,4 @@
 pub use operator::{
     BackendServerDoc, CandidateDoc, ExplainDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
 };
+pub use rollout::{RolloutCount, RolloutNotice, RolloutReport};
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -211,6 +211,12 @@
         self.find(name).is_some_and(|index| self.states[index].present && self.states[index].local)
     }
 
+    /// Whether the endpoint is among those that can serve calls.
+    #[must_use]
+    pub fn is_present(&self, name: &str) -> bool {
+        self.find(name).is_some_and(|index| self.states[index].present)
+    }
+
     /// Whether the endpoint is ejected.
     #[must_use]
     pub fn is_ejected(&self, name: &str, now: Duration) -> bool {
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -14,6 +14,8 @@
 pub type InstanceId = String;
 /// Position of an entry in a stream of the log.
 pub type Offset = u64;
+/// Release of a backend server.
+pub type Release = String;
 /// Name of a route record.
 pub type RouteName = String;
 /// Version of the schema of a form.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod relay;
 pub mod rendezvous;
 pub mod retry;
+pub mod rollout;
 pub mod routing;
 pub mod tenants;
--- a/crates/core/src/membership/handle.rs
+++ b/crates/core/src/membership/handle.rs
@@ -293,8 +293,8 @@
     /// `Left` are accepted, and nothing after `Left`.
     fn on_local(&mut self, local: LocalState, step: &mut Step) {
         let mut own = self.own().clone();
-        let unchanged =
-            (own.state, &own.service, own.slots) == (local.state, &local.service, local.slots);
+        let unchanged = (own.state, &own.service, own.slots, &own.release)
+            == (local.state, &local.service, local.slots, &local.release);
         let allowed = local.state < MemberState::Suspect || local.state == MemberState::Left;
         if unchanged || !allowed || own.state == MemberState::Left {
             return;
@@ -302,6 +302,7 @@
         own.state = local.state;
         own.service = local.service;
         own.slots = local.slots;
+        own.release = local.release;
         own.sequence += 1;
         self.accept(own, step);
     }
--- a/crates/core/src/membership/member.rs
+++ b/crates/core/src/membership/member.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::filter::member_digest;
-use crate::id::{DaemonId, DataCentre, Incarnation, ServiceName};
+use crate::id::{DaemonId, DataCentre, Incarnation, Release, ServiceName};
 
 /// State of a daemon together with its backend server. The order matters: of two statements with
 /// the same incarnation and sequence number, the one with the higher state is the newer.
@@ -46,6 +46,8 @@
     pub state: MemberState,
     /// Number of requests that the backend server processes at once.
     pub slots: u32,
+    /// Release of the backend server, if it names one.
+    pub release: Option<Release>,
 }
 
 impl Member {
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -6,7 +6,7 @@
 
 use super::filter::{Filter, member_digest};
 use super::member::{Member, MemberState};
-use crate::id::{DaemonId, Incarnation, ServiceName};
+use crate::id::{DaemonId, Incarnation, Release, ServiceName};
 
 /// Asks a daemon whether it is running (a probe), or confirms that it is (an ack).
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,6 +80,8 @@
     pub service: Option<ServiceName>,
     /// Number of requests that the backend server processes at once.
     pub slots: u32,
+    /// Release of the backend server, if it names one.
+    pub release: Option<Release>,
 }
 
 /// Input of the membership state machine.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -16,7 +16,7 @@
 /// A local report of the backend server's state and slots.
 fn local_state_event(state: MemberState, slots: u32) -> Event {
     let service = Some("catalogue".to_owned());
-    Event::Local(LocalState { state, service, slots })
+    Event::Local(LocalState { state, service, slots, release: None })
 }
 
 /// State of member `i` in the table of `node`.
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -27,5 +27,6 @@
         peer_addr: addr(i),
         state: MemberState::Ready,
         slots: 10,
+        release: None,
     }
 }
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -31,7 +31,7 @@
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
-use crate::control::{Distribution, Documents, Follower, Membership, Readers};
+use crate::control::{Distribution, Documents, Follower, Membership, Readers, Rollouts};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
 use crate::settings::{ConfigSource, Settings};
@@ -128,6 +128,8 @@
     pub quarantine: Arc<Quarantine>,
     /// Which daemons of the data centre can read the documents.
     pub readers: Readers,
+    /// Roll-outs, where they are enabled.
+    pub rollouts: Rollouts,
     /// HTTP client for short requests.
     pub http: HttpClient,
     /// End of the drain.
@@ -166,6 +168,7 @@
             documents: Documents::default(),
             quarantine: Arc::default(),
             readers: Readers::default(),
+            rollouts: Rollouts::new(settings.rollout),
             http,
             drain_end: DrainEnd::default(),
             position: Mutex::default(),
@@ -238,7 +241,8 @@
     /// Makes `config` the configuration in force.
     pub fn set_config(&self, config: CompiledConfig, now: Duration) {
         self.apply_host_policy(&config);
-        self.balance.update(&config, &self.view.load(), now);
+        let view = self.view.load();
+        self.balance.update(&config, &view, &self.rollouts.views(), now);
         self.balance.keep_routes(&config);
         self.config.store(Arc::new(config));
     }
@@ -271,7 +275,9 @@
     /// Replaces the members, and determines again whether this daemon is a relay.
     pub fn set_members(&self, members: &Members) {
         let view = MeshView::new(members.iter());
-        self.balance.update(&self.config.load(), &view, self.clock.now());
+        let now = self.clock.now();
+        self.rollouts.refresh(&self.identity.id, &view, now);
+        self.balance.update(&self.config.load(), &view, &self.rollouts.views(), now);
         self.view.store(Arc::new(view));
         self.members.store(Arc::new(members.clone()));
         self.update_relay();
--- a/crates/daemon/src/control/announce/mod.rs
+++ b/crates/daemon/src/control/announce/mod.rs
@@ -79,6 +79,7 @@
             state,
             instance: None,
             boot: None,
+            release: None,
         }
     }
 }
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{
-    DocumentAnswer, DocumentNotice, DocumentQuery, PackedDocument, Position,
+    DocumentAnswer, DocumentExtension, DocumentNotice, DocumentQuery, PackedDocument, Position,
 };
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
@@ -21,6 +21,7 @@
 };
 
 use super::generation::StoreGeneration;
+use super::rollouts;
 use crate::context::{Cx, Phase};
 use crate::sync::lock;
 
@@ -168,12 +169,14 @@
 pub fn answer(cx: &Cx, query: DocumentQuery) -> DocumentAnswer {
     // Read before the position: the age then belongs to the document in the position or to an older one.
     let age = lock(&cx.documents.freshness).age(cx.clock.now());
+    let rollouts = rollouts::notices(cx);
     let newer = if query.with_document { cx.documents.newer_than(query.known) } else { None };
     DocumentAnswer {
         position: cx.position(),
         newer,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        extension: None,
+        extension: (!rollouts.is_empty())
+            .then(|| DocumentExtension { rollouts, ..DocumentExtension::default() }),
     }
 }
 
@@ -339,6 +342,9 @@
 async fn query_peer(cx: &Cx, from: SocketAddr, query: DocumentQuery, timeout: Duration) -> bool {
     let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
     let Some(answer) = answer else { return false };
+    for notice in answer.extension.into_iter().flat_map(|extension| extension.rollouts) {
+        rollouts::learn(cx, notice);
+    }
     match answer.newer.as_ref().map(Document::try_from) {
         Some(Ok(document)) => offer(cx, document, Origin::Peer(from)),
         Some(Err(e)) => {
--- a/crates/daemon/src/control/membership.rs
+++ b/crates/daemon/src/control/membership.rs
@@ -57,12 +57,13 @@
             peer_addr: identity.peer_addr,
             state: MemberState::Cold,
             slots: 0,
+            release: None,
         };
         let settings = SwimSettings::new()
             .seeds(cx.settings.seeds.clone())
             .renews_incarnation(cx.settings.source == ConfigSource::Documents);
         let swim = Swim::new(own, settings);
-        let local = LocalState { state: MemberState::Cold, service: None, slots: 0 };
+        let local = LocalState { state: MemberState::Cold, service: None, slots: 0, release: None };
         let membership = Self {
             cx: Arc::clone(cx),
             swim,
@@ -164,7 +165,10 @@
         LocalState {
             state,
             service: info.as_ref().map(|info| info.service.clone()).or(self.local.service.clone()),
-            slots: info.map_or(0, |info| info.slots),
+            slots: info.as_ref().map_or(0, |info| info.slots),
+            release: info
+                .map_or_else(|| self.local.release.clone(), |info| info.release)
+                .filter(|_| self.cx.settings.rollout.is_some()),
         }
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod reading;
 mod registrations;
 mod relay_watch;
+pub mod rollouts;
 mod serve;
 mod snapshots;
 mod status;
@@ -34,6 +35,7 @@
 pub use membership::{Leave, ListedMembers, LocalChanged, Membership};
 pub use push::encoded;
 pub use reading::{Readers, announce as announce_reading};
+pub use rollouts::{ReleaseViews, ResponseWatch, Rollouts};
 pub use serve::serve_control;
 pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
 
@@ -125,6 +127,10 @@
             let (watch, stopped) = (relay_watch::run(Arc::clone(cx)), stop.clone());
             tasks.spawn(async move { stopped.run_until_cancelled(watch).await });
         }
+        if cx.settings.rollout.is_some() {
+            let (rollouts_task, stopped) = (rollouts::run(Arc::clone(cx)), stop.clone());
+            tasks.spawn(async move { stopped.run_until_cancelled(rollouts_task).await });
+        }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
         let control = Self { config, membership };
--- a/crates/daemon/src/control/registrations.rs
+++ b/crates/daemon/src/control/registrations.rs
@@ -49,6 +49,7 @@
                 peer_addr,
                 state: MemberState::Cold,
                 slots: 0,
+                release: None,
             }))
         }
         // A daemon leaves when it starts to drain, but still answers queries about its outcomes then.
--- /dev/null
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -0,0 +1,218 @@
+//! Periodic work: decisions, reports to the decider and notices of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use baobabreel_client::wire::{RolloutNotice, RolloutReport};
+use baobabreel_core::id::ServiceName;
+use baobabreel_core::membership::Member;
+use baobabreel_core::relay::is_document_relay;
+use baobabreel_core::rollout::{Rollout, RolloutRecord};
+
+use super::{
+    ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH, TAKEOVER_AFTER, collect, learn, own_rank, take_report,
+};
+use crate::context::Cx;
+
+/// Time between two decisions.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Number of ticks between two reports, and between two notices.
+const REPORT_TICKS: u32 = 2;
+
+/// Number of ticks between two reports of a daemon that sent no request.
+const IDLE_REPORT_TICKS: u32 = 4;
+
+/// Time for the answer to a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Who is told of a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Audience {
+    /// All live members.
+    All,
+    /// The relays, which may have to take over, and daemons that do not follow the newest phase.
+    RelaysAndLaggards,
+}
+
+/// Takes part in roll-outs until the task is dropped.
+pub async fn run(cx: Cx) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut ticks = 0_u32;
+    loop {
+        interval.tick().await;
+        ticks = ticks.wrapping_add(1);
+        decide(&cx);
+        apply(&cx);
+        if ticks.is_multiple_of(REPORT_TICKS) {
+            report(&cx, ticks.is_multiple_of(IDLE_REPORT_TICKS));
+            tell(&cx, Audience::RelaysAndLaggards);
+        }
+    }
+}
+
+/// Applies what is known of roll-outs to the choice of backend servers.
+pub(super) fn apply(cx: &Cx) {
+    let now = cx.clock.now();
+    let view = cx.view.load();
+    if cx.rollouts.refresh(&cx.identity.id, &view, now) {
+        cx.balance.update(&cx.config.load(), &view, &cx.rollouts.views(), now);
+    }
+}
+
+/// Takes over roll-outs without a decider, and determines which changes of phase are due.
+pub(super) fn decide(cx: &Cx) {
+    let now = cx.clock.now();
+    let view = cx.view.load();
+    let members = cx.members.load();
+    let Some(limits) = cx.rollouts.limits else { return };
+    let mut guard = cx.rollouts.state();
+    let state = &mut *guard;
+    let running = state.known.iter().filter(|(_, known)| !known.record.phase.is_final());
+    let services: Vec<ServiceName> = running.map(|(service, _)| service.clone()).collect();
+    for service in services {
+        let Some(known) = state.known.get(&service) else { continue };
+        let is_own = known.decider == cx.identity.id;
+        if !is_own && now < known.contact + TAKEOVER_AFTER {
+            continue;
+        }
+        let rank = own_rank(cx, &service);
+        if is_own && rank.is_none() {
+            state.resign(&service);
+            continue;
+        }
+        if !state.deciding.contains_key(&service) {
+            let leads = rank.is_some_and(|rank| state.leads(&service, &cx.identity.id, rank, now));
+            let Some(known) = state.known.get_mut(&service).filter(|_| leads) else { continue };
+            if !is_own && !known.is_checked {
+                // The roll-out may have ended without a word to this daemon.
+                known.is_checked = true;
+                state.is_loaded = false;
+                continue;
+            }
+            tracing::info!(service, before = known.decider, "decides on the roll-out");
+            known.decider.clone_from(&cx.identity.id);
+            let rollout = Rollout::new(known.record.clone(), limits, known.age(now), now);
+            state.deciding.insert(service.clone(), rollout);
+        }
+        let Some(rollout) = state.deciding.get_mut(&service) else { continue };
+        let was_bad = rollout.is_bad();
+        let target = rollout.record().target.clone();
+        let servers = view
+            .of_service(&service)
+            .iter()
+            .filter(|member| member.is_able() && member.release.as_ref() == Some(&target))
+            .count();
+        let senders = members.iter().filter(|member| !member.is_departed());
+        let transition = rollout.step(senders.map(|member| member.id.as_str()), servers, now);
+        if rollout.is_bad() && !was_bad {
+            tracing::warn!(
+                service,
+                target,
+                figures = ?transition.as_ref().map(|transition| &transition.figures),
+                "the new release is bad; it gets no more requests"
+            );
+        }
+        let share = rollout.share(now);
+        if let Some(known) = state.known.get_mut(&service) {
+            known.share = share;
+            known.contact = now;
+            cx.metrics.record_rollout(&service, known.record.phase as u64, share);
+        }
+        match transition {
+            Some(transition) => state.due.insert(service, transition),
+            None => state.due.remove(&service),
+        };
+    }
+}
+
+/// Sends the counts since the last report to the deciders.
+fn report(cx: &Cx, is_idle_turn: bool) {
+    let now = cx.clock.now();
+    let own_id = &cx.identity.id;
+    let state = cx.rollouts.state();
+    let running: Vec<_> = state
+        .known
+        .iter()
+        .filter(|(_, known)| !known.record.phase.is_final())
+        .map(|(_, known)| {
+            (known.record.clone(), known.decider.clone(), known.is_unsure(own_id, now))
+        })
+        .collect();
+    drop(state);
+    for (record, decider, is_unsure) in running {
+        let counts = collect::take(&cx.rollouts.counts, &record.service);
+        if counts.requests == 0 && !is_idle_turn {
+            continue;
+        }
+        let report = RolloutReport {
+            from: own_id.clone(),
+            data_centre: cx.identity.data_centre.clone(),
+            service: record.service.clone(),
+            target: record.target.clone(),
+            offset: record.offset,
+            phase: record.phase,
+            is_unsure,
+            base_in_flight: base_in_flight(cx, &record),
+            requests: counts.requests,
+            counts: counts.into_counts(),
+        };
+        if decider == *own_id {
+            take_report(cx, report);
+            continue;
+        }
+        let members = cx.members.load();
+        let Some(to) = members.get(&decider).map(|member| member.peer_addr) else { continue };
+        let cx = Arc::clone(cx);
+        tokio::spawn(async move {
+            let answer: Option<Option<RolloutNotice>> =
+                cx.ask_peer(to, ROLLOUT_REPORT_PATH, &report, REPORT_TIMEOUT).await;
+            if let Some(notice) = answer.flatten() {
+                learn(&cx, notice);
+            }
+        });
+    }
+}
+
+/// Number of requests that run or wait at the old release, as far as this daemon sent them or is beside it.
+fn base_in_flight(cx: &Cx, record: &RolloutRecord) -> u32 {
+    if record.base.as_ref() == Some(&record.target) {
+        return 0;
+    }
+    let view = cx.view.load();
+    let of_base = |member: &&Member| member.release == record.base;
+    let base = view.of_service(&record.service).iter().filter(of_base);
+    let sent = cx.balance.outstanding_to(&record.service, base);
+    let own = view.find(&record.service, &cx.identity.id).filter(of_base);
+    sent + own.map_or(0, |_| cx.host.in_flight())
+}
+
+/// Tells other daemons of the roll-outs that this one decides, or has decided.
+pub(super) fn tell(cx: &Cx, audience: Audience) {
+    let now = cx.clock.now();
+    let own_id = cx.identity.id.as_str();
+    let members = cx.members.load();
+    let state = cx.rollouts.state();
+    let own: Vec<RolloutNotice> = state
+        .known
+        .values()
+        .filter(|known| known.decider == own_id)
+        .filter(|known| {
+            audience == Audience::All || !known.record.phase.is_final() || known.has_just_ended(now)
+        })
+        .map(|known| known.notice(own_id, now))
+        .collect();
+    if own.is_empty() {
+        return;
+    }
+    let follows = |id: &str| state.deciding.values().all(|rollout| rollout.is_followed_by(id, now));
+    for member in members.live().filter(|member| member.id != own_id) {
+        if audience == Audience::All
+            || is_document_relay(members.live(), member)
+            || !follows(&member.id)
+        {
+            cx.tell_peer(member.peer_addr, ROLLOUT_NOTICE_PATH, &own);
+        }
+    }
+}
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -2,7 +2,7 @@
 
 use baobabreel_client::wire::{
     CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, LeavingNotice,
-    LeavingQuery, PullWire, PushWire, ReadingNotice, SuspectNotice, decode,
+    LeavingQuery, PullWire, PushWire, ReadingNotice, RolloutNotice, SuspectNotice, decode,
 };
 use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use super::membership::ReceivedRequest;
 use super::push::encoded;
 use super::reading::{self, READING_PATH};
+use super::rollouts::{self, ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH};
 use super::suspects::{self, SUSPECTS_PATH};
 use super::witnesses::{self, LEAVING_PATH, LEAVING_QUERY_PATH};
 use super::{Control, Distribution};
@@ -47,6 +48,8 @@
         NOTICE_PATH => notice(cx, &body),
         READING_PATH => reading_notice(cx, &body),
         SUSPECTS_PATH => suspect_notice(cx, &body),
+        ROLLOUT_NOTICE_PATH => rollout_notice(cx, &body),
+        ROLLOUT_REPORT_PATH => rollout_report(cx, &body),
         LEAVING_PATH => leaving_notice(cx, &body),
         LEAVING_QUERY_PATH => leaving_query(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
@@ -120,6 +123,17 @@
     answer(&())
 }
 
+fn rollout_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    for notice in decode_body::<Vec<RolloutNotice>>(body)? {
+        rollouts::learn(cx, notice);
+    }
+    answer(&())
+}
+
+fn rollout_report(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    answer(&rollouts::take_report(cx, decode_body(body)?))
+}
+
 fn leaving_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let notice: LeavingNotice = decode_body(body)?;
     witnesses::note(cx, notice);
--- a/crates/daemon/src/daemon/handle.rs
+++ b/crates/daemon/src/daemon/handle.rs
@@ -5,13 +5,14 @@
 use baobabreel_client::wire::PackedDocument;
 use baobabreel_core::config::{Document, DocumentVersion};
 use baobabreel_core::membership::Member;
-use baobabreel_core::relay::{PollTurn, ReadReason, keeps_copy};
+use baobabreel_core::relay::{PollTurn, ReadReason, ReadRole, keeps_copy};
+use baobabreel_core::rollout::RolloutRecord;
 use tokio::sync::watch;
 
 use crate::context::{Cx, Phase};
 use crate::control::{
-    Control, ListedMembers, Origin, StoreGeneration, announce_reading, confirm_document,
-    offer_document, platform_lost,
+    Control, ListedMembers, Origin, Rollouts, StoreGeneration, announce_reading, confirm_document,
+    offer_document, platform_lost, rollouts,
 };
 use crate::proxy::Quarantine;
 
@@ -155,6 +156,39 @@
         self.cx.host.info().is_some()
     }
 
+    /// Roll-outs, for the adapter to record orders and answers of the store.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.cx.rollouts
+    }
+
+    /// Passes in the records of roll-outs in the store.
+    pub fn load_rollouts(&self, records: Vec<RolloutRecord>) {
+        rollouts::load(&self.cx, records);
+    }
+
+    /// Records of roll-outs that the adapter has to store, and whose statuses it has to publish.
+    #[must_use]
+    pub fn rollouts_due(&self) -> Vec<RolloutRecord> {
+        rollouts::due(&self.cx)
+    }
+
+    /// Records that the store has a record of a roll-out.
+    pub fn rollout_stored(&self, record: RolloutRecord) {
+        rollouts::stored(&self.cx, record);
+    }
+
+    /// Records that the operator's status says what a record does.
+    pub fn rollout_published(&self, record: &RolloutRecord) {
+        rollouts::published(&self.cx, record);
+    }
+
+    /// Whether others rely on this daemon to read the platform.
+    #[must_use]
+    pub fn is_document_relay(&self) -> bool {
+        self.cx.read_role() == ReadRole::Relay
+    }
+
     /// Number of live members, this daemon included.
     #[must_use]
     pub fn live_members(&self) -> usize {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod telemetry;
 
 pub use adapter::{Adapter, BackendMessage, NativeAdapter};
-pub use control::StoreGeneration;
+pub use control::{Rollouts, StoreGeneration};
 pub use daemon::{Addresses, Daemon, Handle};
 pub use dialect::Dialect;
 pub use proxy::{Quarantine, Share};
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -15,10 +15,12 @@
 use baobabreel_core::id::{DaemonId, DataCentre, RouteName, ServiceName};
 use baobabreel_core::membership::Member;
 use baobabreel_core::retry::{LatencyEstimate, RetryBudget};
+use baobabreel_core::rollout::Side;
 
 use super::budgets::{BudgetUse, RetryBudgets};
 use super::pool::PooledConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
+use crate::control::{ReleaseViews, ResponseWatch};
 use crate::settings::{Policy, Settings};
 use crate::sync::{lock, read, write};
 
@@ -88,28 +90,65 @@
     }
 
     /// Updates the balancers from the members and the configuration.
-    pub fn update(&self, config: &CompiledConfig, view: &MeshView, now: Duration) {
+    pub fn update(
+        &self,
+        config: &CompiledConfig,
+        view: &MeshView,
+        releases: &ReleaseViews,
+        now: Duration,
+    ) {
         self.budgets.set_members(view.len());
         for (service, members) in view.services() {
-            let endpoints: Vec<Endpoint> = members
-                .iter()
-                .filter(|member| is_able(config, service, member))
-                .map(|member| Endpoint {
-                    name: member.id.clone(),
-                    data_centre: member.data_centre.clone(),
-                    slots: member.slots,
-                    enabled: true,
-                })
-                .collect();
-            let balancer = self.service(service);
-            let mut balancer = lock(&balancer);
-            if let Some(policy) = config.services.get(service) {
-                balancer.set_slow_start(Duration::from_millis(policy.slow_start_ms));
+            let members: Vec<&Member> =
+                members.iter().filter(|member| is_able(config, service, member)).collect();
+            let (main, canary) = releases.split(service, members);
+            self.update_side(config, service, service, &main, now);
+            let canary_name = canary_name(service);
+            if !canary.is_empty() || self.find(&canary_name).is_some() {
+                self.update_side(config, service, &canary_name, &canary, now);
             }
-            balancer.update(&endpoints, now);
         }
     }
 
+    fn update_side(
+        &self,
+        config: &CompiledConfig,
+        service: &str,
+        side: &str,
+        members: &[&Member],
+        now: Duration,
+    ) {
+        let endpoints: Vec<Endpoint> = members
+            .iter()
+            .map(|member| Endpoint {
+                name: member.id.clone(),
+                data_centre: member.data_centre.clone(),
+                slots: member.slots,
+                enabled: true,
+            })
+            .collect();
+        let balancer = self.service(side);
+        let mut balancer = lock(&balancer);
+        if let Some(policy) = config.services.get(service) {
+            balancer.set_slow_start(Duration::from_millis(policy.slow_start_ms));
+        }
+        balancer.update(&endpoints, now);
+    }
+
+    /// Number of calls to `members` of a service whose responses have not ended.
+    pub fn outstanding_to<'a>(
+        &self,
+        service: &str,
+        members: impl Iterator<Item = &'a Member> + Clone,
+    ) -> u32 {
+        let sides = [self.find(service), self.find(&canary_name(service))];
+        let sum = |balancer: ServiceBalancer| -> u32 {
+            let balancer = lock(&balancer);
+            members.clone().map(|member| balancer.outstanding(&member.id)).sum()
+        };
+        sides.into_iter().flatten().map(sum).sum()
+    }
+
     /// Drops the state of routes that are not in the configuration.
     pub fn keep_routes(&self, config: &CompiledConfig) {
         let names: HashSet<&str> = config.routes.iter().map(|route| route.name.as_str()).collect();
@@ -172,8 +211,8 @@
 
     /// Records that the host daemon of a backend server of `service` does not answer.
     pub fn record_unreachable(&self, service: &str, member: &Member, now: Duration) {
-        if let Some(balancer) = self.find(service) {
-            lock(&balancer).mark_unreachable(&member.id, now);
+        for balancer in [self.find(service), self.find(&canary_name(service))].iter().flatten() {
+            lock(balancer).mark_unreachable(&member.id, now);
         }
         let data_centre = &member.data_centre;
         if *data_centre == self.data_centre {
@@ -223,15 +262,21 @@
     pub fn choose(
         &self,
         service: &str,
+        side: Side,
         own_has_free_slot: bool,
         exclude: &[&str],
         clock: Clock,
     ) -> Option<CallGuard> {
-        let shared = self.find(service)?;
         let now = clock.now();
+        let shared = match side {
+            Side::Main => self.find(service)?,
+            Side::Canary => self.find(&canary_name(service))?,
+        };
         let mut balancer = lock(&shared);
+        // The local backend server may be of a release that gets no requests.
         let prefer_own = self.policy == Policy::Full
             && own_has_free_slot
+            && balancer.is_local(&self.own_id)
             && !exclude.contains(&self.own_id.as_str())
             && !balancer.is_ejected(&self.own_id, now)
             && balancer.slowness(&self.own_id, now) < OWN_SLOWNESS_LIMIT;
@@ -246,7 +291,10 @@
 
     /// Counts a call to a backend server of `service` that was chosen before.
     pub fn choose_again(&self, service: &str, name: Arc<str>, clock: Clock) -> Option<CallGuard> {
-        Some(self.count_call(self.find(service)?, name, clock))
+        let canary = self.find(&canary_name(service));
+        let is_canary = |side: &ServiceBalancer| lock(side).is_present(&name);
+        let shared = canary.filter(is_canary).or_else(|| self.find(service))?;
+        Some(self.count_call(shared, name, clock))
     }
 
     /// Counts a call as outstanding until the returned guard is dropped.
@@ -262,6 +310,7 @@
             result: CallResult::Cancelled,
             outstanding: Arc::clone(&self.outstanding),
             connection: None,
+            watch: None,
         }
     }
 
@@ -279,6 +328,11 @@
     }
 }
 
+/// Name of the balancer of the canary of a service. The names of services have no such character.
+fn canary_name(service: &str) -> String {
+    format!("{service}\0canary")
+}
+
 /// Result of a call that is reported to the balancer.
 #[derive(Debug)]
 enum CallResult {
@@ -298,9 +352,22 @@
     result: CallResult,
     outstanding: Arc<AtomicUsize>,
     connection: Option<PooledConnection>,
+    watch: Option<ResponseWatch>,
 }
 
 impl CallGuard {
+    /// Counts the response as evidence of a roll-out.
+    pub fn watch(&mut self, watch: Option<ResponseWatch>) {
+        self.watch = watch;
+    }
+
+    /// Records a response that counts as bad for the release of the backend server.
+    pub fn record_bad_response(&mut self) {
+        if let Some(watch) = &mut self.watch {
+            watch.is_bad = true;
+        }
+    }
+
     /// Keeps the connection of the call until the response has ended.
     pub fn keep_connection(&mut self, connection: PooledConnection) {
         self.connection = Some(connection);
@@ -355,6 +422,15 @@
     fn drop(&mut self) {
         self.outstanding.fetch_sub(1, Ordering::AcqRel);
         let now = self.clock.now();
+        if let Some(watch) = self.watch.take() {
+            let latency = match self.result {
+                CallResult::Answered { latency, .. } => Some(latency),
+                // The response would have taken at least as long.
+                CallResult::Cancelled => Some(now.saturating_sub(self.started)),
+                CallResult::Failed(_) | CallResult::Full(_) => None,
+            };
+            watch.finish(&self.name, latency);
+        }
         let mut balancer = lock(&self.balancer);
         match self.result {
             CallResult::Cancelled => balancer.cancelled(&self.name),
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -78,6 +78,13 @@
             }
         }
     }
+
+    /// Records that the response broke off.
+    fn record_broken_response(&mut self) {
+        if let Self::Entry(entry) | Self::Both(_, entry) = self {
+            entry.record_bad_response();
+        }
+    }
 }
 
 /// Body of a request or a response.
@@ -121,10 +128,12 @@
 impl Tracked {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
+            self.guard.record_broken_response();
             return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
         }
         let polled = poll_incoming(&mut self.inner, cx);
         match &polled {
+            Poll::Ready(Some(Err(_))) => self.guard.record_broken_response(),
             Poll::Ready(Some(Ok(frame))) => {
                 let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
                 if let Some(expected) = &mut self.expected {
@@ -135,6 +144,7 @@
                 }
             }
             Poll::Ready(None) if self.expected.is_some_and(|left| left > 0) => {
+                self.guard.record_broken_response();
                 return Poll::Ready(Some(Err(BodyError::Short)));
             }
             Poll::Ready(None) => self.guard.complete(),
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -7,6 +7,7 @@
 use baobabreel_core::balance::Failure as EndpointFailure;
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
+use baobabreel_core::rollout::Side;
 use bytes::Bytes;
 use http::header::{HOST, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, Version};
@@ -47,13 +48,18 @@
     pub connection: PooledConnection,
 }
 
-/// Chooses a backend server of `service` that is not in `tried`, and counts a call to it.
+/// Chooses a backend server of `service` that is not in `tried`, and counts a call to it. `draw` is random and the
+/// same for all attempts at a request; it decides whether the request goes to the canary of a roll-out.
 #[must_use]
-pub fn choose(cx: &Cx, service: &str, tried: &[String]) -> Option<CallGuard> {
+pub fn choose(cx: &Cx, service: &str, draw: u64, tried: &[String]) -> Option<CallGuard> {
     let exclude: Vec<&str> = tried.iter().map(String::as_str).collect();
     let own_has_free_slot =
         cx.host.can_start_now(service, cx.clock.now()) && own_can_serve(cx, service);
-    cx.balance.choose(service, own_has_free_slot, &exclude, cx.clock)
+    let choose = |side| cx.balance.choose(service, side, own_has_free_slot, &exclude, cx.clock);
+    match cx.rollouts.side(service, draw, tried.is_empty(), cx.clock.now()) {
+        Side::Main => choose(Side::Main),
+        Side::Canary => choose(Side::Canary).or_else(|| choose(Side::Main)),
+    }
 }
 
 /// Whether membership and configuration allow requests for `service` to the local backend server.
@@ -76,6 +82,7 @@
     deadline: Duration,
     can_resend: impl Fn() -> bool,
 ) -> Result<Response<ProxyBody>, CallError> {
+    guard.watch(cx.rollouts.watch(&head.service, &head.route));
     let (mut res, host_guard) = if guard.name() == cx.identity.id {
         match host::forward_to_backend(cx, head, req).await {
             Ok(admitted) => {
@@ -95,6 +102,9 @@
             Err(e) => return Err(record_failure(guard, e)),
         }
     };
+    if res.status().is_server_error() {
+        guard.record_bad_response();
+    }
     cx.balance.route(&head.route).observe(guard.latency());
     headers::remove_hop_by_hop(res.headers_mut());
     // Headers that only daemons may set are not accepted from a backend server.
@@ -169,6 +179,9 @@
         guard.record_full(load.into());
         return e;
     }
+    if is_bad_response(e.kind) {
+        guard.record_bad_response();
+    }
     guard.record_failure(match e.kind {
         ErrorKind::NoBackendServer | ErrorKind::NotReady | ErrorKind::Draining => {
             EndpointFailure::Refused
@@ -181,6 +194,14 @@
     e
 }
 
+/// Whether an error counts against the release of the backend server. One that a daemon decided does not.
+fn is_bad_response(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::UpstreamLost | ErrorKind::DeadlineExceeded | ErrorKind::BackendRefused
+    )
+}
+
 /// Sends a call to the host daemon of the backend server `name`.
 async fn send_to_member(
     cx: &Cx,
@@ -303,11 +324,13 @@
     request: impl Fn() -> Request<ProxyBody>,
 ) -> Result<Response<ProxyBody>, CallError> {
     let mut tried = Vec::new();
+    let draw = rand::random();
     let state = cx.balance.route(&head.route);
     let may_retry = !head.retry;
     let mut earlier: Option<CallError> = None;
     loop {
-        let (service, guard) = match choose_with_fallback(cx, &head.service, fallback, &tried) {
+        let (service, guard) = match choose_with_fallback(cx, &head.service, fallback, draw, &tried)
+        {
             Ok(chosen) => chosen,
             Err(e) => return Err(earlier.unwrap_or(e)),
         };
@@ -342,10 +365,11 @@
     cx: &Cx,
     service: &ServiceName,
     fallback: Option<&ServiceName>,
+    draw: u64,
     tried: &[String],
 ) -> Result<(ServiceName, CallGuard), CallError> {
     for service in std::iter::once(service).chain(fallback) {
-        if let Some(guard) = choose(cx, service, tried) {
+        if let Some(guard) = choose(cx, service, draw, tried) {
             return Ok((service.clone(), guard));
         }
     }
@@ -371,5 +395,5 @@
 /// Backend server that a request for `service` would be sent to now.
 #[must_use]
 pub fn candidate(cx: &Cx, service: &str) -> Option<String> {
-    choose(cx, service, &[]).map(|guard| guard.name().to_owned())
+    choose(cx, service, rand::random(), &[]).map(|guard| guard.name().to_owned())
 }
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -175,6 +175,7 @@
             self.cx,
             &self.service,
             self.route.spec.fallback.as_ref(),
+            self.draw,
             tried,
         )
     }
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -50,6 +50,8 @@
     request_id: String,
     marked_as_retry: bool,
     sends: Sends,
+    /// Random number that decides whether the request goes to the canary of a roll-out.
+    draw: u64,
     span: &'a Span,
 }
 
@@ -189,6 +191,7 @@
             request_id,
             marked_as_retry,
             sends: Sends::default(),
+            draw: rand::random(),
             span,
         })
     }
--- a/crates/daemon/src/proxy/host/info.rs
+++ b/crates/daemon/src/proxy/host/info.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use baobabreel_core::id::{InstanceId, ServiceName};
+use baobabreel_core::id::{InstanceId, Release, ServiceName};
 use baobabreel_core::membership::MemberState;
 use baobabreel_core::registration::BootTime;
 
@@ -25,6 +25,8 @@
     pub instance: Option<InstanceId>,
     /// Start time that it reported, if any.
     pub boot: Option<BootTime>,
+    /// Release that it reported, if any.
+    pub release: Option<Release>,
 }
 
 impl BackendInfo {
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -69,6 +69,10 @@
     /// backend server has not restarted.
     pub fn set_backend(&self, mut info: BackendInfo, now: Duration) -> MemberState {
         let known = self.backend.load_full();
+        if let Some(known) = known.as_ref().filter(|known| known.info.instance == info.instance) {
+            // An answer to a question about its health does not name the release.
+            info.release = info.release.or_else(|| known.info.release.clone());
+        }
         let is_same = |known: &Arc<Backend>| known.info.may_be_same_start(&info);
         let limit = self.connection_limit;
         let pool = match known.filter(is_same) {
--- a/crates/daemon/src/proxy/question.rs
+++ b/crates/daemon/src/proxy/question.rs
@@ -42,6 +42,7 @@
             state: MemberState::Ready,
             instance: Some(self.instance(cx)?.to_owned()),
             boot: None,
+            release: None,
         };
         self.is_ready.then(|| (info, dialect.condition.read(&self.headers)))
     }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -25,6 +25,8 @@
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
+    rollout_phase: Gauge<u64>,
+    rollout_share: Gauge<f64>,
 }
 
 impl Metrics {
@@ -73,6 +75,17 @@
                 .u64_gauge("baobabreel.config.held")
                 .with_description("1 while the daemon holds its last whole version")
                 .build(),
+            rollout_phase: meter
+                .u64_gauge("baobabreel.rollout.phase")
+                .with_description(
+                    "Phase of the roll-out of a service at its decider: 0 canary, 1 ramp, 2 promoting, 3 succeeded, \
+                     4 rolled back",
+                )
+                .build(),
+            rollout_share: meter
+                .f64_gauge("baobabreel.rollout.share")
+                .with_description("Part of the requests of a service that goes to its new release")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -115,6 +128,13 @@
         self.held.record(u64::from(held), &[]);
     }
 
+    /// Records the phase of a roll-out and the part of the requests that goes to the new release.
+    pub fn record_rollout(&self, service: &str, phase: u64, share: f64) {
+        let service = [KeyValue::new("service", service.to_owned())];
+        self.rollout_phase.record(phase, &service);
+        self.rollout_share.record(share, &service);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
