--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -8,6 +8,7 @@
 mod log;
 mod operator;
 mod quota;
+mod rollout;
 
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
@@ -26,3 +27,4 @@
     BackendServerDoc, CandidateDoc, ExplainDoc, LogDoc, MemberDoc, RecordDoc, RecordsDoc, StatusDoc,
 };
 pub use quota::{AskedTokens, GrantedTokens, QuotaGrant, QuotaRequest, SightingWire};
+pub use rollout::{RolloutCount, RolloutNotice, RolloutReport};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod revocation;
+pub mod rollout;
 pub mod routing;
 pub mod tenants;
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::{
-    DocumentAnswer, DocumentNotice, DocumentQuery, PackedDocument, Position,
+    DocumentAnswer, DocumentExtension, DocumentNotice, DocumentQuery, PackedDocument, Position,
 };
 use baobabreel_core::config::{CompiledConfig, Document, DocumentVersion, Version};
 use baobabreel_core::relay::{
@@ -21,6 +21,7 @@
 };
 
 use super::generation::StoreGeneration;
+use super::rollouts;
 use crate::context::{Cx, Phase};
 use crate::sync::lock;
 
@@ -174,10 +175,19 @@
         position,
         newer,
         confirmed_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-        extension: cx.lease.extension(cx, position),
+        extension: extension(cx, position),
     }
 }
 
+/// What only some deployments need in an answer.
+fn extension(cx: &Cx, position: Position) -> Option<DocumentExtension> {
+    let extension = DocumentExtension {
+        proof_ms: cx.lease.proof_ms(cx, position),
+        rollouts: rollouts::notices(cx),
+    };
+    (extension != DocumentExtension::default()).then_some(extension)
+}
+
 /// Applies a document if it is newer than the current one.
 pub fn offer(cx: &Cx, document: Document, origin: Origin) {
     let documents = &cx.documents;
@@ -341,6 +351,10 @@
     let queried_at = cx.clock.boot();
     let answer: Option<DocumentAnswer> = cx.ask_peer(from, DOCUMENT_PATH, &query, timeout).await;
     let Some(answer) = answer else { return false };
+    let extension = answer.extension.unwrap_or_default();
+    for notice in extension.rollouts {
+        rollouts::learn(cx, notice);
+    }
     match answer.newer.as_ref().map(Document::try_from) {
         Some(Ok(document)) => offer(cx, document, Origin::Peer(from)),
         Some(Err(e)) => {
@@ -348,9 +362,7 @@
         }
         None => {}
     }
-    if let Some(extension) = &answer.extension {
-        cx.lease.adopt(cx, answer.position, extension, queried_at);
-    }
+    cx.lease.adopt(cx, answer.position, extension.proof_ms, queried_at);
     if !query.with_document {
         note_position(cx, from, answer.position);
     }
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use baobabreel_client::wire::{DocumentExtension, Position};
+use baobabreel_client::wire::Position;
 use baobabreel_core::config::Version;
 use baobabreel_core::membership::Member;
 use baobabreel_core::relay::reader_rank;
@@ -87,13 +87,12 @@
         state.policy.next_query_in(now) + ANSWER_TIME + spread
     }
 
-    /// What another daemon is told of the newest proof for the version in `position`.
-    pub(super) fn extension(&self, cx: &Context, position: Position) -> Option<DocumentExtension> {
+    /// Age in milliseconds of the newest proof for the version in `position`, as other daemons are told it.
+    pub(super) fn proof_ms(&self, cx: &Context, position: Position) -> Option<u64> {
         let state = lock(self.0.as_ref()?);
         let age = state.lease.age(position.config.offset, cx.clock.boot())?;
         // Rounded up, so that the proof does not get younger on the way.
-        let proof_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
-        Some(DocumentExtension { proof_ms: Some(proof_ms) })
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1))
     }
 
     /// Takes over the proof of another daemon, which was queried at `queried_at`.
@@ -101,10 +100,10 @@
         &self,
         cx: &Context,
         position: Position,
-        extension: &DocumentExtension,
+        proof_ms: Option<u64>,
         queried_at: Duration,
     ) {
-        let (Some(state), Some(proof_ms)) = (&self.0, extension.proof_ms) else { return };
+        let (Some(state), Some(proof_ms)) = (&self.0, proof_ms) else { return };
         let age = Duration::from_millis(proof_ms);
         let Some(sent_at) = ConfigLease::adopted_time(queried_at, age) else { return };
         let mut state = lock(state);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod reading;
 mod registrations;
 mod relay_watch;
+pub mod rollouts;
 mod serve;
 mod snapshots;
 mod status;
@@ -38,6 +39,7 @@
 pub use push::encoded;
 pub use quota::ask_holder;
 pub use reading::{Readers, announce as announce_reading};
+pub use rollouts::{ReleaseViews, ResponseWatch, Rollouts};
 pub use serve::serve_control;
 pub use status::{DistributionStatus, FoldedRecords, GetRecords, GetStatus};
 
@@ -131,6 +133,10 @@
             let (queries, stopped) = (lease::run(Arc::clone(cx)), stop.clone());
             tasks.spawn(async move { stopped.run_until_cancelled(queries).await });
         }
+        if cx.settings.rollout.is_some() {
+            let (rollouts_task, stopped) = (rollouts::run(Arc::clone(cx)), stop.clone());
+            tasks.spawn(async move { stopped.run_until_cancelled(rollouts_task).await });
+        }
         let (peers_task, stopped) = (suspects::run(Arc::clone(cx)), stop.clone());
         tasks.spawn(async move { stopped.run_until_cancelled(peers_task).await });
         let (quota_task, stopped) = (quota::run(Arc::clone(cx)), stop.clone());
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -2,7 +2,8 @@
 
 use baobabreel_client::wire::{
     CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, LeavingNotice,
-    LeavingQuery, PullWire, PushWire, QuotaRequest, ReadingNotice, SuspectNotice, decode,
+    LeavingQuery, PullWire, PushWire, QuotaRequest, ReadingNotice, RolloutNotice, SuspectNotice,
+    decode,
 };
 use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use super::push::encoded;
 use super::quota::{self, QUOTA_PATH};
 use super::reading::{self, READING_PATH};
+use super::rollouts::{self, ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH};
 use super::suspects::{self, SUSPECTS_PATH};
 use super::witnesses::{self, LEAVING_PATH, LEAVING_QUERY_PATH};
 use super::{Control, Distribution};
@@ -49,6 +51,8 @@
         READING_PATH => reading_notice(cx, &body),
         QUOTA_PATH => quota_request(cx, &body),
         SUSPECTS_PATH => suspect_notice(cx, &body),
+        ROLLOUT_NOTICE_PATH => rollout_notice(cx, &body),
+        ROLLOUT_REPORT_PATH => rollout_report(cx, &body),
         LEAVING_PATH => leaving_notice(cx, &body),
         LEAVING_QUERY_PATH => leaving_query(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
@@ -127,6 +131,17 @@
     answer(&quota::answer(cx, &request).ok_or(StatusCode::NOT_FOUND)?)
 }
 
+fn rollout_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    for notice in decode_body::<Vec<RolloutNotice>>(body)? {
+        rollouts::learn(cx, notice);
+    }
+    answer(&())
+}
+
+fn rollout_report(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    answer(&rollouts::take_report(cx, decode_body(body)?))
+}
+
 fn leaving_notice(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
     let notice: LeavingNotice = decode_body(body)?;
     witnesses::note(cx, notice);
