Grant large request bodies before they are sent, by the bytes on the links

What callers saw: in a burst of uploads all bodies left at once, and short calls to the same instances waited behind them on the link until their time limit. A body that was refused early (413, 404, 503) was read to its end at any length before the connection was used again, and the response did not say that the connection ends.

Cause: admission and placement know slots only, and each of the entry daemons sends on its own. The reader of a connection discarded what nobody wanted without a limit.

Change: where the settings name the rate of the link, the entry daemon asks up to three host daemons for a grant of a body over 16 KiB before it reads it (POST /peer/v1/body-grant). core::link decides in both directions of a link; granted bodies start one after another and are paced at 0.85 of the link. The rest of an unwanted body is discarded up to 512 KiB; with more, the response says `Connection: close`.

--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Types of the messages and documents that are sent between processes.
 
+mod body;
 mod call;
 mod control;
 mod document;
@@ -8,6 +9,7 @@
 mod log;
 mod operator;
 
+pub use body::{BodyAnswer, BodyQuery};
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
     LoadWire, TenantHead,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod id;
 pub mod idempotency;
+pub mod link;
 pub mod membership;
 pub mod prelude;
 pub mod quarantine;
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -33,7 +33,7 @@
 
 use crate::control::{Distribution, Documents, Follower, Membership, Readers};
 use crate::keys::Keys;
-use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
+use crate::proxy::{ActiveCalls, Balancers, Links, LocalBackend, PeerPool, Quarantine};
 use crate::settings::{ConfigSource, Settings};
 use crate::sync::lock;
 use crate::telemetry::{LogRateLimiter, Metrics};
@@ -108,6 +108,8 @@
     pub peers: PeerPool,
     /// Calls received from other daemons.
     pub calls: ActiveCalls,
+    /// Bytes of large bodies on the link of the instance.
+    pub links: Arc<Links>,
     /// Load balancing and retry budgets.
     pub balance: Balancers,
     /// Metrics of the daemon.
@@ -156,6 +158,7 @@
             host: LocalBackend::new(settings.limits.backend_connections, settings.policy),
             peers: PeerPool::new(settings.token.clone()),
             calls: ActiveCalls::default(),
+            links: Arc::new(Links::new(settings.limits.link_bits_per_sec, clock)),
             balance: Balancers::new(&identity, &settings),
             metrics,
             log_limiter: LogRateLimiter::default(),
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,8 +1,8 @@
 //! Serves control messages that other daemons send over HTTP.
 
 use baobabreel_client::wire::{
-    CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire, LeavingNotice,
-    LeavingQuery, PullWire, PushWire, ReadingNotice, SuspectNotice, decode,
+    BodyQuery, CallQuery, CallStateWire, DocumentNotice, DocumentQuery, Envelope, KeyQueryWire,
+    LeavingNotice, LeavingQuery, PullWire, PushWire, ReadingNotice, SuspectNotice, decode,
 };
 use baobabreel_core::calls::Addressee;
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 use super::{Control, Distribution};
 use crate::context::Cx;
 use crate::operators::{STATUS_PATH, status as status_doc};
-use crate::proxy::ProxyBody;
+use crate::proxy::{BODY_GRANT_PATH, ProxyBody, answer_body_query};
 
 /// Maximum size of a control message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
@@ -49,6 +49,7 @@
         SUSPECTS_PATH => suspect_notice(cx, &body),
         LEAVING_PATH => leaving_notice(cx, &body),
         LEAVING_QUERY_PATH => leaving_query(cx, &body),
+        BODY_GRANT_PATH => body_grant(cx, &body),
         "/peer/v1/call-state" => call_state(cx, &body),
         "/peer/v1/outcome" => outcome(cx, &body),
         STATUS_PATH => own_status(cx, control).await,
@@ -159,6 +160,11 @@
     answer(&CallStateWire::from(state))
 }
 
+fn body_grant(cx: &Cx, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
+    let query: BodyQuery = decode_body(body)?;
+    answer(&answer_body_query(cx, &query))
+}
+
 async fn own_status(cx: &Cx, control: &Control) -> Result<Vec<u8>, StatusCode> {
     let doc = status_doc(cx, control).await;
     answer(&doc.ok_or(StatusCode::SERVICE_UNAVAILABLE)?)
--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -30,6 +30,10 @@
 /// socket is answered with a reset, which discards what the caller has not received yet.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// Largest rest of an unwanted request body that is discarded so that the connection can carry further requests, in
+/// bytes. Callers over loopback send as much within milliseconds; after a longer rest the connection is closed.
+const MAX_DISCARDED_BYTES: u64 = 512 * 1024;
+
 /// Why the head of a request cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadError {
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -1,5 +1,8 @@
 //! Reads requests and dispatches each one as soon as its head is complete.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use baobabreel_core::link::LARGE_BODY_BYTES;
 use bytes::BytesMut;
 use http::{Method, Request, Version};
 use tokio::io::AsyncReadExt;
@@ -10,8 +13,8 @@
 
 use super::chunks::{ChunkDecoder, Decoded, take_at_most};
 use super::head::{self, Framing, Head};
-use super::writer::{PendingResponse, ResponseSource};
-use super::{HeadError, Service};
+use super::writer::{PendingResponse, ResponseSource, UnreadBody};
+use super::{HeadError, MAX_DISCARDED_BYTES, Service};
 use crate::proxy::{BodySender, RequestBody, body_pipe};
 
 /// Free space in the buffer before each read, in bytes.
@@ -108,11 +111,15 @@
         let req = Request::from_parts(parts, body);
         let delivery = self.service.begin_delivery(&req);
         let source = ResponseSource::Task(tokio::spawn(self.service.call(req)).into());
-        let pending =
-            PendingResponse::new(source, &method, version, !may_follow).tracked_by(delivery);
+        let unread_body =
+            unread.as_ref().map(|(sender, framing)| UnreadBody::new(sender, *framing));
+        let left = unread_body.as_ref().map(UnreadBody::left);
+        let pending = PendingResponse::new(source, &method, version, !may_follow)
+            .tracked_by(delivery)
+            .with_unread_body(unread_body);
         place.send(pending);
         if let Some((mut sender, framing)) = unread {
-            self.read_body(&mut sender, framing).await?;
+            self.read_body(&mut sender, framing, &left.unwrap_or_default()).await?;
             sender.finish().await;
         }
         Ok(may_follow)
@@ -139,9 +146,10 @@
         &mut self,
         sender: &mut BodySender,
         framing: Framing,
+        left: &AtomicU64,
     ) -> Result<(), ReadEnd> {
         match framing {
-            Framing::Length(length) => self.read_length(sender, length).await,
+            Framing::Length(length) => self.read_length(sender, length, left).await,
             Framing::Chunked => self.read_chunks(sender).await,
         }
     }
@@ -150,13 +158,22 @@
         &mut self,
         sender: &mut BodySender,
         mut remaining: u64,
+        left: &AtomicU64,
     ) -> Result<(), ReadEnd> {
+        if remaining > LARGE_BODY_BYTES {
+            // Until a daemon takes it, a large body stays with its caller.
+            sender.wait_until_wanted().await;
+        }
         while remaining > 0 {
+            if remaining > MAX_DISCARDED_BYTES && sender.is_abandoned() {
+                return Err(ReadEnd::Finished);
+            }
             if self.buf.is_empty() {
                 self.fill().await?;
             }
             let data = take_at_most(&mut self.buf, remaining);
             remaining -= data.len() as u64;
+            left.store(remaining, Ordering::Release);
             sender.send(data).await;
         }
         Ok(())
@@ -164,9 +181,14 @@
 
     async fn read_chunks(&mut self, sender: &mut BodySender) -> Result<(), ReadEnd> {
         let mut decoder = ChunkDecoder::default();
+        let mut discarded = 0;
         loop {
+            if discarded > MAX_DISCARDED_BYTES {
+                return Err(ReadEnd::Finished);
+            }
             // After an invalid body the start of the next request is unknown.
             match decoder.next(&mut self.buf).ok().ok_or(ReadEnd::Finished)? {
+                Decoded::Data(data) if sender.is_abandoned() => discarded += data.len() as u64,
                 Decoded::Data(data) => sender.send(data).await,
                 Decoded::End => return Ok(()),
                 Decoded::NeedsInput => self.fill().await?,
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -16,9 +18,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::Delivery;
-use super::head::has_option;
-use crate::proxy::{BodyError, ProxyBody};
+use super::head::{Framing as RequestFraming, has_option};
+use super::{Delivery, MAX_DISCARDED_BYTES};
+use crate::proxy::{BodyError, BodySender, BodyWatch, ProxyBody};
 
 /// Longest time for one write; a caller that reads too slowly is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -53,6 +55,33 @@
     Continue,
 }
 
+/// Request body that had not been read when its request was dispatched.
+#[derive(Debug)]
+pub(super) struct UnreadBody {
+    watch: BodyWatch,
+    /// Bytes that have not been read; 0 if the length is not known.
+    left: Arc<AtomicU64>,
+}
+
+impl UnreadBody {
+    pub(super) fn new(sender: &BodySender, framing: RequestFraming) -> Self {
+        let left = match framing {
+            RequestFraming::Length(length) => length,
+            RequestFraming::Chunked => 0,
+        };
+        Self { watch: sender.watch(), left: Arc::new(AtomicU64::new(left)) }
+    }
+
+    pub(super) fn left(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.left)
+    }
+
+    /// Whether more of it is left than is discarded for a further request.
+    fn ends_connection(&self) -> bool {
+        self.left.load(Ordering::Acquire) > MAX_DISCARDED_BYTES && self.watch.is_abandoned()
+    }
+}
+
 /// Response to be written after those before it.
 #[derive(Debug)]
 pub(super) struct PendingResponse<D> {
@@ -64,6 +93,7 @@
     version: Version,
     /// Whether the connection is closed after the response.
     close: bool,
+    unread_body: Option<UnreadBody>,
 }
 
 impl<D> PendingResponse<D> {
@@ -73,7 +103,13 @@
         version: Version,
         close: bool,
     ) -> Self {
-        Self { source, delivery: None, is_head: *method == Method::HEAD, version, close }
+        let is_head = *method == Method::HEAD;
+        Self { source, delivery: None, is_head, version, close, unread_body: None }
+    }
+
+    /// Sets the request body that had not been read.
+    pub(super) fn with_unread_body(self, unread_body: Option<UnreadBody>) -> Self {
+        Self { unread_body, ..self }
     }
 
     /// Sets the observer of its delivery.
@@ -129,6 +165,7 @@
                 delivery.ready();
             }
             closing |= pending.close || has_option(res.headers(), "close");
+            closing |= pending.unread_body.as_ref().is_some_and(UnreadBody::ends_connection);
             if closing {
                 self.no_more_requests.cancel();
             }
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -152,6 +152,19 @@
         if data.is_empty() { Self::Empty } else { Self::Full(data) }
     }
 
+    /// Replaces the source of a request body.
+    #[must_use]
+    pub fn map_source(self, map: impl FnOnce(RequestBody) -> RequestBody) -> Self {
+        match self {
+            Self::Full(data) => {
+                let left = data.len() as u64;
+                Self::Stream { inner: map(RequestBody::whole(data)), left }
+            }
+            Self::Stream { inner, left } => Self::Stream { inner: map(inner), left },
+            other => other,
+        }
+    }
+
     /// Whether the body is aborted now. One that has been received to its end is not, nor is one
     /// without a deadline.
     pub fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<()> {
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response};
 
 use super::Call;
+use super::body_grant::BodyGrant;
 use crate::proxy::balance::CallGuard;
 use crate::proxy::body::ProxyBody;
 use crate::proxy::budgets::BudgetUse;
@@ -45,17 +46,22 @@
 }
 
 impl Call<'_> {
-    /// Makes attempts until one succeeds or no further one is allowed.
+    /// Makes attempts until one succeeds or no further one is allowed. The first one uses the grant of the body, if it
+    /// has one.
     pub(super) async fn run(
         &self,
         req: &mut CallerRequest,
+        mut grant: BodyGrant,
     ) -> Result<Response<ProxyBody>, CallError> {
         let mut progress = Progress { tried: Vec::new(), number: 1 };
         let mut earlier: Option<CallError> = None;
         let mut refusals = 0;
         let mut search = self.start_search(req);
         loop {
-            let (service, guard) = match self.next_server(&progress.tried, &mut search) {
+            let granted = grant.host.take();
+            let is_granted = granted.is_some();
+            let chosen = granted.map_or_else(|| self.next_server(&progress.tried, &mut search), Ok);
+            let (service, guard) = match chosen {
                 Ok(chosen) => chosen,
                 // The error of an earlier attempt says more than that no other backend server is left.
                 Err(e) => return Err(earlier.unwrap_or(e)),
@@ -63,11 +69,14 @@
             progress.tried.push(guard.name().to_owned());
             let start = self.cx.clock.now();
             let (only_if_free, is_further_attempt) =
-                (search.has_attempts_left(), search.has_full_servers());
+                (search.has_attempts_left() && !is_granted, search.has_full_servers());
             let target = (service.clone(), guard.shared_name());
             let can_replay = req.can_resend();
             let options = SendOptions { number: progress.number, only_if_free, can_replay };
-            let result = if options.number == 1 && self.route.spec.hedge {
+            let sending = grant.sending.take().filter(|_| guard.name() != self.cx.identity.id);
+            let result = if let Some(sending) = sending {
+                self.attempt(sending.apply(req.attempt()), &service, guard, options).await
+            } else if options.number == 1 && self.route.spec.hedge && !is_granted {
                 self.hedged(req, &service, guard, options, &mut progress).await
             } else {
                 self.attempt(req.attempt(), &service, guard, options).await
@@ -170,7 +179,7 @@
     }
 
     /// Chooses a backend server of the request's service, or of the route's fallback service.
-    fn choose(&self, tried: &[String]) -> Result<(ServiceName, CallGuard), CallError> {
+    pub(super) fn choose(&self, tried: &[String]) -> Result<(ServiceName, CallGuard), CallError> {
         dispatch::choose_with_fallback(
             self.cx,
             &self.service,
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod authenticate;
+mod body_grant;
 mod owner;
 
 use std::sync::Arc;
@@ -230,8 +231,15 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
+        let grant = self.grant_body(&body).await?;
         let mut req = self.prepare(parts, body, false).await?;
-        self.run(&mut req).await
+        self.run(&mut req, grant).await
+    }
+
+    /// Largest body that the request may have.
+    fn max_body(&self) -> u64 {
+        let configured = self.config.limits.as_ref().map(|limits| limits.body_bytes);
+        configured.unwrap_or(self.cx.settings.limits.body_bytes)
     }
 
     /// Prepares the request to be sent; its body is buffered if it is small or `keep_body` is set.
@@ -241,10 +249,8 @@
         body: RequestBody,
         keep_body: bool,
     ) -> Result<CallerRequest, CallError> {
-        let configured = self.config.limits.as_ref().map(|limits| limits.body_bytes);
-        let max_body = configured.unwrap_or(self.cx.settings.limits.body_bytes);
-        let mut req =
-            CallerRequest::new(parts, body, max_body, keep_body, self.remaining()).await?;
+        let (max_body, timeout) = (self.max_body(), self.remaining());
+        let mut req = CallerRequest::new(parts, body, max_body, keep_body, timeout).await?;
         let dialect = &self.cx.settings.dialect;
         if dialect.own_headers {
             headers::write_trace(&mut req.headers, self.span);
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -31,6 +31,8 @@
 pub const DIGEST: HeaderName = HeaderName::from_static("baobabreel-digest");
 /// Tenant of a request, in calls between daemons; see [`TenantHead`].
 pub const TENANT_HEAD: HeaderName = HeaderName::from_static("baobabreel-tenant");
+/// Identifier of the grant of a large body, in calls between daemons.
+pub const BODY_GRANT: HeaderName = HeaderName::from_static("baobabreel-body-grant");
 /// Tells whether a request with a key is the first attempt.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("baobabreel-attempt");
 /// Marks a recorded response that is sent again.
@@ -81,7 +83,9 @@
 
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
-    for name in [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST, TENANT_HEAD] {
+    for name in
+        [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST, TENANT_HEAD, BODY_GRANT]
+    {
         headers.remove(name);
     }
 }
@@ -106,6 +110,11 @@
     headers.remove(TENANT_HEAD).map(|value| TenantHead::try_from(&value)).transpose()
 }
 
+/// Removes and parses the identifier of the grant of a call's body; `None` if it is absent or malformed.
+pub fn take_body_grant(headers: &mut HeaderMap) -> Option<u64> {
+    headers.remove(BODY_GRANT)?.to_str().ok()?.parse().ok()
+}
+
 /// Size of the request target and the headers as HTTP/1.1 writes them, in bytes.
 #[must_use]
 pub fn section_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -164,12 +164,16 @@
         visible_load(&lock(&self.admitter).admission, now)
     }
 
+    /// Whether the local backend server is ready and belongs to `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.backend.load().as_ref().is_some_and(|backend| {
+            backend.info.state == MemberState::Ready && backend.info.service == service
+        })
+    }
+
     /// Whether a request for `service` would start without waiting.
     pub fn can_start_now(&self, service: &str, now: Duration) -> bool {
-        let ready = self.backend.load().as_ref().is_some_and(|backend| {
-            backend.info.state == MemberState::Ready && backend.info.service == service
-        });
-        ready && lock(&self.admitter).admission.has_free_slot(now)
+        self.serves(service) && lock(&self.admitter).admission.has_free_slot(now)
     }
 
     /// Number of requests that hold a slot or wait for one.
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -17,6 +17,7 @@
 use super::headers;
 use super::host::{self, HostedResponse};
 use super::keyed::{self, BufferedRequest};
+use super::link::Links;
 use super::request_body::RequestBody;
 use super::sends::Sends;
 use crate::context::Cx;
@@ -89,6 +90,7 @@
     let mut headers = parts.headers;
     headers.remove(headers::CALL_HEAD);
     headers.remove(headers::TOKEN);
+    let grant = headers::take_body_grant(&mut headers);
     if let Some(host) = headers.remove(headers::CALLER_HOST) {
         headers.insert(HOST, host);
     }
@@ -101,16 +103,21 @@
         let req = BufferedRequest { method: parts.method, uri, headers, body };
         return keyed::serve_as_owner(cx, head.clone(), key.clone(), req).await;
     }
+    let mut receipt = None;
     let body = if body.is_end_stream() {
         ProxyBody::Empty
     } else {
-        ProxyBody::Stream { inner: RequestBody::Hyper(body), left: cx.settings.limits.body_bytes }
+        let inner = Links::receive(&cx.links, grant, RequestBody::Hyper(body), &mut receipt);
+        ProxyBody::Stream { inner, left: cx.settings.limits.body_bytes }
     };
     let mut inner = Request::new(body);
     *inner.method_mut() = parts.method;
     *inner.uri_mut() = uri;
     *inner.headers_mut() = headers;
     let admitted = forward_until_drain_end(cx, head, inner).await?;
+    if let Some(receipt) = receipt {
+        cx.links.record_run(&head.route, &receipt);
+    }
     let (mut parts, body) = admitted.response.into_parts();
     headers::remove_hop_by_hop(&mut parts.headers);
     let body = host::track_body(cx, body, admitted.deadline, Guard::Host(admitted.guard));
--- a/crates/daemon/src/proxy/request_body.rs
+++ b/crates/daemon/src/proxy/request_body.rs
@@ -8,10 +8,11 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use super::body::{BodyError, poll_incoming};
+use super::link::{Arrival, Paced};
 
 /// Most pieces of a body that are buffered for a slow receiver.
 const PIPE_CAPACITY: usize = 4;
@@ -39,6 +40,15 @@
         /// Bytes that follow.
         rest: Box<RequestBody>,
     },
+    /// Sent at the rate that a daemon has granted.
+    Paced(Box<Paced>),
+    /// Received over the link of this instance.
+    Arriving {
+        /// Source of the bytes.
+        inner: Box<RequestBody>,
+        /// Counts the bytes.
+        arrival: Arrival,
+    },
     /// Received piece by piece from a [`BodySender`].
     Pipe {
         /// Pieces of the body.
@@ -47,6 +57,8 @@
         left: Option<u64>,
         /// Whether the body has ended.
         ended: bool,
+        /// Tells the sender that the body is read; used at the first poll.
+        begun: Option<oneshot::Sender<()>>,
     },
 }
 
@@ -95,16 +107,52 @@
 #[derive(Debug)]
 pub struct BodySender {
     pieces: mpsc::Sender<Piece>,
+    begun: Option<oneshot::Receiver<()>>,
+}
+
+/// Tells whether a body is still wanted, without keeping it open.
+#[derive(Debug)]
+pub struct BodyWatch(mpsc::WeakSender<Piece>);
+
+impl BodyWatch {
+    /// Whether the receiver dropped the body before its end was sent.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        self.0.upgrade().is_some_and(|pieces| pieces.is_closed())
+    }
 }
 
 /// Creates a body that receives its pieces from the returned sender; `length` in bytes, if known.
 #[must_use]
 pub fn body_pipe(length: Option<u64>) -> (BodySender, RequestBody) {
     let (tx, rx) = mpsc::channel(PIPE_CAPACITY);
-    (BodySender { pieces: tx }, RequestBody::Pipe { pieces: rx, left: length, ended: false })
+    let (begun_tx, begun_rx) = oneshot::channel();
+    let sender = BodySender { pieces: tx, begun: Some(begun_rx) };
+    let body = RequestBody::Pipe { pieces: rx, left: length, ended: false, begun: Some(begun_tx) };
+    (sender, body)
 }
 
 impl BodySender {
+    /// Waits until the receiver begins to read the body or has dropped it.
+    pub async fn wait_until_wanted(&mut self) {
+        if let Some(begun) = self.begun.take() {
+            // Without a receiver the pieces are dropped.
+            drop(begun.await);
+        }
+    }
+
+    /// Whether the receiver has dropped the body.
+    #[must_use]
+    pub fn is_abandoned(&self) -> bool {
+        self.pieces.is_closed()
+    }
+
+    /// Observer of the body.
+    #[must_use]
+    pub fn watch(&self) -> BodyWatch {
+        BodyWatch(self.pieces.downgrade())
+    }
+
     /// Sends a piece; it is dropped if the body has been dropped.
     pub async fn send(&mut self, data: Bytes) {
         if self.pieces.send(Piece::Data(data)).await.is_err() {
@@ -135,7 +183,27 @@
                 Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
                 None => Pin::new(rest.as_mut()).poll_frame(cx),
             },
-            Self::Pipe { pieces, left, ended } => {
+            Self::Paced(paced) => paced.poll(cx),
+            Self::Arriving { inner, arrival } => {
+                let polled = Pin::new(inner.as_mut()).poll_frame(cx);
+                match &polled {
+                    Poll::Ready(Some(Ok(frame))) => {
+                        arrival.record(frame.data_ref().map_or(0, Bytes::len));
+                        if inner.is_end_stream() {
+                            arrival.end();
+                        }
+                    }
+                    Poll::Ready(None) => arrival.end(),
+                    _ => {}
+                }
+                polled
+            }
+            Self::Pipe { pieces, left, ended, begun } => {
+                if let Some(begun) = begun.take()
+                    && begun.send(()).is_err()
+                {
+                    tracing::trace!("the sender of the body does not wait for its start");
+                }
                 if *ended {
                     return Poll::Ready(None);
                 }
@@ -164,6 +232,8 @@
             Self::Hyper(body) => body.is_end_stream(),
             Self::Whole(data) => data.is_none(),
             Self::Begun { first, rest } => first.is_none() && rest.is_end_stream(),
+            Self::Paced(paced) => paced.is_end_stream(),
+            Self::Arriving { inner, .. } => inner.is_end_stream(),
             Self::Pipe { ended, .. } => *ended,
         }
     }
@@ -175,6 +245,8 @@
                 SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
             }
             Self::Pipe { left: Some(left), .. } => SizeHint::with_exact(*left),
+            Self::Paced(paced) => paced.size_hint(),
+            Self::Arriving { inner, .. } => inner.size_hint(),
             Self::Begun { .. } | Self::Pipe { left: None, .. } => SizeHint::default(),
         }
     }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -22,6 +22,9 @@
     latency: Histogram<f64>,
     retries: Counter<u64>,
     undelivered: Counter<u64>,
+    bodies: Counter<u64>,
+    body_bytes: Counter<u64>,
+    body_wait: Histogram<f64>,
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
@@ -60,6 +63,21 @@
                 .u64_counter("baobabreel.responses.undelivered")
                 .with_description("Responses that did not reach their callers, by stage")
                 .build(),
+            bodies: meter
+                .u64_counter("baobabreel.bodies")
+                .with_description("Large request bodies by what the links decided")
+                .build(),
+            body_bytes: meter
+                .u64_counter("baobabreel.body.bytes")
+                .with_unit("By")
+                .with_description("Bytes of large request bodies by what the links decided")
+                .build(),
+            body_wait: meter
+                .f64_histogram("baobabreel.body.wait")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .with_description("Time for which granted bodies waited before their start")
+                .build(),
             control_bytes: meter
                 .u64_counter("baobabreel.control.bytes")
                 .with_unit("By")
@@ -104,6 +122,16 @@
         self.undelivered.add(1, &[KeyValue::new("stage", stage)]);
     }
 
+    /// Counts a large request body; the result tells what the links decided about it.
+    pub fn record_body(&self, result: &'static str, bytes: u64, wait: Duration) {
+        let labels = [KeyValue::new("result", result)];
+        self.bodies.add(1, &labels);
+        self.body_bytes.add(bytes, &labels);
+        if result == "granted" {
+            self.body_wait.record(wait.as_secs_f64(), &[]);
+        }
+    }
+
     /// Counts the bytes of a control message; the direction is `in` or `out`.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
