--- a/crates/core/src/link/budget.rs
+++ b/crates/core/src/link/budget.rs
@@ -29,6 +29,9 @@
 /// Shortest time that a refused caller is told to wait: a retry sooner would find the same queue.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Most bytes that count for one body, so that the sum cannot overflow.
+const MAX_COUNTED_BYTES: u64 = 1 << 40;
+
 /// Number of links that one body is offered to before its caller is refused; each expects a part of its return.
 const OFFERS_PER_BODY: f64 = 3.0;
 
@@ -180,8 +183,9 @@
         }
     }
 
-    fn insert(&mut self, id: TransferId, transfer: Transfer) {
+    fn insert(&mut self, id: TransferId, mut transfer: Transfer) {
         self.end(id);
+        transfer.left = transfer.left.min(MAX_COUNTED_BYTES);
         self.backlog += transfer.left;
         self.transfers.insert(id, transfer);
     }
--- a/crates/daemon/src/proxy/link/answer.rs
+++ b/crates/daemon/src/proxy/link/answer.rs
@@ -24,16 +24,18 @@
 
 /// Decides whether a body may be sent to the local backend server.
 pub fn answer_body_query(cx: &Cx, query: &BodyQuery) -> BodyAnswer {
-    if cx.phase() >= Phase::Handover || !cx.host.serves(&query.service) {
+    let now = cx.clock.now();
+    let remaining = Duration::from_millis(query.remaining_ms);
+    let is_closed = cx.phase() >= Phase::Handover || !cx.admits_call(now + remaining);
+    if is_closed || !cx.host.serves(&query.service) {
         return BodyAnswer::NotServing;
     }
     let Some(budgets) = &cx.links.budgets else {
         return BodyAnswer::Granted { start_ms: query.not_before_ms, bytes_per_sec: u64::MAX };
     };
-    let now = cx.clock.now();
     let load = cx.host.visible_load(now);
     let run_time = cx.links.run_time(&query.route);
-    let left = Duration::from_millis(query.remaining_ms).saturating_sub(run_time + RESPONSE_MARGIN);
+    let left = remaining.saturating_sub(run_time + RESPONSE_MARGIN);
     let mut inbound = lock(&budgets.inbound);
     let pending = u32::try_from(inbound.pending()).unwrap_or(u32::MAX);
     let slot_wait = slot_wait(load.running + load.queued, pending, load.slots, run_time);
@@ -49,7 +51,9 @@
         source: source(&query.route, query.tenant.as_deref()),
         not_before: now + Duration::from_millis(query.not_before_ms),
         arrive_by: now + left,
-        max_wait: query.max_wait_ms.map(|wait| Duration::from_millis(wait + query.not_before_ms)),
+        max_wait: query
+            .max_wait_ms
+            .map(|wait| Duration::from_millis(wait.saturating_add(query.not_before_ms))),
     };
     match inbound.offer(&offer, now) {
         LinkDecision::Grant { start } => BodyAnswer::Granted {
--- a/crates/test-support/src/net/mod.rs
+++ b/crates/test-support/src/net/mod.rs
@@ -10,9 +10,9 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -33,12 +33,21 @@
     delay: Duration,
     /// Bytes per second of one connection in one direction.
     rate: Option<u32>,
+    /// Bytes per second of all connections together in one direction.
+    shared_rate: Option<u32>,
     hold: bool,
     refuse: bool,
     silenced_up_to: u64,
     cut_up_to: u64,
 }
 
+/// When each direction of the link is free again, if its connections share a rate.
+#[derive(Debug, Default)]
+struct SharedLink {
+    to_target: Mutex<Option<Instant>>,
+    from_target: Mutex<Option<Instant>>,
+}
+
 #[derive(Debug, Default)]
 struct Counters {
     accepted: AtomicU64,
@@ -103,7 +112,8 @@
         let (rules, rules_rx) = watch::channel(Rules::default());
         let (listening_tx, listening) = watch::channel(true);
         let counters = Arc::new(Counters::default());
-        let acceptor = Acceptor { addr, target, room, counters: Arc::clone(&counters) };
+        let link = Arc::default();
+        let acceptor = Acceptor { addr, target, room, counters: Arc::clone(&counters), link };
         tokio::spawn(acceptor.run(listener, rules_rx, listening_tx));
         Ok(Relay { addr, rules, listening, counters })
     }
@@ -123,6 +133,12 @@
         self.rules.send_modify(|rules| rules.rate = bytes_per_s);
     }
 
+    /// Makes all connections share a rate in bytes per second in each direction. Bytes pass in the order in which they
+    /// come, as in the queue of a link.
+    pub fn share_rate(&self, bytes_per_s: u32) {
+        self.rules.send_modify(|rules| rules.shared_rate = Some(bytes_per_s));
+    }
+
     /// Makes all existing connections silent for good: they stay open and nothing passes. New
     /// connections work.
     pub fn silence_existing(&self) {
@@ -167,6 +183,7 @@
     target: SocketAddr,
     room: Room,
     counters: Arc<Counters>,
+    link: Arc<SharedLink>,
 }
 
 impl Acceptor {
@@ -207,10 +224,11 @@
         rules: watch::Receiver<Rules>,
     ) -> impl Future<Output = ()> + Send + use<> {
         let (target, room, counters) = (self.target, self.room, Arc::clone(&self.counters));
+        let link = Arc::clone(&self.link);
         async move {
             let _open = OpenConnection::new(&counters.open);
             let mut cut_rules = rules.clone();
-            let forward = pump::forward(id, stream, (target, room), rules, &counters);
+            let forward = pump::forward(id, stream, (target, room), rules, (&counters, &link));
             tokio::select! {
                 () = forward => {}
                 _ = cut_rules.wait_for(|rules| id <= rules.cut_up_to) => {}
--- a/crates/test-support/src/net/pump.rs
+++ b/crates/test-support/src/net/pump.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -12,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::room::Room;
-use super::{Counters, Rules};
+use super::{Counters, Rules, SharedLink};
 use crate::timer;
 
 /// Chunk with the time of its delivery; an empty chunk is the end of the stream.
@@ -24,7 +25,7 @@
     near: TcpStream,
     (target, room): (SocketAddr, Room),
     rules: watch::Receiver<Rules>,
-    counters: &Counters,
+    (counters, link): (&Counters, &SharedLink),
 ) {
     let Ok(far) = connect(target, room).await else {
         return;
@@ -33,8 +34,15 @@
     drop((near.set_nodelay(true), far.set_nodelay(true)));
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
-    let there = direction(id, near_rx, far_tx, room, rules.clone(), &counters.to_target);
-    let back = direction(id, far_rx, near_tx, room, rules, &counters.from_target);
+    let there = direction(
+        id,
+        (near_rx, far_tx),
+        room,
+        rules.clone(),
+        (&counters.to_target, &link.to_target),
+    );
+    let back =
+        direction(id, (far_rx, near_tx), room, rules, (&counters.from_target, &link.from_target));
     // Only the end of the relay is an error.
     drop(tokio::try_join!(there, back));
 }
@@ -47,14 +55,13 @@
 
 async fn direction(
     id: u64,
-    rx: OwnedReadHalf,
-    tx: OwnedWriteHalf,
+    (rx, tx): (OwnedReadHalf, OwnedWriteHalf),
     room: Room,
     rules: watch::Receiver<Rules>,
-    delivered: &AtomicU64,
+    (delivered, link_free_at): (&AtomicU64, &Mutex<Option<Instant>>),
 ) -> io::Result<()> {
     let (chunk_tx, chunk_rx) = mpsc::channel(room.chunks);
-    let read = read(rx, room, rules.clone(), chunk_tx);
+    let read = read(rx, room, rules.clone(), chunk_tx, link_free_at);
     let write = write(id, tx, rules, chunk_rx, delivered);
     tokio::try_join!(read, write).map(|_| ())
 }
@@ -64,15 +71,22 @@
     room: Room,
     rules: watch::Receiver<Rules>,
     chunks: mpsc::Sender<Chunk>,
+    link_free_at: &Mutex<Option<Instant>>,
 ) -> io::Result<()> {
     let mut free_at = Instant::now();
     loop {
         let mut chunk = BytesMut::with_capacity(room.chunk_bytes);
         // What came before a reset is on its way, and arrives.
         let end = !matches!(rx.read_buf(&mut chunk).await, Ok(length) if length > 0);
-        let Rules { delay, rate, .. } = *rules.borrow();
+        let Rules { delay, rate, shared_rate, .. } = *rules.borrow();
         free_at = free_at.max(Instant::now())
             + rate.map_or(Duration::ZERO, |rate| transfer_time(chunk.len(), rate));
+        if let Some(rate) = shared_rate {
+            let mut link_free_at = link_free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            let now = Instant::now();
+            free_at = link_free_at.unwrap_or(now).max(now) + transfer_time(chunk.len(), rate);
+            *link_free_at = Some(free_at);
+        }
         if chunks.send((free_at + delay, chunk.freeze())).await.is_err() || end {
             return Ok(());
         }
