--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Types of the messages and documents that are sent between processes.
 
+mod body;
 mod call;
 mod control;
 mod document;
@@ -10,6 +11,7 @@
 mod quota;
 mod rollout;
 
+pub use body::{BodyAnswer, BodyQuery};
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
     LoadWire, TenantHead,
