Refuse what costs callers least when there is too little room

What callers saw: of two routes of one class, one alone paid for an overload, and a sixth to a fifth of all refusals came back and were refused again. A refused nested call failed a request that ran elsewhere, and a tenant that sent several times its usual took the room of others.

Cause: within a class the queue knows only the due time, and each refusal named the wait of that moment.

Change: admission/cost.rs decides by what a request is for: one of a starved route or tenant, nested, behind, usual, or over the usual demand of its tenant. Shares of routes and tenants are counted at the host, and precedence goes to the one that has waited longest. Each refusal takes the next free place among the departures that are kept for returns, so no two callers get the same time. Nested calls are refused by their deadline and not by their target. The host daemon tells tenants and nested calls from the tenant header.

Tests that construct a Ticket name its two new fields; nothing else in them changed.

--- a/crates/bench/src/pure.rs
+++ b/crates/bench/src/pure.rs
@@ -242,6 +242,8 @@
             route: "route-7",
             deadline: now + Duration::from_secs(1),
             target: None,
+            tenant: None,
+            nested: false,
         };
         drop(black_box(admission.offer(ticket, now)));
         drop(black_box(admission.finish(u64::from(round), now)));
--- a/crates/core/src/admission/builder.rs
+++ b/crates/core/src/admission/builder.rs
@@ -16,6 +16,7 @@
     pub(super) bulk_share: f64,
     pub(super) class_aware: bool,
     pub(super) learn_bulk: bool,
+    pub(super) cost_aware: bool,
     pub(super) target_wait: Duration,
 }
 
@@ -27,6 +28,7 @@
             bulk_share: 0.5,
             class_aware: true,
             learn_bulk: true,
+            cost_aware: true,
             target_wait: DEFAULT_TARGET_WAIT,
         }
     }
@@ -71,6 +73,14 @@
         self
     }
 
+    /// Whether the shares of routes and tenants and the cost of a refusal decide who waits and who is
+    /// refused. If off, class and due time alone decide, as a baseline for measurements.
+    #[must_use]
+    pub fn cost_aware(mut self, on: bool) -> Self {
+        self.cost_aware = on;
+        self
+    }
+
     /// Limit of the estimated wait under overload; `Duration::MAX` turns it off. A short request may
     /// wait longer as long as it is still answered quickly, and a long one for a quarter of its run time. Bulk
     /// requests have no limit, and that of requests with a target follows from the target instead.
--- /dev/null
+++ b/crates/core/src/admission/cost.rs
@@ -0,0 +1,109 @@
+//! What it costs callers to delay or refuse a request.
+//!
+//! When there is too little room, the requests that cost least wait longest and are refused first. The cost
+//! follows from what the request is for ([`Precedence`]), its class, and the time that is left to its target.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use super::queue::PendingRequest;
+use super::state::Admission;
+use crate::config::Class;
+
+/// What a request is for, highest cost first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Precedence {
+    /// Its route or tenant is starved: served little more than half as often as all, at overload.
+    Starved,
+    /// A request that already runs elsewhere fails without it, and the work on that one is lost.
+    Nested,
+    /// Its route or tenant is served clearly less often than all, at overload.
+    Behind,
+    /// All others.
+    Usual,
+    /// Its tenant sends more than usual at overload. It may use room that nobody else asks for.
+    Excess,
+}
+
+/// Number of refused requests by what they were for, for logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RefusalCounts {
+    /// Requests of a starved route or tenant.
+    pub starved: u64,
+    /// Requests made by requests that run elsewhere.
+    pub nested: u64,
+    /// Requests of a route or tenant that is served clearly less often than all.
+    pub behind: u64,
+    /// All others.
+    pub usual: u64,
+    /// Requests over the usual demand of their tenant.
+    pub excess: u64,
+}
+
+impl RefusalCounts {
+    pub(super) fn add(&mut self, precedence: Precedence) {
+        *match precedence {
+            Precedence::Starved => &mut self.starved,
+            Precedence::Nested => &mut self.nested,
+            Precedence::Behind => &mut self.behind,
+            Precedence::Usual => &mut self.usual,
+            Precedence::Excess => &mut self.excess,
+        } += 1;
+    }
+}
+
+/// Cost of refusing a request; the lower one is greater in this order, as it starts later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RefusalCost {
+    pub precedence: Precedence,
+    pub class: Reverse<Class>,
+}
+
+/// Order of start: the cost of a refusal, then the time by which the answer is due, then the arrival.
+pub(super) type StartOrder = (RefusalCost, Duration, u64);
+
+impl Admission {
+    /// Counts the offer of a request and decides what its refusal would cost.
+    ///
+    /// Precedence that is due to the shares of its route or tenant goes to the request of the same route or
+    /// tenant that has waited longest, so that later ones do not overtake it.
+    pub(super) fn precedence(
+        &mut self,
+        item: &PendingRequest,
+        nested: bool,
+        now: Duration,
+    ) -> Precedence {
+        let is_overloaded = self.is_overloaded(item, now);
+        let work = self.waiting_secs(item);
+        self.all.record_offer(now);
+        self.routes.share_mut(item.route).record_offer(now);
+        let is_excess = item
+            .tenant
+            .is_some_and(|tenant| self.tenants.record_offer(tenant, work, is_overloaded, now));
+        let own = match (nested, is_overloaded && is_excess) {
+            (true, _) => Precedence::Nested,
+            (false, true) => Precedence::Excess,
+            (false, false) => Precedence::Usual,
+        };
+        if !is_overloaded {
+            return own;
+        }
+        let tenant_due =
+            item.tenant.and_then(|tenant| self.tenants.share(tenant).precedence_due(&self.all));
+        // A tenant that sends more than usual is only kept from starving.
+        let due = match own {
+            Precedence::Excess => tenant_due.filter(|due| *due == Precedence::Starved),
+            _ => tenant_due
+                .into_iter()
+                .chain(self.routes.share(item.route).precedence_due(&self.all))
+                .min(),
+        };
+        let Some(due) = due.filter(|due| *due < own) else { return own };
+        let is_due_to_tenant = tenant_due == Some(due);
+        let shares_account = |other: &PendingRequest| match is_due_to_tenant {
+            true => other.tenant == item.tenant,
+            false => other.route == item.route && other.precedence != Precedence::Excess,
+        };
+        if self.queue.promote(due, shares_account) { own } else { due }
+    }
+}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -11,20 +11,24 @@
 //! A backend server may name a limit on the rate of its requests. Then a request also needs the pace
 //! to allow its start, and the estimated wait contains the time until it does.
 //!
-//! The queue is ordered by class before deadline, because commands and checks hold up the rest of a
-//! call chain. Bulk requests may hold only a share of the slots, so that long jobs never hold all of
+//! What is delayed or refused under overload is what costs callers least; see `cost`. The queue is ordered
+//! by class before deadline, because commands and checks hold up the rest of a call chain. Bulk requests may hold only a share of the slots, so that long jobs never hold all of
 //! them.
 
 mod builder;
+mod cost;
+mod estimate;
 mod overload;
 mod pace;
 mod queue;
 mod refusal;
 mod routes;
+mod shares;
 mod state;
 mod ticket;
 mod wait;
 
 pub use builder::AdmissionBuilder;
+pub use cost::RefusalCounts;
 pub use state::Admission;
 pub use ticket::{Action, Decision, OfferResult, Ticket, TicketId};
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -1,7 +1,9 @@
 //! The queue of requests that wait for a slot, in the order in which they start.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use super::cost::{Precedence, RefusalCost, StartOrder};
 use super::ticket::TicketId;
 use crate::config::Class;
 
@@ -13,6 +15,8 @@
     /// Whether it counts towards the bulk share.
     pub bulk: bool,
     pub route: usize,
+    pub tenant: Option<usize>,
+    pub precedence: Precedence,
     pub deadline: Duration,
     /// Time by which the answer must arrive to be of full use.
     pub target: Option<Duration>,
@@ -24,7 +28,16 @@
 impl PendingRequest {
     /// Whether this request starts before `other`.
     fn starts_before(&self, other: &Self) -> bool {
-        (other.class, self.due(), self.arrival) < (self.class, other.due(), other.arrival)
+        self.start_order() < other.start_order()
+    }
+
+    fn start_order(&self) -> StartOrder {
+        (self.cost(), self.due(), self.arrival)
+    }
+
+    /// Cost of its refusal.
+    pub fn cost(&self) -> RefusalCost {
+        RefusalCost { precedence: self.precedence, class: Reverse(self.class) }
     }
 
     /// Time by which requests of one class are ordered: the target if there is one, otherwise the
@@ -35,7 +48,7 @@
     }
 }
 
-/// Queued requests in the order in which they start: by class, highest first, then by due time.
+/// Queued requests in the order in which they start: by the cost of a refusal, then by due time.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiting: Vec<PendingRequest>,
@@ -65,9 +78,9 @@
         &self.waiting
     }
 
-    /// Removes and returns the last request if its class is below `class`.
-    pub fn shed_below(&mut self, class: Class) -> Option<PendingRequest> {
-        self.waiting.pop_if(|last| last.class < class)
+    /// Removes and returns the last request if its refusal costs less than that of `item`.
+    pub fn shed_below(&mut self, item: &PendingRequest) -> Option<PendingRequest> {
+        self.waiting.pop_if(|last| last.cost() > item.cost())
     }
 
     /// First request in the queue for which `is_match` returns true.
@@ -80,7 +93,19 @@
 
     /// Highest class among the requests that do not count towards the bulk share.
     pub fn highest_class(&self) -> Option<Class> {
-        self.first_matching(|item| !item.bulk).map(|item| item.class)
+        self.waiting.iter().filter(|item| !item.bulk).map(|item| item.class).max()
+    }
+
+    /// Gives `precedence` to the first request that matches and has a lower one; returns whether there is one.
+    pub fn promote(
+        &mut self,
+        precedence: Precedence,
+        is_match: impl Fn(&PendingRequest) -> bool,
+    ) -> bool {
+        let found = self.first_matching(|item| item.precedence > precedence && is_match(item));
+        let Some(item) = found.and_then(|item| self.remove(item.id)) else { return false };
+        self.insert(PendingRequest { precedence, ..item });
+        true
     }
 
     pub fn remove(&mut self, id: TicketId) -> Option<PendingRequest> {
--- a/crates/core/src/admission/routes.rs
+++ b/crates/core/src/admission/routes.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::shares::Share;
+
 /// Weight of a new wait in the smoothed wait. It is higher than for run times, since waits change
 /// faster.
 const WAIT_SMOOTHING: f64 = 0.3;
@@ -47,6 +49,7 @@
     /// Smoothed wait of the requests that left the queue, in seconds.
     wait_secs: f64,
     bulk: bool,
+    share: Share,
     last_used: Duration,
 }
 
@@ -108,6 +111,14 @@
         self.stats[index].wait_secs
     }
 
+    pub fn share(&self, index: usize) -> &Share {
+        &self.stats[index].share
+    }
+
+    pub fn share_mut(&mut self, index: usize) -> &mut Share {
+        &mut self.stats[index].share
+    }
+
     /// Whether the route counts as bulk because of its run times.
     pub fn is_bulk(&self, index: usize) -> bool {
         self.stats[index].bulk
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -5,58 +5,54 @@
 use std::time::Duration;
 
 use super::builder::AdmissionBuilder;
+use super::cost::{Precedence, RefusalCounts};
 use super::overload::OverloadDetector;
 use super::pace::Pace;
 use super::queue::{PendingRequest, Queue};
-use super::refusal::{bounded_retry_after, default_retry_after, refusal, refuse, refuse_for};
-use super::routes::{RouteTable, SmoothedRunTime};
+use super::refusal::{Promises, default_retry_after, refusal, refuse};
+use super::routes::RouteTable;
+use super::shares::{Share, Tenants};
 use super::ticket::{Action, Decision, OfferResult, Ticket, TicketId};
-use super::wait::{ClassRunTimes, wait_secs};
+use super::wait::ClassRunTimes;
 use crate::balance::LoadReport;
 use crate::condition::RateLimit;
 use crate::config::Class;
 use crate::error::ErrorKind;
 
-/// Fraction of the time to spare before its target that a request may be expected to wait under
-/// overload. The rest is a margin, since run times and waits vary.
-const TARGET_WAIT_FRACTION: f64 = 0.6;
-
-/// Fraction of its run time that a request may wait under overload even if that exceeds the limit.
-const RUN_TIME_WAIT_FRACTION: f64 = 0.25;
-
-/// Under overload a request may wait longer than the limit if its wait and run time together stay
-/// within this time. Thus a check of 25 ms may wait longer than a command of 60 ms: with 20 ms for
-/// both, 90 % of the checks at a peak were in time, not 98 %.
-const TARGET_RESPONSE_TIME: Duration = Duration::from_millis(80);
-
 /// Slots and queue of one backend server.
 ///
 /// Exactly one of these happens to every offered request: it starts, is refused, or is cancelled before
 /// it starts.
 #[derive(Debug)]
 pub struct Admission {
-    cfg: AdmissionBuilder,
-    running: Vec<RunningRequest>,
+    pub(super) cfg: AdmissionBuilder,
+    pub(super) running: Vec<RunningRequest>,
     bulk_running: u32,
-    queue: Queue,
+    pub(super) queue: Queue,
     arrivals: u64,
-    routes: RouteTable,
-    run_times: ClassRunTimes,
-    overload: OverloadDetector,
+    pub(super) routes: RouteTable,
+    pub(super) tenants: Tenants,
+    /// Share of all requests.
+    pub(super) all: Share,
+    pub(super) run_times: ClassRunTimes,
+    pub(super) overload: OverloadDetector,
     /// Set while the backend server limits the rate of its requests.
-    pace: Option<Pace>,
+    pub(super) pace: Option<Pace>,
     draining: bool,
+    /// Room that was promised to refused callers.
+    pub(super) promises: Promises,
+    pub(super) refusals: RefusalCounts,
 }
 
 /// A request that holds a slot.
 #[derive(Debug)]
-struct RunningRequest {
+pub(super) struct RunningRequest {
     id: TicketId,
-    class: Class,
+    pub(super) class: Class,
     /// Whether it counts towards the bulk share.
-    bulk: bool,
-    route: usize,
-    has_target: bool,
+    pub(super) bulk: bool,
+    pub(super) route: usize,
+    pub(super) has_target: bool,
     started: Duration,
 }
 
@@ -75,10 +71,14 @@
             queue: Queue::default(),
             arrivals: 0,
             routes: RouteTable::default(),
+            tenants: Tenants::default(),
+            all: Share::default(),
             run_times: ClassRunTimes::default(),
             overload: OverloadDetector::default(),
             pace: None,
             draining: false,
+            promises: Promises::default(),
+            refusals: RefusalCounts::default(),
         }
     }
 
@@ -186,12 +186,12 @@
     /// already earlier.
     #[must_use]
     pub fn expire(&mut self, now: Duration) -> Vec<Action> {
-        let retry_after = default_retry_after(ErrorKind::DeadlineUnreachable);
         let expired = self.take_matching(|this, item| this.latest_start(item, now) <= now);
         let mut actions = Vec::with_capacity(expired.len());
         for item in expired {
             self.routes.observe_wait(item.route, now.saturating_sub(item.queued_at));
-            actions.push(refusal(&item, ErrorKind::DeadlineUnreachable, retry_after));
+            let wait = self.estimated_wait(&item, now);
+            actions.push(self.refuse_queued(&item, ErrorKind::DeadlineUnreachable, wait, now));
         }
         self.observe_queue(now);
         actions
@@ -225,6 +225,12 @@
         !self.draining && self.queue.len() == 0 && self.may_start(false, now)
     }
 
+    /// Number of requests that were refused for lack of room, by what they were for.
+    #[must_use]
+    pub fn refusals(&self) -> RefusalCounts {
+        self.refusals
+    }
+
     /// Current number of slots.
     #[must_use]
     pub fn slots(&self) -> u32 {
@@ -271,13 +277,13 @@
             return refuse(ErrorKind::DeadlineUnreachable, wait);
         }
         if item.target.is_some() && now + wait + self.run_time(&item) > ticket.deadline {
-            return refuse_for(&item, ErrorKind::DeadlineUnreachable, wait);
+            return self.refuse_new(&item, ErrorKind::DeadlineUnreachable, wait, now);
         }
         if self.is_overloaded(&item, now) && self.exceeds_max_wait(&item, now) {
             self.overload.record_refusal(item.class, now);
             evicted.extend(self.shed_late(item.class, now));
             if self.exceeds_max_wait(&item, now) {
-                return refuse_for(&item, ErrorKind::Overloaded, wait);
+                return self.refuse_new(&item, ErrorKind::Overloaded, wait, now);
             }
         }
         self.enqueue(item, now, evicted)
@@ -299,16 +305,23 @@
             class => class,
         };
         self.arrivals += 1;
-        PendingRequest {
+        let tenant = ticket.tenant.map(|name| self.tenants.intern(name));
+        let mut item = PendingRequest {
             id: ticket.id,
             class,
             bulk: self.cfg.class_aware && (learnt || class == Class::Bulk),
             route,
+            tenant,
+            precedence: Precedence::Usual,
             deadline: ticket.deadline,
             target: ticket.target,
             queued_at: now,
             arrival: self.arrivals,
+        };
+        if self.cfg.cost_aware && self.cfg.class_aware {
+            item.precedence = self.precedence(&item, ticket.nested, now);
         }
+        item
     }
 
     fn may_start(&self, bulk: bool, now: Duration) -> bool {
@@ -328,6 +341,12 @@
         if let Some(pace) = &mut self.pace {
             pace.start(now);
         }
+        self.all.record_start(now);
+        self.routes.share_mut(item.route).record_start(now);
+        if let Some(tenant) = item.tenant {
+            let work = self.waiting_secs(item);
+            self.tenants.record_start(tenant, work, now);
+        }
         self.bulk_running += u32::from(item.bulk);
         self.running.push(RunningRequest {
             id: item.id,
@@ -357,14 +376,10 @@
         }
         if self.queue.len() >= self.cfg.queue_len {
             let retry_after = self.drain_time(now);
-            let Some(shed) = self.queue.shed_below(item.class) else {
-                return refuse_for(&item, ErrorKind::Overloaded, retry_after);
+            let Some(shed) = self.queue.shed_below(&item) else {
+                return self.refuse_new(&item, ErrorKind::Overloaded, retry_after, now);
             };
-            evicted.push(refusal(
-                &shed,
-                ErrorKind::Overloaded,
-                bounded_retry_after(ErrorKind::Overloaded, retry_after),
-            ));
+            evicted.push(self.refuse_queued(&shed, ErrorKind::Overloaded, retry_after, now));
         }
         self.queue.insert(item);
         Decision::Queued
@@ -382,8 +397,8 @@
             let Some(item) = next else { break };
             self.queue.remove(item.id);
             if self.should_yield_slot(&item, now) {
-                let kind = ErrorKind::Overloaded;
-                actions.push(refusal(&item, kind, default_retry_after(kind)));
+                let wait = self.estimated_wait(&item, now);
+                actions.push(self.refuse_queued(&item, ErrorKind::Overloaded, wait, now));
                 self.overload.record_refusal(item.class, now);
             } else {
                 self.routes.observe_wait(item.route, now.saturating_sub(item.queued_at));
@@ -399,7 +414,7 @@
         self.overload.observe(self.queue.highest_class(), now);
     }
 
-    fn is_overloaded(&self, item: &PendingRequest, now: Duration) -> bool {
+    pub(super) fn is_overloaded(&self, item: &PendingRequest, now: Duration) -> bool {
         self.cfg.class_aware && !item.bulk && self.overload.is_active(item.class, now)
     }
 
@@ -410,26 +425,6 @@
             && self.estimated_wait(item, now) > self.max_wait(item, now)
     }
 
-    /// Limit of the estimated wait of a request under overload. With a target, it leaves time to answer
-    /// before the target; without one, it depends on the class alone.
-    fn max_wait(&self, item: &PendingRequest, now: Duration) -> Duration {
-        match item.target {
-            Some(target) => {
-                target.saturating_sub(now + self.run_time(item)).mul_f64(TARGET_WAIT_FRACTION)
-            }
-            None => self.max_class_wait(item.class),
-        }
-    }
-
-    /// Limit of the estimated wait under overload for a class, by its smoothed run time.
-    fn max_class_wait(&self, class: Class) -> Duration {
-        let secs = self.run_times.secs(class);
-        let part =
-            Duration::try_from_secs_f64(secs * RUN_TIME_WAIT_FRACTION).unwrap_or(Duration::MAX);
-        let run_time = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        self.cfg.target_wait.max(part).max(TARGET_RESPONSE_TIME.saturating_sub(run_time))
-    }
-
     /// Whether a request that was just taken from the queue is late while another one of its class is
     /// not, so that the slot goes to that one. A slot never stays idle for this.
     fn should_yield_slot(&self, item: &PendingRequest, now: Duration) -> bool {
@@ -448,7 +443,8 @@
     /// its place goes to a request that can.
     fn latest_start(&self, item: &PendingRequest, now: Duration) -> Duration {
         let Some(target) = item.target else { return item.deadline };
-        let end = if self.is_overloaded(item, now) { target } else { item.deadline };
+        let ends_at_target = self.is_overloaded(item, now) && item.precedence != Precedence::Nested;
+        let end = if ends_at_target { target } else { item.deadline };
         end.min(item.deadline).saturating_sub(self.run_time(item))
     }
 
@@ -483,75 +479,13 @@
     /// Refuses the late requests of `class`, except bulk ones, so that a new one does not wait behind
     /// them.
     fn shed_late(&mut self, class: Class, now: Duration) -> Vec<Action> {
-        let kind = ErrorKind::Overloaded;
         let late = self.take_matching(|this, item| {
             item.class == class && !item.bulk && this.is_late(item, now)
         });
-        late.iter().map(|item| refusal(item, kind, default_retry_after(kind))).collect()
-    }
-
-    /// Estimated time until `item` would start if it were queued now.
-    fn estimated_wait(&self, item: &PendingRequest, now: Duration) -> Duration {
-        let modelled = self.modelled_wait(item, now);
-        // The model leaves out requests that arrive later and start earlier. The measured waits of
-        // requests that recently left the queue include them.
-        let has_same_route = self.queue.all().iter().any(|other| other.route == item.route);
-        if item.target.is_none() || !has_same_route {
-            return modelled;
-        }
-        let observed = Duration::try_from_secs_f64(self.routes.wait_secs(item.route));
-        modelled.max(observed.unwrap_or_default())
-    }
-
-    /// Estimated time until `item` would start if no other request arrived.
-    fn modelled_wait(&self, item: &PendingRequest, now: Duration) -> Duration {
-        let ahead = self.queue.ahead_of(item);
-        let running = self.running.iter().map(|running| self.running_secs(running));
-        let queued = ahead.iter().map(|other| self.waiting_secs(other));
-        let mut secs = wait_secs(running, queued, self.cfg.slots);
-        if item.bulk {
-            let running = self.running.iter().filter(|running| running.bulk);
-            let bulk_secs = wait_secs(
-                running.map(|running| self.running_secs(running)),
-                ahead.iter().filter(|other| other.bulk).map(|other| self.waiting_secs(other)),
-                self.bulk_slots(),
-            );
-            secs = secs.max(bulk_secs);
-        }
-        let slot_wait = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        slot_wait.max(self.paced_wait(ahead.len(), now))
-    }
-
-    /// Time until the rate limit allows the start of a request with `ahead` others before it.
-    fn paced_wait(&self, ahead: usize, now: Duration) -> Duration {
-        self.pace.as_ref().map_or(Duration::ZERO, |pace| pace.wait(ahead, now))
-    }
-
-    /// Estimated time until all queued requests have started.
-    fn drain_time(&self, now: Duration) -> Duration {
-        let running = self.running.iter().map(|running| self.running_secs(running));
-        let waiting = self.queue.all().iter().map(|item| self.waiting_secs(item));
-        let secs = wait_secs(running, waiting, self.cfg.slots);
-        let slot_wait = Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX);
-        slot_wait.max(self.paced_wait(self.queue.len(), now))
-    }
-
-    fn running_secs(&self, running: &RunningRequest) -> f64 {
-        self.expected_secs(running.class, running.route, running.has_target)
-    }
-
-    fn waiting_secs(&self, item: &PendingRequest) -> f64 {
-        self.expected_secs(item.class, item.route, item.target.is_some())
-    }
-
-    /// Expected run time in seconds. For a request with a target it is that of the route, if known,
-    /// since short and long requests can then have the same class; otherwise it is that of the class.
-    fn expected_secs(&self, class: Class, route: usize, has_target: bool) -> f64 {
-        let route_run_time = if has_target { self.routes.run_time(route) } else { None };
-        route_run_time.map_or_else(|| self.run_times.secs(class), SmoothedRunTime::secs)
-    }
-
-    fn run_time(&self, item: &PendingRequest) -> Duration {
-        Duration::try_from_secs_f64(self.waiting_secs(item)).unwrap_or_default()
+        let refuse = |item: &PendingRequest| {
+            let wait = self.estimated_wait(item, now);
+            self.refuse_queued(item, ErrorKind::Overloaded, wait, now)
+        };
+        late.iter().map(refuse).collect()
     }
 }
--- a/crates/core/src/admission/ticket.rs
+++ b/crates/core/src/admission/ticket.rs
@@ -22,6 +22,10 @@
     /// Time by which its answer must arrive to be of full use, on the clock of `now`; none if the route
     /// has no target latency.
     pub target: Option<Duration>,
+    /// Name of its tenant; none if it has none or if the tenant is not known.
+    pub tenant: Option<&'a str>,
+    /// Whether it was made by a request that already runs elsewhere.
+    pub nested: bool,
 }
 
 /// Decision on a new request.
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -10,9 +10,11 @@
 mod decision;
 mod latency;
 mod read_size;
+mod told;
 
 pub use backoff::Backoff;
 pub use budget::RetryBudget;
 pub use decision::{Attempt, Failure, RetryDecision, StopReason, decide_retry, hedge_delay};
 pub use latency::LatencyEstimate;
 pub use read_size::ReadSize;
+pub use told::ToldTimes;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -128,7 +128,8 @@
 
     fn offer(&mut self, class: Class, deadline: Duration) {
         let (id, route) = (self.tickets.len() as u64, "r");
-        let ticket = Ticket { id, class, route, deadline, target: None };
+        let ticket =
+            Ticket { id, class, route, deadline, target: None, tenant: None, nested: false };
         let lowest = self.tickets_in(TicketState::Queued).map(|t| t.0).min();
         let offer = self.admission.offer(ticket, self.now);
         for action in &offer.evicted {
@@ -243,7 +244,7 @@
 /// Offers a request; `at` holds the current time and how long the request may wait, both in ms.
 fn offer(a: &mut Admission, id: u64, class: Class, route: &str, at: (u64, u64)) -> Decision {
     let deadline = ms(at.0 + at.1);
-    let ticket = Ticket { id, class, route, deadline, target: None };
+    let ticket = Ticket { id, class, route, deadline, target: None, tenant: None, nested: false };
     a.offer(ticket, ms(at.0)).decision
 }
 
--- a/crates/core/tests/free_slot.rs
+++ b/crates/core/tests/free_slot.rs
@@ -194,6 +194,8 @@
             route: "lot-view",
             deadline: MS(now + 1_200),
             target: Some(MS(now + 400)),
+            tenant: None,
+            nested: false,
         };
         let offer = self.hosts[host].offer(ticket, MS(now));
         self.apply(offer.evicted, now);
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -72,7 +72,9 @@
     fn send(&mut self, class: Class, at: u64, run_time: u64) {
         self.end_until(at);
         let (id, deadline) = (self.sent.len() as u64, us(at + 1_000_000));
-        self.offer(Ticket { id, class, route: "r", deadline, target: None }, at, run_time);
+        let (route, tenant) = ("r", None);
+        let ticket = Ticket { id, class, route, deadline, target: None, tenant, nested: false };
+        self.offer(ticket, at, run_time);
     }
 
     fn offer(&mut self, ticket: Ticket<'_>, at: u64, run_time: u64) {
@@ -199,6 +201,8 @@
             route: kind.route,
             deadline: us(at + kind.timeout),
             target: Some(us(at + kind.target)),
+            tenant: None,
+            nested: false,
         };
         self.offer(ticket, at, kind.run_time);
     }
@@ -266,6 +270,8 @@
             route,
             deadline: us(at + DEADLINE_US),
             target: Some(us(at + TARGET_US)),
+            tenant: None,
+            nested: false,
         };
         s.offer(ticket, at, run_time);
     }
--- a/crates/core/tests/pace.rs
+++ b/crates/core/tests/pace.rs
@@ -75,8 +75,9 @@
         self.next_id += 1;
         let id = self.next_id;
         let deadline = self.now + self.deadline;
-        let ticket =
-            Ticket { id, class, route: "r", deadline, target: self.has_target.then_some(deadline) };
+        let (route, tenant, nested) = ("r", None, false);
+        let target = self.has_target.then_some(deadline);
+        let ticket = Ticket { id, class, route, deadline, target, tenant, nested };
         let offer = self.admission.offer(ticket, self.now);
         self.apply(offer.evicted);
         match offer.decision {
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwapOption;
 use baobabreel_client::wire::LoadWire;
-use baobabreel_core::admission::Admission;
+use baobabreel_core::admission::{Admission, RefusalCounts};
 use baobabreel_core::balance::LoadReport;
 use baobabreel_core::config::{CompiledConfig, ServicePolicy};
 use baobabreel_core::error::ErrorKind;
@@ -159,6 +159,11 @@
         load_wire(admitter.admission.load(), admitter.admission.slots())
     }
 
+    /// Refusals for lack of room, by what the requests were for.
+    pub fn refusals(&self) -> RefusalCounts {
+        lock(&self.admitter).admission.refusals()
+    }
+
     /// Load for the balancers of daemons, which counts a backend server at its rate limit as full.
     pub fn visible_load(&self, now: Duration) -> LoadWire {
         visible_load(&lock(&self.admitter).admission, now)
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -79,7 +79,7 @@
     let tenant = headers::take_tenant(req.headers_mut())
         .map_err(|e| CallError::new(ErrorKind::BadRequest, e.to_string()))?;
     cx.quarantine.check(digest, cx.clock.now())?;
-    let mut guard = cx.host.admit(cx, head, deadline).await?;
+    let mut guard = cx.host.admit(cx, head, tenant.as_ref(), deadline).await?;
     if cx.host.is_draining() {
         return Err(draining());
     }
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use baobabreel_client::wire::CallHead;
+use baobabreel_client::wire::{CallHead, TenantHead};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
 use baobabreel_core::condition::HostedCondition;
 use baobabreel_core::error::ErrorKind;
@@ -82,10 +82,11 @@
         &self,
         cx: &Cx,
         head: &CallHead,
+        tenant: Option<&TenantHead>,
         deadline: Duration,
     ) -> Result<SlotGuard, CallError> {
         let now = cx.clock.now();
-        match self.offer(cx, head, deadline, now)? {
+        match self.offer(cx, head, tenant, deadline, now)? {
             Accepted::Slot(guard) => Ok(guard),
             Accepted::Queue(guard, rx) => {
                 wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
@@ -98,6 +99,7 @@
         &self,
         cx: &Cx,
         head: &CallHead,
+        tenant: Option<&TenantHead>,
         deadline: Duration,
         now: Duration,
     ) -> Result<Accepted, CallError> {
@@ -113,6 +115,9 @@
             route: &head.route,
             deadline: deadline.saturating_sub(RESPONSE_MARGIN),
             target: head.target_ms.map(|left| now + Duration::from_millis(left)),
+            tenant: tenant.map(|tenant| tenant.name.as_str()),
+            // Where callers have API keys, only calls of backend servers have no tenant.
+            nested: tenant.is_none() && cx.config.load().tenants.is_some(),
         };
         let offer = admitter.admission.offer(ticket, now);
         admitter.apply(offer.evicted);
--- a/crates/daemon/src/proxy/lines.rs
+++ b/crates/daemon/src/proxy/lines.rs
@@ -201,6 +201,7 @@
         status = line.result.as_ref().ok(),
         error = error.map(|e| e.kind.name()),
         detail = error.map(|e| e.detail.as_str()),
+        refusals = ?error.map(|_| cx.host.refusals()),
         left_out,
         "request hosted"
     );
