Answer that a request did not run when it was not sent

What callers saw: 504 with an open outcome for a command that had waited in the queue of a host daemon until its deadline, or for a connection, although no backend server had seen it. Its caller must not send it again.

Cause: the host daemon gave up at the same moment as the entry daemon, which knew only that it had sent the call. Both counted a request as sent before there was a connection.

Change: a host daemon refuses a request that was not sent 10 ms before its deadline, at most an eighth of its time limit. A request counts as sent once a connection takes it. A queued request that can no longer end in time is refused by a timer, no longer at the next event only. After several refusals the caller is told the earliest Retry-After of them.

--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -154,6 +154,14 @@
         waits.then(|| pace.next_start())
     }
 
+    /// Time at which a queued request may have to be started or refused without another event; for a timer that
+    /// calls [`start_due`](Self::start_due).
+    #[must_use]
+    pub fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let ends = self.queue.all().iter().map(|item| self.latest_start(item, now));
+        ends.chain(self.next_due()).min()
+    }
+
     /// Sets the length of the queue and the bulk share when the configuration changes. With a shorter
     /// queue, requests that already wait keep their places.
     #[must_use]
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -234,9 +234,7 @@
     let condition = cx.balance.condition_at(to.addr, cx.clock.now()).map(Into::into);
     let head = CallHead { id: rand::random(), condition, ..head.clone() };
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
-    if let Some(mark) = req.extensions().get::<SendMark>() {
-        mark.set();
-    }
+    let mark = SendMark::of(&mut req);
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
         match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
@@ -251,6 +249,10 @@
                 let detail = "the connection to the daemon went silent before the call arrived";
                 return Err(CallError::new(ErrorKind::NoBackendServer, detail));
             }
+            WaitResult::Lost(_) | WaitResult::DeadlinePassed if !mark.is_set() => {
+                let detail = "no connection to the daemon was established in time";
+                return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+            }
             WaitResult::Lost(reason) => {
                 return Err(CallError::new(ErrorKind::UpstreamLost, reason.to_string()));
             }
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -276,12 +276,15 @@
 }
 
 /// Chooses the error to report after several failed attempts: a refusal does not replace an earlier error that
-/// leaves open whether the request ran.
-fn combine(earlier: Option<CallError>, later: CallError) -> CallError {
-    match earlier {
-        Some(earlier) if later.is_not_run() && !earlier.is_not_run() => earlier,
-        _ => later,
+/// leaves open whether the request ran. After several refusals, the caller is told when the first backend server
+/// has room again.
+fn combine(earlier: Option<CallError>, mut later: CallError) -> CallError {
+    let Some(earlier) = earlier.filter(|_| later.is_not_run()) else { return later };
+    if !earlier.is_not_run() {
+        return earlier;
     }
+    later.retry_after = earlier.retry_after.into_iter().chain(later.retry_after).min();
+    later
 }
 
 /// Chooses the error to report after a first attempt and its hedge failed. A hedge that found no free
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -25,6 +25,7 @@
 
 use self::local::Backend;
 use self::run::Run;
+use self::slots::refusal_margin;
 use super::body::{Guard, ProxyBody, Tracked};
 use super::call_error::CallError;
 use super::headers;
@@ -89,9 +90,7 @@
     }
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
-    if let Some(mark) = req.extensions().get::<SendMark>() {
-        mark.set();
-    }
+    let mark = SendMark::of(&mut req);
     let remaining = deadline.saturating_sub(sent_at);
     let dialect = &cx.settings.dialect;
     headers::write_timeout(req.headers_mut(), &dialect.timeout, remaining);
@@ -104,13 +103,23 @@
     }
     *req.version_mut() = Version::HTTP_11;
     guard.run = digest.map(|digest| Run::new(cx, &backend, digest, permit));
-    let sent = tokio::time::timeout(remaining, backend.pool.send(req)).await;
+    let mut sending = std::pin::pin!(backend.pool.send(req));
+    let margin = refusal_margin(remaining);
+    let sent = match tokio::time::timeout(remaining - margin, &mut sending).await {
+        Err(_) if mark.is_set() => tokio::time::timeout(margin, sending).await,
+        sent => sent,
+    };
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
         Ok(Err(e)) => {
             guard.end_run(matches!(e, SendError::Lost(_)));
             return Err(CallError::from_send_error(e, "the backend server"));
         }
+        Err(_) if !mark.is_set() => {
+            guard.end_run(false);
+            let detail = "no connection to the backend server was established in time";
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
         Err(_) => {
             return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
         }
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -21,6 +21,18 @@
 /// Time that must be left for the response to travel back when a queued request starts.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1);
 
+/// A request that was not sent is refused so long before its deadline that the refusal reaches the entry daemon
+/// in time. That one would otherwise have to answer that the request may have run.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(10);
+
+/// The margin for the refusal is at most the time limit divided by this.
+const REFUSAL_MARGIN_DIVISOR: u32 = 8;
+
+/// Time before the deadline at which a request that was not sent is refused, if `left` is left until it.
+pub(super) fn refusal_margin(left: Duration) -> Duration {
+    REFUSAL_MARGIN.min(left / REFUSAL_MARGIN_DIVISOR)
+}
+
 /// Admission state, and the channels that wake queued requests.
 #[derive(Debug)]
 pub(super) struct Admitter {
@@ -89,7 +101,8 @@
         match self.offer(cx, head, tenant, deadline, now)? {
             Accepted::Slot(guard) => Ok(guard),
             Accepted::Queue(guard, rx) => {
-                wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
+                let left = deadline.saturating_sub(now);
+                wait_for_slot(guard, rx, left - refusal_margin(left)).await
             }
         }
     }
@@ -137,18 +150,18 @@
         }
     }
 
-    /// Starts the queued requests that the rate limit now allows. Returns when it allows the next one; `None` if
-    /// none waits for it.
+    /// Starts the queued requests that the rate limit now allows, and refuses those that can no longer end in
+    /// time. Returns when the next one may be due; `None` if none waits.
     fn start_due(&self, now: Duration) -> Option<Duration> {
         let mut admitter = lock(&self.admitter);
         let actions = admitter.admission.start_due(now);
         admitter.apply(actions);
-        admitter.admission.next_due()
+        admitter.admission.next_wake(now)
     }
 
-    /// Wakes [`start_at_rate_limit`] if a queued request waits for the rate limit.
+    /// Wakes [`start_at_rate_limit`] if a request waits in the queue.
     pub(super) fn wake_pacer(&self, admitter: &Admitter) {
-        if admitter.admission.next_due().is_some() {
+        if admitter.admission.load().queued > 0 {
             self.pacer.notify_one();
         }
     }
@@ -164,11 +177,14 @@
             admitter.admission.cancel(id, now)
         };
         admitter.apply(actions);
-        self.wake_pacer(&admitter);
+        if admitter.admission.next_due().is_some() {
+            self.pacer.notify_one();
+        }
     }
 }
 
-/// Starts queued requests as the rate limit of the backend server allows it.
+/// Starts queued requests as the rate limit of the backend server allows it, and refuses those that can no
+/// longer end in time.
 pub async fn start_at_rate_limit(cx: Cx) {
     loop {
         let wake = cx.host.pacer.notified();
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -22,6 +22,7 @@
 use super::{describe, http2_builder};
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::KEEP_ALIVE;
+use crate::proxy::sends::SendMark;
 use crate::sync::lock;
 
 /// Time in which a connection must be established; covers two round trips between the most distant regions.
@@ -312,7 +313,8 @@
 
     /// Sends a request on an idle or a new connection, and returns the head of the response.
     ///
-    /// If an idle connection closes before the first byte is sent, the request is sent on a new one.
+    /// If an idle connection closes before the first byte is sent, the request is sent on a new one. The
+    /// [`SendMark`] of the request is set while it may have been sent.
     ///
     /// # Errors
     ///
@@ -322,11 +324,18 @@
         mut req: Request<ProxyBody>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
         self.prepare(&mut req);
+        let mark = req.extensions().get::<SendMark>().cloned();
+        let set = || mark.iter().for_each(SendMark::set);
+        let clear = || mark.iter().for_each(SendMark::clear);
         if let Some(TakenConnection { mut sender, permit, idle_time }) = self.take_idle() {
+            set();
             match sender.try_send_request(req).await {
                 Ok(res) => return Ok(self.answered(res, sender, permit, true)),
                 Err(mut e) => match e.take_message() {
-                    Some(unsent) => req = unsent,
+                    Some(unsent) => {
+                        clear();
+                        req = unsent;
+                    }
                     None => {
                         self.record_loss(idle_time);
                         return Err(SendError::Lost(describe(&e.into_error())));
@@ -335,6 +344,7 @@
             }
         }
         let (mut sender, permit) = self.connect().await?;
+        set();
         match sender.try_send_request(req).await {
             Ok(res) => Ok(self.answered(res, sender, permit, false)),
             Err(mut e) => match e.take_message() {
--- a/crates/daemon/src/proxy/sends.rs
+++ b/crates/daemon/src/proxy/sends.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use http::Request;
+
 /// Number of times that a request was sent without being refused as not run.
 #[derive(Debug, Clone, Default)]
 pub struct Sends(Arc<AtomicUsize>);
@@ -34,6 +36,12 @@
 }
 
 impl SendMark {
+    /// Mark of a request; one that has none gets one.
+    #[must_use]
+    pub fn of<B>(req: &mut Request<B>) -> Self {
+        req.extensions_mut().get_or_insert_with(|| Sends::default().begin()).clone()
+    }
+
     /// Records that the request is sent from now on.
     pub fn set(&self) {
         if !self.is_sent.swap(true, Ordering::AcqRel) {
@@ -41,6 +49,12 @@
         }
     }
 
+    /// Whether the request may have been sent.
+    #[must_use]
+    pub fn is_set(&self) -> bool {
+        self.is_sent.load(Ordering::Acquire)
+    }
+
     /// Records that this attempt certainly did not run.
     pub fn clear(&self) {
         if self.is_sent.swap(false, Ordering::AcqRel) {
