Keep callers that return at once from displacing those that wait

What callers saw: callers that came back at once, three times, were served more often than those that waited as told.

Cause: a host daemon cannot tell a returning request from a new one.

Change: an entry daemon remembers, for each connection, what it told the last refused requests, by their digest. This holds for routes with a target, where the time is an estimate, and not for requests like one that was answered on the connection, since such a caller sends equal requests anyway. A caller that opens a connection for each attempt is not recognised.

--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -21,7 +21,7 @@
 use super::{Accepted, BoundedListener, close_connections, serve_until, wait_for_close};
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
-use crate::proxy::{CallError, ProxyBody, RequestBody, section_bytes, serve_caller};
+use crate::proxy::{CallError, ProxyBody, RequestBody, ToldCallers, section_bytes, serve_caller};
 
 /// Default time limit for receiving a request head, if the configuration has none.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -64,7 +64,7 @@
 
 async fn serve_connection(cx: Cx, accepted: Accepted, closing: CancellationToken) {
     let Accepted { mut stream, at, permit: _permit } = accepted;
-    let service = CallerService { cx };
+    let service = CallerService { cx, told: ToldCallers::default() };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
     let is_http2 = tokio::select! {
@@ -78,7 +78,7 @@
     };
     if is_http2 {
         let close = wait_for_close(&closing, at);
-        serve_http2(service.cx, PrefixedStream::new(buf, stream), close).await;
+        serve_http2(service, PrefixedStream::new(buf, stream), close).await;
     } else {
         http1::serve_connection(stream, buf, service, closing).await;
     }
@@ -106,10 +106,16 @@
     }
 }
 
-async fn serve_http2(cx: Cx, stream: PrefixedStream, close: impl Future<Output = ()>) {
+async fn serve_http2(
+    caller: CallerService,
+    stream: PrefixedStream,
+    close: impl Future<Output = ()>,
+) {
+    let CallerService { cx, told } = caller;
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
-    let service = service_fn(move |req: Request<Incoming>| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let cx = Arc::clone(&cx);
+        req.extensions_mut().insert(told.clone());
         async move {
             let delivery = Delivery::begin(&cx, &req);
             let res = handle_request(cx, req.map(RequestBody::Hyper)).await;
@@ -130,6 +136,8 @@
 #[derive(Debug, Clone)]
 struct CallerService {
     cx: Cx,
+    /// What callers on this connection were told.
+    told: ToldCallers,
 }
 
 impl Service for CallerService {
@@ -141,8 +149,9 @@
 
     fn call(
         &self,
-        req: Request<RequestBody>,
+        mut req: Request<RequestBody>,
     ) -> impl Future<Output = Response<ProxyBody>> + Send + 'static {
+        req.extensions_mut().insert(self.told.clone());
         handle_request(Arc::clone(&self.cx), req)
     }
 
--- a/crates/daemon/src/proxy/caller_request.rs
+++ b/crates/daemon/src/proxy/caller_request.rs
@@ -116,6 +116,12 @@
         self.digest = Some(hash.digest128());
     }
 
+    /// Digest, if the body is in memory.
+    #[must_use]
+    pub fn digest(&self) -> Option<RequestDigest> {
+        self.digest
+    }
+
     /// Whether the body can be sent again.
     #[must_use]
     pub fn can_resend(&self) -> bool {
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod authenticate;
 mod owner;
+mod told;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +20,8 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version};
 
+pub use self::told::ToldCallers;
+
 use self::authenticate::{Authenticated, authenticate, class_of};
 use super::balance::RouteState;
 use super::body::ProxyBody;
@@ -230,8 +233,18 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
+        // Without a target, the time that a refusal names is no estimate.
+        let told = parts.extensions.get::<ToldCallers>().filter(|_| self.target.is_some()).cloned();
         let mut req = self.prepare(parts, body, false).await?;
-        self.run(&mut req).await
+        let told = told.zip(req.digest());
+        if let Some((told, digest)) = &told {
+            told.check(*digest, self.cx.clock.now())?;
+        }
+        let result = self.run(&mut req).await;
+        if let Some((told, digest)) = &told {
+            told.record(*digest, &result, self.cx.clock.now());
+        }
+        result
     }
 
     /// Prepares the request to be sent; its body is buffered if it is small or `keep_body` is set.
--- /dev/null
+++ b/crates/daemon/src/proxy/entry/told.rs
@@ -0,0 +1,54 @@
+//! Callers that come back before the time that a refusal named.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use baobabreel_core::error::ErrorKind;
+use baobabreel_core::quarantine::RequestDigest;
+use baobabreel_core::retry::ToldTimes;
+
+use crate::proxy::call_error::CallError;
+use crate::sync::lock;
+
+/// What the callers on one connection were told; goes along as an extension of their requests.
+#[derive(Debug, Clone, Default)]
+pub struct ToldCallers(Arc<Mutex<ToldTimes>>);
+
+impl ToldCallers {
+    /// Refuses a request that comes back too early.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Overloaded`], with the time that is left.
+    pub(super) fn check(&self, digest: RequestDigest, now: Duration) -> Result<(), CallError> {
+        match lock(&self.0).time_left(digest, now) {
+            None => Ok(()),
+            Some(left) => {
+                let detail = "the request came back before the time that its refusal named";
+                Err(CallError::new(ErrorKind::Overloaded, detail).with_retry_after(left))
+            }
+        }
+    }
+
+    /// Records the time that a refused caller is told, or that its request was answered.
+    pub(super) fn record<T>(
+        &self,
+        digest: RequestDigest,
+        result: &Result<T, CallError>,
+        now: Duration,
+    ) {
+        match result {
+            Ok(_) => lock(&self.0).record_answered(digest),
+            Err(e) if is_for_lack_of_room(e) => {
+                if let Some(after) = e.retry_after {
+                    lock(&self.0).record_refused(digest, now + after, now);
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+fn is_for_lack_of_room(e: &CallError) -> bool {
+    matches!(e.kind, ErrorKind::Overloaded | ErrorKind::DeadlineUnreachable)
+}
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -31,7 +31,7 @@
 pub use body::{BodyError, ProxyBody};
 pub use call_error::CallError;
 pub use dispatch::candidate;
-pub use entry::serve_caller;
+pub use entry::{ToldCallers, serve_caller};
 pub use headers::{OUTCOME, TIMEOUT, has_token, section_bytes};
 pub use host::{BackendInfo, LocalBackend, health_path, start_at_rate_limit};
 pub use lines::{log_undelivered, request_id};
