Ask about a call whose connection to another daemon broke

What callers saw: 502 with an open outcome for a command that was lost with the connection between two daemons before it arrived.

Cause: the entry daemon asked about a call on a silent connection only, not about one on a connection that broke.

Change: it asks the called daemon, which refuses the call from then on if it has not arrived. In that case the request did not run, and can be sent elsewhere.

Before: command_lost_between_daemons_did_not_run got 502, unknown. After: 503, not_run.

--- a/crates/daemon/src/proxy/call_wait.rs
+++ b/crates/daemon/src/proxy/call_wait.rs
@@ -89,6 +89,22 @@
     }
 }
 
+/// Whether a call whose connection was lost has not arrived and will not run, as the called daemon says.
+pub async fn has_not_arrived(
+    cx: &Cx,
+    to: Callee,
+    id: CallId,
+    sent_at: Duration,
+    deadline: Duration,
+) -> bool {
+    let remaining = deadline.saturating_sub(cx.clock.now());
+    if remaining.is_zero() {
+        return false;
+    }
+    let state = query_state(cx, to, id, CallWatch::query_timeout(remaining)).await;
+    CallWatch::new(sent_at).decide(state, cx.clock.now(), || false) == NextStep::NotRun
+}
+
 /// Asks a daemon for the state of a call; `None` if no answer comes within `timeout`.
 async fn query_state(cx: &Cx, to: Callee, id: CallId, timeout: Duration) -> Option<CallState> {
     let query = CallQuery { id, incarnation: to.incarnation };
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -235,6 +235,7 @@
     let head = CallHead { id: rand::random(), condition, ..head.clone() };
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
     let mark = SendMark::of(&mut req);
+    let sent_at = cx.clock.now();
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
         match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
@@ -243,6 +244,13 @@
                 if matches!(e, SendError::Unreachable) {
                     (options.on_silence)();
                 }
+                let was_lost = matches!(e, SendError::Lost(_));
+                let deadline = options.deadline;
+                if was_lost && call_wait::has_not_arrived(cx, to, head.id, sent_at, deadline).await
+                {
+                    let detail = "the connection to the daemon broke before the call arrived";
+                    return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+                }
                 return Err(CallError::from_send_error(e, "the daemon"));
             }
             WaitResult::NotRun => {
--- a/crates/testsuite/tests/not_sent.rs
+++ b/crates/testsuite/tests/not_sent.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use baobabreel_client::transport::HttpClient;
-use baobabreel_test_support::backend::BackendFaults;
-use baobabreel_test_support::mesh::{Mesh, NodeSpec};
+use baobabreel_daemon::{Daemon, settings};
+use baobabreel_test_support::backend::{BackendFaults, BackendServer, BackendSettings};
+use baobabreel_test_support::log::{LogServer, LogSettings};
+use baobabreel_test_support::mesh::{Mesh, NodeSpec, entry_text, settings_text};
+use baobabreel_test_support::net::Relay;
+use baobabreel_test_support::process::free_port;
 use baobabreel_testsuite::{LIMIT, first_change, h1, wait_until};
 use bytes::Bytes;
 use http::Method;
@@ -114,3 +118,44 @@
         assert_eq!(answer.header("baobabreel-outcome"), "not_run");
     }
 }
+
+/// Guards against the answer 502 for a command that was lost with the connection between two daemons, before it
+/// arrived.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn command_lost_between_daemons_did_not_run() {
+    let log = LogServer::start(LogSettings::new()).await.expect("log starts");
+    let peers = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let relay = Relay::start(peers).await.expect("relay starts");
+    let host = NodeSpec::new("a1", "hobart-a", "catalogue")
+        .setting(format!("\"advertise_peers\": \"{}\"", relay.addr()));
+    let host_text = settings_text(&host, &log.url(), &[])
+        .replace("\"peers\": \"127.0.0.1:0\"", &format!("\"peers\": \"{peers}\""));
+    let entry = NodeSpec::new("a2", "hobart-a", "yard");
+    let entry_settings = settings_text(&entry, &log.url(), &[relay.addr()]);
+    let start = async |text: &str| {
+        let settings = settings::parse("test", text).expect("good settings");
+        Daemon::start(settings).await.expect("daemon starts")
+    };
+    let host = start(&host_text).await;
+    let announce = format!("http://{}", host.addresses().backend);
+    let backend = BackendSettings::new("a1", "catalogue").announce_url(announce);
+    let backend = BackendServer::start(backend).await.expect("backend starts");
+    let entry = start(&entry_settings).await;
+    log.append("config", &entry_text(first_change()));
+    let cx = entry.context();
+    let is_able = async || cx.view.load().find("catalogue", "a1").is_some();
+    wait_until("the host is known", is_able).await;
+    let to = entry.addresses().callers;
+    wait_until("it serves", async || h1(to, "/bids/1", &[], "a bid").await.code() == 200).await;
+    let ran = backend.journal().len();
+
+    relay.hold(true);
+    let lost = tokio::spawn(async move { h1(to, "/bids/2", &[], "a bid").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    relay.cut();
+    relay.hold(false);
+    let answer = lost.await.expect("no panic");
+    assert_eq!(answer.code(), 503, "{answer:?}");
+    assert_eq!(answer.header("baobabreel-outcome"), "not_run");
+    assert_eq!(backend.journal().len(), ran);
+}
