--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -8,6 +8,7 @@
 mod authenticate;
 mod body_grant;
 mod owner;
+mod told;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,8 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version};
 
+pub use self::told::ToldCallers;
+
 use self::authenticate::{Authenticated, authenticate, class_of};
 use super::balance::RouteState;
 use super::body::ProxyBody;
@@ -251,9 +254,19 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
+        // Without a target, the time that a refusal names is no estimate.
+        let told = parts.extensions.get::<ToldCallers>().filter(|_| self.target.is_some()).cloned();
         let grant = self.grant_body(&body).await?;
         let mut req = self.prepare(parts, body, false).await?;
-        self.run(&mut req, grant).await
+        let told = told.zip(req.digest());
+        if let Some((told, digest)) = &told {
+            told.check(*digest, self.cx.clock.now())?;
+        }
+        let result = self.run(&mut req, grant).await;
+        if let Some((told, digest)) = &told {
+            told.record(*digest, &result, self.cx.clock.now());
+        }
+        result
     }
 
     /// Largest body that the request may have.
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use baobabreel_client::wire::CallHead;
+use baobabreel_client::wire::{CallHead, TenantHead};
 use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
 use baobabreel_core::condition::HostedCondition;
 use baobabreel_core::error::ErrorKind;
@@ -21,6 +21,18 @@
 /// Time that must be left for the response to travel back when a queued request starts.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1);
 
+/// A request that was not sent is refused so long before its deadline that the refusal reaches the entry daemon
+/// in time. That one would otherwise have to answer that the request may have run.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(10);
+
+/// The margin for the refusal is at most the time limit divided by this.
+const REFUSAL_MARGIN_DIVISOR: u32 = 8;
+
+/// Time before the deadline at which a request that was not sent is refused, if `left` is left until it.
+pub(super) fn refusal_margin(left: Duration) -> Duration {
+    REFUSAL_MARGIN.min(left / REFUSAL_MARGIN_DIVISOR)
+}
+
 /// Admission state, and the channels that wake queued requests.
 #[derive(Debug)]
 pub(super) struct Admitter {
@@ -82,13 +94,15 @@
         &self,
         cx: &Cx,
         head: &CallHead,
+        tenant: Option<&TenantHead>,
         deadline: Duration,
     ) -> Result<SlotGuard, CallError> {
         let now = cx.clock.now();
-        match self.offer(cx, head, deadline, now)? {
+        match self.offer(cx, head, tenant, deadline, now)? {
             Accepted::Slot(guard) => Ok(guard),
             Accepted::Queue(guard, rx) => {
-                wait_for_slot(guard, rx, deadline.saturating_sub(now)).await
+                let left = deadline.saturating_sub(now);
+                wait_for_slot(guard, rx, left - refusal_margin(left)).await
             }
         }
     }
@@ -98,6 +112,7 @@
         &self,
         cx: &Cx,
         head: &CallHead,
+        tenant: Option<&TenantHead>,
         deadline: Duration,
         now: Duration,
     ) -> Result<Accepted, CallError> {
@@ -113,6 +128,9 @@
             route: &head.route,
             deadline: deadline.saturating_sub(RESPONSE_MARGIN),
             target: head.target_ms.map(|left| now + Duration::from_millis(left)),
+            tenant: tenant.map(|tenant| tenant.name.as_str()),
+            // Where callers have API keys, only calls of backend servers have no tenant.
+            nested: tenant.is_none() && cx.config.load().tenants.is_some(),
         };
         let offer = admitter.admission.offer(ticket, now);
         admitter.apply(offer.evicted);
@@ -132,18 +150,18 @@
         }
     }
 
-    /// Starts the queued requests that the rate limit now allows. Returns when it allows the next one; `None` if
-    /// none waits for it.
+    /// Starts the queued requests that the rate limit now allows, and refuses those that can no longer end in
+    /// time. Returns when the next one may be due; `None` if none waits.
     fn start_due(&self, now: Duration) -> Option<Duration> {
         let mut admitter = lock(&self.admitter);
         let actions = admitter.admission.start_due(now);
         admitter.apply(actions);
-        admitter.admission.next_due()
+        admitter.admission.next_wake(now)
     }
 
-    /// Wakes [`start_at_rate_limit`] if a queued request waits for the rate limit.
+    /// Wakes [`start_at_rate_limit`] if a request waits in the queue.
     pub(super) fn wake_pacer(&self, admitter: &Admitter) {
-        if admitter.admission.next_due().is_some() {
+        if admitter.admission.load().queued > 0 {
             self.pacer.notify_one();
         }
     }
@@ -159,11 +177,14 @@
             admitter.admission.cancel(id, now)
         };
         admitter.apply(actions);
-        self.wake_pacer(&admitter);
+        if admitter.admission.next_due().is_some() {
+            self.pacer.notify_one();
+        }
     }
 }
 
-/// Starts queued requests as the rate limit of the backend server allows it.
+/// Starts queued requests as the rate limit of the backend server allows it, and refuses those that can no
+/// longer end in time.
 pub async fn start_at_rate_limit(cx: Cx) {
     loop {
         let wake = cx.host.pacer.notified();
