Read the memory and descriptors of the instance from the settings file

Tests of callers without limits have to lower the limits of a daemon. `limits.memory_bytes` and `limits.descriptors` were known only to the settings of the platform. They are read and checked now; nothing uses them yet.

--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -234,6 +234,8 @@
         let callers = self.integer(&mut section, "caller_connections", 4_096, 1..=65_536);
         let peers = self.integer(&mut section, "peer_connections", 8_192, 1..=65_536);
         let backend = self.integer(&mut section, "backend_connections", 100, 1..=65_536);
+        let memory = self.optional_integer(&mut section, "memory_bytes", MEMORY_RANGE);
+        let descriptors = self.optional_integer(&mut section, "descriptors", 64..=1 << 20);
         self.report_unknown_keys(section);
         Some(Limits {
             body_bytes,
@@ -241,8 +243,8 @@
             caller_connections: usize::try_from(callers).ok()?,
             peer_connections: usize::try_from(peers).ok()?,
             backend_connections: usize::try_from(backend).ok()?,
-            memory_bytes: None,
-            descriptors: None,
+            memory_bytes: memory,
+            descriptors: descriptors.and_then(|count| usize::try_from(count).ok()),
             link_bits_per_sec: None,
         })
     }
@@ -432,6 +434,17 @@
         default
     }
 
+    /// Reads an optional integer within `range` that has no default.
+    fn optional_integer(
+        &mut self,
+        section: &mut Section<'a>,
+        key: &str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let least = *range.start();
+        section.has(key).then(|| self.integer(section, key, least, range))
+    }
+
     /// Reads an optional duration in milliseconds.
     fn millis(
         &mut self,
@@ -500,6 +513,9 @@
 /// Milliseconds in a day.
 const DAY_MS: u64 = 86_400_000;
 
+/// Allowed memory limits, in bytes. A daemon without load needs about 12 MB.
+const MEMORY_RANGE: RangeInclusive<u64> = 32 << 20..=1 << 40;
+
 /// Description of a socket address in error messages.
 const ADDRESS_FORMAT: &str = "an address like 10.0.0.1:7101";
 
