Add tests of crowds of callers that take memory and descriptors

The limits of the instance are lowered to 64 MiB and 512 descriptors. Each test lets a crowd attack a daemon for 8 s, and checks that the process lives, that its peak memory and its open descriptors stay below these limits, and that an ordinary request is answered afterwards.

--- /dev/null
+++ b/crates/testsuite/tests/greedy_callers.rs
@@ -0,0 +1,224 @@
+//! Crowds of callers that take memory and descriptors of a daemon and give nothing back.
+//!
+//! The limits of the instance are lowered in the settings. Each test checks only that the daemon lives, that its
+//! memory and descriptors stay below these limits, and that an ordinary request is answered afterwards. The tests run
+//! one at a time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use baobabreel_test_support::mesh::NodeSpec;
+use baobabreel_testsuite::{Fleet, h1, wait_until};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{Mutex, Semaphore};
+use tokio::task::JoinSet;
+
+/// Memory of the instance in KiB, and the bound of the tests. The smallest instances have 110 MB; this is less, so
+/// that a crowd that fits into a test is large for it.
+const MEMORY_KIB: u64 = 64 * 1_024;
+
+/// Descriptors of the instance, and the bound of the tests; the smallest instances have 4,100.
+const DESCRIPTORS: usize = 512;
+
+/// Time for which a crowd goes on.
+const ATTACK: Duration = Duration::from_secs(8);
+
+/// Receive buffer of a caller that does not read, in bytes; little, so that responses wait at the daemon.
+const RECEIVE_BUFFER_BYTES: u32 = 4 * 1_024;
+
+/// Connections that are opened at once; more would overflow the backlog of the kernel and wait for retransmits.
+const CONNECTING: usize = 16;
+
+/// Lets the tests run one at a time.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
+/// Daemon with lowered limits and `more` of the settings of limits, and its backend server.
+fn spec(more: &str) -> NodeSpec {
+    let bytes = MEMORY_KIB * 1_024;
+    let limits = format!("\"memory_bytes\": {bytes}, \"descriptors\": {DESCRIPTORS}, {more}");
+    NodeSpec::new("a1", "hobart-a", "catalogue").setting(format!("\"limits\": {{{limits}}}"))
+}
+
+async fn start() -> Fleet {
+    Fleet::ready(vec![(spec("\"backend_connections\": 100"), "catalogue")]).await
+}
+
+/// Connects without reading anything; `None` if the daemon does not take the connection.
+async fn connect(to: SocketAddr) -> Option<TcpStream> {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a small buffer");
+    socket.connect(to).await.ok()
+}
+
+/// Sends `bytes` so many times on each connection, as far as the daemon reads them, and reads nothing.
+fn crowd(to: SocketAddr, connections: usize, bytes: &str, times: usize) -> JoinSet<()> {
+    let bytes = Bytes::from(bytes.to_owned());
+    let connecting = Arc::new(Semaphore::new(CONNECTING));
+    let mut crowd = JoinSet::new();
+    for _ in 0..connections {
+        let (bytes, connecting) = (bytes.clone(), Arc::clone(&connecting));
+        crowd.spawn(async move {
+            let permit = connecting.acquire().await;
+            let Some(mut stream) = connect(to).await else { return };
+            drop(permit);
+            for _ in 0..times {
+                if stream.write_all(&bytes).await.is_err() {
+                    break;
+                }
+            }
+            std::future::pending().await
+        });
+    }
+    crowd
+}
+
+/// Sends a request on each of so many HTTP/2 streams of each connection, and reads no response body.
+fn http2_crowd(to: SocketAddr, request: &Request<Full<Bytes>>) -> JoinSet<()> {
+    let mut crowd = JoinSet::new();
+    for _ in 0..40 {
+        let request = request.clone();
+        crowd.spawn(async move {
+            let Some(stream) = connect(to).await else { return };
+            let handshake = http2::Builder::new(TokioExecutor::new())
+                .initial_stream_window_size(1)
+                .handshake(TokioIo::new(stream));
+            let Ok((mut sender, conn)) = handshake.await else { return };
+            let mut streams = JoinSet::new();
+            streams.spawn(async move { drop(conn.await) });
+            for _ in 0..200 {
+                let response = sender.send_request(request.clone());
+                streams.spawn(async move {
+                    let _response = response.await;
+                    std::future::pending().await
+                });
+            }
+            std::future::pending().await
+        });
+    }
+    crowd
+}
+
+/// Checks the daemon while the crowd goes on; returns the most descriptors that it had.
+async fn watch(fleet: &Fleet) -> usize {
+    let start = Instant::now();
+    let mut most = 0;
+    while start.elapsed() < ATTACK {
+        most = most.max(fleet.nodes[0].open_files());
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    most
+}
+
+async fn assert_serves(fleet: &Fleet) {
+    let to = fleet.nodes[0].callers;
+    wait_until("an ordinary request is answered", async || {
+        let answer = tokio::time::timeout(Duration::from_secs(5), h1(to, "/lots/1", &[], "")).await;
+        answer.is_ok_and(|answer| answer.code() == 200 && answer.whole)
+    })
+    .await;
+}
+
+/// Checks the memory and the descriptors of the daemon, and that it serves after the end of the crowd.
+async fn assert_survives(fleet: &Fleet, crowd: JoinSet<()>) {
+    let descriptors = watch(fleet).await;
+    let memory = fleet.nodes[0].peak_memory_kib();
+    println!("memory {memory} KiB, descriptors {descriptors}");
+    drop(crowd);
+    assert_serves(fleet).await;
+    assert!(memory <= MEMORY_KIB, "{memory} KiB of {MEMORY_KIB}, {descriptors} descriptors");
+    assert!(descriptors <= DESCRIPTORS, "{descriptors} of {DESCRIPTORS}, {memory} KiB");
+}
+
+/// Guards against requests sent ahead whose responses nobody reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_responses_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    for bytes in [200_000, 60_000] {
+        let request =
+            format!("GET /lots/1 HTTP/1.1\r\nhost: x\r\nx-response-bytes: {bytes}\r\n\r\n");
+        let crowd = crowd(fleet.nodes[0].callers, 400, &request, 100);
+        assert_survives(&fleet, crowd).await;
+    }
+}
+
+/// Guards against requests sent ahead whose bodies wait in the daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_sent_ahead_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    // The backend server runs all requests at once, so that none is refused soon.
+    let spec = spec("\"backend_connections\": 2000").backend(|backend| backend.slots(2_000));
+    let fleet = Fleet::ready(vec![(spec, "catalogue")]).await;
+    let body = "b".repeat(60_000);
+    let head =
+        "POST /lots/1 HTTP/1.1\r\nhost: x\r\nx-work-us: 4000000\r\ncontent-length: 60000\r\n\r\n";
+    let crowd = crowd(fleet.nodes[0].callers, 200, &format!("{head}{body}"), 400);
+    assert_survives(&fleet, crowd).await;
+}
+
+/// Guards against bodies that are buffered for requests with keys and stop short of their end, in chunks with
+/// extensions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unfinished_chunked_bodies_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let chunk = format!("2000;note={}\r\n{}\r\n", "n".repeat(2_000), "b".repeat(0x2000));
+    let head = "POST /bids/1 HTTP/1.1\r\nhost: x\r\nidempotency-key: k\r\ntransfer-encoding: chunked\r\n\r\n";
+    let crowd = crowd(fleet.nodes[0].callers, 1_000, &format!("{head}{}", chunk.repeat(7)), 1);
+    assert_survives(&fleet, crowd).await;
+}
+
+/// Guards against heads that stop short of their end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unfinished_heads_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let head = format!("GET /lots/1 HTTP/1.1\r\nhost: x\r\nx-long: {}", "h".repeat(30_000));
+    let crowd = crowd(fleet.nodes[0].callers, 1_000, &head, 1);
+    assert_survives(&fleet, crowd).await;
+}
+
+/// Guards against HTTP/2 streams whose responses nobody reads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_streams_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let to = fleet.nodes[0].callers;
+    let request = Request::get(format!("http://{to}/lots/1"))
+        .header("x-response-bytes", "60000")
+        .body(Full::default())
+        .expect("a request");
+    assert_survives(&fleet, http2_crowd(to, &request)).await;
+}
+
+/// Guards against many large header lists and bodies over HTTP/2.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_headers_and_bodies_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let to = fleet.nodes[0].callers;
+    let request = Request::post(format!("http://{to}/lots/1"))
+        .header("x-work-us", "1000000")
+        .header("x-long", "h".repeat(12_000))
+        .body(Full::from("b".repeat(60_000)))
+        .expect("a request");
+    assert_survives(&fleet, http2_crowd(to, &request)).await;
+}
+
+/// Guards against connections that send nothing and keep an ordinary caller out.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ordinary_caller_gets_in_beside_idle_connections() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let crowd = crowd(fleet.nodes[0].callers, 1_000, "", 1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_serves(&fleet).await;
+    assert_survives(&fleet, crowd).await;
+}
