Limit what the connections of callers hold together

Callers that sent requests ahead and read nothing, left heads and bodies unfinished, opened many HTTP/2 streams or many connections took 61 to 307 MiB and up to 2220 descriptors of a daemon with 64 MiB and 512 descriptors, and idle connections kept others out.

Cause: each connection had limits of its own (32 requests at once, 200 HTTP/2 streams), and there was none for all together.

Change: core::callers counts what each connection holds (head, buffered body, task, response until it is written, read buffer) against one total, a quarter of the memory of the instance (128 MiB where it is not known). A connection with a request in progress is not read on while it holds more than an eighth of what is free. When the total is reached, the connections that hold most are closed, none of which holds only one request; if that is not enough, a request that was read gets 503 (overloaded, not run). The connections to callers, daemons and the backend server follow from the descriptors; at the limit, the longest idle connections are closed for callers that wait. HTTP/2: limits on streams, on the window of the connection and on the send buffer; response bodies are handed to the library in pieces of 16 KiB, so that it holds little for a caller that does not read.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod callers;
 pub mod calls;
 pub mod condition;
 pub mod config;
--- /dev/null
+++ b/crates/daemon/src/callers/mod.rs
@@ -0,0 +1,271 @@
+//! What the connections of callers hold, and the actions of their budget: wait, refuse, close.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use baobabreel_core::callers::{CallerBudget, CallerLimits, ConnectionId, READ_AHEAD_SHARE};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::context::{Clock, Cx};
+use crate::settings::Limits;
+use crate::sync::lock;
+use crate::telemetry::LogLineKind;
+
+/// Part of the memory of the instance that callers may hold. The rest is for the daemon itself (about 12 MB), calls of
+/// other daemons, buffers of the HTTP library, and what the allocator cannot reuse.
+const MEMORY_SHARE: u64 = 4;
+
+/// Total where the memory of the instance is not known, in bytes; as for an instance of 512 MB.
+const DEFAULT_TOTAL_BYTES: u64 = 128 << 20;
+
+/// Header sections are read up to this multiple of their limit, so that the daemon can answer one that
+/// is too large with one of its defined errors.
+pub const HEADER_READ_FACTOR: usize = 2;
+
+/// Bytes of a body or a response that one request holds in memory.
+pub const BUFFER_BYTES: u64 = 64 * 1024;
+
+/// Memory of a request without its head, its body and its task, in bytes.
+const REQUEST_BYTES: u64 = 4 * 1024;
+
+/// Most that a request and its task hold without its head and its body, in bytes.
+const MAX_TASK_BYTES: u64 = 64 * 1024;
+
+/// Limit on callers that acted, for metrics and log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerLimit {
+    /// The next request of a connection was not read for now.
+    Paused,
+    /// A request was refused.
+    Refused,
+    /// A connection was closed because it held most.
+    Closed,
+    /// An idle connection was closed in favour of others.
+    IdleClosed,
+}
+
+impl CallerLimit {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Paused => "paused",
+            Self::Refused => "refused",
+            Self::Closed => "closed",
+            Self::IdleClosed => "idle_closed",
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    budget: CallerBudget,
+    connections: BTreeMap<ConnectionId, (CancellationToken, CancellationToken)>,
+}
+
+/// Connections of callers and what they hold.
+#[derive(Debug)]
+pub struct Callers {
+    state: Mutex<State>,
+    clock: Clock,
+    /// Limits of an HTTP/2 connection.
+    pub http2: Http2Limits,
+}
+
+/// Limits of an HTTP/2 connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Http2Limits {
+    /// Most concurrent streams.
+    pub streams: u32,
+    /// Receive window of the connection, in bytes; limits the bodies that are buffered while their requests wait.
+    pub window: u32,
+}
+
+impl Http2Limits {
+    /// Limits with which the heads and bodies that wait on a connection fit into the part of the total that it may
+    /// hold in calm.
+    fn new(total: u64, header_bytes: usize) -> Self {
+        let part = total / READ_AHEAD_SHARE;
+        let streams = part / (HEADER_READ_FACTOR * header_bytes) as u64;
+        let within =
+            |value: u64, least, most| u32::try_from(value).unwrap_or(most).clamp(least, most);
+        Self { streams: within(streams, 16, 100), window: within(part / 8, 64 * 1024, 512 * 1024) }
+    }
+}
+
+impl Callers {
+    /// State without connections.
+    #[must_use]
+    pub fn new(limits: &Limits, clock: Clock) -> Self {
+        let total = limits.memory_bytes.map_or(DEFAULT_TOTAL_BYTES, |bytes| bytes / MEMORY_SHARE);
+        let head = (HEADER_READ_FACTOR * limits.header_bytes) as u64;
+        let request = MAX_TASK_BYTES + head + 2 * BUFFER_BYTES;
+        let budget = CallerBudget::new(CallerLimits { total, request });
+        let state = State { budget, connections: BTreeMap::new() };
+        let http2 = Http2Limits::new(total, limits.header_bytes);
+        Self { state: Mutex::new(state), clock, http2 }
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut CallerBudget, Duration) -> T) -> T {
+        change(&mut lock(&self.state).budget, self.clock.now())
+    }
+}
+
+/// Counts a limit that acted so many times, and writes a log line unless there were too many.
+fn record(cx: &Cx, limit: CallerLimit, count: usize) {
+    if count == 0 {
+        return;
+    }
+    cx.metrics.record_caller_limit(limit.name(), count);
+    let now = cx.clock.now();
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::CallerLimit, now) else { return };
+    let held = cx.callers.change(|budget, _| budget.held());
+    tracing::warn!(limit = limit.name(), count, held, left_out, "limit on callers acted");
+}
+
+/// Closes connections without a request in favour of callers that wait to connect, at most `most`.
+pub fn close_idle(cx: &Cx, most: usize) {
+    let mut state = lock(&cx.callers.state);
+    let chosen = state.budget.close_idle(most, cx.clock.now());
+    for (stop, _) in chosen.iter().filter_map(|id| state.connections.get(id)) {
+        stop.cancel();
+    }
+    drop(state);
+    record(cx, CallerLimit::IdleClosed, chosen.len());
+}
+
+/// Connection of a caller.
+#[derive(Debug)]
+pub struct CallerConnection {
+    cx: Cx,
+    id: ConnectionId,
+    /// Cancelled when the connection is to end after the requests that have been read.
+    pub stop: CancellationToken,
+    /// Cancelled when the connection is to be closed at once.
+    pub abort: CancellationToken,
+    released: Notify,
+}
+
+impl CallerConnection {
+    /// Adds a connection, which ends when `closing` is cancelled.
+    pub fn open(cx: &Cx, closing: &CancellationToken) -> Arc<Self> {
+        let (stop, abort) = (closing.child_token(), CancellationToken::new());
+        let mut state = lock(&cx.callers.state);
+        let id = state.budget.open(cx.clock.now());
+        state.connections.insert(id, (stop.clone(), abort.clone()));
+        drop(state);
+        Arc::new(Self { cx: Arc::clone(cx), id, stop, abort, released: Notify::new() })
+    }
+
+    /// Waits until the next request may be read.
+    pub async fn wait_to_read(&self) {
+        let may_read = || self.cx.callers.change(|budget, _| budget.may_read(self.id));
+        if may_read() {
+            return;
+        }
+        record(&self.cx, CallerLimit::Paused, 1);
+        loop {
+            // A release between the check and the wait leaves a permit.
+            self.released.notified().await;
+            if may_read() {
+                // Another stream of the connection may wait too.
+                self.released.notify_one();
+                return;
+            }
+        }
+    }
+
+    /// Counts a request that holds `bytes` and its response that is to come; `None` if the request is to be refused.
+    pub fn admit(self: &Arc<Self>, bytes: usize) -> Option<HeldRequest> {
+        let (bytes, expected) = (bytes as u64 + REQUEST_BYTES, BUFFER_BYTES);
+        let admission = self.cx.callers.change(|budget, _| budget.admit(self.id, bytes, expected));
+        self.close_all(&admission.close);
+        if !admission.admitted {
+            record(&self.cx, CallerLimit::Refused, 1);
+            return None;
+        }
+        Some(HeldRequest { connection: Arc::clone(self), bytes, expected })
+    }
+
+    /// Records the size of the read buffer, which was `from` before; returns whether there is room for more.
+    pub fn resize_buffer(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (from as u64, to as u64);
+        let (close, is_over) = self.cx.callers.change(|budget, _| {
+            let close = budget.resize(self.id, from, to);
+            (close, budget.is_over(0))
+        });
+        self.close_all(&close);
+        !is_over
+    }
+
+    /// Counts what a request holds that waits to be read; released with the returned guard.
+    pub fn hold_waiting(self: &Arc<Self>, bytes: usize) -> WaitingRequest {
+        let bytes = bytes + usize::try_from(REQUEST_BYTES).unwrap_or_default();
+        self.resize_buffer(0, bytes);
+        WaitingRequest { connection: Arc::clone(self), bytes }
+    }
+
+    fn close_all(&self, chosen: &[ConnectionId]) {
+        if chosen.is_empty() {
+            return;
+        }
+        let state = lock(&self.cx.callers.state);
+        for (_, abort) in chosen.iter().filter_map(|id| state.connections.get(id)) {
+            abort.cancel();
+        }
+        drop(state);
+        record(&self.cx, CallerLimit::Closed, chosen.len());
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        let mut state = lock(&self.cx.callers.state);
+        state.budget.close(self.id);
+        state.connections.remove(&self.id);
+    }
+}
+
+/// What a request holds that waits to be read.
+#[derive(Debug)]
+pub struct WaitingRequest {
+    connection: Arc<CallerConnection>,
+    bytes: usize,
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        self.connection.resize_buffer(self.bytes, 0);
+    }
+}
+
+/// What a request and its response hold until the response is written.
+#[derive(Debug)]
+pub struct HeldRequest {
+    connection: Arc<CallerConnection>,
+    bytes: u64,
+    expected: u64,
+}
+
+impl HeldRequest {
+    /// Records that the response is ready and holds so many bytes.
+    pub fn respond(&mut self, bytes: u64) {
+        let (id, expected) = (self.connection.id, std::mem::take(&mut self.expected));
+        let callers = &self.connection.cx.callers;
+        let close = callers.change(|budget, _| budget.respond(id, expected, bytes));
+        self.bytes += bytes;
+        self.connection.close_all(&close);
+        self.connection.released.notify_one();
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        let (id, bytes, expected) = (self.connection.id, self.bytes, self.expected);
+        let callers = &self.connection.cx.callers;
+        callers.change(|budget, now| budget.end(id, bytes, expected, now));
+        self.connection.released.notify_one();
+    }
+}
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -31,6 +31,7 @@
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
+use crate::callers::Callers;
 use crate::control::{Distribution, Documents, Follower, Membership, Readers};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, LocalBackend, PeerPool, Quarantine};
@@ -132,6 +133,8 @@
     pub http: HttpClient,
     /// End of the drain.
     pub drain_end: DrainEnd,
+    /// Connections of callers and what they hold.
+    pub callers: Callers,
     position: Mutex<Position>,
     distribution: OnceLock<WeakActorRef<Distribution>>,
     membership: OnceLock<WeakActorRef<Membership>>,
@@ -168,6 +171,7 @@
             readers: Readers::default(),
             http,
             drain_end: DrainEnd::default(),
+            callers: Callers::new(&settings.limits, clock),
             position: Mutex::default(),
             distribution: OnceLock::new(),
             membership: OnceLock::new(),
--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -13,6 +13,7 @@
 mod reader;
 mod writer;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -21,6 +22,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use crate::callers::CallerConnection;
 use crate::proxy::{ProxyBody, RequestBody};
 
 /// Most requests of one connection that are in progress at once.
@@ -39,6 +41,8 @@
     TooLarge,
     /// It was incomplete when [`HeadLimits::timeout`] had passed.
     TooSlow,
+    /// The connections of all callers hold as much as they may.
+    NoRoom,
 }
 
 /// Limits on request heads.
@@ -87,21 +91,26 @@
 
 /// Serves the requests of a connection until it ends.
 ///
-/// `buf` holds the bytes already read from it. When `stop` is cancelled, the connection ends after the
-/// requests that have been read.
+/// `buf` holds the bytes already read from it. The budget of `connection` can hold up reading, refuse requests, end
+/// the connection after the requests that have been read, and close it at once.
 pub async fn serve_connection<S: Service>(
     stream: TcpStream,
     buf: BytesMut,
     service: S,
-    stop: CancellationToken,
+    connection: Arc<CallerConnection>,
 ) {
     let (read, write) = stream.into_split();
     let (tx, rx) = mpsc::channel(MAX_PIPELINED_REQUESTS);
     let no_more_requests = CancellationToken::new();
-    let reader = reader::Reader::new(read, buf, service.clone(), no_more_requests.clone(), stop);
+    let abort = connection.abort.clone();
+    let reader = reader::Reader::new(read, buf, service, no_more_requests.clone(), connection);
     let mut writer = writer::Writer::new(write, no_more_requests.clone());
     let mut reading = std::pin::pin!(reader.run(tx));
     let written = tokio::select! {
+        () = abort.cancelled() => {
+            tracing::trace!("caller connection closed at a limit");
+            return;
+        }
         () = &mut reading => {
             tracing::trace!("caller left");
             return;
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -1,6 +1,9 @@
 //! Reads requests and dispatches each one as soon as its head is complete.
 
+use std::sync::Arc;
+
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use http::{Method, Request, Version};
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
@@ -11,8 +14,9 @@
 use super::chunks::{ChunkDecoder, Decoded, take_at_most};
 use super::head::{self, Framing, Head};
 use super::writer::{PendingResponse, ResponseSource};
-use super::{HeadError, Service};
-use crate::proxy::{BodySender, RequestBody, body_pipe};
+use super::{Delivery, HeadError, Service};
+use crate::callers::{BUFFER_BYTES, CallerConnection};
+use crate::proxy::{BodySender, RequestBody, body_pipe, section_bytes};
 
 /// Free space in the buffer before each read, in bytes.
 const MIN_BUFFER_SPACE_BYTES: usize = 8 * 1024;
@@ -34,8 +38,9 @@
     service: S,
     /// Cancelled by the writer when it is about to close the connection.
     no_more_requests: CancellationToken,
-    /// Cancelled when the daemon stops.
-    stop: CancellationToken,
+    connection: Arc<CallerConnection>,
+    /// Size of `buf` that counts towards what the connection holds.
+    counted_buffer: usize,
 }
 
 impl<S: Service> Reader<S> {
@@ -44,9 +49,9 @@
         buf: BytesMut,
         service: S,
         no_more_requests: CancellationToken,
-        stop: CancellationToken,
+        connection: Arc<CallerConnection>,
     ) -> Self {
-        Self { read, buf, service, no_more_requests, stop }
+        Self { read, buf, service, no_more_requests, connection, counted_buffer: 0 }
     }
 
     /// Reads until the caller disconnects. After the last request, `answers` is closed and the rest of the
@@ -66,14 +71,10 @@
                 Ok(Ok(head)) => head,
                 Ok(Err(end)) => return end,
                 Err(head_error) => {
-                    let source = ResponseSource::Immediate(Box::new(
-                        self.service.error_response(head_error),
-                    ));
-                    let error_pending =
-                        PendingResponse::new(source, &Method::GET, Version::HTTP_11, true);
+                    let pending = self.refusal(head_error, &Method::GET, Version::HTTP_11);
                     // Sending fails only if the writer has ended.
                     return answers
-                        .send(error_pending)
+                        .send(pending)
                         .await
                         .map_or(ReadEnd::Disconnected, |()| ReadEnd::Finished);
                 }
@@ -86,6 +87,18 @@
         }
     }
 
+    /// Response to a request that is not passed on; the connection is closed after it.
+    fn refusal(
+        &self,
+        head_error: HeadError,
+        method: &Method,
+        version: Version,
+    ) -> PendingResponse<S::Delivery> {
+        let res = self.service.error_response(head_error);
+        let source = ResponseSource::Immediate(Box::new(res));
+        PendingResponse::new(source, method, version, true)
+    }
+
     /// Dispatches a request and reads its body; returns whether another request may follow.
     async fn dispatch(
         &mut self,
@@ -93,7 +106,7 @@
         answers: &mpsc::Sender<PendingResponse<S::Delivery>>,
     ) -> Result<bool, ReadEnd> {
         let Head { request, framing, keep_alive, expects_continue } = head;
-        let closing = self.service.is_closing() || self.stop.is_cancelled();
+        let closing = self.service.is_closing() || self.connection.stop.is_cancelled();
         let may_follow = keep_alive && !closing;
         let (method, version) = (request.method().clone(), request.version());
         let (body, unread) = self.body(framing);
@@ -106,8 +119,20 @@
         let place = answers.reserve().await.ok().ok_or(ReadEnd::Finished)?;
         let (parts, ()) = request.into_parts();
         let req = Request::from_parts(parts, body);
+        let held_head = section_bytes(req.uri(), req.headers()) + held_body_bytes(framing);
         let delivery = self.service.begin_delivery(&req);
-        let source = ResponseSource::Task(tokio::spawn(self.service.call(req)).into());
+        let call = self.service.call(req);
+        let Some(mut held) = self.connection.admit(size_of_val(&call) + held_head) else {
+            delivery.written();
+            // The rest of the request is not read.
+            place.send(self.refusal(HeadError::NoRoom, &method, version));
+            return Ok(false);
+        };
+        let call = call.map(move |res| {
+            held.respond(res.body().held_bytes());
+            (res, held)
+        });
+        let source = ResponseSource::Task(tokio::spawn(call).into());
         let pending =
             PendingResponse::new(source, &method, version, !may_follow).tracked_by(delivery);
         place.send(pending);
@@ -182,7 +207,9 @@
     ) -> Result<Result<Head, ReadEnd>, HeadError> {
         let limits = self.service.limits();
         let mut started = None;
+        self.connection.wait_to_read().await;
         loop {
+            let has_room = self.count_buffer();
             if self.no_more_requests.is_cancelled() {
                 return Ok(Err(ReadEnd::Finished));
             }
@@ -193,6 +220,9 @@
                 if self.buf.len() > limits.bytes {
                     return Err(HeadError::TooLarge);
                 }
+                if !has_room {
+                    return Err(HeadError::NoRoom);
+                }
                 started.get_or_insert_with(Instant::now);
             }
             let deadline = match started {
@@ -212,7 +242,7 @@
                     }
                 }
                 () = self.no_more_requests.cancelled() => return Ok(Err(ReadEnd::Finished)),
-                () = self.stop.cancelled(), if started.is_none() => return Ok(Err(ReadEnd::Finished)),
+                () = self.connection.stop.cancelled(), if started.is_none() => return Ok(Err(ReadEnd::Finished)),
                 () = tokio::time::sleep_until(deadline) => {
                     return if started.is_some() { Err(HeadError::TooSlow) } else { Ok(Err(ReadEnd::Finished)) };
                 }
@@ -220,6 +250,13 @@
         }
     }
 
+    /// Counts the read buffer beyond the size that every connection has; returns whether there is room for more.
+    fn count_buffer(&mut self) -> bool {
+        let size = self.buf.capacity().saturating_sub(MIN_BUFFER_SPACE_BYTES);
+        let counted = std::mem::replace(&mut self.counted_buffer, size);
+        counted == size || self.connection.resize_buffer(counted, size)
+    }
+
     async fn fill(&mut self) -> Result<(), ReadEnd> {
         fill(&mut self.read, &mut self.buf).await
     }
@@ -235,6 +272,15 @@
     }
 }
 
+/// Most bytes of a body that are in memory at once.
+fn held_body_bytes(framing: Framing) -> usize {
+    let most = match framing {
+        Framing::Length(length) => length.min(BUFFER_BYTES),
+        Framing::Chunked => BUFFER_BYTES,
+    };
+    usize::try_from(most).unwrap_or(usize::MAX)
+}
+
 /// Reads once from the connection and appends to `buf`.
 async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> Result<(), ReadEnd> {
     buf.reserve(MIN_BUFFER_SPACE_BYTES);
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -18,6 +18,7 @@
 
 use super::Delivery;
 use super::head::has_option;
+use crate::callers::HeldRequest;
 use crate::proxy::{BodyError, ProxyBody};
 
 /// Longest time for one write; a caller that reads too slowly is disconnected.
@@ -28,10 +29,13 @@
 
 /// Request task that is aborted when the response is no longer needed.
 #[derive(Debug)]
-pub(super) struct AbortOnDrop(JoinHandle<Response<ProxyBody>>);
+pub(super) struct AbortOnDrop(JoinHandle<HeldResponse>);
 
-impl From<JoinHandle<Response<ProxyBody>>> for AbortOnDrop {
-    fn from(task: JoinHandle<Response<ProxyBody>>) -> Self {
+/// Response, and what it and its request hold.
+type HeldResponse = (Response<ProxyBody>, HeldRequest);
+
+impl From<JoinHandle<HeldResponse>> for AbortOnDrop {
+    fn from(task: JoinHandle<HeldResponse>) -> Self {
         Self(task)
     }
 }
@@ -117,13 +121,16 @@
     ) -> io::Result<()> {
         let mut closing = false;
         while let Some(mut pending) = answers.recv().await {
-            let res = match pending.source {
-                ResponseSource::Immediate(res) => *res,
+            let (res, held) = match pending.source {
+                ResponseSource::Immediate(res) => (*res, None),
                 ResponseSource::Continue => {
                     self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                     continue;
                 }
-                ResponseSource::Task(mut task) => (&mut task.0).await.map_err(io::Error::other)?,
+                ResponseSource::Task(mut task) => {
+                    let (res, held) = (&mut task.0).await.map_err(io::Error::other)?;
+                    (res, Some(held))
+                }
             };
             if let Some(delivery) = &mut pending.delivery {
                 delivery.ready();
@@ -135,6 +142,7 @@
             // Requests that have been passed on get their responses before the connection is closed.
             let close = (closing || answers.is_closed()) && answers.is_empty();
             let closed = self.write_response(res, pending.is_head, pending.version, close).await?;
+            drop(held);
             if let Some(delivery) = pending.delivery {
                 delivery.written();
             }
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -7,22 +7,34 @@
 use baobabreel_core::error::ErrorKind;
 use bytes::BytesMut;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http2;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::delivery::Delivery;
 use super::prefixed::PrefixedStream;
 use super::{Accepted, BoundedListener, close_connections, serve_until, wait_for_close};
+use crate::callers::{self, BUFFER_BYTES, CallerConnection, HEADER_READ_FACTOR, HeldRequest};
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
 use crate::proxy::{CallError, ProxyBody, RequestBody, section_bytes, serve_caller};
 
+/// Time between two checks whether the limit on connections is reached. Idle connections are closed then, as callers may
+/// wait to connect.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The part of the connections that is closed at once is 1 in this number.
+const IDLE_CLOSE_PART: usize = 8;
+
+/// Most bytes that the library buffers for one HTTP/2 stream whose caller does not read.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Default time limit for receiving a request head, if the configuration has none.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -32,13 +44,12 @@
 /// HTTP/2 receive window of one stream; limits what is buffered for a slow backend server.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
-/// Header sections are read up to this multiple of their limit, so that the daemon can answer one that
-/// is too large with one of its defined errors.
-const HEADER_READ_FACTOR: usize = 2;
-
 /// Path at which callers request an idempotency key; the key names the daemon that owns it.
 const KEY_PATH: &str = "/.well-known/baobabreel/key";
 
+/// Why a request is refused that would exceed the memory for callers.
+const NO_ROOM: &str = "the connections of callers hold as much memory as they may";
+
 /// First line of the HTTP/2 connection preface.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
 
@@ -46,7 +57,8 @@
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
     let connections = TaskTracker::new();
     let closing = CancellationToken::new();
-    let listener = BoundedListener::new(listener, cx.settings.limits.caller_connections);
+    let most = cx.settings.limits.caller_connections;
+    let listener = BoundedListener::new(listener, most);
     let serve = |accepted| {
         connections.spawn(serve_connection(Arc::clone(&cx), accepted, closing.clone()));
     };
@@ -54,6 +66,12 @@
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
+            () = tokio::time::sleep(FULL_CHECK_INTERVAL) => {
+                if listener.is_full() {
+                    callers::close_idle(&cx, most.div_ceil(IDLE_CLOSE_PART));
+                }
+                continue;
+            }
         };
         serve(accepted);
     }
@@ -64,6 +82,7 @@
 
 async fn serve_connection(cx: Cx, accepted: Accepted, closing: CancellationToken) {
     let Accepted { mut stream, at, permit: _permit } = accepted;
+    let connection = CallerConnection::open(&cx, &closing);
     let service = CallerService { cx };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
@@ -74,13 +93,15 @@
             Some(is_http2) => is_http2,
             None => return,
         },
-        () = wait_for_close(&closing, at) => return,
+        () = wait_for_close(&connection.stop, at) => return,
     };
     if is_http2 {
-        let close = wait_for_close(&closing, at);
-        serve_http2(service.cx, PrefixedStream::new(buf, stream), close).await;
+        tokio::select! {
+            () = connection.abort.cancelled() => {}
+            () = serve_http2(service.cx, PrefixedStream::new(buf, stream), &connection, at) => {}
+        }
     } else {
-        http1::serve_connection(stream, buf, service, closing).await;
+        http1::serve_connection(stream, buf, service, connection).await;
     }
 }
 
@@ -106,26 +127,64 @@
     }
 }
 
-async fn serve_http2(cx: Cx, stream: PrefixedStream, close: impl Future<Output = ()>) {
+async fn serve_http2(
+    cx: Cx,
+    stream: PrefixedStream,
+    connection: &Arc<CallerConnection>,
+    accepted_at: Instant,
+) {
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
-    let service = service_fn(move |req: Request<Incoming>| {
-        let cx = Arc::clone(&cx);
+    let service = service_fn(|req: Request<Incoming>| {
+        let (cx, connection) = (Arc::clone(&cx), Arc::clone(connection));
         async move {
             let delivery = Delivery::begin(&cx, &req);
-            let res = handle_request(cx, req.map(RequestBody::Hyper)).await;
-            Ok::<_, Infallible>(delivery.attach(res))
+            let (res, held) = serve_stream(cx, &connection, req).await;
+            Ok::<_, Infallible>(delivery.attach(res, held))
         }
     });
     let conn = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(header_bytes).unwrap_or(u32::MAX))
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(cx.callers.http2.window)
+        .max_concurrent_streams(cx.callers.http2.streams)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
+    let close = wait_for_close(&connection.stop, accepted_at);
     if let Err(e) = serve_until(close, conn).await {
         tracing::debug!(error = %e, "caller connection failed");
     }
 }
 
+/// Serves a request of an HTTP/2 connection once what the connection holds allows it.
+async fn serve_stream(
+    cx: Cx,
+    connection: &Arc<CallerConnection>,
+    req: Request<Incoming>,
+) -> (Response<ProxyBody>, Option<HeldRequest>) {
+    // The library holds a head as received and decoded.
+    let head = 2 * section_bytes(req.uri(), req.headers());
+    let size = req.body().size_hint();
+    let body = if req.body().is_end_stream() { 0 } else { size.upper().unwrap_or(u64::MAX) };
+    let bytes = head + usize::try_from(body.min(BUFFER_BYTES)).unwrap_or(usize::MAX);
+    let waiting = connection.hold_waiting(bytes);
+    connection.wait_to_read().await;
+    drop(waiting);
+    // In a box, so that a request that waits holds only its head.
+    let mut call = Box::pin(handle_request(Arc::clone(&cx), req.map(RequestBody::Hyper)));
+    let Some(mut held) = connection.admit(size_of_val(&*call) + bytes) else {
+        return (no_room().into_response(&cx.settings.dialect), None);
+    };
+    let res = call.as_mut().await;
+    held.respond(res.body().held_bytes());
+    (res, Some(held))
+}
+
+/// Error for a request that is not taken because the connections of callers hold too much.
+fn no_room() -> CallError {
+    CallError::new(ErrorKind::Overloaded, NO_ROOM)
+}
+
 /// Request handler for caller connections.
 #[derive(Debug, Clone)]
 struct CallerService {
@@ -150,6 +209,7 @@
         let (kind, detail) = match head_error {
             HeadError::Malformed(detail) => (ErrorKind::BadRequest, detail),
             HeadError::TooLarge => (ErrorKind::HeaderTooLarge, "the header section is too large"),
+            HeadError::NoRoom => (ErrorKind::Overloaded, NO_ROOM),
             HeadError::TooSlow => (ErrorKind::RequestTimeout, "the head did not come in time"),
         };
         CallError::new(kind, detail).into_response(&self.cx.settings.dialect)
--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -14,10 +14,14 @@
 use http::{Request, Response};
 use http_body::{Body, Frame, SizeHint};
 
+use crate::callers::HeldRequest;
 use crate::context::{Cx, RequestCount};
 use crate::http1;
 use crate::proxy::{BodyError, ProxyBody, log_undelivered, request_id};
 
+/// Most bytes that the library takes at once, which it buffers for a caller that does not read.
+const MAX_FRAME_BYTES: usize = 16 * 1024;
+
 /// How far the response to one request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -64,9 +68,18 @@
     }
 
     /// Attaches the delivery to a response whose end only its body sees.
-    pub fn attach(mut self, res: Response<ProxyBody>) -> Response<TrackedBody> {
+    pub fn attach(
+        mut self,
+        res: Response<ProxyBody>,
+        held: Option<HeldRequest>,
+    ) -> Response<TrackedBody> {
         self.stage = Stage::Writing;
-        res.map(|inner| TrackedBody { inner, delivery: Some(self) })
+        res.map(|inner| TrackedBody {
+            inner,
+            rest: Bytes::new(),
+            delivery: Some(self),
+            _held: held,
+        })
     }
 }
 
@@ -94,7 +107,11 @@
 #[derive(Debug)]
 pub struct TrackedBody {
     inner: ProxyBody,
+    /// What is left of the last frame of `inner`.
+    rest: Bytes,
     delivery: Option<Delivery>,
+    /// What the request and its response hold; released with the body.
+    _held: Option<HeldRequest>,
 }
 
 impl TrackedBody {
@@ -113,26 +130,37 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        if matches!(polled, Poll::Ready(None)) {
-            self.end();
+        if self.rest.is_empty() {
+            let polled = Pin::new(&mut self.inner).poll_frame(cx);
+            match std::task::ready!(polled) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.rest = data,
+                    Err(frame) => return Poll::Ready(Some(Ok(frame))),
+                },
+                Some(Err(e)) => return Poll::Ready(Some(Err(e))),
+                None => {
+                    self.end();
+                    return Poll::Ready(None);
+                }
+            }
         }
-        polled
+        let length = self.rest.len().min(MAX_FRAME_BYTES);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(length)))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        self.rest.is_empty() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        if self.rest.is_empty() { self.inner.size_hint() } else { SizeHint::default() }
     }
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
         // A body that says that it has ended is not polled for its end.
-        if self.inner.is_end_stream() {
+        if self.is_end_stream() {
             self.end();
         }
     }
--- a/crates/daemon/src/listeners/mod.rs
+++ b/crates/daemon/src/listeners/mod.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Whether no further connection is accepted until one ends.
+    fn is_full(&self) -> bool {
+        self.permits.available_permits() == 0
+    }
+
     /// Closes the listener and returns the connections that wait in the backlog, as many as the limit allows.
     ///
     /// The kernel resets those that are left, although their requests may have arrived already.
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -15,6 +15,7 @@
 use super::host::SlotGuard;
 use super::pool::PooledConnection;
 use super::request_body::RequestBody;
+use crate::callers::BUFFER_BYTES;
 
 /// Why a body could not be passed on.
 #[derive(Debug)]
@@ -152,6 +153,19 @@
         if data.is_empty() { Self::Empty } else { Self::Full(data) }
     }
 
+    /// Memory that the body holds; for one that is received from a connection, the most that is buffered.
+    #[must_use]
+    pub fn held_bytes(&self) -> u64 {
+        match self {
+            Self::Empty => 0,
+            Self::Full(data) => data.len() as u64,
+            Self::Stream { .. } | Self::Tracked(_) => BUFFER_BYTES,
+            Self::Buffered { first, rest } => {
+                first.iter().map(|data| data.len() as u64).sum::<u64>() + rest.held_bytes()
+            }
+        }
+    }
+
     /// Whether the body is aborted now. One that has been received to its end is not, nor is one
     /// without a deadline.
     pub fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<()> {
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -237,12 +237,17 @@
         let memory = self.optional_integer(&mut section, "memory_bytes", MEMORY_RANGE);
         let descriptors = self.optional_integer(&mut section, "descriptors", 64..=1 << 20);
         self.report_unknown_keys(section);
+        // Of the descriptors, a tenth is left for files, operators and the log.
+        let within = |most: u64, share: f64| {
+            let allowed = descriptors.map_or(u64::MAX, |count| (count as f64 * share) as u64);
+            usize::try_from(most.min(allowed)).ok()
+        };
         Some(Limits {
             body_bytes,
             header_bytes: usize::try_from(header_bytes).ok()?,
-            caller_connections: usize::try_from(callers).ok()?,
-            peer_connections: usize::try_from(peers).ok()?,
-            backend_connections: usize::try_from(backend).ok()?,
+            caller_connections: within(callers, CALLER_CONNECTION_SHARE)?,
+            peer_connections: within(peers, PEER_CONNECTION_SHARE)?,
+            backend_connections: within(backend, BACKEND_CONNECTION_SHARE)?,
             memory_bytes: memory,
             descriptors: descriptors.and_then(|count| usize::try_from(count).ok()),
             link_bits_per_sec: None,
@@ -516,6 +521,15 @@
 /// Allowed memory limits, in bytes. A daemon without load needs about 12 MB.
 const MEMORY_RANGE: RangeInclusive<u64> = 32 << 20..=1 << 40;
 
+/// Most connections of callers, as a share of the descriptors.
+const CALLER_CONNECTION_SHARE: f64 = 0.5;
+
+/// Most connections of other daemons, as a share of the descriptors.
+const PEER_CONNECTION_SHARE: f64 = 0.3;
+
+/// Most connections to the backend server, as a share of the descriptors.
+const BACKEND_CONNECTION_SHARE: f64 = 0.1;
+
 /// Description of a socket address in error messages.
 const ADDRESS_FORMAT: &str = "an address like 10.0.0.1:7101";
 
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -27,13 +27,15 @@
     Ran,
     /// A response did not reach its caller.
     Undelivered,
+    /// A limit on callers acted.
+    CallerLimit,
 }
 
 /// Number of variants of [`LogLineKind`].
-const KIND_COUNT: usize = 8;
+const KIND_COUNT: usize = 9;
 
 /// Lines per second of each kind, in the order of [`LogLineKind`].
-const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2, 20];
+const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2, 20, 2];
 
 /// Capacity of a token bucket, in seconds at its rate.
 const BURST_SECS: f64 = 2.0;
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -22,6 +22,7 @@
     latency: Histogram<f64>,
     retries: Counter<u64>,
     undelivered: Counter<u64>,
+    caller_limits: Counter<u64>,
     control_bytes: Counter<u64>,
     config_offset: Gauge<u64>,
     held: Gauge<u64>,
@@ -60,6 +61,10 @@
                 .u64_counter("baobabreel.responses.undelivered")
                 .with_description("Responses that did not reach their callers, by stage")
                 .build(),
+            caller_limits: meter
+                .u64_counter("baobabreel.caller.limits")
+                .with_description("Limits on the connections of callers that acted, by limit")
+                .build(),
             control_bytes: meter
                 .u64_counter("baobabreel.control.bytes")
                 .with_unit("By")
@@ -104,6 +109,11 @@
         self.undelivered.add(1, &[KeyValue::new("stage", stage)]);
     }
 
+    /// Counts a limit on callers that acted so many times.
+    pub fn record_caller_limit(&self, limit: &'static str, count: usize) {
+        self.caller_limits.add(count as u64, &[KeyValue::new("limit", limit)]);
+    }
+
     /// Counts the bytes of a control message; the direction is `in` or `out`.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
