Treat a response whose status is no final status as lost

A backend server in trouble answers with a status such as 600 or 999, or with a 101 that nobody asked for. Callers got it as an answer, marked as run; on the platform a 600 marked as not executed was believed.

Cause: the HTTP library accepts every status from 100 to 999, and no check looked at it. Change: check_status accepts 200 to 599, before any other check of a response of a backend server (with and without a key), and of a response of another daemon, which may be of an earlier release. Anything else is upstream_lost (502), the connection is dropped, and the balancer counts a failure.

--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -24,6 +24,7 @@
 use super::host;
 use super::peer_call::CALL_PREFIX;
 use super::pool::{PooledConnection, SendError};
+use super::response_check::check_status;
 use super::sends::SendMark;
 use crate::context::{Cx, is_able};
 
@@ -278,6 +279,8 @@
             None => e,
         });
     }
+    // A daemon of an earlier release passes on whatever its backend server answers.
+    check_status(&res)?;
     Ok(PeerResponse { response: res, load: answer.load, connection })
 }
 
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -30,7 +30,7 @@
 use super::headers;
 use super::lines::{self, HostedRequest};
 use super::pool::SendError;
-use super::response_check::{check_origin, check_response};
+use super::response_check::{check_origin, check_response, check_status};
 use super::sends::SendMark;
 use crate::context::{Cx, Phase};
 
@@ -142,6 +142,8 @@
     sent_at: Duration,
 ) -> Result<(), CallError> {
     let dialect = &cx.settings.dialect;
+    // First, as nothing else in such a response is to be believed.
+    check_status(response)?;
     check_origin(dialect, request_id, response, is_reused)?;
     let stated = dialect.condition.read(response.headers());
     cx.host.record_statement(cx, info, stated);
--- a/crates/daemon/src/proxy/response_check.rs
+++ b/crates/daemon/src/proxy/response_check.rs
@@ -13,6 +13,16 @@
 use super::call_error::CallError;
 use crate::dialect::{Dialect, Proofs};
 
+/// Rejects a response whose status is no final status. Interim responses are skipped by the HTTP library, except a 101
+/// that nobody asked for.
+pub fn check_status<B>(res: &Response<B>) -> Result<(), CallError> {
+    if (200..=599).contains(&res.status().as_u16()) {
+        return Ok(());
+    }
+    let detail = format!("the answer has status {}, which is no final one", res.status().as_u16());
+    Err(CallError::new(ErrorKind::UpstreamLost, detail))
+}
+
 /// Turns a response into an error if it is marked as a refusal that ran nothing, or lacks a required part.
 pub fn check_response(dialect: &Dialect, res: &Response<Incoming>) -> Result<(), CallError> {
     let is_refusal = res.status() == StatusCode::SERVICE_UNAVAILABLE
