--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -31,6 +31,7 @@
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
+use crate::callers::Callers;
 use crate::control::{Distribution, Documents, Follower, Lease, Membership, Readers, Rollouts};
 use crate::keys::Keys;
 use crate::proxy::{ActiveCalls, Balancers, Links, LocalBackend, PeerPool, Quarantine, Quotas};
@@ -140,6 +141,8 @@
     pub http: HttpClient,
     /// End of the drain.
     pub drain_end: DrainEnd,
+    /// Connections of callers and what they hold.
+    pub callers: Callers,
     position: Mutex<Position>,
     distribution: OnceLock<WeakActorRef<Distribution>>,
     membership: OnceLock<WeakActorRef<Membership>>,
@@ -180,6 +183,7 @@
             rollouts: Rollouts::new(settings.rollout),
             http,
             drain_end: DrainEnd::default(),
+            callers: Callers::new(&settings.limits, clock),
             position: Mutex::default(),
             distribution: OnceLock::new(),
             membership: OnceLock::new(),
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -32,7 +32,7 @@
 use super::lease;
 use super::lines::{self, HostedRequest};
 use super::pool::SendError;
-use super::response_check::{check_origin, check_response};
+use super::response_check::{check_origin, check_response, check_status};
 use super::sends::SendMark;
 use crate::context::{Cx, Phase};
 
@@ -156,6 +156,8 @@
     sent_at: Duration,
 ) -> Result<(), CallError> {
     let dialect = &cx.settings.dialect;
+    // First, as nothing else in such a response is to be believed.
+    check_status(response)?;
     check_origin(dialect, request_id, response, is_reused)?;
     let stated = dialect.condition.read(response.headers());
     cx.host.record_statement(cx, info, stated);
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -29,6 +29,8 @@
     Undelivered,
     /// A tenant starts to be limited by its quota.
     Limited,
+    /// A limit on callers acted.
+    CallerLimit,
 }
 
 /// Number of variants of [`LogLineKind`].
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -25,6 +25,7 @@
     bodies: Counter<u64>,
     body_bytes: Counter<u64>,
     body_wait: Histogram<f64>,
+    caller_limits: Counter<u64>,
     control_bytes: Counter<u64>,
     quota_refusals: Counter<u64>,
     quota_reserve: Counter<u64>,
@@ -84,6 +85,10 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .with_description("Time for which granted bodies waited before their start")
                 .build(),
+            caller_limits: meter
+                .u64_counter("baobabreel.caller.limits")
+                .with_description("Limits on the connections of callers that acted, by limit")
+                .build(),
             control_bytes: meter
                 .u64_counter("baobabreel.control.bytes")
                 .with_unit("By")
@@ -166,6 +171,11 @@
         }
     }
 
+    /// Counts a limit on callers that acted so many times.
+    pub fn record_caller_limit(&self, limit: &'static str, count: usize) {
+        self.caller_limits.add(count as u64, &[KeyValue::new("limit", limit)]);
+    }
+
     /// Counts the bytes of a control message; the direction is `in` or `out`.
     pub fn record_control_bytes(&self, direction: &'static str, bytes: usize) {
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
