--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -32,7 +32,11 @@
 /// First delay after a failed read, before jitter. It doubles with each failure.
 const READ_RETRY_DELAY: f64 = 0.2;
 
-/// Longest such delay of daemons that are no relays, before jitter. While the platform answers nobody, reads by all
+/// Time for which the first relay waits for a proof from others if it has none. Daemons that start together first have to
+/// learn of each other; until then each of them seems to be the first.
+const START_DELAY: f64 = 0.04;
+
+/// Longest delay after a failed read of daemons that are no relays, before jitter. While the platform answers nobody, reads by all
 /// daemons are of no use, and as soon as it answers one the others get the proof from there.
 const MAX_READ_RETRY_DELAY: f64 = 2.0;
 
@@ -171,8 +175,10 @@
             ProofRole::Reader { rank } => READ_AGE + RANK_STEP * rank.min(MAX_RANK) as f64,
             ProofRole::Other => READ_AGE_OF_OTHERS.0 + READ_AGE_OF_OTHERS.1 * self.place,
         };
-        // A daemon that has just started waits for those before it as if it had a proof that the first one renews now.
-        let age = age.unwrap_or_else(|| now.saturating_sub(needed_since) + self.part(READ_AGE));
+        let age = age.unwrap_or_else(|| {
+            let waited = now.saturating_sub(needed_since);
+            waited + self.part(READ_AGE - START_DELAY)
+        });
         age >= self.part(limit)
     }
 
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -25,8 +25,12 @@
 /// Time for the answer to the next query for a proof, as part of what refused callers are told to wait.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
-/// Time over which refused callers are spread when they come back.
-const RETRY_SPREAD: Duration = Duration::from_millis(250);
+/// Shortest and longest time over which refused callers are spread when they come back. In between it is
+/// [`RETRY_SPREAD_SHARE`] of the time for which there has been no lease, as the lack mostly lasts for some such time more.
+const RETRY_SPREAD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
+
+/// See [`RETRY_SPREAD`].
+const RETRY_SPREAD_SHARE: f64 = 0.25;
 
 #[derive(Debug)]
 struct State {
@@ -40,7 +44,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Ended {
-    at: Duration,
+    /// `None` if there has been no lease since the start.
+    at: Option<Duration>,
     refused: u64,
 }
 
@@ -57,7 +62,7 @@
                 lease: ConfigLease::new(settings.bound),
                 policy: ProofPolicy::new(settings.bound, rand::random()),
                 role: (Duration::ZERO, ProofRole::Other),
-                ended: Some(Ended { at: Duration::ZERO, refused: 0 }),
+                ended: Some(Ended { at: None, refused: 0 }),
             })
         }))
     }
@@ -79,11 +84,14 @@
         let mut state = lock(state);
         let now = cx.clock.boot();
         state.check(cx, now);
+        let mut spread = RETRY_SPREAD.0;
         if let Some(ended) = &mut state.ended {
             ended.refused += 1;
+            let lasted = ended.at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+            spread = lasted.mul_f64(RETRY_SPREAD_SHARE).clamp(RETRY_SPREAD.0, RETRY_SPREAD.1);
         }
         cx.metrics.record_lease_refusal();
-        let spread = RETRY_SPREAD.mul_f64(rand::random());
+        let spread = spread.mul_f64(rand::random());
         state.policy.next_query_in(now) + ANSWER_TIME + spread
     }
 
@@ -92,8 +100,7 @@
         let state = lock(self.0.as_ref()?);
         let age = state.lease.age(position.config.offset, cx.clock.boot())?;
         // Rounded up, so that the proof does not get younger on the way.
-        let proof_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
-        Some(DocumentExtension { proof_ms: Some(proof_ms) })
+        Some(DocumentExtension { proof_ms: Some(millis(age).saturating_add(1)) })
     }
 
     /// Takes over the proof of another daemon, which was queried at `queried_at`.
@@ -116,9 +123,10 @@
 
     /// Records that a query to the platform sent at `sent_at` has returned no document above the one in force.
     pub fn prove(&self, cx: &Context, sent_at: Duration) {
-        let (Some(state), Some(version)) = (&self.0, cx.documents.version()) else { return };
+        let Some(state) = &self.0 else { return };
         let mut state = lock(state);
-        if state.lease.prove(version, sent_at) {
+        let version = cx.documents.version();
+        if version.is_some_and(|version| state.lease.prove(version, sent_at)) {
             state.policy.read_proved();
         } else {
             state.policy.read_ended();
@@ -182,23 +190,22 @@
         let is_valid = self.lease.is_valid(version, now);
         match self.ended {
             None if !is_valid => {
-                self.ended = Some(Ended { at: now, refused: 0 });
+                self.ended = Some(Ended { at: Some(now), refused: 0 });
                 let is_outdated = self.lease.is_outdated(version);
                 let age = self.lease.age(version, now);
                 tracing::warn!(
                     version,
                     is_outdated,
-                    proof_age_ms = age.map(|age| age.as_millis()),
+                    proof_age_ms = age.map(millis),
                     "the lease on the configuration ended; requests with API keys are refused"
                 );
             }
             Some(ended) if is_valid => {
                 self.ended = None;
-                let is_start = ended.at.is_zero();
                 tracing::info!(
                     version,
                     refused = ended.refused,
-                    lasted_ms = (!is_start).then(|| now.saturating_sub(ended.at).as_millis()),
+                    lasted_ms = ended.at.map(|at| millis(now.saturating_sub(at))),
                     "the lease on the configuration is valid; requests with API keys are served"
                 );
             }
@@ -207,6 +214,11 @@
     }
 }
 
+/// Whole milliseconds.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What others rely on this daemon for.
 fn role(cx: &Context) -> ProofRole {
     let members = cx.members.load();
