Query the daemon that reads in place of the relays for a proof

What callers saw: nothing. Cause: daemons that stand in for relays which the store turns away queried those relays, and so went on to read the store themselves. Change: the first source of a proof is the first daemon of the data centre that can read, a relay or not. New test data_centre_without_its_relays_is_read_for_by_few. tests revocation, relay, relay_watch of core and revocation, tenants, turned_away, configuration, node, wire of platform pass.

--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -202,11 +202,31 @@
     if !ReadRole::of(members, own, &can_read).reads() {
         return None;
     }
+    let mut readers = able_readers(members, own, can_read).into_iter();
+    readers.position(|member| member.id == own.id)
+}
+
+/// The daemon of the data centre, except `own`, that has to read the platform before all others.
+#[must_use]
+pub fn first_other_reader<'a>(
+    members: &[&'a Member],
+    own: &Member,
+    can_read: impl Fn(&Member) -> bool,
+) -> Option<&'a Member> {
+    able_readers(members, own, can_read).into_iter().find(|member| member.id != own.id)
+}
+
+/// Live members of the data centre of `own` that can read the platform, as far as known, in the order in which they have
+/// to. `own` is always among them.
+fn able_readers<'a>(
+    members: &[&'a Member],
+    own: &Member,
+    can_read: impl Fn(&Member) -> bool,
+) -> Vec<&'a Member> {
     let local = local_members(members.iter().copied(), own);
     let (relays, others) = split_relays(&local);
-    let readers = relays.into_iter().chain(others);
-    let mut able = readers.filter(|id| *id == own.id || can_read(local[id]));
-    able.position(|id| id == own.id)
+    let readers = relays.into_iter().chain(others).map(|id| local[id]);
+    readers.filter(|member| member.id == own.id || can_read(member)).collect()
 }
 
 /// Group in which `own`, which is no relay, reads the platform once no relay answers. The first group has as many
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -26,8 +26,8 @@
 };
 pub use documents::{
     DocumentReadPolicy, OWN_READ_GRACE, PollTurn, ReadReason, ReadRole, document_relay_count,
-    document_relays, is_document_relay, keeps_copy, notice_targets, other_document_relays,
-    reader_rank, substitute_group,
+    document_relays, first_other_reader, is_document_relay, keeps_copy, notice_targets,
+    other_document_relays, reader_rank, substitute_group,
 };
 pub use freshness::Freshness;
 pub use generation::{Generation, GenerationStatus, NewestGeneration, Place};
--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::membership::Member;
-use crate::relay::document_relays;
+use crate::relay::{document_relays, first_other_reader};
 
 /// Age of the proof, as a share of the bound, from which the first relay reads the platform; with a bound of 5 s it
 /// reads once a second.
@@ -218,21 +218,22 @@
     }
 }
 
-/// Relays that a daemon queries for a proof, of which the first is the one that has to read first. Those of its data
-/// centre and of others alternate, since either may have lost the platform at once.
+/// Daemons that a daemon queries for a proof: the one of its data centre that has to read first, then the relays. Those of
+/// its data centre and of others alternate, since either may have lost the platform at once.
 #[must_use]
 pub fn proof_sources<'a>(
-    members: impl IntoIterator<Item = &'a Member>,
+    members: &[&'a Member],
     own: &Member,
     can_read: impl Fn(&Member) -> bool,
 ) -> Vec<&'a Member> {
-    let (mut local, remote) = document_relays(members, own);
-    local.sort_by_key(|relay| !can_read(relay));
+    let (local, remote) = document_relays(members.iter().copied(), own);
+    let mut sources = Vec::with_capacity(1 + local.len() + remote.len());
+    // Where the relays cannot read, it is none of them.
+    sources.extend(first_other_reader(members, own, can_read));
     let (mut local, mut remote) = (local.into_iter(), remote.into_iter());
-    let mut sources = Vec::with_capacity(local.len() + remote.len());
     while local.len() + remote.len() > 0 {
-        sources.extend(local.next());
         sources.extend(remote.next());
+        sources.extend(local.next());
     }
     sources
 }
--- a/crates/core/tests/revocation.rs
+++ b/crates/core/tests/revocation.rs
@@ -123,6 +123,8 @@
     members: Vec<Member>,
     policies: Vec<ProofPolicy>,
     leases: Vec<ConfigLease>,
+    /// Daemons that have said that they cannot read the platform.
+    lost: Vec<usize>,
     /// Times of the reads, with the daemon.
     reads: Vec<(Duration, usize)>,
     random: u64,
@@ -134,6 +136,7 @@
         let mut mesh = Self {
             policies: Vec::new(),
             leases: vec![ConfigLease::new(BOUND); daemons],
+            lost: Vec::new(),
             reads: Vec::new(),
             random: seed | 1,
             members,
@@ -172,13 +175,14 @@
         let mut oldest = Duration::ZERO;
         let members = self.members.clone();
         let live: Vec<&Member> = members.iter().collect();
+        let can_read = |m: &Member| !self.lost.iter().any(|i| members[*i].id == m.id);
         // The members stay the same, and to rank them takes long.
         let views: Vec<_> = (members.iter())
             .map(|own| {
-                let rank = reader_rank(&live, own, |_| true);
+                let rank = reader_rank(&live, own, can_read);
                 let role = rank.map_or(ProofRole::Other, |rank| ProofRole::Reader { rank });
                 let (local, _) = document_relays(live.iter().copied(), own);
-                (role, proof_sources(live.iter().copied(), own, |_| true), local)
+                (role, proof_sources(&live, own, can_read), local)
             })
             .collect();
         let mut now = begin;
@@ -256,6 +260,33 @@
     }
 }
 
+/// Guards against reads by most daemons of a data centre whose relays are turned away, when one of them would do. The first
+/// three that read in place of the relays may be turned away too.
+#[test]
+fn data_centre_without_its_relays_is_read_for_by_few() {
+    for (seed, turned_away) in (1..=10).flat_map(|seed| [(seed, 0), (seed, 3)]) {
+        let mut mesh = Mesh::new(3, 86, seed);
+        let members = mesh.members.clone();
+        let live: Vec<&Member> = members.iter().collect();
+        let is_relay = |m: &Member| reader_rank(&live, m, |_| true).is_some();
+        let is_lost = |m: &Member| m.data_centre == live[1].data_centre && is_relay(m);
+        mesh.lost = (0..live.len()).filter(|i| is_lost(live[*i])).collect();
+        let rank = |i: usize| reader_rank(&live, live[i], |m| !is_lost(m));
+        let is_local = |i: usize| live[i].data_centre == live[1].data_centre && !is_lost(live[i]);
+        let refused: Vec<usize> = (0..live.len())
+            .filter(|i| is_lost(live[*i]) || is_local(*i) && rank(*i) < Some(turned_away))
+            .collect();
+        mesh.run((MS(0), MS(20_000)), |i| !refused.contains(&i));
+        mesh.reads.clear();
+        let oldest = mesh.run((MS(20_000), MS(40_000)), |i| !refused.contains(&i));
+        assert!(oldest < BOUND, "seed {seed}: a proof was {oldest:?} old");
+        let reads = mesh.reads.iter().filter(|(_, i)| is_local(*i)).count();
+        // About one a second, or a few if it takes more than one to find who is served.
+        let limit = if turned_away == 0 { 25 } else { 60 };
+        assert!(reads <= limit, "seed {seed}: {reads} reads in 20 s, {turned_away} turned away");
+    }
+}
+
 /// Guards against reads of all daemons at once when a platform that was down comes back, and against many while it is
 /// down.
 #[test]
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -263,8 +263,9 @@
     let Some(own) = members.get(&cx.identity.id) else { return };
     let now = cx.clock.now();
     let can_read = |other: &Member| cx.readers.can_read(other, now);
-    let sources = proof_sources(members.live(), own, can_read);
-    let peers: Vec<&Member> = members.live().filter(|member| member.id != own.id).collect();
+    let live: Vec<&Member> = members.live().collect();
+    let sources = proof_sources(&live, own, can_read);
+    let peers: Vec<&Member> = live.into_iter().filter(|member| member.id != own.id).collect();
     for target in query.targets(&sources, &peers, turn, rand::random()) {
         let (cx, addr) = (Cx::clone(cx), target.peer_addr);
         tokio::spawn(async move { ask_for_news(&cx, addr, timeout).await });
