--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -36,8 +36,8 @@
 /// learn of each other; until then each of them seems to be the first.
 const START_DELAY: f64 = 0.04;
 
-/// Longest delay after a failed read of daemons that are no relays, before jitter. While the platform answers nobody, reads by all
-/// daemons are of no use, and as soon as it answers one the others get the proof from there.
+/// Longest delay after a failed read of daemons that are no relays, before jitter. While the platform answers nobody,
+/// reads by all daemons are of no use, and as soon as it answers one the others get the proof from there.
 const MAX_READ_RETRY_DELAY: f64 = 2.0;
 
 /// Age from which a relay queries the one that has to read before it, and the time between two such queries. Its proof
@@ -218,8 +218,8 @@
     }
 }
 
-/// Daemons that a daemon queries for a proof: the one of its data centre that has to read first, then the relays. Those of
-/// its data centre and of others alternate, since either may have lost the platform at once.
+/// Daemons that a daemon queries for a proof: the one of its data centre that has to read first, then the relays. Those
+/// of its data centre and of others alternate, since either may have lost the platform at once.
 #[must_use]
 pub fn proof_sources<'a>(
     members: &[&'a Member],
@@ -239,7 +239,8 @@
 }
 
 impl ProofQuery {
-    /// Chooses daemons among the relays in `sources` and all other daemons in `peers`; `turn` counts the queries and `random` is drawn anew for each.
+    /// Chooses daemons among those of [`proof_sources`] and all other daemons in `peers`; `turn` counts the queries and
+    /// `random` is drawn anew for each.
     #[must_use]
     pub fn targets<'a>(
         self,
--- a/crates/core/tests/revocation.rs
+++ b/crates/core/tests/revocation.rs
@@ -260,8 +260,8 @@
     }
 }
 
-/// Guards against reads by most daemons of a data centre whose relays are turned away, when one of them would do. The first
-/// three that read in place of the relays may be turned away too.
+/// Guards against reads by most daemons of a data centre whose relays are turned away, when one of them would do. The
+/// first three that read in place of the relays may be turned away too.
 #[test]
 fn data_centre_without_its_relays_is_read_for_by_few() {
     for (seed, turned_away) in (1..=10).flat_map(|seed| [(seed, 0), (seed, 3)]) {
--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -26,7 +26,7 @@
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
 /// Shortest and longest time over which refused callers are spread when they come back. In between it is
-/// [`RETRY_SPREAD_SHARE`] of the time for which there has been no lease, as the lack mostly lasts for some such time more.
+/// [`RETRY_SPREAD_SHARE`] of the time without a lease so far, since an outage mostly lasts for some such time more.
 const RETRY_SPREAD: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(2));
 
 /// See [`RETRY_SPREAD`].
