--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::membership::Member;
-use crate::relay::document_relays;
+use crate::relay::{document_relays, first_other_reader};
 
 /// Age of the proof, as a share of the bound, from which the first relay reads the platform; with a bound of 5 s it
 /// reads once a second.
@@ -32,8 +32,12 @@
 /// First delay after a failed read, before jitter. It doubles with each failure.
 const READ_RETRY_DELAY: f64 = 0.2;
 
-/// Longest such delay of daemons that are no relays, before jitter. While the platform answers nobody, reads by all
-/// daemons are of no use, and as soon as it answers one the others get the proof from there.
+/// Time for which the first relay waits for a proof from others if it has none. Daemons that start together first have to
+/// learn of each other; until then each of them seems to be the first.
+const START_DELAY: f64 = 0.04;
+
+/// Longest delay after a failed read of daemons that are no relays, before jitter. While the platform answers nobody,
+/// reads by all daemons are of no use, and as soon as it answers one the others get the proof from there.
 const MAX_READ_RETRY_DELAY: f64 = 2.0;
 
 /// Age from which a relay queries the one that has to read before it, and the time between two such queries. Its proof
@@ -171,8 +175,10 @@
             ProofRole::Reader { rank } => READ_AGE + RANK_STEP * rank.min(MAX_RANK) as f64,
             ProofRole::Other => READ_AGE_OF_OTHERS.0 + READ_AGE_OF_OTHERS.1 * self.place,
         };
-        // A daemon that has just started waits for those before it as if it had a proof that the first one renews now.
-        let age = age.unwrap_or_else(|| now.saturating_sub(needed_since) + self.part(READ_AGE));
+        let age = age.unwrap_or_else(|| {
+            let waited = now.saturating_sub(needed_since);
+            waited + self.part(READ_AGE - START_DELAY)
+        });
         age >= self.part(limit)
     }
 
@@ -212,27 +218,29 @@
     }
 }
 
-/// Relays that a daemon queries for a proof, of which the first is the one that has to read first. Those of its data
-/// centre and of others alternate, since either may have lost the platform at once.
+/// Daemons that a daemon queries for a proof: the one of its data centre that has to read first, then the relays. Those
+/// of its data centre and of others alternate, since either may have lost the platform at once.
 #[must_use]
 pub fn proof_sources<'a>(
-    members: impl IntoIterator<Item = &'a Member>,
+    members: &[&'a Member],
     own: &Member,
     can_read: impl Fn(&Member) -> bool,
 ) -> Vec<&'a Member> {
-    let (mut local, remote) = document_relays(members, own);
-    local.sort_by_key(|relay| !can_read(relay));
+    let (local, remote) = document_relays(members.iter().copied(), own);
+    let mut sources = Vec::with_capacity(1 + local.len() + remote.len());
+    // Where the relays cannot read, it is none of them.
+    sources.extend(first_other_reader(members, own, can_read));
     let (mut local, mut remote) = (local.into_iter(), remote.into_iter());
-    let mut sources = Vec::with_capacity(local.len() + remote.len());
     while local.len() + remote.len() > 0 {
-        sources.extend(local.next());
         sources.extend(remote.next());
+        sources.extend(local.next());
     }
     sources
 }
 
 impl ProofQuery {
-    /// Chooses daemons among the relays in `sources` and all other daemons in `peers`; `turn` counts the queries and `random` is drawn anew for each.
+    /// Chooses daemons among those of [`proof_sources`] and all other daemons in `peers`; `turn` counts the queries and
+    /// `random` is drawn anew for each.
     #[must_use]
     pub fn targets<'a>(
         self,
