Keep a stock of tokens for a second where a daemon sees steady demand

Callers saw: nothing. Daemons saw one message for nearly every request of a tenant, most of all the holder of a busy account. Cause: tokens were leased for a quarter of a second only, in which most entry daemons get no second request of the tenant. Change: tokens in stock are leased for a second. Entry daemons report what they hold with each request for tokens, so that the holder keeps balance, leases and stocks together under the burst and half of the overage. An account that gave less than was wanted is asked again after a pause.

--- a/crates/client/src/wire/quota.rs
+++ b/crates/client/src/wire/quota.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use baobabreel_core::id::{DaemonId, TenantName};
-use baobabreel_core::quota::{Decision, Sighting, ViewDigest};
+use baobabreel_core::quota::{Ask, Decision, Sighting, ViewDigest};
 use serde::{Deserialize, Serialize};
 
 /// Asks the daemon that holds the accounts of some tenants for tokens. Without tenants, it only shows that the two
@@ -23,8 +23,27 @@
 pub struct AskedTokens {
     /// The tenant.
     pub tenant: TenantName,
-    /// Number of tokens.
-    pub tokens: u32,
+    /// Number of tokens that requests wait for.
+    pub needed: u32,
+    /// Number of further tokens that the entry daemon wants in stock.
+    pub extra: u32,
+    /// Number of tokens in its stock.
+    pub held: u32,
+}
+
+impl AskedTokens {
+    /// Request for tokens of a tenant.
+    #[must_use]
+    pub fn new(tenant: TenantName, ask: Ask) -> Self {
+        let Ask { needed, extra, held } = ask;
+        Self { tenant, needed, extra, held }
+    }
+
+    /// Numbers of tokens.
+    #[must_use]
+    pub fn ask(&self) -> Ask {
+        Ask { needed: self.needed, extra: self.extra, held: self.held }
+    }
 }
 
 /// Answer to a [`QuotaRequest`].
@@ -41,8 +60,10 @@
 pub struct GrantedTokens {
     /// Whether the answering daemon may grant tokens of the tenant.
     pub is_held: bool,
-    /// Number of tokens.
+    /// Number of tokens for requests that wait.
     pub tokens: u32,
+    /// Number of tokens for the stock, with a longer lease.
+    pub stocked: u32,
     /// Milliseconds until the account has a further token.
     pub wait_ms: u32,
 }
@@ -71,11 +92,11 @@
 impl From<Decision> for GrantedTokens {
     fn from(decision: Decision) -> Self {
         match decision {
-            Decision::Granted { tokens, wait } => {
+            Decision::Granted { tokens, stocked, wait } => {
                 let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                Self { is_held: true, tokens, wait_ms }
+                Self { is_held: true, tokens, stocked, wait_ms }
             }
-            Decision::NotHeld => Self { is_held: false, tokens: 0, wait_ms: 0 },
+            Decision::NotHeld => Self { is_held: false, tokens: 0, stocked: 0, wait_ms: 0 },
         }
     }
 }
@@ -86,6 +107,6 @@
             return Self::NotHeld;
         }
         let wait = Duration::from_millis(granted.wait_ms.into());
-        Self::Granted { tokens: granted.tokens, wait }
+        Self::Granted { tokens: granted.tokens, stocked: granted.stocked, wait }
     }
 }
--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::contact::{Contacts, SETTLE, Sighting};
-use super::{Bounds, HANDOVER, PAUSE};
+use super::{Bounds, HANDOVER, PAUSE, STOCK_LEASE};
 use crate::id::{DaemonId, DataCentre, TenantName};
 use crate::membership::Members;
 use crate::rendezvous;
@@ -19,13 +19,26 @@
 /// Time between two reviews of the contact with other daemons.
 const REVIEW: Duration = Duration::from_millis(50);
 
+/// Request for tokens of one tenant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Ask {
+    /// Number of tokens that requests wait for.
+    pub needed: u32,
+    /// Number of further tokens that the entry daemon wants in stock.
+    pub extra: u32,
+    /// Number of tokens in its stock.
+    pub held: u32,
+}
+
 /// Answer of a holder to a request for tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// The daemon holds the account.
     Granted {
-        /// Number of tokens, possibly none.
+        /// Number of tokens for requests that wait, possibly none; leased for [`Bounds::lease`].
         tokens: u32,
+        /// Number of tokens for the stock; leased for [`STOCK_LEASE`].
+        stocked: u32,
         /// Time until the account has a further token.
         wait: Duration,
     },
@@ -34,21 +47,55 @@
 }
 
 /// Token bucket of one tenant. Its time is the integral over the granted share of the rate.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Account {
     quota: Quota,
     tokens: f64,
     updated: f64,
     used_at: Duration,
+    /// Ends of the leases of tokens that requests waited for.
+    leases: VecDeque<(Duration, u32)>,
+    /// Tokens in the stocks of entry daemons, and the ends of their leases.
+    stocks: BTreeMap<DaemonId, (u32, Duration)>,
 }
 
 impl Account {
-    fn update(&mut self, quota: Quota, share_time: f64, share: f64) {
+    fn update(&mut self, quota: Quota, share_time: f64, limit: f64, now: Duration) {
         // What has accrued so far accrued at the old rate.
         self.tokens += self.quota.per_sec * (share_time - self.updated).max(0.0);
-        self.tokens = self.tokens.min(capacity(&self.quota, share)).min(capacity(&quota, share));
         self.updated = share_time;
         self.quota = quota;
+        self.used_at = now;
+        self.leases.retain(|(expires_at, _)| *expires_at > now);
+        self.stocks.retain(|_, (_, expires_at)| *expires_at > now);
+        let leased: u32 = self.leases.iter().map(|(_, count)| count).sum();
+        self.tokens =
+            self.tokens.min(limit - f64::from(leased) - f64::from(self.stocked())).max(0.0);
+    }
+
+    fn stocked(&self) -> u32 {
+        self.stocks.values().map(|(count, _)| count).sum()
+    }
+
+    /// Takes at most `wanted` tokens.
+    fn take(&mut self, wanted: u32) -> u32 {
+        let taken = wanted.min(self.tokens as u32);
+        self.tokens -= f64::from(taken);
+        taken
+    }
+
+    /// Records the stock of an entry daemon, to which `added` tokens were granted.
+    fn set_stock(&mut self, entry: &str, held: u32, added: u32, now: Duration) {
+        let known = self.stocks.get(entry).map(|(_, expires_at)| *expires_at);
+        let expires_at = if added > 0 { Some(now + STOCK_LEASE) } else { known };
+        match expires_at.filter(|_| held + added > 0) {
+            Some(expires_at) => {
+                self.stocks.insert(entry.to_owned(), (held + added, expires_at));
+            }
+            None => {
+                self.stocks.remove(entry);
+            }
+        }
     }
 }
 
@@ -171,7 +218,7 @@
         for id in self.candidates.difference(&candidates) {
             // A member that left has granted nothing since.
             let has_left = self.contacts.has_left(id);
-            let delay = if has_left { self.bounds.lease() } else { HANDOVER };
+            let delay = if has_left { STOCK_LEASE } else { HANDOVER };
             self.gone.insert(id.clone(), now + delay);
         }
         self.gone.retain(|id, _| !candidates.contains(id));
@@ -192,36 +239,56 @@
         self.holder(tenant) == Some(self.own.as_str())
     }
 
-    /// Grants at most `wanted` tokens of a tenant.
-    pub fn grant(&mut self, tenant: &str, quota: Quota, wanted: u32, now: Duration) -> Decision {
+    /// Grants tokens of a tenant to an entry daemon.
+    pub fn grant(
+        &mut self,
+        tenant: &str,
+        quota: Quota,
+        entry: &str,
+        ask: Ask,
+        now: Duration,
+    ) -> Decision {
         self.advance(now);
         if !self.is_holder(tenant) {
             return Decision::NotHeld;
         }
+        let capacity = capacity(&quota, self.share);
         if !self.accounts.contains_key(tenant) {
             let opens_at = self.opening(tenant);
             if now < opens_at {
                 return Decision::NotHeld;
             }
             let accrued = quota.per_sec * (self.share_time - self.share_time_at(opens_at)).max(0.0);
-            let tokens = accrued.min(capacity(&quota, self.share));
-            let account = Account { quota, tokens, updated: self.share_time, used_at: now };
+            let account = Account {
+                quota,
+                tokens: accrued.min(capacity),
+                updated: self.share_time,
+                used_at: now,
+                leases: VecDeque::new(),
+                stocks: BTreeMap::new(),
+            };
             self.accounts.insert(tenant.to_owned(), account);
         }
         let Some(account) = self.accounts.get_mut(tenant) else { return Decision::NotHeld };
-        account.update(quota, self.share_time, self.share);
-        account.used_at = now;
-        let tokens = wanted.min(account.tokens as u32);
-        account.tokens -= f64::from(tokens);
+        let limit = capacity + self.bounds.leased(&quota) * self.share;
+        account.update(quota, self.share_time, limit, now);
+        account.tokens = account.tokens.min(capacity);
+        let tokens = account.take(ask.needed);
+        if tokens > 0 {
+            account.leases.push_back((now + self.bounds.lease(), tokens));
+        }
+        account.set_stock(entry, ask.held, 0, now);
+        let room = self.bounds.stocked(&quota) * self.share - f64::from(account.stocked());
+        let stocked = account.take(ask.extra.min(room.max(0.0) as u32));
+        account.set_stock(entry, ask.held, stocked, now);
         let rate = (quota.per_sec * self.share).max(f64::MIN_POSITIVE);
         let mut wait = (1.0 - account.tokens).max(0.0) / rate;
-        if tokens == 0 {
+        if account.tokens < 1.0 && tokens + stocked < ask.needed + ask.extra {
             // Daemons that ask again at once would get one token each time.
-            wait =
-                wait.max((capacity(&quota, self.share) / rate / 2.0).min(MAX_PACE.as_secs_f64()));
+            wait = wait.max((capacity / rate / 2.0).min(MAX_PACE.as_secs_f64()));
         }
         let wait = Duration::from_secs_f64(wait.min(self.bounds.window.as_secs_f64()));
-        Decision::Granted { tokens, wait }
+        Decision::Granted { tokens, stocked, wait }
     }
 
     /// Time from which this daemon may grant tokens of an account that it holds: when those of each earlier holder have
--- a/crates/core/src/quota/allowance.rs
+++ b/crates/core/src/quota/allowance.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::Bounds;
-use super::account::Decision;
+use super::account::{Ask, Decision};
 use super::reserve::Reserve;
+use super::{Bounds, STOCK_LEASE};
 use crate::id::TenantName;
 
-/// Time constant of the estimated demand.
-const DEMAND_TIME: Duration = Duration::from_millis(500);
+/// Time constant of the estimated demand. One request alone must not put a token in stock.
+const DEMAND_TIME: Duration = Duration::from_millis(1_500);
 /// Part of a lease whose expected demand is kept in stock. The rest covers the answer and an estimate that is too high,
 /// since tokens that expire are lost.
 const STOCKED_PART: f64 = 0.6;
@@ -17,6 +17,8 @@
 const REFILL_BELOW: f64 = 0.3;
 /// Longest time for which requests are refused without asking again, after the account had no token.
 const MAX_REFUSAL: Duration = Duration::from_millis(250);
+/// Time for which nothing is asked for the stock after the account had too little for it.
+const STOCK_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which no request waits for an account that did not answer.
 const SILENCE: Duration = Duration::from_millis(250);
 /// Time without refusals after which a tenant counts as limited anew.
@@ -31,6 +33,8 @@
     Leased {
         /// End of the lease.
         expires_at: Duration,
+        /// Number of reports of the stock before it was taken.
+        reports: u32,
     },
     /// A part of the reserve.
     Reserve {
@@ -47,8 +51,12 @@
     /// Requests per second, as estimated at `arrived_at`.
     demand: f64,
     arrived_at: Duration,
+    /// Number of times that the stock was reported to a holder.
+    reports: u32,
     /// Number of requests that wait for a token.
     waiting: u32,
+    /// Time until which nothing is asked for the stock, as the account had too little.
+    extra_after: Duration,
     /// Time until which the account is known to have no token.
     refused_until: Duration,
     /// Time until which the account is taken not to answer.
@@ -81,7 +89,7 @@
     pub fn take(&mut self, now: Duration) -> Option<Token> {
         self.drop_expired(now);
         let (expires_at, count) = self.leases.front_mut()?;
-        let token = Token::Leased { expires_at: *expires_at };
+        let token = Token::Leased { expires_at: *expires_at, reports: self.reports };
         *count -= 1;
         if *count == 0 {
             self.leases.pop_front();
@@ -95,12 +103,15 @@
         has_room.then_some(Token::Reserve { taken_at: now })
     }
 
-    /// Returns the token of a request that has not run. A lease that has expired is lost, because the account may have
-    /// granted as much again.
+    /// Returns the token of a request that has not run. It is lost if its lease has ended or the holder was told of the
+    /// stock without it, because the account may have granted as much again.
     pub fn give_back(&mut self, token: Token, now: Duration) {
         match token {
-            Token::Leased { expires_at } if expires_at > now => self.add(expires_at, 1),
-            Token::Leased { .. } => {}
+            Token::Leased { expires_at, reports } => {
+                if expires_at > now && reports == self.reports {
+                    self.add(expires_at, 1);
+                }
+            }
             Token::Reserve { taken_at } => self.reserve.give_back(taken_at),
         }
     }
@@ -124,41 +135,60 @@
         self.waiting = self.waiting.saturating_sub(1);
     }
 
-    /// Number of tokens to ask the account for; 0 if the stock suffices or the account has none.
-    pub fn wanted(&mut self, lease: Duration, now: Duration) -> u32 {
+    /// Tokens to ask the account for; `None` if the stock suffices or the account has none.
+    pub fn wanted(&mut self, now: Duration) -> Option<Ask> {
         self.drop_expired(now);
         if now < self.refused_until || now < self.silent_until {
-            return 0;
+            return None;
         }
-        let stock: u32 = self.leases.iter().map(|(_, count)| count).sum();
-        let target = self.demand(now) * lease.as_secs_f64() * STOCKED_PART;
-        let is_low = f64::from(stock) < target * REFILL_BELOW && target >= 1.0;
-        let missing = if is_low { (target as u32).saturating_sub(stock) } else { 0 };
-        self.waiting.saturating_sub(stock).max(missing)
+        let held: u32 = self.leases.iter().map(|(_, count)| count).sum();
+        let needed = self.waiting.saturating_sub(held);
+        let target = self.demand(now) * STOCK_LEASE.as_secs_f64() * STOCKED_PART;
+        let is_low = f64::from(held) < target * REFILL_BELOW
+            && target >= 1.0
+            && (needed > 0 || now >= self.extra_after);
+        let extra = if is_low { (target.round() as u32).saturating_sub(held) } else { 0 };
+        (needed + extra > 0).then_some(Ask { needed, extra, held })
+    }
+
+    /// Tokens to ask the account for, which are certainly asked for.
+    fn report(&mut self, now: Duration) -> Option<Ask> {
+        let ask = self.wanted(now)?;
+        self.reports = self.reports.wrapping_add(1);
+        Some(ask)
     }
 
     /// Handles the answer to a request for tokens that was sent at `sent_at`; returns whether the tenant starts to be
     /// limited.
     pub fn on_decision(
         &mut self,
+        ask: Ask,
         decision: Decision,
         lease: Duration,
         sent_at: Duration,
         now: Duration,
     ) -> bool {
-        let Decision::Granted { tokens, wait } = decision else {
+        let Decision::Granted { tokens, stocked, wait } = decision else {
             self.on_silence(now);
             return false;
         };
         self.silent_until = Duration::ZERO;
-        let expires_at = sent_at + lease;
-        if expires_at > now {
-            self.add(expires_at, tokens);
+        for (expires_at, count) in [(sent_at + lease, tokens), (sent_at + STOCK_LEASE, stocked)] {
+            if expires_at > now {
+                self.add(expires_at, count);
+            }
+        }
+        if stocked < ask.extra {
+            self.extra_after = now + STOCK_PAUSE;
+        }
+        let is_drained = tokens + stocked < ask.needed + ask.extra && !wait.is_zero();
+        if is_drained && ask.needed > 0 {
+            // Holds once the stock is used up.
+            self.refused_until = now + wait.min(MAX_REFUSAL);
         }
-        if tokens > 0 {
+        if tokens > 0 || ask.needed == 0 {
             return false;
         }
-        self.refused_until = now + wait.min(MAX_REFUSAL);
         let earlier = self.limited_at.replace(now);
         earlier.is_none_or(|at| now.saturating_sub(at) > LIMITED_ANEW)
     }
@@ -220,18 +250,18 @@
         self.tenants.get_mut(name)
     }
 
-    /// Tenants and numbers of tokens to ask a daemon for that holds the accounts of those that `is_held` names.
-    pub fn wanted(
+    /// What to ask a daemon for that holds the accounts of those tenants that `is_held` names. It is asked for it.
+    pub fn asks(
         &mut self,
         is_held: impl Fn(&str) -> bool,
         now: Duration,
-    ) -> Vec<(TenantName, u32)> {
-        let lease = self.bounds.lease();
-        let wanted = self.tenants.iter_mut().filter_map(|(name, allowance)| {
-            let wanted = allowance.wanted(lease, now);
-            (wanted > 0 && is_held(name)).then(|| (name.clone(), wanted))
+    ) -> Vec<(TenantName, Ask)> {
+        let asks = self.tenants.iter_mut().filter_map(|(name, allowance)| {
+            let is_due = allowance.wanted(now).is_some() && is_held(name);
+            let ask = if is_due { allowance.report(now) } else { None };
+            ask.map(|ask| (name.clone(), ask))
         });
-        wanted.collect()
+        asks.collect()
     }
 
     /// Drops the state of tenants that `keeps` does not name, and of those without requests.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -16,7 +16,7 @@
 mod contact;
 mod reserve;
 
-pub use account::{Accounts, Decision};
+pub use account::{Accounts, Ask, Decision};
 pub use allowance::{Allowance, Allowances, Token};
 pub use contact::{Contacts, Sighting, ViewDigest};
 
@@ -24,9 +24,11 @@
 
 use crate::tenants::Quota;
 
-/// Longest time for which tokens are leased.
+/// Time for which tokens are leased that an entry daemon keeps in stock. Longer ones save messages; the holder limits
+/// them, and knows how many were not used.
+pub const STOCK_LEASE: Duration = Duration::from_secs(1);
+/// Longest and shortest time for which tokens are leased that requests wait for.
 const MAX_LEASE: Duration = Duration::from_millis(500);
-/// Shortest lease, which must outlast an answer from another data centre.
 const MIN_LEASE: Duration = Duration::from_millis(100);
 /// Time that a new holder of an account waits, if the previous one may still grant tokens. The two sides of a partition
 /// notice it at most [`CONTACT_TIMEOUT`] and one answer apart.
@@ -51,13 +53,28 @@
 }
 
 impl Bounds {
-    /// Time for which tokens are leased. The tokens that are leased when a window begins are at most those that the
-    /// rate gives in this time, and half of the overage covers them.
+    /// Time for which tokens are leased that requests wait for. At the rate of the quota, [`Bounds::leased`] covers
+    /// them.
     #[must_use]
     pub fn lease(&self) -> Duration {
         self.window.mul_f64((self.overage / 2.0).clamp(0.0, 1.0)).clamp(MIN_LEASE, MAX_LEASE)
     }
 
+    /// Number of tokens by which the balance and the leases together may exceed the burst; half of the overage.
+    fn leased(&self, quota: &Quota) -> f64 {
+        self.allowed(quota) * self.overage / 2.0
+    }
+
+    /// Largest number of tokens in the stocks of all entry daemons. A tenth of the burst, which other daemons cannot
+    /// use then, is less than 2 % of what a window allows.
+    fn stocked(&self, quota: &Quota) -> f64 {
+        self.leased(quota) + quota.burst * 0.1
+    }
+
+    fn allowed(&self, quota: &Quota) -> f64 {
+        quota.per_sec * self.window.as_secs_f64() + quota.burst
+    }
+
     /// Part of the members that are taken to be dead for good, and no longer counted; a quarter of the overage.
     fn forgettable_share(&self) -> f64 {
         self.overage / 4.0
@@ -65,7 +82,6 @@
 
     /// Requests of a tenant that all daemons together may send in a window while no account answers.
     fn reserve(&self, quota: &Quota) -> f64 {
-        let allowed = quota.per_sec * self.window.as_secs_f64() + quota.burst;
-        allowed * self.overage / 4.0 + self.slack
+        self.allowed(quota) * self.overage / 4.0 + self.slack
     }
 }
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -194,8 +194,9 @@
     let at = Duration::from_millis;
     let lease = BOUNDS.lease();
     let mut allowance = Allowance::default();
-    let granted = Decision::Granted { tokens: 2, wait: Duration::ZERO };
-    assert!(!allowance.on_decision(granted, lease, at(1_000), at(1_002)));
+    let granted = Decision::Granted { tokens: 2, stocked: 0, wait: Duration::ZERO };
+    let ask = Ask { needed: 2, ..Ask::default() };
+    assert!(!allowance.on_decision(ask, granted, lease, at(1_000), at(1_002)));
     let token = allowance.take(at(1_003)).expect("a token");
     assert!(allowance.take(at(1_003)).is_some());
     assert_eq!(allowance.take(at(1_003)), None);
@@ -203,7 +204,7 @@
     let token = allowance.take(at(1_020)).expect("the returned token");
     allowance.give_back(token, at(1_000) + lease);
     assert_eq!(allowance.take(at(1_000) + lease), None, "a lease that was returned late");
-    assert!(!allowance.on_decision(granted, lease, at(1_500), at(1_502)));
+    assert!(!allowance.on_decision(ask, granted, lease, at(1_500), at(1_502)));
     assert_eq!(allowance.take(at(1_500) + lease), None, "a lease that was not used");
     let reserved = allowance.take_reserve(1, BOUNDS.window, at(2_000)).expect("the reserve");
     assert_eq!(allowance.take_reserve(1, BOUNDS.window, at(2_001)), None);
--- a/crates/core/tests/quota_support/mod.rs
+++ b/crates/core/tests/quota_support/mod.rs
@@ -268,12 +268,18 @@
             .collect();
         for to in due {
             let to = (0..DAEMONS).find(|other| id(*other) == to).expect("a daemon");
-            self.exchange(daemon, to, 0, now);
+            self.exchange(daemon, to, None, now);
         }
     }
 
     /// Asks `to` for tokens; the answer takes no time in the simulation.
-    fn exchange(&mut self, from: usize, to: usize, wanted: u32, now: Duration) -> Option<Decision> {
+    fn exchange(
+        &mut self,
+        from: usize,
+        to: usize,
+        ask: Option<Ask>,
+        now: Duration,
+    ) -> Option<Decision> {
         if !self.is_up(to, now) || !self.is_linked(from, to, now) {
             return None;
         }
@@ -281,7 +287,7 @@
         let seen = self.daemons[from].accounts.sighting(&id(to));
         let holder = &mut self.daemons[to].accounts;
         holder.on_message(&id(from), seen, now);
-        let decision = (wanted > 0).then(|| holder.grant(TENANT, quota, wanted, now));
+        let decision = ask.map(|ask| holder.grant(TENANT, quota, &id(from), ask, now));
         let seen = holder.sighting(&id(from));
         self.daemons[from].accounts.on_message(&id(to), seen, now);
         decision
@@ -308,32 +314,22 @@
 
     /// As the entry daemon does.
     fn spends(&mut self, daemon: usize, now: Duration) -> bool {
-        let lease = BOUNDS.lease();
         let entry = &mut self.daemons[daemon];
         entry.accounts.advance(now);
         let allowance = entry.allowances.tenant(TENANT);
         allowance.on_arrival(now);
         if allowance.take(now).is_some() {
+            self.ask(daemon, now);
             return true;
         }
         if allowance.refused_for(now).is_some() {
             return false;
         }
         if !allowance.is_silent(now) {
-            let holder = entry.accounts.holder(TENANT).map(str::to_owned);
-            let holder = (0..DAEMONS).find(|other| holder.as_deref() == Some(&id(*other)));
             allowance.begin_wait();
-            let wanted = allowance.wanted(lease, now);
-            allowance.end_wait();
-            let decision = holder.and_then(|holder| {
-                if holder == daemon {
-                    Some(self.daemons[daemon].accounts.grant(TENANT, self.quota, wanted, now))
-                } else {
-                    self.exchange(daemon, holder, wanted, now)
-                }
-            });
+            self.ask(daemon, now);
             let allowance = self.daemons[daemon].allowances.tenant(TENANT);
-            allowance.on_decision(decision.unwrap_or(Decision::NotHeld), lease, now, now);
+            allowance.end_wait();
             if allowance.take(now).is_some() {
                 return true;
             }
@@ -344,6 +340,24 @@
         allowance.is_silent(now) && allowance.take_reserve(part, BOUNDS.window, now).is_some()
     }
 
+    /// Asks the holder for the tokens that a daemon needs.
+    fn ask(&mut self, daemon: usize, now: Duration) {
+        let entry = &mut self.daemons[daemon];
+        let holder = entry.accounts.holder(TENANT).map(str::to_owned);
+        let holder = (0..DAEMONS).find(|other| holder.as_deref() == Some(&id(*other)));
+        let Some((_, ask)) = entry.allowances.asks(|_| true, now).pop() else { return };
+        let decision = match holder {
+            Some(holder) if holder == daemon => {
+                Some(entry.accounts.grant(TENANT, self.quota, &id(daemon), ask, now))
+            }
+            Some(holder) => self.exchange(daemon, holder, Some(ask), now),
+            None => None,
+        };
+        let decision = decision.unwrap_or(Decision::NotHeld);
+        let allowance = self.daemons[daemon].allowances.tenant(TENANT);
+        allowance.on_decision(ask, decision, BOUNDS.lease(), now, now);
+    }
+
     pub fn sent_between(&self, from: Duration, to: Duration) -> usize {
         self.sent.iter().filter(|at| (from..to).contains(at)).count()
     }
--- a/crates/daemon/src/control/quota.rs
+++ b/crates/daemon/src/control/quota.rs
@@ -71,7 +71,7 @@
     let grant = |asked: &AskedTokens| {
         let quota = quota_of(&config, &asked.tenant);
         let decision = quota.map_or(Decision::NotHeld, |quota| {
-            state.accounts.grant(&asked.tenant, quota, asked.tokens, now)
+            state.accounts.grant(&asked.tenant, quota, &request.from, asked.ask(), now)
         });
         decision.into()
     };
@@ -101,7 +101,7 @@
         let mut state = quotas.state();
         let QuotaState { accounts, allowances, asking } = &mut *state;
         let is_held = |tenant: &str| accounts.holder(tenant) == Some(holder);
-        let tenants = allowances.wanted(is_held, cx.clock.boot());
+        let tenants = allowances.asks(is_held, cx.clock.boot());
         if tenants.is_empty() {
             asking.remove(holder);
         }
@@ -110,7 +110,7 @@
     if tenants.is_empty() {
         return false;
     }
-    let asked = tenants.into_iter().map(|(tenant, tokens)| AskedTokens { tenant, tokens });
+    let asked = tenants.into_iter().map(|(tenant, ask)| AskedTokens::new(tenant, ask));
     exchange(cx, quotas, holder, asked.collect()).await;
     true
 }
@@ -136,7 +136,7 @@
     for (index, asked) in request.tenants.iter().enumerate() {
         let Some(allowance) = allowances.known(&asked.tenant) else { continue };
         let decision = granted.get(index).map_or(Decision::NotHeld, |granted| (*granted).into());
-        let starts = allowance.on_decision(decision, quotas.lease(), sent_at, now);
+        let starts = allowance.on_decision(asked.ask(), decision, quotas.lease(), sent_at, now);
         if let Some(quota) = quota_of(&config, &asked.tenant).filter(|_| starts) {
             log_limited(cx, &asked.tenant, &quota, accounts.share());
         }
--- a/crates/daemon/src/proxy/quota.rs
+++ b/crates/daemon/src/proxy/quota.rs
@@ -11,7 +11,7 @@
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::{DaemonId, TenantName};
 use baobabreel_core::membership::Members;
-use baobabreel_core::quota::{Accounts, Allowances, Bounds, Decision, Token};
+use baobabreel_core::quota::{Accounts, Allowances, Ask, Bounds, Decision, Token};
 use baobabreel_core::tenants::{Quota, Tenant};
 use tokio::sync::Notify;
 
@@ -110,8 +110,9 @@
             return Step::Refuse("limit", wait);
         }
         if accounts.is_holder(tenant) {
-            let decision = accounts.grant(tenant, quota, 1, now);
-            if allowance.on_decision(decision, self.lease(), now, now) {
+            let ask = Ask { needed: 1, ..Ask::default() };
+            let decision = accounts.grant(tenant, quota, &cx.identity.id, ask, now);
+            if allowance.on_decision(ask, decision, self.lease(), now, now) {
                 log_limited(cx, tenant, &quota, accounts.share());
             }
             match decision {
@@ -231,8 +232,8 @@
     let now = cx.clock.boot();
     let mut state = quotas.state();
     let QuotaState { accounts, allowances, .. } = &mut *state;
-    let wanted = allowances.tenant(tenant).wanted(quotas.lease(), now);
-    let holder = accounts.holder(tenant).filter(|_| wanted > 0 && !accounts.is_holder(tenant));
+    let is_due = allowances.tenant(tenant).wanted(now).is_some();
+    let holder = accounts.holder(tenant).filter(|_| is_due && !accounts.is_holder(tenant));
     let holder = holder.map(str::to_owned);
     drop(state);
     if let Some(holder) = holder {
