--- a/crates/daemon/src/control/quota.rs
+++ b/crates/daemon/src/control/quota.rs
@@ -14,6 +14,7 @@
 
 use crate::context::Cx;
 use crate::proxy::{QuotaState, Quotas, log_limited, quota_of};
+use crate::telemetry::LogLineKind;
 
 /// Path at which a daemon is asked for tokens.
 pub const QUOTA_PATH: &str = "/peer/v1/quota";
@@ -33,6 +34,7 @@
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut next_keep = Duration::ZERO;
+    let mut last_share = 0.0;
     loop {
         interval.tick().await;
         let now = cx.clock.boot();
@@ -47,6 +49,11 @@
         if !has_quotas {
             continue;
         }
+        let share = state.accounts.share();
+        if share != last_share {
+            last_share = share;
+            log_share(&cx, share);
+        }
         let due = state.accounts.contacts().due(now, rand::random());
         let due: Vec<DaemonId> = due.into_iter().cloned().collect();
         drop(state);
@@ -61,6 +68,11 @@
     }
 }
 
+fn log_share(cx: &Cx, share: f64) {
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::Limited, cx.clock.now()) else { return };
+    tracing::info!(share, left_out, "the part of the quotas that this daemon grants has changed");
+}
+
 /// Answers a daemon that asks for tokens; `None` if no quotas are kept here.
 pub fn answer(cx: &Cx, request: &QuotaRequest) -> Option<QuotaGrant> {
     let quotas = cx.quotas.as_ref()?;
@@ -138,7 +150,7 @@
         let decision = granted.get(index).map_or(Decision::NotHeld, |granted| (*granted).into());
         let starts = allowance.on_decision(asked.ask(), decision, quotas.lease(), sent_at, now);
         if let Some(quota) = quota_of(&config, &asked.tenant).filter(|_| starts) {
-            log_limited(cx, &asked.tenant, &quota, accounts.share());
+            log_limited(cx, &asked.tenant, &quota, to);
         }
     }
 }
--- a/crates/daemon/src/proxy/quota.rs
+++ b/crates/daemon/src/proxy/quota.rs
@@ -113,7 +113,7 @@
             let ask = Ask { needed: 1, ..Ask::default() };
             let decision = accounts.grant(tenant, quota, &cx.identity.id, ask, now);
             if allowance.on_decision(ask, decision, self.lease(), now, now) {
-                log_limited(cx, tenant, &quota, accounts.share());
+                log_limited(cx, tenant, &quota, &cx.identity.id);
             }
             match decision {
                 Decision::Granted { wait, .. } => match allowance.take(now) {
@@ -147,11 +147,11 @@
     config.tenants.as_ref()?.get(tenant)?.quota
 }
 
-/// Writes the log line about a tenant that starts to be limited.
-pub fn log_limited(cx: &Cx, tenant: &str, quota: &Quota, share: f64) {
+/// Writes the log line about a tenant that starts to be limited by the account at `holder`.
+pub fn log_limited(cx: &Cx, tenant: &str, quota: &Quota, holder: &str) {
     let Some(left_out) = cx.log_limiter.take(LogLineKind::Limited, cx.clock.now()) else { return };
     let (per_sec, burst) = (quota.per_sec, quota.burst);
-    tracing::info!(tenant, per_sec, burst, share, left_out, "a tenant is limited by its quota");
+    tracing::info!(tenant, per_sec, burst, holder, left_out, "a tenant is limited by its quota");
 }
 
 /// Token that the request of a tenant has spent.
@@ -212,10 +212,12 @@
         let answered = quotas.answered.notified();
         match quotas.step(cx, tenant, quota, waiting.is_none()) {
             Step::Spend(token) => {
+                // Before more is asked for, as a waiting request counts.
+                drop(waiting);
                 refill(cx, quotas, tenant);
                 return Ok(spent(token));
             }
-            Step::Refuse(reason, wait) => return Err(refused(cx, reason, wait)),
+            Step::Refuse(reason, wait) => return Err(refused(cx, tenant, reason, wait)),
             Step::Ask(holder) => {
                 waiting.get_or_insert_with(|| Waiting::begin(quotas, tenant));
                 ask_holder(cx, quotas, holder);
@@ -241,11 +243,11 @@
     }
 }
 
-fn refused(cx: &Cx, reason: &'static str, wait: Duration) -> CallError {
+fn refused(cx: &Cx, tenant: &str, reason: &'static str, wait: Duration) -> CallError {
     cx.metrics.record_quota_refusal(reason);
     let detail = match reason {
-        "limit" => "the tenant has used up its quota",
-        _ => "the daemon that keeps the tenant's quota does not answer",
+        "limit" => format!("tenant {tenant} has used up its quota"),
+        _ => format!("no daemon grants the quota of tenant {tenant} at present"),
     };
     CallError::new(ErrorKind::QuotaExceeded, detail).with_retry_after(wait.max(MIN_RETRY_AFTER))
 }
--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -27,7 +27,7 @@
     Ran,
     /// A response did not reach its caller.
     Undelivered,
-    /// A tenant starts to be limited by its quota.
+    /// A tenant starts to be limited by its quota, or the part that a daemon grants has changed.
     Limited,
 }
 
