--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -140,19 +140,25 @@
     }
 }
 
-/// Guards against fixed shares: a tenant that sends at one daemon only must get its whole limit there, whether the
-/// account is held there or elsewhere.
+/// Guards against fixed shares, and against tokens that lie unused in the stocks of other daemons: a tenant that sends
+/// at one daemon only must get its whole limit there, whether the account is held there or elsewhere, also in the window
+/// in which its demand moves there.
 #[test]
 fn busy_tenant_gets_its_limit_wherever_it_sends() {
     for per_sec in [5.0, 40.0, 620.0] {
         for daemon in 0..DAEMONS {
-            let mut mesh = Mesh::new(Quota { per_sec, burst: per_sec });
-            let (from, to) = (SECOND * 12, SECOND * 22);
-            mesh.run(&[load(SECOND, 0.5, &[daemon]), load(from, 7.5, &[daemon])], to);
-            let sent = mesh.sent_between(from, to) as f64;
-            let limit = per_sec * 11.0;
-            assert!(sent >= 0.95 * limit, "daemon {daemon}: {sent} of {limit}");
-            mesh.check_bound().expect("the bound");
+            for before in [vec![daemon], everywhere()] {
+                let mut mesh = Mesh::new(Quota { per_sec, burst: per_sec });
+                let (from, to) = (SECOND * 12, SECOND * 17);
+                mesh.run(&[load(SECOND, 0.5, &before), load(from, 7.5, &[daemon])], to);
+                let sent = mesh.sent_between(from, to) as f64;
+                let limit = per_sec * 6.0;
+                assert!(
+                    sent >= 0.95 * limit,
+                    "daemon {daemon} after {before:?}: {sent} of {limit}"
+                );
+                mesh.check_bound().expect("the bound");
+            }
         }
     }
 }
@@ -194,8 +200,9 @@
     let at = Duration::from_millis;
     let lease = BOUNDS.lease();
     let mut allowance = Allowance::default();
-    let granted = Decision::Granted { tokens: 2, wait: Duration::ZERO };
-    assert!(!allowance.on_decision(granted, lease, at(1_000), at(1_002)));
+    let granted = Decision::Granted { tokens: 2, stocked: 0, wait: Duration::ZERO };
+    let ask = Ask { needed: 2, ..Ask::default() };
+    assert!(!allowance.on_decision(ask, granted, lease, at(1_000), at(1_002)));
     let token = allowance.take(at(1_003)).expect("a token");
     assert!(allowance.take(at(1_003)).is_some());
     assert_eq!(allowance.take(at(1_003)), None);
@@ -203,7 +210,7 @@
     let token = allowance.take(at(1_020)).expect("the returned token");
     allowance.give_back(token, at(1_000) + lease);
     assert_eq!(allowance.take(at(1_000) + lease), None, "a lease that was returned late");
-    assert!(!allowance.on_decision(granted, lease, at(1_500), at(1_502)));
+    assert!(!allowance.on_decision(ask, granted, lease, at(1_500), at(1_502)));
     assert_eq!(allowance.take(at(1_500) + lease), None, "a lease that was not used");
     let reserved = allowance.take_reserve(1, BOUNDS.window, at(2_000)).expect("the reserve");
     assert_eq!(allowance.take_reserve(1, BOUNDS.window, at(2_001)), None);
--- a/crates/daemon/src/control/quota.rs
+++ b/crates/daemon/src/control/quota.rs
@@ -14,6 +14,7 @@
 
 use crate::context::Cx;
 use crate::proxy::{QuotaState, Quotas, log_limited, quota_of};
+use crate::telemetry::LogLineKind;
 
 /// Path at which a daemon is asked for tokens.
 pub const QUOTA_PATH: &str = "/peer/v1/quota";
@@ -33,6 +34,7 @@
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut next_keep = Duration::ZERO;
+    let mut last_share = 0.0;
     loop {
         interval.tick().await;
         let now = cx.clock.boot();
@@ -47,6 +49,11 @@
         if !has_quotas {
             continue;
         }
+        let share = state.accounts.share();
+        if share != last_share {
+            last_share = share;
+            log_share(&cx, share);
+        }
         let due = state.accounts.contacts().due(now, rand::random());
         let due: Vec<DaemonId> = due.into_iter().cloned().collect();
         drop(state);
@@ -61,6 +68,11 @@
     }
 }
 
+fn log_share(cx: &Cx, share: f64) {
+    let Some(left_out) = cx.log_limiter.take(LogLineKind::Limited, cx.clock.now()) else { return };
+    tracing::info!(share, left_out, "the part of the quotas that this daemon grants has changed");
+}
+
 /// Answers a daemon that asks for tokens; `None` if no quotas are kept here.
 pub fn answer(cx: &Cx, request: &QuotaRequest) -> Option<QuotaGrant> {
     let quotas = cx.quotas.as_ref()?;
@@ -71,7 +83,7 @@
     let grant = |asked: &AskedTokens| {
         let quota = quota_of(&config, &asked.tenant);
         let decision = quota.map_or(Decision::NotHeld, |quota| {
-            state.accounts.grant(&asked.tenant, quota, asked.tokens, now)
+            state.accounts.grant(&asked.tenant, quota, &request.from, asked.ask(), now)
         });
         decision.into()
     };
@@ -101,7 +113,7 @@
         let mut state = quotas.state();
         let QuotaState { accounts, allowances, asking } = &mut *state;
         let is_held = |tenant: &str| accounts.holder(tenant) == Some(holder);
-        let tenants = allowances.wanted(is_held, cx.clock.boot());
+        let tenants = allowances.asks(is_held, cx.clock.boot());
         if tenants.is_empty() {
             asking.remove(holder);
         }
@@ -110,7 +122,7 @@
     if tenants.is_empty() {
         return false;
     }
-    let asked = tenants.into_iter().map(|(tenant, tokens)| AskedTokens { tenant, tokens });
+    let asked = tenants.into_iter().map(|(tenant, ask)| AskedTokens::new(tenant, ask));
     exchange(cx, quotas, holder, asked.collect()).await;
     true
 }
@@ -136,9 +148,9 @@
     for (index, asked) in request.tenants.iter().enumerate() {
         let Some(allowance) = allowances.known(&asked.tenant) else { continue };
         let decision = granted.get(index).map_or(Decision::NotHeld, |granted| (*granted).into());
-        let starts = allowance.on_decision(decision, quotas.lease(), sent_at, now);
+        let starts = allowance.on_decision(asked.ask(), decision, quotas.lease(), sent_at, now);
         if let Some(quota) = quota_of(&config, &asked.tenant).filter(|_| starts) {
-            log_limited(cx, &asked.tenant, &quota, accounts.share());
+            log_limited(cx, &asked.tenant, &quota, to);
         }
     }
 }
