Keep roll-outs apart from orders that a restored store gives again

What callers saw: nothing yet; found while reading the code.

Cause: the generation of an order was that of the read, not that of the append; nothing noticed a pause.

--- a/crates/core/src/rollout/filter.rs
+++ b/crates/core/src/rollout/filter.rs
@@ -120,10 +120,11 @@
 
 /// Release that gets the requests of a service for which no roll-out is known: the one with most members, of
 /// those with equally many the one whose first member started earliest. `known`, chosen before, stays as long as
-/// it has a member that can serve.
+/// it has a member that can serve. Members whose release is not known yet count only if there are no others.
 #[must_use]
 pub fn default_release(members: &[&Member], known: Option<&Option<Release>>) -> Option<Release> {
     if let Some(known) = known
+        && known.is_some()
         && members.iter().any(|member| member.is_able() && member.release == *known)
     {
         return known.clone();
@@ -132,7 +133,7 @@
         let of = members.iter().filter(|member| member.release == *release);
         let able = of.clone().filter(|member| member.is_able()).count();
         let first: Incarnation = of.map(|member| member.incarnation).min().unwrap_or(u64::MAX);
-        (able, std::cmp::Reverse(first))
+        (able > 0 && release.is_some(), able, std::cmp::Reverse(first))
     };
     members
         .iter()
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -17,7 +17,7 @@
     pub within: Duration,
     /// Offset of the order's record, which tells apart orders for the same release.
     pub offset: Offset,
-    /// How often the store had come back from an older copy when the order was read.
+    /// How often the store had come back from an older copy when the order was appended; 0 if that is not known.
     pub generation: u64,
 }
 
@@ -77,7 +77,7 @@
     pub base: Option<Release>,
     /// Offset of the order's record.
     pub offset: Offset,
-    /// How often the store had come back from an older copy when the order was first read.
+    /// How often the store had come back from an older copy, as far as known from orders.
     pub generation: u64,
     /// Milliseconds within which the roll-out has to end.
     pub within_ms: u64,
@@ -88,15 +88,20 @@
 }
 
 impl RolloutRecord {
-    /// Record of a roll-out that begins.
+    /// Record of a roll-out that begins after `previous` one of the service.
     #[must_use]
-    pub fn begin(order: &RolloutOrder, base: Option<Release>, started_ms: u64) -> Self {
+    pub fn begin(
+        order: &RolloutOrder,
+        previous: Option<&Self>,
+        base: Option<Release>,
+        started_ms: u64,
+    ) -> Self {
         Self {
             service: order.service.clone(),
             target: order.target.clone(),
             base,
             offset: order.offset,
-            generation: order.generation,
+            generation: order.generation.max(previous.map_or(0, |record| record.generation)),
             within_ms: u64::try_from(order.within.as_millis()).unwrap_or(u64::MAX),
             started_ms,
             phase: RolloutPhase::Canary,
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -60,7 +60,7 @@
 fn record() -> RolloutRecord {
     let (service, target) = ("catalogue".to_owned(), "v2".to_owned());
     let order = RolloutOrder { service, target, within: WITHIN, offset: 4, generation: 1 };
-    RolloutRecord::begin(&order, Some("v1".to_owned()), 0)
+    RolloutRecord::begin(&order, None, Some("v1".to_owned()), 0)
 }
 
 /// Plays a roll-out of a service with `rate` requests per second. Reports arrive after each step, and daemons
@@ -248,7 +248,11 @@
     assert!(back.is_before(&order("v2", 9, 1)), "the same target again");
     assert!(back.is_before(&order("v3", 3, 2)), "an offset that a restored store gives out again");
     assert!(!back.is_before(&order("v3", 3, 1)), "an older order");
-    let next = RolloutRecord::begin(&order("v3", 9, 1), None, 0);
+    assert!(
+        !back.is_before(&order("v3", 3, 0)),
+        "an older order, read after the store was restored"
+    );
+    let next = RolloutRecord::begin(&order("v3", 9, 0), Some(&back), None, 0);
     assert!(next.supersedes(&back) && !back.supersedes(&next));
 }
 
--- a/crates/daemon/src/control/rollouts/mod.rs
+++ b/crates/daemon/src/control/rollouts/mod.rs
@@ -201,6 +201,12 @@
         }
     }
 
+    /// Leaves all decisions to others.
+    fn resign_all(&mut self) {
+        let services: Vec<ServiceName> = self.deciding.keys().cloned().collect();
+        services.iter().for_each(|service| self.resign(service));
+    }
+
     /// Whether this daemon, which is the one of `rank`, decides on the roll-out of a service.
     fn leads(&self, service: &str, own_id: &str, rank: usize, now: Duration) -> bool {
         if now < self.resigned_until {
@@ -384,8 +390,7 @@
             tracing::warn!("the store does not answer; other daemons decide on roll-outs");
             state.store_failing_since = None;
             state.resigned_until = now + RESIGNED_TIME;
-            let services: Vec<ServiceName> = state.deciding.keys().cloned().collect();
-            services.iter().for_each(|service| state.resign(service));
+            state.resign_all();
         }
     }
 }
@@ -422,12 +427,16 @@
             return None;
         }
         let known = state.known.get(service);
-        if let Some((order, seen)) = state.orders.get(service) {
+        let pending = state.orders.get(service);
+        if let Some((order, seen)) =
+            pending.filter(|(order, _)| known.is_none_or(|known| known.record.is_before(order)))
+        {
             let members: Vec<&Member> = view.of_service(service).iter().collect();
             let base = base_for(order, known, &members);
             let started = cx.clock.wall().saturating_sub(now.saturating_sub(*seen));
             let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
-            return Some(RolloutRecord::begin(order, base, started_ms));
+            let previous = known.map(|known| &known.record);
+            return Some(RolloutRecord::begin(order, previous, base, started_ms));
         }
         let due = state.due.get(service).map(|transition| transition.record.clone());
         due.or_else(|| known.filter(|known| !known.is_published).map(|known| known.record.clone()))
@@ -465,6 +474,7 @@
         known.keep_age(before, now);
     }
     known.decider.clone_from(&cx.identity.id);
+    cx.metrics.record_rollout(&known.record.service, known.record.phase as u64, known.share);
     state.replace(known, now);
     drop(state);
     run::decide(cx);
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -13,6 +13,7 @@
     ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH, TAKEOVER_AFTER, collect, learn, own_rank, take_report,
 };
 use crate::context::Cx;
+use crate::sync::lock;
 
 /// Time between two decisions.
 const TICK: Duration = Duration::from_millis(250);
@@ -40,9 +41,16 @@
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut ticks = 0_u32;
+    let mut last_tick = cx.clock.now();
     loop {
         interval.tick().await;
         ticks = ticks.wrapping_add(1);
+        let now = cx.clock.now();
+        if now > last_tick + TAKEOVER_AFTER {
+            tracing::warn!(pause = ?now.saturating_sub(last_tick), "was paused; others may decide now");
+            cx.rollouts.state().resign_all();
+        }
+        last_tick = now;
         decide(&cx);
         apply(&cx);
         if ticks.is_multiple_of(REPORT_TICKS) {
@@ -141,6 +149,8 @@
         })
         .collect();
     drop(state);
+    lock(&cx.rollouts.counts)
+        .retain(|service, _| running.iter().any(|(record, ..)| record.service == *service));
     for (record, decider, is_unsure) in running {
         let counts = collect::take(&cx.rollouts.counts, &record.service);
         if counts.requests == 0 && !is_idle_turn {
