Keep a bad release without requests while the store is down

What callers saw: found while reading the code. With the store down, each relay that took over the decision would have tried the canary of a bad release again, since what its predecessor had found was not stored.

Cause: the verdict was known to the decider only until the record was written.

Change: notices carry the verdict, and it is sent to all members at once, before the store has it. The backend servers of a canary take turns each second in a fixed order, so that a second one shows a fault soon.

--- a/crates/client/src/wire/rollout.rs
+++ b/crates/client/src/wire/rollout.rs
@@ -19,6 +19,8 @@
     pub age_ms: u64,
     /// Whether the operator's status has been written.
     pub is_published: bool,
+    /// Whether the new release has shown to be bad, which may not have been stored yet.
+    pub is_bad: bool,
 }
 
 /// What an entry daemon tells the decider of a roll-out; the answer is an optional [`RolloutNotice`].
--- a/crates/core/src/rollout/filter.rs
+++ b/crates/core/src/rollout/filter.rs
@@ -3,7 +3,6 @@
 use super::record::{RolloutPhase, RolloutRecord};
 use crate::id::{Incarnation, Release};
 use crate::membership::Member;
-use crate::rendezvous;
 
 /// Part of the backend servers of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,14 +95,14 @@
         canary: Vec<&'a Member>,
         epoch: u64,
     ) -> Vec<&'a Member> {
-        let key = epoch.to_le_bytes();
-        let able: Vec<&Member> = canary.into_iter().filter(|member| member.is_able()).collect();
-        let ids = rendezvous::rank(&key, able.iter().map(|member| member.id.as_str()));
+        let mut able: Vec<&Member> = canary.into_iter().filter(|member| member.is_able()).collect();
+        able.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
         let mut kept: Vec<&Member> = Vec::new();
-        for id in ids {
-            let Some(member) = able.iter().copied().find(|member| member.id == id) else {
-                continue;
-            };
+        for local in able.chunk_by_mut(|a, b| a.data_centre == b.data_centre) {
+            let first = epoch % local.len() as u64;
+            local.rotate_left(first as usize);
+        }
+        for member in able {
             let slots = |members: &[&Member]| -> u32 {
                 let local = members.iter().filter(|m| m.data_centre == member.data_centre);
                 local.map(|member| member.slots).sum()
--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -138,6 +138,11 @@
         self.is_bad
     }
 
+    /// Records that the new release has shown to be bad, as another decider found.
+    pub fn mark_bad(&mut self) {
+        self.is_bad = true;
+    }
+
     /// Continues with a record of a later phase, which was stored.
     pub fn advance(&mut self, record: RolloutRecord, now: Duration) {
         self.phase_since = now;
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -149,7 +149,7 @@
 
 /// Checks over many seeds that a bad release is rolled back and stays within its part of the requests.
 #[track_caller]
-fn assert_rolled_back(rate: f64, respond: impl Fn(Request) -> Response + Copy) {
+fn assert_reverted(rate: f64, respond: impl Fn(Request) -> Response + Copy) {
     for seed in 0..40 {
         let run = play(rate, seed, respond);
         assert_eq!(run.end, RolloutPhase::RolledBack, "seed {seed}: {run:?}");
@@ -183,34 +183,34 @@
 
 /// Guards against a release whose failures or latencies are not seen.
 #[test]
-fn release_that_is_bad_at_once_is_rolled_back() {
+fn release_that_is_bad_at_once_is_reverted() {
     for rate in [30.0, 300.0] {
-        assert_rolled_back(rate, |r| healthy(r).filter(|_| !is_new(r) || r.luck > 0.3));
-        assert_rolled_back(rate, |r| healthy(r).map(|ms| if is_new(r) { 4.0 * ms } else { ms }));
+        assert_reverted(rate, |r| healthy(r).filter(|_| !is_new(r) || r.luck > 0.3));
+        assert_reverted(rate, |r| healthy(r).map(|ms| if is_new(r) { 4.0 * ms } else { ms }));
     }
 }
 
 /// Guards against early good responses that hide a release which turns bad after some seconds.
 #[test]
-fn release_that_turns_bad_late_is_rolled_back() {
+fn release_that_turns_bad_late_is_reverted() {
     let is_bad = |r: Request| is_new(r) && r.at > 4.0;
-    assert_rolled_back(100.0, move |r| healthy(r).filter(|_| !is_bad(r) || r.luck > 0.4));
-    assert_rolled_back(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
+    assert_reverted(100.0, move |r| healthy(r).filter(|_| !is_bad(r) || r.luck > 0.4));
+    assert_reverted(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
 }
 
 /// Guards against good routes that hide a bad one.
 #[test]
-fn release_that_is_bad_on_one_route_is_rolled_back() {
+fn release_that_is_bad_on_one_route_is_reverted() {
     let is_bad = |r: Request| is_new(r) && r.route == 2;
-    assert_rolled_back(100.0, move |r| healthy(r).filter(|_| !is_bad(r) || r.luck > 0.5));
-    assert_rolled_back(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
+    assert_reverted(100.0, move |r| healthy(r).filter(|_| !is_bad(r) || r.luck > 0.5));
+    assert_reverted(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
 }
 
 /// Guards against a canary with so little load for each backend server that the fault does not show.
 #[test]
-fn release_that_is_bad_under_load_is_rolled_back() {
+fn release_that_is_bad_under_load_is_reverted() {
     let is_bad = |r: Request| is_new(r) && r.load > 8.0;
-    assert_rolled_back(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
+    assert_reverted(100.0, move |r| healthy(r).map(|ms| if is_bad(r) { 5.0 * ms } else { ms }));
 }
 
 /// Guards against a good release that is blamed for a fault of a data centre, of a dependency of both releases, or
@@ -289,7 +289,7 @@
 /// Guards against a rolled-back release that gets requests when the old one is gone for a moment, and against a
 /// service without any when its release was changed without an order.
 #[test]
-fn release_that_was_rolled_back_gets_nothing() {
+fn reverted_release_gets_nothing() {
     let mut members = vec![server(0, "v1"), server(1, "v2")];
     members[0].state = MemberState::Draining;
     let record = RolloutRecord { phase: RolloutPhase::RolledBack, ..record() };
--- a/crates/daemon/src/control/rollouts/known.rs
+++ b/crates/daemon/src/control/rollouts/known.rs
@@ -12,8 +12,9 @@
 /// the time for a verdict it stays well under the time within which a bad release must get no request.
 const UNSURE_AFTER: Duration = Duration::from_secs(2);
 
-/// Time for which a canary uses the same backend servers.
-const EPOCH_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a canary uses the same backend servers. The verdict needs bad responses of two of them, if there
+/// are as many.
+const EPOCH_TIME: Duration = Duration::from_secs(1);
 
 /// Time after the end of a roll-out in which the other release gets no requests even if it is the only one, and in
 /// which daemons tell others of it.
@@ -34,6 +35,8 @@
     pub contact: Duration,
     /// Whether the operator's status has been written.
     pub is_published: bool,
+    /// Whether the new release has shown to be bad; this stays known while the store cannot be written.
+    pub is_bad: bool,
     /// Whether the store was read again since the decider fell silent.
     pub is_checked: bool,
     /// Age of the roll-out at `learnt_at`.
@@ -51,6 +54,7 @@
             decider: DaemonId::new(),
             contact: now,
             is_published: false,
+            is_bad: false,
             is_checked: false,
             age_when_learnt,
             learnt_at: now,
@@ -64,6 +68,7 @@
         known.share = f64::from(notice.share_permille) / 1000.0;
         known.decider.clone_from(&notice.decider);
         known.is_published = notice.is_published;
+        known.is_bad = notice.is_bad;
         known
     }
 
@@ -88,6 +93,7 @@
             contact_ms: millis(now.saturating_sub(contact)),
             age_ms: millis(self.age(now)),
             is_published: self.is_published,
+            is_bad: self.is_bad,
         }
     }
 
@@ -107,7 +113,7 @@
     }
 
     pub fn view(&self, own_id: &str, now: Duration) -> ReleaseView {
-        let share = if self.is_unsure(own_id, now) { 0.0 } else { self.share };
+        let share = if self.is_bad || self.is_unsure(own_id, now) { 0.0 } else { self.share };
         let has_ended_long_ago = !self.is_news(now);
         let filter = match self.record.phase {
             RolloutPhase::Succeeded if has_ended_long_ago => {
--- a/crates/daemon/src/control/rollouts/mod.rs
+++ b/crates/daemon/src/control/rollouts/mod.rs
@@ -162,8 +162,11 @@
     }
 
     /// Replaces what is known by something newer.
-    fn replace(&mut self, known: Known, now: Duration) {
+    fn replace(&mut self, mut known: Known, now: Duration) {
         let service = known.record.service.clone();
+        if let Some(before) = self.known.get(&service) {
+            known.is_bad |= before.is_bad && before.record.is_same_order(&known.record);
+        }
         let record = &known.record;
         let before = self.known.get(&service).map(|known| &known.record);
         tracing::info!(
@@ -261,7 +264,8 @@
     let now = cx.clock.now();
     let own_id = cx.identity.id.as_str();
     let service = notice.record.service.clone();
-    let mut state = cx.rollouts.state();
+    let mut guard = cx.rollouts.state();
+    let state = &mut *guard;
     let newer = Known::from_notice(&notice, now);
     match state.known.get_mut(&service) {
         None => state.replace(newer, now),
@@ -271,6 +275,12 @@
                 && known.record.is_same_order(&notice.record) =>
         {
             known.is_published |= notice.is_published;
+            known.is_bad |= notice.is_bad;
+            if notice.is_bad
+                && let Some(rollout) = state.deciding.get_mut(&service)
+            {
+                rollout.mark_bad();
+            }
             // Of two deciders, the one with the higher rank stays.
             let rank = |id: &str| rank_of(cx, &service, id).unwrap_or(usize::MAX);
             let yields = || rank(&notice.decider) < rank(own_id);
@@ -292,7 +302,7 @@
         }
         Some(_) => return,
     }
-    drop(state);
+    drop(guard);
     run::apply(cx);
 }
 
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -78,6 +78,7 @@
     let mut guard = cx.rollouts.state();
     let state = &mut *guard;
     let running = state.known.iter().filter(|(_, known)| !known.record.phase.is_final());
+    let mut is_alarm = false;
     let services: Vec<ServiceName> = running.map(|(service, _)| service.clone()).collect();
     for service in services {
         let Some(known) = state.known.get(&service) else { continue };
@@ -101,7 +102,10 @@
             }
             tracing::info!(service, before = known.decider, "decides on the roll-out");
             known.decider.clone_from(&cx.identity.id);
-            let rollout = Rollout::new(known.record.clone(), limits, known.age(now), now);
+            let mut rollout = Rollout::new(known.record.clone(), limits, known.age(now), now);
+            if known.is_bad {
+                rollout.mark_bad();
+            }
             state.deciding.insert(service.clone(), rollout);
         }
         let Some(rollout) = state.deciding.get_mut(&service) else { continue };
@@ -115,6 +119,7 @@
         let senders = members.iter().filter(|member| !member.is_departed());
         let transition = rollout.step(senders.map(|member| member.id.as_str()), servers, now);
         if rollout.is_bad() && !was_bad {
+            is_alarm = true;
             tracing::warn!(
                 service,
                 target,
@@ -125,6 +130,7 @@
         let share = rollout.share(now);
         if let Some(known) = state.known.get_mut(&service) {
             known.share = share;
+            known.is_bad |= rollout.is_bad();
             known.contact = now;
             cx.metrics.record_rollout(&service, known.record.phase as u64, share);
         }
@@ -133,6 +139,11 @@
             None => state.due.remove(&service),
         };
     }
+    drop(guard);
+    if is_alarm {
+        // Before the store has the record, which may take long.
+        tell(cx, Audience::All);
+    }
 }
 
 /// Sends the counts since the last report to the deciders.
