Let a daemon that missed the end of a roll-out ask for it

What callers saw: found while reading the code. A daemon that was paused or cut off while a roll-out succeeded, for longer than others repeat the end, would have held to the old release, whose backend servers are gone, and answered 503.

Cause: it reported to the decider that it knew only, and other daemons tell of an end for a minute.

Change: a daemon without contact to the decider sends its reports to random other daemons, which answer with what they know.

--- a/crates/client/tests/compatibility.rs
+++ b/crates/client/tests/compatibility.rs
@@ -1,12 +1,15 @@
-//! Tests that messages of the version before, which knew no conditions and no generations of the store, are still
-//! understood, and that new messages look like those while there is nothing to add.
+//! Tests that messages of the version before, which knew no conditions, no generations of the store and no releases,
+//! are still understood, and that new messages look like those while there is nothing to add.
+
+use std::net::SocketAddr;
 
 use baobabreel_client::wire::{
-    AnswerHead, CallHead, ConditionWire, LoadWire, Position, decode, encode,
+    AnswerHead, CallHead, ConditionWire, LoadWire, MemberWire, Position, decode, encode,
 };
 use baobabreel_core::condition::{Condition, RateLimit, RateStatement, ReportedCondition};
 use baobabreel_core::config::{Class, Version};
 use baobabreel_core::error::{ErrorKind, Outcome};
+use baobabreel_core::membership::MemberState;
 use http::HeaderValue;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +29,54 @@
     members: Version,
 }
 
+/// [`MemberWire`] of the version before.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct OldMemberWire {
+    id: String,
+    incarnation: u64,
+    sequence: u64,
+    data_centre: String,
+    service: Option<String>,
+    peer_addr: SocketAddr,
+    state: MemberState,
+    slots: u32,
+}
+
+/// Guards against daemons of two versions that cannot read each other's members.
+#[test]
+fn member_without_a_release_is_that_of_the_version_before() {
+    let peer_addr = SocketAddr::from(([10, 0, 0, 7], 7_540));
+    let (id, data_centre) = ("yard-1".to_owned(), "hobart-a".to_owned());
+    let service = Some("yard".to_owned());
+    let old = OldMemberWire {
+        id: id.clone(),
+        incarnation: 5,
+        sequence: 2,
+        data_centre: data_centre.clone(),
+        service: service.clone(),
+        peer_addr,
+        state: MemberState::Ready,
+        slots: 4,
+    };
+    let new = MemberWire {
+        id,
+        incarnation: 5,
+        sequence: 2,
+        data_centre,
+        service,
+        peer_addr,
+        state: MemberState::Ready,
+        slots: 4,
+        release: None,
+    };
+    let encoded = encode(&new).expect("the member cannot be encoded");
+    assert_eq!(encoded, encode(&old).expect("the old member cannot be encoded"));
+    assert_eq!(decode::<MemberWire>(&encoded).ok(), Some(new.clone()));
+    let released = MemberWire { release: Some("v2".to_owned()), ..new };
+    let encoded = encode(&released).expect("the member cannot be encoded");
+    assert_eq!(decode::<MemberWire>(&encoded).ok(), Some(released));
+}
+
 fn condition() -> ConditionWire {
     let limit = RateLimit::from_milli_per_second(21_250);
     let condition = Condition { rate: RateStatement::Limited(limit), is_leaving: true };
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -1,11 +1,12 @@
 //! Periodic work: decisions, reports to the decider and notices of it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use baobabreel_client::wire::{RolloutNotice, RolloutReport};
 use baobabreel_core::id::ServiceName;
-use baobabreel_core::membership::Member;
+use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::relay::is_document_relay;
 use baobabreel_core::rollout::{Rollout, RolloutRecord};
 
@@ -184,7 +185,9 @@
             continue;
         }
         let members = cx.members.load();
-        let Some(to) = members.get(&decider).map(|member| member.peer_addr) else { continue };
+        let known = members.get(&decider).filter(|_| !is_unsure).map(|member| member.peer_addr);
+        // Any daemon answers with what it knows, such as the end of a roll-out that this one missed.
+        let Some(to) = known.or_else(|| any_other(cx, &members)) else { continue };
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
             let answer: Option<Option<RolloutNotice>> =
@@ -196,6 +199,13 @@
     }
 }
 
+/// Address of a random live member other than this daemon, of any data centre.
+fn any_other(cx: &Cx, members: &Members) -> Option<SocketAddr> {
+    let others: Vec<&Member> =
+        members.live().filter(|member| member.id != cx.identity.id).collect();
+    (!others.is_empty()).then(|| others[rand::random_range(0..others.len())].peer_addr)
+}
+
 /// Number of requests that run or wait at the old release, as far as this daemon sent them or is beside it.
 fn base_in_flight(cx: &Cx, record: &RolloutRecord) -> u32 {
     if record.base.as_ref() == Some(&record.target) {
