Halve the idle reports of a roll-out, and look at late backend servers

What callers saw: found while reading the code. Backend servers of the new release that became ready only after half of the ordered time got a quarter of the requests at once. Each daemon without requests of the service sent a report each second, 52 bytes and an answer of 63.

Cause: the canary ended at a fixed time, and idle daemons reported as often in the canary as while promoting, where the decider waits for them.

Change: the canary lasts until the new release has had a backend server for the time of the ramp, which also gives a successor of the decider time to see something; idle daemons report once in two seconds until the release is promoted.

Before: not run. After (one run each): crates/core/tests/rollout.rs 11 of 11, platform/tests/rollouts.rs 9 of 9.

--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -41,7 +41,7 @@
 /// Part of the ordered time that the ramp takes at most.
 const RAMP_PART: f64 = 0.17;
 
-/// Part of that time for a look at the release under full load, and for one at the canary by a successor.
+/// Part of that time for a look at the release under full load.
 const LOOK_PART: f64 = 0.5;
 
 /// Part of the ordered time that is left for writing the result.
@@ -50,9 +50,13 @@
 /// Longest time left for writing the result.
 const MAX_END_MARGIN: Duration = Duration::from_millis(1_500);
 
-/// Age from which the last report of a daemon no longer counts.
+/// Age from which the last report of a daemon no longer counts as a confirmation that it left the old release.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_600);
 
+/// Age from which it no longer shows that the daemon follows the phase; daemons without requests report every two
+/// seconds.
+const FOLLOW_LIFETIME: Duration = Duration::from_secs(3);
+
 /// Bounds of the canary.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RolloutLimits {
@@ -95,6 +99,8 @@
     started: Option<Duration>,
     age_at_start: Duration,
     phase_since: Duration,
+    /// Since when the new release has had a backend server that can serve.
+    served_since: Option<Duration>,
     comparison: Comparison,
     reports: BTreeMap<DaemonId, (Duration, DaemonReport)>,
     first_report: Option<Duration>,
@@ -112,6 +118,7 @@
             started: now.checked_sub(age),
             age_at_start: age.saturating_sub(now),
             phase_since: now,
+            served_since: None,
             comparison: Comparison::default(),
             reports: BTreeMap::new(),
             first_report: None,
@@ -209,7 +216,7 @@
     #[must_use]
     pub fn is_followed_by(&self, id: &str, now: Duration) -> bool {
         self.reports.get(id).is_some_and(|(at, report)| {
-            now < *at + REPORT_LIFETIME && report.phase == self.record.phase && !report.is_unsure
+            now < *at + FOLLOW_LIFETIME && report.phase == self.record.phase && !report.is_unsure
         })
     }
 
@@ -224,6 +231,9 @@
         if self.record.phase.is_final() {
             return None;
         }
+        if servers > 0 {
+            self.served_since.get_or_insert(now);
+        }
         let (verdict, figures) = self.comparison.judge(servers, now);
         let age = self.age(now);
         let (phase, reason) = if verdict == Verdict::Bad || self.is_bad {
@@ -244,6 +254,7 @@
         now: Duration,
     ) -> Option<(RolloutPhase, &'static str)> {
         let in_phase = now.saturating_sub(self.phase_since);
+        let served = now.saturating_sub(self.served_since.unwrap_or(now));
         let look_time = self.ramp_time().mul_f64(LOOK_PART);
         let doubt_time = match verdict {
             Verdict::Doubtful => self.record.within().mul_f64(DOUBT_PART),
@@ -255,8 +266,9 @@
             }
             // Without a backend server of the new release there is nothing to promote.
             RolloutPhase::Canary | RolloutPhase::Ramp if servers == 0 => None,
+            // Backend servers that become ready late are looked at all the same, and so is what a successor finds.
             RolloutPhase::Canary
-                if age >= self.canary_end() + doubt_time && in_phase >= look_time =>
+                if age >= self.canary_end() + doubt_time && served >= self.ramp_time() =>
             {
                 Some((RolloutPhase::Ramp, "the canary shows no sign of a bad release"))
             }
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -8,7 +8,7 @@
 use baobabreel_core::id::ServiceName;
 use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::relay::is_document_relay;
-use baobabreel_core::rollout::{Rollout, RolloutRecord};
+use baobabreel_core::rollout::{Rollout, RolloutPhase, RolloutRecord};
 
 use super::{
     ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH, TAKEOVER_AFTER, collect, learn, own_rank, take_report,
@@ -22,8 +22,12 @@
 /// Number of ticks between two reports, and between two notices.
 const REPORT_TICKS: u32 = 2;
 
-/// Number of ticks between two reports of a daemon that sent no request.
-const IDLE_REPORT_TICKS: u32 = 4;
+/// Number of ticks between two reports of a daemon that sent no request. The decider has to hear of all daemons only
+/// while it waits for them to leave the old release.
+const IDLE_REPORT_TICKS: u32 = 8;
+
+/// The same while it does.
+const PROMOTING_REPORT_TICKS: u32 = 4;
 
 /// Time for the answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -55,7 +59,7 @@
         decide(&cx);
         apply(&cx);
         if ticks.is_multiple_of(REPORT_TICKS) {
-            report(&cx, ticks.is_multiple_of(IDLE_REPORT_TICKS));
+            report(&cx, ticks);
             tell(&cx, Audience::RelaysAndLaggards);
         }
     }
@@ -148,7 +152,7 @@
 }
 
 /// Sends the counts since the last report to the deciders.
-fn report(cx: &Cx, is_idle_turn: bool) {
+fn report(cx: &Cx, ticks: u32) {
     let now = cx.clock.now();
     let own_id = &cx.identity.id;
     let state = cx.rollouts.state();
@@ -165,7 +169,11 @@
         .retain(|service, _| running.iter().any(|(record, ..)| record.service == *service));
     for (record, decider, is_unsure) in running {
         let counts = collect::take(&cx.rollouts.counts, &record.service);
-        if counts.requests == 0 && !is_idle_turn {
+        let idle_ticks = match record.phase {
+            RolloutPhase::Promoting => PROMOTING_REPORT_TICKS,
+            _ => IDLE_REPORT_TICKS,
+        };
+        if counts.requests == 0 && !ticks.is_multiple_of(idle_ticks) {
             continue;
         }
         let report = RolloutReport {
