--- a/crates/core/src/rollout/filter.rs
+++ b/crates/core/src/rollout/filter.rs
@@ -3,7 +3,6 @@
 use super::record::{RolloutPhase, RolloutRecord};
 use crate::id::{Incarnation, Release};
 use crate::membership::Member;
-use crate::rendezvous;
 
 /// Part of the backend servers of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,14 +95,14 @@
         canary: Vec<&'a Member>,
         epoch: u64,
     ) -> Vec<&'a Member> {
-        let key = epoch.to_le_bytes();
-        let able: Vec<&Member> = canary.into_iter().filter(|member| member.is_able()).collect();
-        let ids = rendezvous::rank(&key, able.iter().map(|member| member.id.as_str()));
+        let mut able: Vec<&Member> = canary.into_iter().filter(|member| member.is_able()).collect();
+        able.sort_by(|a, b| (&a.data_centre, &a.id).cmp(&(&b.data_centre, &b.id)));
         let mut kept: Vec<&Member> = Vec::new();
-        for id in ids {
-            let Some(member) = able.iter().copied().find(|member| member.id == id) else {
-                continue;
-            };
+        for local in able.chunk_by_mut(|a, b| a.data_centre == b.data_centre) {
+            let first = epoch % local.len() as u64;
+            local.rotate_left(first as usize);
+        }
+        for member in able {
             let slots = |members: &[&Member]| -> u32 {
                 let local = members.iter().filter(|m| m.data_centre == member.data_centre);
                 local.map(|member| member.slots).sum()
@@ -120,10 +119,11 @@
 
 /// Release that gets the requests of a service for which no roll-out is known: the one with most members, of
 /// those with equally many the one whose first member started earliest. `known`, chosen before, stays as long as
-/// it has a member that can serve.
+/// it has a member that can serve. Members whose release is not known yet count only if there are no others.
 #[must_use]
 pub fn default_release(members: &[&Member], known: Option<&Option<Release>>) -> Option<Release> {
     if let Some(known) = known
+        && known.is_some()
         && members.iter().any(|member| member.is_able() && member.release == *known)
     {
         return known.clone();
@@ -132,7 +132,7 @@
         let of = members.iter().filter(|member| member.release == *release);
         let able = of.clone().filter(|member| member.is_able()).count();
         let first: Incarnation = of.map(|member| member.incarnation).min().unwrap_or(u64::MAX);
-        (able, std::cmp::Reverse(first))
+        (able > 0 && release.is_some(), able, std::cmp::Reverse(first))
     };
     members
         .iter()
--- a/crates/daemon/src/control/rollouts/mod.rs
+++ b/crates/daemon/src/control/rollouts/mod.rs
@@ -162,8 +162,11 @@
     }
 
     /// Replaces what is known by something newer.
-    fn replace(&mut self, known: Known, now: Duration) {
+    fn replace(&mut self, mut known: Known, now: Duration) {
         let service = known.record.service.clone();
+        if let Some(before) = self.known.get(&service) {
+            known.is_bad |= before.is_bad && before.record.is_same_order(&known.record);
+        }
         let record = &known.record;
         let before = self.known.get(&service).map(|known| &known.record);
         tracing::info!(
@@ -201,6 +204,12 @@
         }
     }
 
+    /// Leaves all decisions to others.
+    fn resign_all(&mut self) {
+        let services: Vec<ServiceName> = self.deciding.keys().cloned().collect();
+        services.iter().for_each(|service| self.resign(service));
+    }
+
     /// Whether this daemon, which is the one of `rank`, decides on the roll-out of a service.
     fn leads(&self, service: &str, own_id: &str, rank: usize, now: Duration) -> bool {
         if now < self.resigned_until {
@@ -255,7 +264,8 @@
     let now = cx.clock.now();
     let own_id = cx.identity.id.as_str();
     let service = notice.record.service.clone();
-    let mut state = cx.rollouts.state();
+    let mut guard = cx.rollouts.state();
+    let state = &mut *guard;
     let newer = Known::from_notice(&notice, now);
     match state.known.get_mut(&service) {
         None => state.replace(newer, now),
@@ -265,6 +275,12 @@
                 && known.record.is_same_order(&notice.record) =>
         {
             known.is_published |= notice.is_published;
+            known.is_bad |= notice.is_bad;
+            if notice.is_bad
+                && let Some(rollout) = state.deciding.get_mut(&service)
+            {
+                rollout.mark_bad();
+            }
             // Of two deciders, the one with the higher rank stays.
             let rank = |id: &str| rank_of(cx, &service, id).unwrap_or(usize::MAX);
             let yields = || rank(&notice.decider) < rank(own_id);
@@ -286,7 +302,7 @@
         }
         Some(_) => return,
     }
-    drop(state);
+    drop(guard);
     run::apply(cx);
 }
 
@@ -384,8 +400,7 @@
             tracing::warn!("the store does not answer; other daemons decide on roll-outs");
             state.store_failing_since = None;
             state.resigned_until = now + RESIGNED_TIME;
-            let services: Vec<ServiceName> = state.deciding.keys().cloned().collect();
-            services.iter().for_each(|service| state.resign(service));
+            state.resign_all();
         }
     }
 }
@@ -422,12 +437,16 @@
             return None;
         }
         let known = state.known.get(service);
-        if let Some((order, seen)) = state.orders.get(service) {
+        let pending = state.orders.get(service);
+        if let Some((order, seen)) =
+            pending.filter(|(order, _)| known.is_none_or(|known| known.record.is_before(order)))
+        {
             let members: Vec<&Member> = view.of_service(service).iter().collect();
             let base = base_for(order, known, &members);
             let started = cx.clock.wall().saturating_sub(now.saturating_sub(*seen));
             let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
-            return Some(RolloutRecord::begin(order, base, started_ms));
+            let previous = known.map(|known| &known.record);
+            return Some(RolloutRecord::begin(order, previous, base, started_ms));
         }
         let due = state.due.get(service).map(|transition| transition.record.clone());
         due.or_else(|| known.filter(|known| !known.is_published).map(|known| known.record.clone()))
@@ -465,6 +484,7 @@
         known.keep_age(before, now);
     }
     known.decider.clone_from(&cx.identity.id);
+    cx.metrics.record_rollout(&known.record.service, known.record.phase as u64, known.share);
     state.replace(known, now);
     drop(state);
     run::decide(cx);
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -1,18 +1,20 @@
 //! Periodic work: decisions, reports to the decider and notices of it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use baobabreel_client::wire::{RolloutNotice, RolloutReport};
 use baobabreel_core::id::ServiceName;
-use baobabreel_core::membership::Member;
+use baobabreel_core::membership::{Member, Members};
 use baobabreel_core::relay::is_document_relay;
-use baobabreel_core::rollout::{Rollout, RolloutRecord};
+use baobabreel_core::rollout::{Rollout, RolloutPhase, RolloutRecord};
 
 use super::{
     ROLLOUT_NOTICE_PATH, ROLLOUT_REPORT_PATH, TAKEOVER_AFTER, collect, learn, own_rank, take_report,
 };
 use crate::context::Cx;
+use crate::sync::lock;
 
 /// Time between two decisions.
 const TICK: Duration = Duration::from_millis(250);
@@ -20,8 +22,12 @@
 /// Number of ticks between two reports, and between two notices.
 const REPORT_TICKS: u32 = 2;
 
-/// Number of ticks between two reports of a daemon that sent no request.
-const IDLE_REPORT_TICKS: u32 = 4;
+/// Number of ticks between two reports of a daemon that sent no request. The decider has to hear of all daemons only
+/// while it waits for them to leave the old release.
+const IDLE_REPORT_TICKS: u32 = 8;
+
+/// The same while it does.
+const PROMOTING_REPORT_TICKS: u32 = 4;
 
 /// Time for the answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -40,13 +46,20 @@
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut ticks = 0_u32;
+    let mut last_tick = cx.clock.now();
     loop {
         interval.tick().await;
         ticks = ticks.wrapping_add(1);
+        let now = cx.clock.now();
+        if now > last_tick + TAKEOVER_AFTER {
+            tracing::warn!(pause = ?now.saturating_sub(last_tick), "was paused; others may decide now");
+            cx.rollouts.state().resign_all();
+        }
+        last_tick = now;
         decide(&cx);
         apply(&cx);
         if ticks.is_multiple_of(REPORT_TICKS) {
-            report(&cx, ticks.is_multiple_of(IDLE_REPORT_TICKS));
+            report(&cx, ticks);
             tell(&cx, Audience::RelaysAndLaggards);
         }
     }
@@ -70,6 +83,7 @@
     let mut guard = cx.rollouts.state();
     let state = &mut *guard;
     let running = state.known.iter().filter(|(_, known)| !known.record.phase.is_final());
+    let mut is_alarm = false;
     let services: Vec<ServiceName> = running.map(|(service, _)| service.clone()).collect();
     for service in services {
         let Some(known) = state.known.get(&service) else { continue };
@@ -93,7 +107,10 @@
             }
             tracing::info!(service, before = known.decider, "decides on the roll-out");
             known.decider.clone_from(&cx.identity.id);
-            let rollout = Rollout::new(known.record.clone(), limits, known.age(now), now);
+            let mut rollout = Rollout::new(known.record.clone(), limits, known.age(now), now);
+            if known.is_bad {
+                rollout.mark_bad();
+            }
             state.deciding.insert(service.clone(), rollout);
         }
         let Some(rollout) = state.deciding.get_mut(&service) else { continue };
@@ -107,6 +124,7 @@
         let senders = members.iter().filter(|member| !member.is_departed());
         let transition = rollout.step(senders.map(|member| member.id.as_str()), servers, now);
         if rollout.is_bad() && !was_bad {
+            is_alarm = true;
             tracing::warn!(
                 service,
                 target,
@@ -117,6 +135,7 @@
         let share = rollout.share(now);
         if let Some(known) = state.known.get_mut(&service) {
             known.share = share;
+            known.is_bad |= rollout.is_bad();
             known.contact = now;
             cx.metrics.record_rollout(&service, known.record.phase as u64, share);
         }
@@ -125,10 +144,15 @@
             None => state.due.remove(&service),
         };
     }
+    drop(guard);
+    if is_alarm {
+        // Before the store has the record, which may take long.
+        tell(cx, Audience::All);
+    }
 }
 
 /// Sends the counts since the last report to the deciders.
-fn report(cx: &Cx, is_idle_turn: bool) {
+fn report(cx: &Cx, ticks: u32) {
     let now = cx.clock.now();
     let own_id = &cx.identity.id;
     let state = cx.rollouts.state();
@@ -141,9 +165,15 @@
         })
         .collect();
     drop(state);
+    lock(&cx.rollouts.counts)
+        .retain(|service, _| running.iter().any(|(record, ..)| record.service == *service));
     for (record, decider, is_unsure) in running {
         let counts = collect::take(&cx.rollouts.counts, &record.service);
-        if counts.requests == 0 && !is_idle_turn {
+        let idle_ticks = match record.phase {
+            RolloutPhase::Promoting => PROMOTING_REPORT_TICKS,
+            _ => IDLE_REPORT_TICKS,
+        };
+        if counts.requests == 0 && !ticks.is_multiple_of(idle_ticks) {
             continue;
         }
         let report = RolloutReport {
@@ -163,7 +193,9 @@
             continue;
         }
         let members = cx.members.load();
-        let Some(to) = members.get(&decider).map(|member| member.peer_addr) else { continue };
+        let known = members.get(&decider).filter(|_| !is_unsure).map(|member| member.peer_addr);
+        // Any daemon answers with what it knows, such as the end of a roll-out that this one missed.
+        let Some(to) = known.or_else(|| any_other(cx, &members)) else { continue };
         let cx = Arc::clone(cx);
         tokio::spawn(async move {
             let answer: Option<Option<RolloutNotice>> =
@@ -175,6 +207,13 @@
     }
 }
 
+/// Address of a random live member other than this daemon, of any data centre.
+fn any_other(cx: &Cx, members: &Members) -> Option<SocketAddr> {
+    let others: Vec<&Member> =
+        members.live().filter(|member| member.id != cx.identity.id).collect();
+    (!others.is_empty()).then(|| others[rand::random_range(0..others.len())].peer_addr)
+}
+
 /// Number of requests that run or wait at the old release, as far as this daemon sent them or is beside it.
 fn base_in_flight(cx: &Cx, record: &RolloutRecord) -> u32 {
     if record.base.as_ref() == Some(&record.target) {
