Keep the refusal of a call when its body is still being sent

What callers saw: a few uploads that a host daemon had refused at once got 502 with an unknown outcome instead of 503, so their callers could not repeat them.

Cause: a daemon that refuses a call drops its body, and the connection is closed with unread input, which resets it. The reset can reach the entry daemon's writer before the refusal is read.

Change: a body that another daemon sends is read on for up to a second after it was dropped, and an entry daemon that was refused ends its body at once, which closes the connection. A body of unknown length that turns out to be small goes the way of other small ones, hedges included.

--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -14,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::balance::CallGuard;
 use super::body::{BodyError, Guard, ProxyBody};
@@ -22,6 +23,7 @@
 use super::call_wait::{self, Callee, WaitOptions, WaitResult};
 use super::headers;
 use super::host;
+use super::peer_body::Cancellable;
 use super::peer_call::CALL_PREFIX;
 use super::pool::{PooledConnection, SendError};
 use super::sends::SendMark;
@@ -237,6 +239,10 @@
     if let Some(mark) = req.extensions().get::<SendMark>() {
         mark.set();
     }
+    // A body that was refused is not sent to its end.
+    let refused = CancellationToken::new();
+    let req = req.map(|body| Cancellable::wrap(body, &refused));
+    let refused = refused.drop_guard();
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
         match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
@@ -278,6 +284,7 @@
             None => e,
         });
     }
+    refused.disarm();
     Ok(PeerResponse { response: res, load: answer.load, connection })
 }
 
--- a/crates/daemon/src/proxy/entry/body_grant.rs
+++ b/crates/daemon/src/proxy/entry/body_grant.rs
@@ -13,6 +13,7 @@
 use super::Call;
 use crate::proxy::balance::CallGuard;
 use crate::proxy::call_error::CallError;
+use crate::proxy::caller_request::CallerBody;
 use crate::proxy::link::{BODY_GRANT_PATH, Links, Reservation, Sending, source};
 use crate::proxy::pool::PeerError;
 use crate::proxy::request_body::RequestBody;
@@ -35,6 +36,18 @@
     pub sending: Option<Sending>,
 }
 
+impl BodyGrant {
+    /// Sends a body of unknown length as any other if it has turned out to be small.
+    pub(super) fn release_small(&mut self, body: &CallerBody) {
+        let CallerBody::Buffered(data) = body else { return };
+        let is_granted =
+            |sending: &Sending| sending.reservation.is_some() || sending.grant.is_some();
+        if let Some(sending) = self.sending.take_if(|sending| !is_granted(sending)) {
+            sending.record_length(data.len() as u64);
+        }
+    }
+}
+
 /// Host daemon that was asked.
 #[derive(Debug)]
 struct Host {
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -231,8 +231,9 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
-        let grant = self.grant_body(&body).await?;
+        let mut grant = self.grant_body(&body).await?;
         let mut req = self.prepare(parts, body, false).await?;
+        grant.release_small(&req.body);
         self.run(&mut req, grant).await
     }
 
--- a/crates/daemon/src/proxy/link/paced.rs
+++ b/crates/daemon/src/proxy/link/paced.rs
@@ -37,6 +37,13 @@
 }
 
 impl Sending {
+    /// Records the length of the body if it was not known before.
+    pub fn record_length(&self, bytes: u64) {
+        if let Some(route) = &self.record_length {
+            self.links.record_length(route, bytes);
+        }
+    }
+
     /// Applies it to a request.
     #[must_use]
     pub fn apply(self, mut req: Request<ProxyBody>) -> Request<ProxyBody> {
@@ -103,9 +110,7 @@
                     },
                     Some(Err(e)) => return Poll::Ready(Some(Err(e))),
                     None => {
-                        if let Some(route) = self.sending.record_length.take() {
-                            self.sending.links.record_length(&route, self.passed);
-                        }
+                        self.sending.record_length(self.passed);
                         return Poll::Ready(None);
                     }
                 }
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 mod keyed;
 mod lines;
 mod link;
+mod peer_body;
 mod peer_call;
 mod pool;
 mod quarantine;
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -35,6 +35,7 @@
 /// Serves a call of another daemon.
 pub async fn serve_peer_call(cx: Cx, req: Request<Incoming>) -> Response<ProxyBody> {
     let start = cx.clock.now();
+    let req = req.map(|body| RequestBody::Peer(body.into()));
     let parent = TraceContext::read(req.headers());
     let span = Span::start("host", parent, 0.0, start);
     let head = req.headers().get(headers::CALL_HEAD).map(CallHead::try_from);
@@ -81,7 +82,7 @@
 async fn serve_call(
     cx: &Cx,
     head: &CallHead,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     span: &Span,
 ) -> Result<Response<ProxyBody>, CallError> {
     let (parts, body) = req.into_parts();
@@ -107,7 +108,7 @@
     let body = if body.is_end_stream() {
         ProxyBody::Empty
     } else {
-        let inner = Links::receive(&cx.links, grant, RequestBody::Hyper(body), &mut receipt);
+        let inner = Links::receive(&cx.links, grant, body, &mut receipt);
         ProxyBody::Stream { inner, left: cx.settings.limits.body_bytes }
     };
     let mut inner = Request::new(body);
@@ -155,7 +156,7 @@
 }
 
 /// Buffers the body of a request with a key.
-async fn read_body(body: Incoming, head: &CallHead) -> Result<Bytes, CallError> {
+async fn read_body(body: RequestBody, head: &CallHead) -> Result<Bytes, CallError> {
     let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(head.remaining_ms);
     let body_error = |detail| CallError::transient(ErrorKind::BadRequest, detail);
--- a/crates/daemon/src/proxy/request_body.rs
+++ b/crates/daemon/src/proxy/request_body.rs
@@ -13,6 +13,7 @@
 
 use super::body::{BodyError, poll_incoming};
 use super::link::{Arrival, Paced};
+use super::peer_body::{Cancellable, ReceivedBody};
 
 /// Most pieces of a body that are buffered for a slow receiver.
 const PIPE_CAPACITY: usize = 4;
@@ -40,6 +41,10 @@
         /// Bytes that follow.
         rest: Box<RequestBody>,
     },
+    /// Received from another daemon.
+    Peer(ReceivedBody),
+    /// Sent to another daemon.
+    Cancellable(Box<Cancellable>),
     /// Sent at the rate that a daemon has granted.
     Paced(Box<Paced>),
     /// Received over the link of this instance.
@@ -183,6 +188,8 @@
                 Some(data) => Poll::Ready(Some(Ok(Frame::data(data)))),
                 None => Pin::new(rest.as_mut()).poll_frame(cx),
             },
+            Self::Peer(body) => body.poll(cx),
+            Self::Cancellable(body) => body.poll(cx),
             Self::Paced(paced) => paced.poll(cx),
             Self::Arriving { inner, arrival } => {
                 let polled = Pin::new(inner.as_mut()).poll_frame(cx);
@@ -232,6 +239,8 @@
             Self::Hyper(body) => body.is_end_stream(),
             Self::Whole(data) => data.is_none(),
             Self::Begun { first, rest } => first.is_none() && rest.is_end_stream(),
+            Self::Peer(body) => body.is_end_stream(),
+            Self::Cancellable(body) => body.is_end_stream(),
             Self::Paced(paced) => paced.is_end_stream(),
             Self::Arriving { inner, .. } => inner.is_end_stream(),
             Self::Pipe { ended, .. } => *ended,
@@ -245,6 +254,8 @@
                 SizeHint::with_exact(data.as_ref().map_or(0, |data| data.len() as u64))
             }
             Self::Pipe { left: Some(left), .. } => SizeHint::with_exact(*left),
+            Self::Peer(body) => body.size_hint(),
+            Self::Cancellable(body) => body.size_hint(),
             Self::Paced(paced) => paced.size_hint(),
             Self::Arriving { inner, .. } => inner.size_hint(),
             Self::Begun { .. } | Self::Pipe { left: None, .. } => SizeHint::default(),
