--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::balance::CallGuard;
 use super::body::{BodyError, Guard, ProxyBody};
@@ -24,6 +25,7 @@
 use super::headers;
 use super::host;
 use super::lease;
+use super::peer_body::Cancellable;
 use super::peer_call::CALL_PREFIX;
 use super::pool::{PooledConnection, SendError};
 use super::response_check::check_status;
@@ -267,6 +269,10 @@
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
     let mark = SendMark::of(&mut req);
     let sent_at = cx.clock.now();
+    // A body that was refused is not sent to its end.
+    let refused = CancellationToken::new();
+    let req = req.map(|body| Cancellable::wrap(body, &refused));
+    let refused = refused.drop_guard();
     let exchange = cx.peers.call(to.addr, req);
     let (mut res, connection) =
         match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
@@ -321,6 +327,7 @@
     }
     // A daemon of an earlier release passes on whatever its backend server answers.
     check_status(&res)?;
+    refused.disarm();
     Ok(PeerResponse { response: res, load: answer.load, connection })
 }
 
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -256,8 +256,9 @@
         }
         // Without a target, the time that a refusal names is no estimate.
         let told = parts.extensions.get::<ToldCallers>().filter(|_| self.target.is_some()).cloned();
-        let grant = self.grant_body(&body).await?;
+        let mut grant = self.grant_body(&body).await?;
         let mut req = self.prepare(parts, body, false).await?;
+        grant.release_small(&req.body);
         let told = told.zip(req.digest());
         if let Some((told, digest)) = &told {
             told.check(*digest, self.cx.clock.now())?;
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -20,6 +20,7 @@
 mod lease;
 mod lines;
 mod link;
+mod peer_body;
 mod peer_call;
 mod pool;
 mod quarantine;
