Learn the usual demand of tenants from the first request on

What callers saw: nothing yet. Cause: the time of the first request on its clock counted as time in which nothing was sent, so after a late first request all demand would have counted as excess. Change: learning begins with the first request. The replays of core/tests/load_cost.rs, whose clock begins at 0, pass as before.

--- a/crates/core/src/admission/shares.rs
+++ b/crates/core/src/admission/shares.rs
@@ -102,7 +102,8 @@
     stats: Vec<TenantStats>,
     /// Seconds for which demand was learnt; time under overload counts less.
     learning_secs: f64,
-    updated: Duration,
+    /// Time of the last request; none before the first one, whose time on the clock tells nothing.
+    updated: Option<Duration>,
     /// Work of all tenants that was started lately, and what it would be at their usual demand; old work
     /// counts less.
     started_work: f64,
@@ -140,9 +141,9 @@
         now: Duration,
     ) -> bool {
         let speed = if is_overloaded { OVERLOADED_LEARNING } else { 1.0 };
-        let secs = now.saturating_sub(self.updated).as_secs_f64();
+        let last = self.updated.replace(now).unwrap_or(now);
+        let secs = now.saturating_sub(last).as_secs_f64();
         self.learning_secs += secs * speed;
-        self.updated = now;
         let known = 1.0 - (-self.learning_secs / USUAL_SECS).exp();
         let kept = (-secs / SHARE_SECS).exp();
         self.started_work *= kept;
