--- a/crates/testsuite/tests/greedy_callers.rs
+++ b/crates/testsuite/tests/greedy_callers.rs
@@ -149,6 +149,19 @@
     }
 }
 
+/// Guards against unread responses of other daemons, of which the HTTP library reads ahead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_responses_of_other_daemons_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let attacked = spec("\"backend_connections\": 100");
+    let host = NodeSpec::new("a2", "hobart-a", "catalogue").backend(|backend| backend.slots(400));
+    let host = host.setting("\"limits\": {\"backend_connections\": 400}");
+    let fleet = Fleet::ready(vec![(attacked, "yard"), (host, "catalogue")]).await;
+    let request = "GET /lots/1 HTTP/1.1\r\nhost: x\r\nx-response-bytes: 4000000\r\n\r\n";
+    let crowd = crowd(fleet.nodes[0].callers, 250, request, 1);
+    assert_survives(&fleet, crowd).await;
+}
+
 /// Guards against requests sent ahead whose bodies wait in the daemon.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_sent_ahead_are_bounded() {
