Read less ahead of responses of backend servers and other daemons

Unread responses that come from another daemon took 189 MiB of a daemon with 64 MiB: the HTTP library reads up to 400 KB ahead on each of up to 128 connections, hands over as much, and as much waits to be written, and the budget of callers counted 64 KiB for it.

It reads at most 32 KiB ahead now, and such a response counts 96 KiB. The header section of a response over HTTP/1.1 is limited to 32 KiB by this (to 400 KB before).

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::{Clock, Cx};
+use crate::proxy::STREAMED_BYTES;
 use crate::settings::Limits;
 use crate::sync::lock;
 use crate::telemetry::LogLineKind;
@@ -36,6 +37,9 @@
 /// Most that a request and its task hold without its head and its body, in bytes.
 const MAX_TASK_BYTES: u64 = 64 * 1024;
 
+/// Most that a response holds, in bytes: up to 64 KiB that were buffered, and the rest as it arrives.
+const MAX_RESPONSE_BYTES: u64 = BUFFER_BYTES + STREAMED_BYTES;
+
 /// Limit on callers that acted, for metrics and log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallerLimit {
@@ -103,7 +107,7 @@
     pub fn new(limits: &Limits, clock: Clock) -> Self {
         let total = limits.memory_bytes.map_or(DEFAULT_TOTAL_BYTES, |bytes| bytes / MEMORY_SHARE);
         let head = (HEADER_READ_FACTOR * limits.header_bytes) as u64;
-        let request = MAX_TASK_BYTES + head + 2 * BUFFER_BYTES;
+        let request = MAX_TASK_BYTES + head + BUFFER_BYTES + MAX_RESPONSE_BYTES;
         let budget = CallerBudget::new(CallerLimits { total, request });
         let state = State { budget, connections: BTreeMap::new() };
         let http2 = Http2Limits::new(total, limits.header_bytes);
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -15,7 +15,14 @@
 use super::host::SlotGuard;
 use super::pool::PooledConnection;
 use super::request_body::RequestBody;
-use crate::callers::BUFFER_BYTES;
+
+/// Most bytes that are read ahead of a response over HTTP/1.1, and so the largest head of a response. By default the
+/// library reads up to 400 KB ahead, so that 128 unread responses took 180 MB.
+pub const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+
+/// Memory of a response that is passed on as it arrives: what the library has read, the part that it has handed over,
+/// and the part that is being written.
+pub const STREAMED_BYTES: u64 = 3 * MAX_READ_AHEAD_BYTES as u64;
 
 /// Why a body could not be passed on.
 #[derive(Debug)]
@@ -159,7 +166,7 @@
         match self {
             Self::Empty => 0,
             Self::Full(data) => data.len() as u64,
-            Self::Stream { .. } | Self::Tracked(_) => BUFFER_BYTES,
+            Self::Stream { .. } | Self::Tracked(_) => STREAMED_BYTES,
             Self::Buffered { first, rest } => {
                 first.iter().map(|data| data.len() as u64).sum::<u64>() + rest.held_bytes()
             }
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -28,7 +28,7 @@
 
 pub use active::ActiveCalls;
 pub use balance::Balancers;
-pub use body::{BodyError, ProxyBody};
+pub use body::{BodyError, ProxyBody, STREAMED_BYTES};
 pub use call_error::CallError;
 pub use dispatch::candidate;
 pub use entry::serve_caller;
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -20,7 +20,7 @@
 
 use super::idle_limit::IdleLimit;
 use super::{describe, http2_builder};
-use crate::proxy::body::ProxyBody;
+use crate::proxy::body::{MAX_READ_AHEAD_BYTES, ProxyBody};
 use crate::proxy::headers::KEEP_ALIVE;
 use crate::sync::lock;
 
@@ -230,8 +230,10 @@
         let failed = |e| not_sent(&format!("failed to start a connection: {e}"));
         let sender = match self.protocol {
             Protocol::Http1 => {
-                let (sender, conn) =
-                    http1::handshake(TokioIo::new(stream)).await.map_err(failed)?;
+                let handshake = http1::Builder::new()
+                    .max_buf_size(MAX_READ_AHEAD_BYTES)
+                    .handshake(TokioIo::new(stream));
+                let (sender, conn) = handshake.await.map_err(failed)?;
                 tokio::spawn(drive_connection(conn));
                 Sender::Http1(sender)
             }
