--- a/crates/testsuite/tests/greedy_callers.rs
+++ b/crates/testsuite/tests/greedy_callers.rs
@@ -149,6 +149,19 @@
     }
 }
 
+/// Guards against unread responses of other daemons, of which the HTTP library reads ahead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unread_responses_of_other_daemons_are_bounded() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let attacked = spec("\"backend_connections\": 100");
+    let host = NodeSpec::new("a2", "hobart-a", "catalogue").backend(|backend| backend.slots(400));
+    let host = host.setting("\"limits\": {\"backend_connections\": 400}");
+    let fleet = Fleet::ready(vec![(attacked, "yard"), (host, "catalogue")]).await;
+    let request = "GET /lots/1 HTTP/1.1\r\nhost: x\r\nx-response-bytes: 4000000\r\n\r\n";
+    let crowd = crowd(fleet.nodes[0].callers, 250, request, 1);
+    assert_survives(&fleet, crowd).await;
+}
+
 /// Guards against requests sent ahead whose bodies wait in the daemon.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_sent_ahead_are_bounded() {
@@ -212,6 +225,23 @@
     assert_survives(&fleet, http2_crowd(to, &request)).await;
 }
 
+/// Guards against HTTP/2 header lists that go on in frame after frame without an end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_header_lists_without_end_are_bounded() {
+    /// Length of the payload of each frame: 138 fields of 104 bytes. Its bytes are ASCII, as are all of the attack.
+    const LENGTH: &str = "\0\x38\x10";
+    let _only = ONE_AT_A_TIME.lock().await;
+    let fleet = start().await;
+    let fields = format!("\0\x01x\x64{}", "h".repeat(100)).repeat(138);
+    let settings = "\0\0\0\x04\0\0\0\0\0";
+    let headers = format!("{LENGTH}\x01\0\0\0\0\x01{fields}");
+    let continuation = format!("{LENGTH}\x09\0\0\0\0\x01{fields}");
+    let preface = format!("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n{settings}{headers}");
+    let attack = preface + &continuation.repeat(100);
+    let crowd = crowd(fleet.nodes[0].callers, 250, &attack, 1);
+    assert_survives(&fleet, crowd).await;
+}
+
 /// Guards against connections that send nothing and keep an ordinary caller out.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn ordinary_caller_gets_in_beside_idle_connections() {
