--- a/crates/core/examples/quota_scale.rs
+++ b/crates/core/examples/quota_scale.rs
@@ -75,6 +75,7 @@
         peer_addr: ([127, 0, 0, 1], 10_000).into(),
         state: MemberState::Ready,
         slots: 1,
+        release: None,
     }
 }
 
