Decide by the cost of a refusal only where the configuration has tenants

Its hosts cannot tell nested calls from others, and its callers open a connection for each attempt, so that the room kept for their return was not used.

The admission of requests follows the cost of a refusal where the configuration has tenants, and the earlier policy elsewhere. The same holds for callers that return before the time that they were told.

--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -171,6 +171,12 @@
         self.start_queued(now)
     }
 
+    /// Sets whether the shares of routes and tenants and the cost of a refusal decide; see
+    /// [`AdmissionBuilder::cost_aware`]. Requests that already wait keep their places.
+    pub fn set_cost_aware(&mut self, on: bool) {
+        self.cfg.cost_aware = on;
+    }
+
     /// Refuses all queued and all later requests; running requests continue to their end.
     #[must_use]
     pub fn drain(&mut self, now: Duration) -> Vec<Action> {
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -281,7 +281,9 @@
         let Some(info) = self.host.info() else { return };
         if let Some(service) = config.services.get(&info.service) {
             let queue = usize::try_from(service.queue).unwrap_or(usize::MAX);
-            self.host.set_policy(queue, service.bulk_share, self.clock.now());
+            // Without tenants, requests and the calls that they make cannot be told apart.
+            let cost_aware = config.tenants.is_some();
+            self.host.set_policy(queue, service.bulk_share, cost_aware, self.clock.now());
         }
     }
 
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -254,8 +254,9 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
-        // Without a target, the time that a refusal names is no estimate.
-        let told = parts.extensions.get::<ToldCallers>().filter(|_| self.target.is_some()).cloned();
+        // Only then is the time that a refusal names a place in the room that will be there.
+        let has_place = self.target.is_some() && self.config.tenants.is_some();
+        let told = parts.extensions.get::<ToldCallers>().filter(|_| has_place).cloned();
         let mut grant = self.grant_body(&body).await?;
         let mut req = self.prepare(parts, body, false).await?;
         grant.release_small(&req.body);
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -102,9 +102,11 @@
         state
     }
 
-    /// Sets the queue length and the share of bulk requests; requests already admitted or queued stay.
-    pub fn set_policy(&self, queue: usize, bulk_share: f64, now: Duration) {
+    /// Sets the queue length, the share of bulk requests, and whether the cost of a refusal decides; requests already
+    /// admitted or queued stay.
+    pub fn set_policy(&self, queue: usize, bulk_share: f64, cost_aware: bool, now: Duration) {
         let mut admitter = lock(&self.admitter);
+        admitter.admission.set_cost_aware(cost_aware);
         let actions = admitter.admission.set_policy(queue, bulk_share, now);
         admitter.apply(actions);
         self.wake_pacer(&admitter);
