Test that stocks count against the burst, and that a daemon which wakes holds nothing

Callers saw: nothing. Cause: the simulated mesh passed although stocks were not counted, reports of stocks were ignored, a token came back after a report, or a pause was not noticed; other rules covered these faults there. Change: tests of these rules alone. Before: four changed rules passed all tests of the quotas. After: each of the four makes a test fail, as did a new holder that does not wait, one that starts with a burst, a share that is always 1, and digests that are not compared.

--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -194,6 +194,58 @@
     }
 }
 
+/// The only daemon of a mesh, which has held all accounts for 10 s.
+fn only_holder() -> Accounts {
+    let mut accounts = Accounts::new("a".to_owned(), "hobart".to_owned(), BOUNDS, Duration::ZERO);
+    (0..=100).for_each(|step| accounts.advance(SECOND / 10 * step));
+    accounts
+}
+
+fn granted(decision: Decision) -> (u32, u32) {
+    match decision {
+        Decision::Granted { tokens, stocked, .. } => (tokens, stocked),
+        Decision::NotHeld => panic!("the account is held"),
+    }
+}
+
+/// Guards against stocks that come on top of the burst, and against a stock that is filled up again although it is
+/// still there.
+#[test]
+fn stocks_count_against_the_burst() {
+    let quota = Quota { per_sec: 1_000.0, burst: 1_000.0 };
+    let mut accounts = only_holder();
+    let extra = Ask { extra: 10_000, ..Ask::default() };
+    let (_, stocked) = granted(accounts.grant("t", quota, "b", extra, SECOND * 10));
+    assert!(stocked > 0);
+    let held = Ask { held: stocked, ..extra };
+    let now = SECOND * 105 / 10;
+    assert_eq!(granted(accounts.grant("t", quota, "b", held, now)), (0, 0));
+    let needed = Ask { needed: 10_000, ..Ask::default() };
+    let now = SECOND * 109 / 10;
+    let (tokens, _) = granted(accounts.grant("t", quota, "c", needed, now));
+    let limit = 1_000.0 + 6_000.0 * BOUNDS.overage / 2.0;
+    assert!(f64::from(tokens + stocked) <= limit, "{tokens} and {stocked} of {limit}");
+    let now = SECOND * 115 / 10;
+    assert!(granted(accounts.grant("t", quota, "b", extra, now)).1 > 0, "the stock was used");
+}
+
+/// Guards against a daemon that was paused, wakes and grants what it had saved, although another one has held the
+/// account meanwhile.
+#[test]
+fn daemon_that_wakes_holds_nothing() {
+    let quota = Quota { per_sec: 100.0, burst: 100.0 };
+    let ask = Ask { needed: 1_000, ..Ask::default() };
+    let mut accounts = only_holder();
+    let wakes_at = SECOND * 12;
+    assert_eq!(accounts.grant("t", quota, "a", ask, wakes_at), Decision::NotHeld);
+    let opens_at = wakes_at + HANDOVER;
+    accounts.advance(opens_at - SECOND);
+    let just_before = opens_at - Duration::from_millis(1);
+    assert_eq!(accounts.grant("t", quota, "a", ask, just_before), Decision::NotHeld);
+    let (tokens, _) = granted(accounts.grant("t", quota, "a", ask, opens_at + SECOND / 10));
+    assert!(tokens <= 10, "{tokens}");
+}
+
 /// Guards against a refused request that costs a token, and against leases that are used after their end.
 #[test]
 fn request_that_has_not_run_returns_its_token() {
@@ -212,6 +264,16 @@
     assert_eq!(allowance.take(at(1_000) + lease), None, "a lease that was returned late");
     assert!(!allowance.on_decision(ask, granted, lease, at(1_500), at(1_502)));
     assert_eq!(allowance.take(at(1_500) + lease), None, "a lease that was not used");
+    let mut allowances = Allowances::new(BOUNDS);
+    let allowance = allowances.tenant("t");
+    allowance.on_decision(ask, granted, lease, at(1_500), at(1_502));
+    let token = allowance.take(at(1_503)).expect("a token");
+    assert!(allowance.take(at(1_503)).is_some());
+    allowance.begin_wait();
+    assert_eq!(allowances.asks(|_| true, at(1_504)).len(), 1, "the stock is reported");
+    let allowance = allowances.tenant("t");
+    allowance.give_back(token, at(1_505));
+    assert_eq!(allowance.take(at(1_506)), None, "the holder does not know of the token");
     let reserved = allowance.take_reserve(1, BOUNDS.window, at(2_000)).expect("the reserve");
     assert_eq!(allowance.take_reserve(1, BOUNDS.window, at(2_001)), None);
     allowance.give_back(reserved, at(2_002));
