Leave room for requests beside idle connections of callers

An open connection counts 12 KiB, and the number of connections followed from the descriptors alone: on an instance of 160 MB with 8,192 descriptors 3,400 idle connections would have filled the total, so that every request was refused. This was found by reading, not seen in a run. Connections of callers are limited to those that take half of the total without a request; beyond that the longest idle ones are closed, as at the limit before.

core callers: 6 passed. greedy_callers: 9 passed (load average 8 to 15), peak memory 20136 to 53008 KiB. bad_input: 6 passed.

--- a/crates/core/src/callers/budget.rs
+++ b/crates/core/src/callers/budget.rs
@@ -25,6 +25,15 @@
     pub request: u64,
 }
 
+impl CallerLimits {
+    /// Most connections, which take up to half of the total without a request. With more, idle connections alone could
+    /// fill it, and every request would be refused.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        usize::try_from(self.total / 2 / CONNECTION_BYTES).unwrap_or(usize::MAX)
+    }
+}
+
 /// Identifier of a connection, not used again.
 pub type ConnectionId = u64;
 
--- a/crates/core/tests/callers.rs
+++ b/crates/core/tests/callers.rs
@@ -90,6 +90,15 @@
     assert!(budget.admit(ids[399], REQUEST, RESPONSE).admitted);
 }
 
+/// Guards against connections without a request that fill the total, so that every request is refused.
+#[test]
+fn idle_connections_leave_room_for_requests() {
+    let (mut budget, ids) = budget(LIMITS.connections());
+    assert!(ids.len() > 500, "{}", ids.len());
+    let admitted = ids.iter().filter(|id| budget.admit(**id, REQUEST, RESPONSE).admitted).count();
+    assert!(admitted > 200, "{admitted}");
+}
+
 /// Guards against a close of a connection that has just been opened or is in use.
 #[test]
 fn longest_idle_connections_are_closed_for_others() {
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -79,6 +79,8 @@
     clock: Clock,
     /// Limits of an HTTP/2 connection.
     pub http2: Http2Limits,
+    /// Most connections.
+    pub connections: usize,
 }
 
 /// Limits of an HTTP/2 connection.
@@ -108,10 +110,12 @@
         let total = limits.memory_bytes.map_or(DEFAULT_TOTAL_BYTES, |bytes| bytes / MEMORY_SHARE);
         let head = (HEADER_READ_FACTOR * limits.header_bytes) as u64;
         let request = MAX_TASK_BYTES + head + BUFFER_BYTES + MAX_RESPONSE_BYTES;
-        let budget = CallerBudget::new(CallerLimits { total, request });
+        let caller_limits = CallerLimits { total, request };
+        let connections = limits.caller_connections.min(caller_limits.connections());
+        let budget = CallerBudget::new(caller_limits);
         let state = State { budget, connections: BTreeMap::new() };
         let http2 = Http2Limits::new(total, limits.header_bytes);
-        Self { state: Mutex::new(state), clock, http2 }
+        Self { state: Mutex::new(state), clock, http2, connections }
     }
 
     fn change<T>(&self, change: impl FnOnce(&mut CallerBudget, Duration) -> T) -> T {
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -57,7 +57,7 @@
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
     let connections = TaskTracker::new();
     let closing = CancellationToken::new();
-    let most = cx.settings.limits.caller_connections;
+    let most = cx.callers.connections;
     let listener = BoundedListener::new(listener, most);
     let serve = |accepted| {
         connections.spawn(serve_connection(Arc::clone(&cx), accepted, closing.clone()));
