--- a/crates/daemon/src/telemetry/limit.rs
+++ b/crates/daemon/src/telemetry/limit.rs
@@ -34,10 +34,10 @@
 }
 
 /// Number of variants of [`LogLineKind`].
-const KIND_COUNT: usize = 9;
+const KIND_COUNT: usize = LogLineKind::CallerLimit as usize + 1;
 
 /// Lines per second of each kind, in the order of [`LogLineKind`].
-const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2, 20, 2];
+const LINES_PER_SECOND: [u32; KIND_COUNT] = [20, 20, 20, 20, 2, 2, 2, 20, 2, 2];
 
 /// Capacity of a token bucket, in seconds at its rate.
 const BURST_SECS: f64 = 2.0;
