--- a/crates/daemon/src/control/lease.rs
+++ b/crates/daemon/src/control/lease.rs
@@ -22,7 +22,7 @@
 /// Time until a daemon that needs no proof looks again.
 const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time for the answer to the next query for a proof, as part of what refused callers are told to wait.
+/// Time for the answer to the next query for a proof; part of the `Retry-After` of refused requests.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
 /// Shortest and longest time over which refused callers are spread when they come back. In between it is
@@ -95,7 +95,7 @@
         state.policy.next_query_in(now) + ANSWER_TIME + spread
     }
 
-    /// Age in milliseconds of the newest proof for the version in `position`, as other daemons are told it.
+    /// Age in milliseconds of the newest proof for the version in `position`, as sent to other daemons.
     pub(super) fn proof_ms(&self, cx: &Context, position: Position) -> Option<u64> {
         let state = lock(self.0.as_ref()?);
         let age = state.lease.age(position.config.offset, cx.clock.boot())?;
--- a/crates/daemon/src/control/rollouts/known.rs
+++ b/crates/daemon/src/control/rollouts/known.rs
@@ -37,7 +37,7 @@
     pub is_published: bool,
     /// Whether the new release has shown to be bad; this stays known while the store cannot be written.
     pub is_bad: bool,
-    /// Whether the store was read again since the decider fell silent.
+    /// Whether the store was read again since the decider stopped answering.
     pub is_checked: bool,
     /// Age of the roll-out at `learnt_at`.
     age_when_learnt: Duration,
@@ -102,7 +102,7 @@
         !self.record.phase.is_final() && self.decider != own_id && now > self.contact + UNSURE_AFTER
     }
 
-    /// Whether other daemons are told of the roll-out when they ask for news.
+    /// Whether other daemons get a notice of the roll-out when they ask for news.
     pub fn is_news(&self, now: Duration) -> bool {
         !self.record.phase.is_final() || now < self.learnt_at + ENDED_TIME
     }
--- a/crates/daemon/src/control/rollouts/mod.rs
+++ b/crates/daemon/src/control/rollouts/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One daemon decides on a roll-out at a time: the one that ranks first for the service among the relays. It
 //! collects the reports of the others, has the platform adapter store each change of phase, and tells all daemons.
-//! Should it fall silent, the next one takes over from the record. A daemon without contact to the decider sends
+//! If it stops answering, the next one continues from the record. A daemon without contact to the decider sends
 //! requests to the old release only.
 
 mod collect;
@@ -35,7 +35,7 @@
 use crate::settings::RolloutSettings;
 use crate::sync::lock;
 
-/// Path at which a daemon is told of roll-outs.
+/// Path at which a daemon receives notices of roll-outs.
 pub const ROLLOUT_NOTICE_PATH: &str = "/peer/v1/rollout-notice";
 
 /// Path at which the decider of a roll-out takes reports.
@@ -45,13 +45,13 @@
 /// than two seconds return to the old release.
 const TAKEOVER_AFTER: Duration = Duration::from_millis(1_200);
 
-/// Further time for each relay that ranks before.
+/// Further time for each relay that ranks before this one, which may take over first.
 const TAKEOVER_STEP: Duration = Duration::from_millis(400);
 
 /// Time without a successful call to the store after which a decider leaves the decision to others.
 const STORE_LOST_AFTER: Duration = Duration::from_secs(2);
 
-/// Time for which it then does so.
+/// Time for which a decider that lost the store does not decide again.
 const RESIGNED_TIME: Duration = Duration::from_secs(10);
 
 /// Roll-outs as one daemon knows them.
@@ -248,7 +248,7 @@
     ranked.iter().position(|other| *other == id)
 }
 
-/// Roll-outs that other daemons are told of when they ask for news.
+/// Notices of roll-outs for daemons that ask for news.
 pub fn notices(cx: &Cx) -> Vec<RolloutNotice> {
     let now = cx.clock.now();
     let state = cx.rollouts.state();
@@ -281,7 +281,7 @@
             {
                 rollout.mark_bad();
             }
-            // Of two deciders, the one with the higher rank stays.
+            // Of two deciders, the one that ranks first stays.
             let rank = |id: &str| rank_of(cx, &service, id).unwrap_or(usize::MAX);
             let yields = || rank(&notice.decider) < rank(own_id);
             if notice.decider == own_id || newer.contact <= known.contact && known.decider != own_id
@@ -363,7 +363,7 @@
     default_release(&others, before.as_ref())
 }
 
-/// What the adapter tells of the store and has to write to it.
+/// Functions for the adapter, which reads and writes the store.
 impl Rollouts {
     /// Whether the adapter has to handle roll-outs.
     #[must_use]
--- a/crates/daemon/src/control/rollouts/run.rs
+++ b/crates/daemon/src/control/rollouts/run.rs
@@ -22,17 +22,17 @@
 /// Number of ticks between two reports, and between two notices.
 const REPORT_TICKS: u32 = 2;
 
-/// Number of ticks between two reports of a daemon that sent no request. The decider has to hear of all daemons only
-/// while it waits for them to leave the old release.
+/// Number of ticks between two reports of a daemon that sent no request. The decider needs reports of all daemons only
+/// in phase `Promoting`, while it waits for them to leave the old release.
 const IDLE_REPORT_TICKS: u32 = 8;
 
-/// The same while it does.
+/// The same in phase `Promoting`.
 const PROMOTING_REPORT_TICKS: u32 = 4;
 
 /// Time for the answer to a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Who is told of a roll-out.
+/// Receivers of the notices of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Audience {
     /// All live members.
--- a/crates/daemon/src/daemon/handle.rs
+++ b/crates/daemon/src/daemon/handle.rs
@@ -136,7 +136,7 @@
         self.cx.lease.read_needed(&self.cx).await
     }
 
-    /// Records that such a read failed. What is wrong with it may be wrong with an open poll too.
+    /// Records that a read for [`proof_needed`](Self::proof_needed) failed. The cause may affect an open poll too.
     pub fn proof_failed(&self) {
         self.cx.lease.read_failed(&self.cx);
         self.cx.readers.raise_alarm();
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -185,7 +185,7 @@
         left: &AtomicU64,
     ) -> Result<(), ReadEnd> {
         if remaining > LARGE_BODY_BYTES {
-            // Until a daemon takes it, a large body stays with its caller.
+            // A large body is not read before a backend server has been found for it.
             sender.wait_until_wanted().await;
         }
         while remaining > 0 {
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -25,11 +25,11 @@
 use crate::http1::{self, HeadError, HeadLimits, Service};
 use crate::proxy::{CallError, ProxyBody, RequestBody, ToldCallers, section_bytes, serve_caller};
 
-/// Time between two checks whether the limit on connections is reached. Idle connections are closed then, as callers may
-/// wait to connect.
+/// Time between two checks whether the limit on connections is reached. Idle connections are closed then, as callers
+/// may wait to connect.
 const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The part of the connections that is closed at once is 1 in this number.
+/// Share of the connections that is closed at once if they are idle: 1 in this number.
 const IDLE_CLOSE_PART: usize = 8;
 
 /// Most bytes that the library buffers for one HTTP/2 stream whose caller does not read.
@@ -191,7 +191,7 @@
 #[derive(Debug, Clone)]
 struct CallerService {
     cx: Cx,
-    /// What callers on this connection were told.
+    /// Times before which refused requests on this connection must not be sent again.
     told: ToldCallers,
 }
 
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -17,7 +17,7 @@
 use super::request_body::RequestBody;
 
 /// Most bytes that are read ahead of a response over HTTP/1.1, and so the largest head of a response. By default the
-/// library reads up to 400 KB ahead, so that 128 unread responses took 180 MB.
+/// library reads up to 400 KB ahead, more than a small instance has for many unread responses.
 pub const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
 
 /// Memory of a response that is passed on as it arrives: what the library has read, the part that it has handed over,
--- a/crates/daemon/src/proxy/entry/body_grant.rs
+++ b/crates/daemon/src/proxy/entry/body_grant.rs
@@ -21,7 +21,8 @@
 /// Most host daemons that are asked for one body.
 const MAX_HOSTS: usize = 3;
 
-/// Wait for the link that is accepted before other hosts have been asked; a body of average length takes as long.
+/// Wait for the link that is accepted before other hosts have been asked; a body of 60 KB takes as long over a link of
+/// 10 Mbit/s.
 const SHORT_WAIT: Duration = Duration::from_millis(60);
 
 /// Time for the answer of a host daemon; covers a round trip between distant data centres and a loaded instance.
@@ -161,8 +162,8 @@
         self.tenant.as_ref().map(|tenant| tenant.tenant.name.clone())
     }
 
-    /// Asks host daemons, beginning with `first`, for a grant with a short wait, and then the one with the shortest wait
-    /// for any grant. `None` if none answers.
+    /// Asks host daemons, beginning with `first`, for a grant with a short wait, and then the one with the shortest
+    /// wait for any grant. `None` if none answers.
     async fn find_host(
         &self,
         id: TransferId,
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -254,7 +254,7 @@
         {
             return self.serve_keyed(key, parts, body).await;
         }
-        // Only then is the time that a refusal names a place in the room that will be there.
+        // Only with a target and with tenants does `Retry-After` name a place that is kept for the request.
         let has_place = self.target.is_some() && self.config.tenants.is_some();
         let told = parts.extensions.get::<ToldCallers>().filter(|_| has_place).cloned();
         let mut grant = self.grant_body(&body).await?;
--- a/crates/daemon/src/proxy/entry/told.rs
+++ b/crates/daemon/src/proxy/entry/told.rs
@@ -1,4 +1,4 @@
-//! Callers that come back before the time that a refusal named.
+//! Callers that send a refused request again before the time that `Retry-After` named.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,12 +10,12 @@
 use crate::proxy::call_error::CallError;
 use crate::sync::lock;
 
-/// What the callers on one connection were told; goes along as an extension of their requests.
+/// Times of `Retry-After` that the callers on one connection got; an extension of their requests.
 #[derive(Debug, Clone, Default)]
 pub struct ToldCallers(Arc<Mutex<ToldTimes>>);
 
 impl ToldCallers {
-    /// Refuses a request that comes back too early.
+    /// Refuses a request that is sent again too early.
     ///
     /// # Errors
     ///
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Records the time that a refused caller is told, or that its request was answered.
+    /// Records the time of `Retry-After` of a refused request, or that the request was answered.
     pub(super) fn record<T>(
         &self,
         digest: RequestDigest,
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -22,7 +22,7 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(1);
 
 /// A request that was not sent is refused so long before its deadline that the refusal reaches the entry daemon
-/// in time. That one would otherwise have to answer that the request may have run.
+/// in time. Otherwise the entry daemon would have to answer that the request may have run.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(10);
 
 /// The margin for the refusal is at most the time limit divided by this.
--- a/crates/daemon/src/proxy/link/answer.rs
+++ b/crates/daemon/src/proxy/link/answer.rs
@@ -19,7 +19,7 @@
 /// long, and their bodies would have been sent in vain.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(100);
 
-/// Shortest time that a refused caller is told to wait.
+/// Shortest time in the `Retry-After` of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Decides whether a body may be sent to the local backend server.
--- a/crates/daemon/src/proxy/link/paced.rs
+++ b/crates/daemon/src/proxy/link/paced.rs
@@ -32,7 +32,7 @@
     pub grant: Option<u64>,
     /// Rate that the other daemon allows.
     pub bytes_per_sec: Option<f64>,
-    /// Route of a request whose length is not known, to record the length.
+    /// Route of a request whose body has no known length, to record the length.
     pub record_length: Option<RouteName>,
 }
 
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Applies it to a request.
+    /// Adds the grant to a request, and makes its body be sent at the granted rate.
     #[must_use]
     pub fn apply(self, mut req: Request<ProxyBody>) -> Request<ProxyBody> {
         let Some(budgets) = &self.links.budgets else { return req };
--- a/crates/daemon/src/proxy/peer_body.rs
+++ b/crates/daemon/src/proxy/peer_body.rs
@@ -1,7 +1,7 @@
 //! Request bodies between daemons, when the receiver refuses the call before it has read the body.
 //!
-//! Input that arrives at a closed socket is answered with a reset, which can overtake the refusal; the sender would then
-//! not know that nothing ran. So the receiver reads on for a short time, and the sender stops.
+//! Input that arrives at a closed socket is answered with a reset, which can overtake the refusal; the sender would
+//! then not know that nothing ran. So the receiver reads on for a short time, and the sender stops.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
--- a/crates/daemon/src/proxy/quota.rs
+++ b/crates/daemon/src/proxy/quota.rs
@@ -25,7 +25,7 @@
 /// Longest time that a request waits for a token.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
-/// Shortest time to wait that a caller is told; in less, a request hardly comes back.
+/// Shortest time in `Retry-After`; a repeated request hardly arrives earlier.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(5);
 
 /// State of the quotas at one daemon.
@@ -58,7 +58,7 @@
 }
 
 impl Quotas {
-    /// Quotas of a daemon that starts at `now`, on the clock that goes on during suspension.
+    /// Quotas of a daemon that starts at `now`, on the boot clock.
     pub fn new(settings: QuotaSettings, identity: &Identity, now: Duration) -> Self {
         let QuotaSettings { window, overage, slack } = settings;
         let bounds = Bounds { window, overage, slack };
--- a/crates/testsuite/tests/greedy_callers.rs
+++ b/crates/testsuite/tests/greedy_callers.rs
@@ -1,4 +1,5 @@
-//! Crowds of callers that take memory and descriptors of a daemon and give nothing back.
+//! Many callers at once that take memory and descriptors of a daemon: they do not read responses, or do not finish
+//! requests.
 //!
 //! The limits of the instance are lowered in the settings. Each test checks only that the daemon lives, that its
 //! memory and descriptors stay below these limits, and that an ordinary request is answered afterwards. The tests run
@@ -21,13 +22,13 @@
 use tokio::task::JoinSet;
 
 /// Memory of the instance in KiB, and the bound of the tests. The smallest instances have 110 MB; this is less, so
-/// that a crowd that fits into a test is large for it.
+/// that as many callers as fit into a test are many for it.
 const MEMORY_KIB: u64 = 64 * 1_024;
 
 /// Descriptors of the instance, and the bound of the tests; the smallest instances have 4,100.
 const DESCRIPTORS: usize = 512;
 
-/// Time for which a crowd goes on.
+/// Time for which the callers of a test stay connected.
 const ATTACK: Duration = Duration::from_secs(8);
 
 /// Receive buffer of a caller that does not read, in bytes; little, so that responses wait at the daemon.
@@ -105,7 +106,7 @@
     crowd
 }
 
-/// Checks the daemon while the crowd goes on; returns the most descriptors that it had.
+/// Checks the daemon while the callers stay connected; returns the most descriptors that it had.
 async fn watch(fleet: &Fleet) -> usize {
     let start = Instant::now();
     let mut most = 0;
@@ -125,7 +126,7 @@
     .await;
 }
 
-/// Checks the memory and the descriptors of the daemon, and that it serves after the end of the crowd.
+/// Checks the memory and the descriptors of the daemon, and that it serves after the callers have left.
 async fn assert_survives(fleet: &Fleet, crowd: JoinSet<()>) {
     let descriptors = watch(fleet).await;
     let memory = fleet.nodes[0].peak_memory_kib();
--- a/crates/testsuite/tests/pipelining.rs
+++ b/crates/testsuite/tests/pipelining.rs
@@ -183,8 +183,8 @@
     assert!(journals(&mesh).concat().is_empty(), "nothing ran");
 }
 
-/// Guards against limits on greedy callers that act on one which sends a moderate number of requests ahead and reads
-/// the responses, on the smallest instances.
+/// Guards against limits on callers that act, on the smallest instances, on a caller which sends a moderate number of
+/// requests ahead and reads the responses.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn requests_ahead_are_served_in_calm() {
     /// Requests of one connection that the daemon serves at once.
