Give reasons in place of figures of trials in comments

Comments on admission, callers, proofs and roll-outs told what runs had shown, or said something else than the code: a doubtful release is delayed and not cut off, and a body of 16 KiB needs no grant. Comments on admission and on callers that return early say that daemons use the cost of a refusal only where the configuration has tenants.

--- a/crates/client/src/wire/control.rs
+++ b/crates/client/src/wire/control.rs
@@ -70,7 +70,7 @@
     /// Milliseconds since the document of the answering daemon was last known to be the platform's
     /// newest one.
     pub confirmed_ms: Option<u64>,
-    /// What only some deployments need.
+    /// Parts that only deployments with a revocation bound or roll-outs need; left out elsewhere.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub extension: Option<DocumentExtension>,
 }
--- a/crates/client/src/wire/rollout.rs
+++ b/crates/client/src/wire/rollout.rs
@@ -13,13 +13,13 @@
     pub share_permille: u16,
     /// Daemon that decides.
     pub decider: DaemonId,
-    /// Milliseconds since the decider said so, as far as the sender knows.
+    /// Milliseconds since the decider confirmed this, as far as the sender knows.
     pub contact_ms: u64,
     /// Milliseconds since the roll-out began.
     pub age_ms: u64,
     /// Whether the operator's status has been written.
     pub is_published: bool,
-    /// Whether the new release has shown to be bad, which may not have been stored yet.
+    /// Whether the new release was found to be bad, which may not have been stored yet.
     pub is_bad: bool,
 }
 
@@ -40,7 +40,8 @@
     pub phase: RolloutPhase,
     /// Whether the sender uses only the old release because it had no contact.
     pub is_unsure: bool,
-    /// Number of requests that run or wait at the old release for the sender, or beside it.
+    /// Number of requests that run or wait at the old release: those that the sender sent, and those at the backend
+    /// server beside it.
     pub base_in_flight: u32,
     /// Number of requests of the service that the sender finished since its last report.
     pub requests: u32,
--- a/crates/core/examples/quota_scale.rs
+++ b/crates/core/examples/quota_scale.rs
@@ -3,9 +3,9 @@
 //!
 //! `cargo run --release -p baobabreel-core --example quota_scale -- TENANTS FACTOR SEED`
 //!
-//! 76 daemons in 3 data centres get 2,000 requests a second in all, evenly. The demand of the tenants falls off
-//! as 1 / rank; their quotas are 1.6 times as much, and at least 5 a second. The largest tenant sends FACTOR times its usual demand at the daemons of one
-//! data centre.
+//! 76 daemons in 3 data centres get 2,000 requests a second in all, evenly. The demand of the tenants falls off as
+//! 1 / rank; their quotas are 1.6 times as much, and at least 5 a second. The largest tenant sends FACTOR times its
+//! usual demand; what exceeds the usual is sent at the daemons of one data centre.
 
 use std::time::{Duration, Instant};
 
@@ -199,7 +199,7 @@
     let (tenants, factor, seed) = (arg(80.0) as usize, arg(1.0), arg(1.0) as u64);
     let mut random = seed;
     let mut next_random = |limit: usize| {
-        // Numerical Recipes' generator; the low bits are poor.
+        // Linear congruential generator with the constants of Knuth's MMIX; its low bits are weak.
         random =
             random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (random >> 33) as usize % limit
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -2,6 +2,7 @@
 //!
 //! When there is too little room, the requests that cost least wait longest and are refused first. The cost
 //! follows from what the request is for ([`Precedence`]), its class, and the time that is left to its target.
+//! If the admission is not cost-aware, all requests have the usual precedence.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -52,7 +53,7 @@
     }
 }
 
-/// Cost of refusing a request; the lower one is greater in this order, as it starts later.
+/// Cost of refusing a request. The order is that of the queue, so the lowest cost is the greatest value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RefusalCost {
     rank: Rank,
@@ -87,8 +88,8 @@
 impl Admission {
     /// Counts the offer of a request and decides what its refusal would cost.
     ///
-    /// Precedence that is due to the shares of its route or tenant goes to the request of the same route or
-    /// tenant that has waited longest, so that later ones do not overtake it.
+    /// If its route or tenant is due precedence because of its share, the first queued request of that route
+    /// or tenant gets it, so that later ones do not overtake it.
     pub(super) fn precedence(
         &mut self,
         item: &PendingRequest,
--- a/crates/core/src/admission/estimate.rs
+++ b/crates/core/src/admission/estimate.rs
@@ -17,8 +17,8 @@
 const RUN_TIME_WAIT_FRACTION: f64 = 0.25;
 
 /// Under overload a request may wait longer than the limit if its wait and run time together stay
-/// within this time. Thus a check of 25 ms may wait longer than a command of 60 ms: with 20 ms for
-/// both, 90 % of the checks at a peak were in time, not 98 %.
+/// within this time. A short check may therefore wait longer than a command that runs long, as its
+/// answer is still quick.
 const TARGET_RESPONSE_TIME: Duration = Duration::from_millis(80);
 
 impl Admission {
@@ -53,7 +53,7 @@
         // The model leaves out requests that arrive later and start earlier. The measured waits of
         // requests that recently left the queue include them.
         let has_same_route = self.queue.all().iter().any(|other| other.route == item.route);
-        // Those that start before all usual ones are not overtaken like others of their route.
+        // A request with a higher precedence than usual is not overtaken as those measured ones were.
         if item.target.is_none() || !has_same_route || item.precedence < Precedence::Usual {
             return modelled;
         }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -11,9 +11,12 @@
 //! A backend server may name a limit on the rate of its requests. Then a request also needs the pace
 //! to allow its start, and the estimated wait contains the time until it does.
 //!
-//! What is delayed or refused under overload is what costs callers least; see `cost`. The queue is ordered
-//! by class before deadline, because commands and checks hold up the rest of a call chain. Bulk requests may hold only a share of the slots, so that long jobs never hold all of
-//! them.
+//! The queue is ordered by class before deadline, because commands and checks hold up the rest of a call
+//! chain. Bulk requests may hold only a share of the slots, so that long jobs never hold all of them.
+//!
+//! With [`AdmissionBuilder::cost_aware`], the requests whose refusal costs callers least are delayed and
+//! refused first; see `cost`. Daemons use this only where the configuration has tenants. Elsewhere nested
+//! calls cannot be told from other requests, and class and due time decide.
 
 mod builder;
 mod cost;
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -14,8 +14,8 @@
 /// Shortest time that a refusal of a request with a target asks the caller to wait.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// Departures for each promise to a refused caller; the others are left to new requests. With 2, a tenth of the
-/// callers refused at 1.3 times the capacity were refused again.
+/// Departures for each promise to a refused caller; the others are left to new requests. With fewer, new requests
+/// take the promised room, and callers that return are refused again.
 const DEPARTURES_PER_PROMISE: f64 = 3.0;
 
 /// The same for requests that may use only the room that nobody else asks for, of which there is less.
--- a/crates/core/src/admission/shares.rs
+++ b/crates/core/src/admission/shares.rs
@@ -6,8 +6,8 @@
 
 use super::cost::Precedence;
 
-/// Time in which the counts of a share fall to 1/e. Shorter ones made the shares of routes with few requests
-/// follow chance.
+/// Time in which the counts of a share fall to 1/e. With a shorter time, the shares of routes with few requests
+/// would follow chance.
 const SHARE_SECS: f64 = 4.0;
 
 /// Requests that a share must have counted before it is compared.
@@ -24,7 +24,7 @@
 /// Time constant of the usual demand of a tenant. A surge of some seconds must not become usual.
 const USUAL_SECS: f64 = 30.0;
 
-/// Speed at which the usual demand is learnt under overload, when demand may be far from usual.
+/// Relative speed at which the usual demand is learnt under overload, when demand may be far from usual.
 const OVERLOADED_LEARNING: f64 = 0.1;
 
 /// Largest multiple of its usual demand that a tenant may send before the rest counts as excess. At a host, a
@@ -102,7 +102,7 @@
     stats: Vec<TenantStats>,
     /// Seconds for which demand was learnt; time under overload counts less.
     learning_secs: f64,
-    /// Time of the last request; none before the first one, whose time on the clock tells nothing.
+    /// Time of the last request; none before the first one, since the clock has no meaningful start.
     updated: Option<Duration>,
     /// Work of all tenants that was started lately, and what it would be at their usual demand; old work
     /// counts less.
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -171,8 +171,8 @@
         self.start_queued(now)
     }
 
-    /// Sets whether the shares of routes and tenants and the cost of a refusal decide; see
-    /// [`AdmissionBuilder::cost_aware`]. Requests that already wait keep their places.
+    /// Sets whether the shares of routes and tenants and the cost of a refusal decide, as they do where the
+    /// configuration has tenants; see [`AdmissionBuilder::cost_aware`]. Requests that already wait keep their places.
     pub fn set_cost_aware(&mut self, on: bool) {
         self.cfg.cost_aware = on;
     }
@@ -303,7 +303,7 @@
         self.enqueue(item, now, evicted)
     }
 
-    /// Determines the class of a request and whether it counts towards the bulk share.
+    /// Determines the class of a request, whether it counts towards the bulk share, and its precedence.
     ///
     /// On a route that is bulk by its run times, a lookup gets class bulk. A command or check keeps its
     /// class, since it must not be shed before lookups, but counts towards the bulk share. A route with
--- a/crates/core/src/admission/ticket.rs
+++ b/crates/core/src/admission/ticket.rs
@@ -24,7 +24,8 @@
     pub target: Option<Duration>,
     /// Name of its tenant; none if it has none or if the tenant is not known.
     pub tenant: Option<&'a str>,
-    /// Whether it was made by a request that already runs elsewhere.
+    /// Whether it was made by a request that already runs elsewhere; known only where the configuration has
+    /// tenants.
     pub nested: bool,
 }
 
--- a/crates/core/src/callers/budget.rs
+++ b/crates/core/src/callers/budget.rs
@@ -3,16 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Part of the free memory that one connection may hold before its next request is not read: 1 in this number. In calm
-/// this leaves 5.7 MB of an instance of 110 MB, more than 32 requests with the largest heads and buffered responses
-/// hold (3.5 MB). With 8, 32 requests with heads of 10 KB were held up.
+/// Part of the free memory that one connection may hold before its next request is not read: 1 in this number. Without
+/// other load, this is enough on an instance of 110 MB for 32 requests with the largest heads and buffered responses.
 const READ_AHEAD_SHARE: u64 = 4;
 
-/// Memory of an open connection without a request, in bytes; 1,000 of them took 10 MB.
+/// Memory that is counted for an open connection without a request, in bytes; more than such a connection takes.
 const CONNECTION_BYTES: u64 = 12 * 1024;
 
-/// Time without a request after which a connection may be closed in favour of others. Shorter ones may belong to a
-/// caller that has just connected and is about to send.
+/// Time without a request after which a connection may be closed in favour of others. A caller that has just connected
+/// may still be about to send.
 const MIN_IDLE: Duration = Duration::from_secs(1);
 
 /// Limits on what the connections of callers hold.
@@ -89,7 +88,7 @@
         id
     }
 
-    /// Removes a connection; what it still holds is released later.
+    /// Removes a connection, and no longer counts what it holds.
     pub fn close(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.remove(&id) else { return };
         self.held -= connection.held;
--- a/crates/core/src/link/budget.rs
+++ b/crates/core/src/link/budget.rs
@@ -32,7 +32,8 @@
 /// Most bytes that count for one body, so that the sum cannot overflow.
 const MAX_COUNTED_BYTES: u64 = 1 << 40;
 
-/// Number of links that one body is offered to before its caller is refused; each expects a part of its return.
+/// Number of links that one body is offered to before its caller is refused. Each therefore expects only this part of
+/// the refused bodies to return.
 const OFFERS_PER_BODY: f64 = 3.0;
 
 /// Body that is offered to a link.
--- a/crates/core/src/link/mod.rs
+++ b/crates/core/src/link/mod.rs
@@ -11,8 +11,8 @@
 pub use budget::{BodyOffer, LinkBudget, LinkDecision, TransferId};
 pub use pacer::Pacer;
 
-/// Smallest body that needs a grant, in bytes. A smaller one takes at most 13 ms on a link of 10 Mbit/s, and is not
-/// worth a round trip.
+/// Largest body that needs no grant, in bytes. It takes at most 13 ms on a link of 10 Mbit/s, and is not worth a round
+/// trip.
 pub const LARGE_BODY_BYTES: u64 = 16 * 1024;
 
 /// Part of the link that bodies may use. Bodies at 7.25 Mbit/s must fit a link of 10 Mbit/s; the rest is for headers of
--- a/crates/core/src/quota/allowance.rs
+++ b/crates/core/src/quota/allowance.rs
@@ -59,7 +59,7 @@
     extra_after: Duration,
     /// Time until which the account is known to have no token.
     refused_until: Duration,
-    /// Time until which the account is taken not to answer.
+    /// Time until which the account counts as not answering.
     silent_until: Duration,
     reserve: Reserve,
     /// Time at which the account last had no token.
@@ -151,7 +151,7 @@
         (needed + extra > 0).then_some(Ask { needed, extra, held })
     }
 
-    /// Tokens to ask the account for, which are certainly asked for.
+    /// As [`wanted`](Self::wanted), for a request that is sent: records that the holder learns of the stock.
     fn report(&mut self, now: Duration) -> Option<Ask> {
         let ask = self.wanted(now)?;
         self.reports = self.reports.wrapping_add(1);
@@ -250,7 +250,8 @@
         self.tenants.get_mut(name)
     }
 
-    /// What to ask a daemon for that holds the accounts of those tenants that `is_held` names. It is asked for it.
+    /// Tokens to ask one daemon for, which holds the accounts of the tenants for which `is_held` returns true. The
+    /// caller must send the request, since the stocks count as reported.
     pub fn asks(
         &mut self,
         is_held: impl Fn(&str) -> bool,
--- a/crates/core/src/relay/documents.rs
+++ b/crates/core/src/relay/documents.rs
@@ -39,7 +39,7 @@
 /// from each other, so each notices it by itself.
 const POLL_END_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same where reads that do not wait notice the loss too. The polls then are the smaller part of the calls.
+/// The same where reads that do not wait notice the loss too, so that polls may end less often.
 const POLL_END_INTERVAL_BESIDE_READS: Duration = Duration::from_secs(4);
 
 /// Shortest time for which a poll is open. One that ended slightly before its time is not followed by another
@@ -216,8 +216,8 @@
     able_readers(members, own, can_read).into_iter().find(|member| member.id != own.id)
 }
 
-/// Live members of the data centre of `own` that can read the platform, as far as known, in the order in which they have
-/// to. `own` is always among them.
+/// Live members of the data centre of `own` that can read the platform, as far as known, in the order in which they
+/// have to. `own` is always among them.
 fn able_readers<'a>(
     members: &[&'a Member],
     own: &Member,
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -4,6 +4,9 @@
 //! a request that is not idempotent is sent again only if it certainly did not run, a request that is
 //! itself a retry is not retried again further down the call chain, and a token bucket limits retries
 //! to a share of the requests.
+//!
+//! [`ToldTimes`] is about repetitions by callers: a request that comes back before the time that its refusal
+//! named is refused again. Daemons use it only where the configuration has tenants.
 
 mod backoff;
 mod budget;
--- a/crates/core/src/retry/told.rs
+++ b/crates/core/src/retry/told.rs
@@ -17,8 +17,11 @@
 /// Times after which the refused requests of one connection may come back.
 ///
 /// A caller that repeats a request at once, several times, would otherwise take the room that is kept for
-/// those that wait as told. A request like one that was answered on the connection is no sign of that: the
-/// caller sends equal requests anyway.
+/// those that wait as told. A request that equals one answered on the connection is not held back, since the
+/// caller may send equal requests on purpose.
+///
+/// Daemons use this only for requests with a target where the configuration has tenants. Otherwise a refusal
+/// names no place in the room that will be there.
 #[derive(Debug, Default)]
 pub struct ToldTimes {
     told: Vec<(RequestDigest, Duration)>,
--- a/crates/core/src/revocation/lease.rs
+++ b/crates/core/src/revocation/lease.rs
@@ -11,7 +11,7 @@
 /// Proof that the platform had no version above `version` at some time after `sent_at`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Proof {
-    /// Newest version of the platform at that time, or one above it.
+    /// Newest version of the platform at that time, or a higher one.
     pub version: DocumentVersion,
     /// When the query was sent whose answer is the proof.
     pub sent_at: Duration,
--- a/crates/core/src/revocation/policy.rs
+++ b/crates/core/src/revocation/policy.rs
@@ -1,8 +1,8 @@
 //! Which daemon gets a proof from whom, and when.
 //!
-//! Reads of the platform are dear, and so are queries between data centres. Normally one relay of each data centre reads
-//! the platform and the others query relays. The older the proof of a daemon is, the more daemons it queries, until it
-//! reads the platform itself.
+//! Reads of the platform and queries between data centres are expensive. Normally one relay of each data centre reads
+//! the platform, and the others query relays. The older the proof of a daemon is, the more daemons it queries, until
+//! it reads the platform itself.
 
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
 /// Most relays that are waited for. The last ones leave half of the bound for their reads.
 const MAX_RANK: usize = 5;
 
-/// Age from which a daemon reads whose newest proof is its own. Others have none then, so it goes on, unless the first
-/// relay reads again.
+/// Age from which a daemon reads again if its newest proof comes from its own read, since no other daemon seems to have
+/// a newer one. It is above [`READ_AGE`], so that the first relay reads instead as soon as it can.
 const READ_AGE_OF_READER: f64 = 0.22;
 
 /// Age from which other daemons read, and the part that is spread among them.
@@ -32,8 +32,8 @@
 /// First delay after a failed read, before jitter. It doubles with each failure.
 const READ_RETRY_DELAY: f64 = 0.2;
 
-/// Time for which the first relay waits for a proof from others if it has none. Daemons that start together first have to
-/// learn of each other; until then each of them seems to be the first.
+/// Time for which the first relay waits for a proof from others if it has none. Daemons that start together first have
+/// to learn of each other; until then each of them takes itself for the first.
 const START_DELAY: f64 = 0.04;
 
 /// Longest delay after a failed read of daemons that are no relays, before jitter. While the platform answers nobody,
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -28,7 +28,7 @@
 const SLOW_FACTORS: [f64; 2] = [1.6, 3.2];
 
 /// Latency added to these multiples: jitter of busy machines, and new connections, which the few requests of a canary
-/// need more often than those to the old release. Not measured.
+/// need more often than those to the old release.
 const SAME_PLACE_TOLERANCE: f64 = 0.004;
 
 /// The same for responses that are compared with those of other data centres, up to 1.4 ms away.
@@ -47,7 +47,7 @@
 /// as good as the old one. Some hundred tests are made in a roll-out.
 const BAD_EVIDENCE: f64 = 10.5;
 
-/// Evidence from which a release gets no further requests until there is more of it.
+/// Evidence from which the next phase is delayed until there is more of it.
 const DOUBTFUL_EVIDENCE: f64 = 4.5;
 
 /// Evidence for the servers other than the worst one; together with that of all, a release is bad.
@@ -64,7 +64,7 @@
 /// Index of the shortest window over which the servers other than the worst one are judged.
 const OTHERS_WINDOW: usize = 1;
 
-/// Responses of other servers that show that the worst one does not stand for the release.
+/// Responses of other servers from which on they, and not time, decide whether the worst one is an exception.
 const MIN_OF_OTHERS: u64 = 10;
 
 /// Time after which bad responses of one server suffice, if no other one gets requests.
--- a/crates/core/src/rollout/filter.rs
+++ b/crates/core/src/rollout/filter.rs
@@ -86,9 +86,9 @@
         (main, canary)
     }
 
-    /// Keeps as many members of the canary in each data centre as give it about the load for each slot that the
-    /// main release has, so that a release which is bad under load only shows it. Those kept change with `epoch`,
-    /// so that one impaired instance cannot stand for the release.
+    /// Keeps so few members of the canary in each data centre that they have about the load for each slot that the
+    /// main release has. Otherwise a fault that appears only under load would not show. Those kept change with
+    /// `epoch`, so that one impaired instance is not taken for the whole release.
     fn concentrate<'a>(
         &self,
         main: &[&Member],
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -32,7 +32,7 @@
     RolledBack,
 }
 
-/// Phase of a roll-out; later phases are greater, except that the last two exclude each other.
+/// Phase of a roll-out; later phases are greater. A roll-out ends in only one of the last two.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RolloutPhase {
--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -15,7 +15,7 @@
 /// show anything.
 const SLACK_USED: f64 = 0.5;
 
-/// Highest share of the canary before the release is taken for good.
+/// Highest share of the canary, also where the service is quiet.
 const MAX_CANARY_SHARE: f64 = 0.25;
 
 /// Share in the phase between the canary and the full load.
@@ -73,7 +73,8 @@
     pub phase: RolloutPhase,
     /// Whether it sends all requests to the old release because it is unsure.
     pub is_unsure: bool,
-    /// Number of its requests that run or wait at the old release, and of those that do so beside it.
+    /// Number of requests that run or wait at the old release: those that it sent, and those at the backend server
+    /// beside it.
     pub base_in_flight: u32,
     /// Number of requests of the service that it sent since its last report.
     pub requests: u32,
--- a/crates/core/src/tenants/mod.rs
+++ b/crates/core/src/tenants/mod.rs
@@ -1,7 +1,7 @@
 //! Tenants: the owners of the API keys that requests carry.
 //!
-//! The entry daemon looks up the key of a request once, in the configuration version that the request is pinned to. From
-//! then on the request belongs to the tenant, and the key is not needed any more.
+//! The entry daemon looks up the key of a request once, in the configuration version that the request is pinned to.
+//! From then on the request belongs to the tenant, and the key is not needed any more.
 
 mod digest;
 mod table;
--- a/crates/core/tests/load_cost.rs
+++ b/crates/core/tests/load_cost.rs
@@ -26,7 +26,7 @@
     Flow { rate: slots * share * 1e3 / flow.work as f64, ..flow }
 }
 
-/// Replays `flows`; `cost_aware` off is the earlier policy.
+/// Replays `flows`. With `cost_aware` off, class and due time alone decide, as without tenants.
 fn replay(
     cost_aware: bool,
     flows: &[Flow],
--- a/crates/core/tests/load_replay/mod.rs
+++ b/crates/core/tests/load_replay/mod.rs
@@ -127,7 +127,7 @@
     end: u64,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     callers: Vec<Caller>,
-    /// Caller, host, work and time of sending of each ticket that waits or runs.
+    /// Caller, work and time of sending of each ticket that waits or runs.
     tickets: HashMap<u64, (usize, u64, u64)>,
     now: u64,
     next: u64,
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -141,8 +141,8 @@
 }
 
 /// Guards against fixed shares, and against tokens that lie unused in the stocks of other daemons: a tenant that sends
-/// at one daemon only must get its whole limit there, whether the account is held there or elsewhere, also in the window
-/// in which its demand moves there.
+/// at one daemon only must get its whole limit there, whether the account is held there or elsewhere, and also in the
+/// window in which its demand moves there.
 #[test]
 fn busy_tenant_gets_its_limit_wherever_it_sends() {
     for per_sec in [5.0, 40.0, 620.0] {
