--- a/crates/core/src/admission/builder.rs
+++ b/crates/core/src/admission/builder.rs
@@ -75,7 +75,7 @@
 
     /// Whether the shares of routes and tenants and the cost of a refusal decide who waits and who is
     /// refused. If off, class and due time alone decide, as is right without tenants, where nested calls
-    /// cannot be told from other requests.
+    /// cannot be told from other requests; off by default.
     #[must_use]
     pub fn cost_aware(mut self, on: bool) -> Self {
         self.cost_aware = on;
