Leave more of a link to configurations, and count the bodies of callers on it

Large bodies that come from callers of the instance now count as incoming, as those of other daemons do, and bodies get 0.75 of the link, 0.85 before.

--- a/crates/core/src/link/mod.rs
+++ b/crates/core/src/link/mod.rs
@@ -16,8 +16,8 @@
 pub const LARGE_BODY_BYTES: u64 = 16 * 1024;
 
 /// Part of the link that bodies may use. Bodies at 7.25 Mbit/s must fit a link of 10 Mbit/s; the rest is for headers of
-/// packets (5 %), short calls and control messages.
-pub const BODY_SHARE: f64 = 0.85;
+/// packets (5 %), short calls and control messages, of which a large configuration has to arrive within a second or two.
+pub const BODY_SHARE: f64 = 0.75;
 
 /// Bytes per second that bodies may use on a link of `bits_per_sec`.
 #[must_use]
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -29,6 +29,7 @@
 use super::call_error::CallError;
 use super::caller_request::CallerRequest;
 use super::lines::{self, CallerLogLine};
+use super::link::Links;
 use super::request_body::RequestBody;
 use super::sends::Sends;
 use super::{headers, keyed, quota};
@@ -258,6 +259,7 @@
         let has_place = self.target.is_some() && self.config.tenants.is_some();
         let told = parts.extensions.get::<ToldCallers>().filter(|_| has_place).cloned();
         let mut grant = self.grant_body(&body).await?;
+        let body = Links::receive(&self.cx.links, None, body, &mut None);
         let mut req = self.prepare(parts, body, false).await?;
         grant.release_small(&req.body);
         let told = told.zip(req.digest());
--- a/crates/daemon/src/proxy/link/mod.rs
+++ b/crates/daemon/src/proxy/link/mod.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// Counts a body that arrives from another daemon; `receipt` is set if it counts. `grant` is the identifier of its
-    /// grant, if it has one.
+    /// Counts a body that arrives from another daemon or from a caller, which may share the link; `receipt` is set if it
+    /// counts. `grant` is the identifier of its grant, if it has one.
     pub fn receive(
         links: &Arc<Self>,
         grant: Option<TransferId>,
