--- a/review/6/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 6: a daemon that has no configuration yet and is told to stop answers 404 to proper requests."""
+"""Case 9: a daemon that has no configuration yet and is told to stop answers 404 to proper requests."""
 
 import asyncio
 import os
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -41,10 +42,16 @@
 
 
 def free_port(host="127.0.0.1"):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """A free port below those that the system gives to outgoing connections, which could take it before its use."""
+    while True:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        return port
 
 
 async def read_head(reader):
