--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -20,6 +20,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 START = time.monotonic()
+GIVEN_PORTS = set()
 
 
 def now():
@@ -45,12 +46,15 @@
     """A free port below those that the system gives to outgoing connections, which could take it before its use."""
     while True:
         port = random.randrange(12000, 32000)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 sock.bind((host, port))
             except OSError:
                 continue
+        GIVEN_PORTS.add(port)
         return port
 
 
