Probe no port while a child process starts

Cause: a child that another test starts at the same moment inherits the socket that probes a port, and holds the port until it has replaced itself. Evidence: port_stays_free_while_children_start failed before (some 120 of 5,000 ports). Change: a lock keeps probes and starts apart. After: the test passes.

--- a/crates/test-support/src/process/mod.rs
+++ b/crates/test-support/src/process/mod.rs
@@ -119,10 +119,13 @@
             command.arg(option).arg(path);
         }
         command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-        let mut child = command
-            .kill_on_drop(true)
-            .spawn()
-            .wrap_err_with(|| format!("failed to start {}", settings.binary.display()))?;
+        command.kill_on_drop(true);
+        let spawned = {
+            let _no_probes = ports::no_probes();
+            command.spawn()
+        };
+        let mut child =
+            spawned.wrap_err_with(|| format!("failed to start {}", settings.binary.display()))?;
         let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
         let pid = pid.ok_or_eyre("the child has no process id")?;
         let output = Output::read(child.stdout.take(), child.stderr.take());
--- a/crates/test-support/tests/process.rs
+++ b/crates/test-support/tests/process.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::net::{Ipv4Addr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use baobabreel_test_support::backend::{WorkResult, parse_journal};
@@ -85,3 +88,30 @@
     drop(child);
     until(|| std::net::TcpStream::connect(&address).is_err()).await;
 }
+
+/// Guards against a port that is in use though it was free, as a child that another test starts at this moment has
+/// inherited the socket that probed it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn port_stays_free_while_children_start() {
+    let stop = Arc::new(AtomicBool::new(false));
+    let starting: Vec<_> = (0..4)
+        .map(|_| {
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    let settings = ChildSettings::new("/bin/true").ready_limit(None);
+                    ChildProcess::start(settings).await.expect("it starts");
+                }
+            })
+        })
+        .collect();
+    let in_use: Vec<_> = (0..5_000)
+        .map(|_| free_port())
+        .filter(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_err())
+        .collect();
+    stop.store(true, Ordering::Relaxed);
+    for task in starting {
+        task.await.expect("no panic");
+    }
+    assert!(in_use.is_empty(), "{in_use:?}");
+}
