Choose the release of a service without an order from all members, not the first

What callers saw: all their requests ran at a new release that nobody had ordered, for as long as the daemon ran.

Cause, traced on a scratch copy: a daemon learns of the others one after another. It kept the release of the first member it knew for good; if that was one of the new release, it got all requests. A release was also lost for good when all its members were suspected for a moment. The mild form is another one: right after the start members can serve before their releases are known, and until then no release is the old one (docs/design/rollouts.md, known limits).

Change: core DefaultRelease can be corrected for 5 s, by a release that has more members even if all whose release is not known belong to the chosen one. Then it stays until all members of its release have left or were declared dead; while none of them is ready, others serve, as before. GET /members shows the release.

--- a/crates/client/src/wire/operator.rs
+++ b/crates/client/src/wire/operator.rs
@@ -2,7 +2,8 @@
 
 use baobabreel_core::config::{BackendServerState, Class, Record, RecordKey, Version};
 use baobabreel_core::id::{
-    BackendServerName, DaemonId, DataCentre, Incarnation, RouteName, SchemaVersion, ServiceName,
+    BackendServerName, DaemonId, DataCentre, Incarnation, Release, RouteName, SchemaVersion,
+    ServiceName,
 };
 use baobabreel_core::membership::MemberState;
 use serde::{Deserialize, Serialize};
@@ -85,6 +86,9 @@
     pub state: MemberState,
     /// Slots of its backend server.
     pub slots: u32,
+    /// Release of its backend server, once the daemon that answers knows it.
+    #[serde(default)]
+    pub release: Option<Release>,
     /// State that the operators' record asks for, if there is one.
     pub policy: Option<BackendServerState>,
 }
--- a/crates/core/src/rollout/filter.rs
+++ b/crates/core/src/rollout/filter.rs
@@ -1,7 +1,7 @@
 //! Which backend servers of a service may get a request.
 
 use super::record::{RolloutPhase, RolloutRecord};
-use crate::id::{Incarnation, Release};
+use crate::id::Release;
 use crate::membership::Member;
 
 /// Part of the backend servers of a service.
@@ -116,28 +116,3 @@
         kept
     }
 }
-
-/// Release that gets the requests of a service for which no roll-out is known: the one with most members, of
-/// those with equally many the one whose first member started earliest. `known`, chosen before, stays as long as
-/// it has a member that can serve. Members whose release is not known yet count only if there are no others.
-#[must_use]
-pub fn default_release(members: &[&Member], known: Option<&Option<Release>>) -> Option<Release> {
-    if let Some(known) = known
-        && known.is_some()
-        && members.iter().any(|member| member.is_able() && member.release == *known)
-    {
-        return known.clone();
-    }
-    let rank = |release: &Option<Release>| {
-        let of = members.iter().filter(|member| member.release == *release);
-        let able = of.clone().filter(|member| member.is_able()).count();
-        let first: Incarnation = of.map(|member| member.incarnation).min().unwrap_or(u64::MAX);
-        (able > 0 && release.is_some(), able, std::cmp::Reverse(first))
-    };
-    members
-        .iter()
-        .map(|member| &member.release)
-        .max_by_key(|release| rank(release))
-        .cloned()
-        .flatten()
-}
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -4,13 +4,15 @@
 //! decides on, and [`ReleaseFilter`] tells each daemon which backend servers may get a request.
 
 mod comparison;
+mod default;
 mod filter;
 mod histogram;
 mod record;
 mod state;
 
 pub use comparison::{BUCKET_TIME, Comparison, Figures, Observation, Stratum, Verdict};
-pub use filter::{ReleaseFilter, Side, default_release};
+pub use default::{DefaultRelease, default_release};
+pub use filter::{ReleaseFilter, Side};
 pub use histogram::LatencyHistogram;
 pub use record::{RolloutOrder, RolloutPhase, RolloutRecord, RolloutState};
 pub use state::{DaemonReport, Rollout, RolloutLimits, Transition};
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -5,8 +5,8 @@
 use baobabreel_core::id::DaemonId;
 use baobabreel_core::membership::{Member, MemberState};
 use baobabreel_core::rollout::{
-    DaemonReport, LatencyHistogram, Observation, ReleaseFilter, Rollout, RolloutLimits,
-    RolloutOrder, RolloutPhase, RolloutRecord, Side, Stratum, default_release,
+    DaemonReport, DefaultRelease, LatencyHistogram, Observation, ReleaseFilter, Rollout,
+    RolloutLimits, RolloutOrder, RolloutPhase, RolloutRecord, Side, Stratum, default_release,
 };
 
 #[allow(dead_code, reason = "each test binary uses a part")]
@@ -286,6 +286,70 @@
     assert!(draws.iter().all(|draw| filter.side(*draw, false) == Side::Main), "a retry");
 }
 
+/// Guards against a daemon that keeps a new release because it knew one of its members first, and then sends it
+/// all requests without an order.
+#[test]
+fn first_member_known_does_not_choose_the_release() {
+    let members: Vec<Member> = (0..5).map(|i| server(i, if i < 3 { "v1" } else { "v2" })).collect();
+    let mut default = DefaultRelease::default();
+    assert_eq!(default.update(&[&members[4]], Duration::ZERO).as_deref(), Some("v2"));
+    let all: Vec<&Member> = members.iter().collect();
+    for second in 1..30 {
+        let release = default.update(&all, Duration::from_secs(second));
+        assert_eq!(release.as_deref(), Some("v1"), "after {second} s");
+    }
+}
+
+/// Guards against a choice that changes to a new release and back while the releases of members become known: those
+/// that are not known yet may all belong to the chosen one.
+#[test]
+fn members_without_a_known_release_do_not_change_the_choice() {
+    let of = |i: usize| if i < 3 { "v1" } else { "v2" };
+    let all: Vec<Member> = (0..5).map(|i| server(i, of(i))).collect();
+    for first in 0..5 {
+        for order in [[0, 1, 2, 3, 4], [4, 3, 2, 1, 0], [3, 0, 4, 1, 2]] {
+            let mut members = all.clone();
+            members.iter_mut().for_each(|member| member.release = None);
+            let mut default = DefaultRelease::default();
+            let mut chosen = Vec::new();
+            for i in [first].into_iter().chain(order) {
+                members[i].release = Some(of(i).to_owned());
+                let known: Vec<&Member> = members.iter().collect();
+                chosen.push(default.update(&known, Duration::ZERO));
+            }
+            chosen.dedup();
+            let expected: &[&str] = if first < 3 { &["v1"] } else { &["v2", "v1"] };
+            let chosen: Vec<&str> =
+                chosen.iter().filter_map(|release| release.as_deref()).collect();
+            assert_eq!(chosen, expected, "first {first}, then {order:?}");
+        }
+    }
+}
+
+/// Guards against a release that loses the requests without an order: to one with more members, or because its
+/// own are suspected or draining for a while. It has to lose them once its members are gone.
+#[test]
+fn settled_release_keeps_the_requests_until_its_members_are_gone() {
+    let mut members: Vec<Member> =
+        (0..5).map(|i| server(i, if i < 3 { "v1" } else { "v2" })).collect();
+    let mut default = DefaultRelease::default();
+    let mut choose = |members: &[Member], second: u64| {
+        let all: Vec<&Member> = members.iter().collect();
+        default.update(&all, Duration::from_secs(second))
+    };
+    assert_eq!(choose(&members, 0).as_deref(), Some("v1"));
+    members.extend((5..9).map(|i| server(i, "v2")));
+    assert_eq!(choose(&members, 60).as_deref(), Some("v1"), "more of the other");
+    for state in [MemberState::Suspect, MemberState::Draining, MemberState::Ready] {
+        members[..3].iter_mut().for_each(|member| member.state = state);
+        assert_eq!(choose(&members, 61).as_deref(), Some("v1"), "{state:?}");
+    }
+    for state in [MemberState::Left, MemberState::Dead, MemberState::Left] {
+        members[..3].iter_mut().for_each(|member| member.state = state);
+        assert_eq!(choose(&members, 62).as_deref(), Some("v2"), "{state:?}");
+    }
+}
+
 /// Guards against a rolled-back release that gets requests when the old one is gone for a moment, and against a
 /// service without any when its release was changed without an order.
 #[test]
--- a/crates/daemon/src/control/rollouts/mod.rs
+++ b/crates/daemon/src/control/rollouts/mod.rs
@@ -21,8 +21,8 @@
 use baobabreel_core::relay::{ReadRole, is_document_relay};
 use baobabreel_core::rendezvous;
 use baobabreel_core::rollout::{
-    DaemonReport, Observation, ReleaseFilter, Rollout, RolloutLimits, RolloutOrder, RolloutRecord,
-    Side, Stratum, Transition, default_release,
+    DaemonReport, DefaultRelease, Observation, ReleaseFilter, Rollout, RolloutLimits, RolloutOrder,
+    RolloutRecord, Side, Stratum, Transition, default_release,
 };
 
 use self::collect::Counts;
@@ -73,7 +73,7 @@
     /// Changes of phase that the adapter has to store.
     due: BTreeMap<ServiceName, Transition>,
     /// Release that gets the requests of a service without a roll-out.
-    defaults: HashMap<ServiceName, Option<Release>>,
+    defaults: HashMap<ServiceName, DefaultRelease>,
     /// Whether the records of the store were read in its present generation.
     is_loaded: bool,
     store_failing_since: Option<Duration>,
@@ -123,8 +123,8 @@
             let new = match state.known.get(service) {
                 Some(known) => known.view(own_id, now),
                 None => {
-                    let release = default_release(&members, state.defaults.get(service));
-                    state.defaults.insert(service.clone(), release.clone());
+                    let default = state.defaults.entry(service.clone()).or_default();
+                    let release = default.update(&members, now);
                     let filter = ReleaseFilter::only(release);
                     let canary_until = Duration::ZERO;
                     ReleaseView { filter, epoch: 0, is_running: false, canary_until }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -148,6 +148,7 @@
         peer_addr: member.peer_addr.to_string(),
         state: member.state,
         slots: member.slots,
+        release: member.release.clone(),
         policy: config.backend_servers.get(&member.id).map(|policy| policy.state),
     }
 }
