Bound recorded answers and outcomes by the memory of the instance

What was seen: a client that sends requests with new idempotency keys takes a daemon of 32 MiB to 38,984 KiB (recorded_answers_are_bounded, on the tree before): answers may take 16 MB on every instance. Cause: the limits did not know the memory. Change: Limits::within gives answers a sixteenth and outcomes a fifth of the memory, never more than before. The memory of an outcome, 352 bytes, is estimated.

--- a/crates/core/src/idempotency/table.rs
+++ b/crates/core/src/idempotency/table.rs
@@ -19,6 +19,15 @@
 /// the rates of the wall clock and the monotonic clock may differ by 1 %.
 const OUTCOME_RETENTION: Duration = RETENTION.saturating_add(Duration::from_secs(20));
 
+/// Part of the memory of an instance that kept answers may take: 1 in this number.
+const ANSWER_SHARE: u64 = 16;
+
+/// Part of the memory of an instance that outcomes may take without their answers: 1 in this number.
+const ENTRY_SHARE: u64 = 5;
+
+/// Memory of an outcome without its answer, in bytes: its key, its place in a table that doubles, and in two queues.
+const ENTRY_BYTES: u64 = 352;
+
 /// Size limits of an [`OutcomeTable`].
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -35,6 +44,18 @@
 }
 
 impl Limits {
+    /// Limits of an instance with so many bytes of memory: the default ones, or less where they take too much.
+    #[must_use]
+    pub fn within(memory_bytes: u64) -> Self {
+        let most = Self::default();
+        let share = |bytes: u64| usize::try_from(bytes).unwrap_or(usize::MAX);
+        Self {
+            total_bytes: most.total_bytes.min(share(memory_bytes / ANSWER_SHARE)),
+            entries: most.entries.min(share(memory_bytes / ENTRY_SHARE / ENTRY_BYTES)),
+            ..most
+        }
+    }
+
     /// Sets the largest size of an answer that is kept, in bytes.
     #[must_use]
     pub fn with_answer_bytes(mut self, bytes: usize) -> Self {
--- a/crates/core/tests/idempotency.rs
+++ b/crates/core/tests/idempotency.rs
@@ -162,6 +162,19 @@
     assert!(!lease.is_valid(secs(2_709)));
 }
 
+// Guards against outcomes that fill an instance with little memory, and against fewer of them where there is enough.
+#[test]
+fn small_instances_keep_fewer_outcomes() {
+    let room = |memory| {
+        let mut table = OutcomeTable::new(Limits::within(memory));
+        (0..).take_while(|n| table.begin(&format!("k{n}"), 1, secs(1)) == KeyStatus::Run).count()
+    };
+    let small = room(32 << 20);
+    assert!((10_000..20_000).contains(&small), "{small}");
+    assert_eq!(room(110 << 20), 65_536);
+    assert_eq!(room(8 << 30), 65_536);
+}
+
 // Guards against outcomes that are dropped to free space or too early, and against kept answers without a
 // size limit.
 #[test]
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -170,9 +170,10 @@
             links: Arc::new(Links::new(settings.limits.link_bits_per_sec, clock)),
             balance: Balancers::new(&identity, &settings),
             metrics,
+        let retention = settings.log_retention().unwrap_or_default();
             log_limiter: LogRateLimiter::default(),
             members: ArcSwap::from_pointee(Members::default()),
-            keys: Keys::new(&identity, clock, settings.log_retention().unwrap_or_default()),
+            keys: Keys::new(&identity, clock, retention, settings.limits.memory_bytes),
             follower: Follower::default(),
             log: settings.log_url().map(|url| LogClient::new(http.clone(), url.to_owned())),
             documents: Documents::default(),
--- a/crates/daemon/src/keys/mod.rs
+++ b/crates/daemon/src/keys/mod.rs
@@ -49,12 +49,18 @@
 impl Keys {
     /// Creates the state of a daemon without registrations and outcomes.
     ///
-    /// `retention` is the time for which the log keeps its entries.
+    /// `retention` is the time for which the log keeps its entries, `memory_bytes` what the instance has, if known.
     #[must_use]
-    pub fn new(identity: &Identity, clock: Clock, retention: Duration) -> Self {
+    pub fn new(
+        identity: &Identity,
+        clock: Clock,
+        retention: Duration,
+        memory_bytes: Option<u64>,
+    ) -> Self {
         let me = Incarnate { id: identity.id.clone(), incarnation: identity.incarnation };
         let lease = Lease::new(Fencing::default(), retention);
-        let owner = KeyOwner::new(me.clone(), lease, Limits::default());
+        let limits = memory_bytes.map_or_else(Limits::default, Limits::within);
+        let owner = KeyOwner::new(me.clone(), lease, limits);
         Self { me, clock, owner: Mutex::new(owner) }
     }
 
--- a/crates/testsuite/tests/greedy_callers.rs
+++ b/crates/testsuite/tests/greedy_callers.rs
@@ -253,3 +253,30 @@
     assert_serves(&fleet).await;
     assert_survives(&fleet, crowd).await;
 }
+
+/// Guards against answers of requests with keys that are kept for minutes, on an instance that has less memory than
+/// others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn recorded_answers_are_bounded() {
+    /// Least memory of an instance, and the bound of the test.
+    const LEAST_KIB: u64 = 32 * 1_024;
+    let _only = ONE_AT_A_TIME.lock().await;
+    let limits = format!("\"limits\": {{\"memory_bytes\": {}}}", LEAST_KIB * 1_024);
+    let spec = NodeSpec::new("a1", "hobart-a", "catalogue").setting(limits);
+    let fleet = Fleet::ready(vec![(spec, "catalogue")]).await;
+    let to = fleet.nodes[0].callers;
+    let post = async |key: &str| {
+        let headers = [("x-response-bytes", "60000"), ("idempotency-key", key)];
+        h1(to, "/bids/1", &headers, "a bid").await
+    };
+    wait_until("the daemon owns keys", async || post("first").await.code() == 200).await;
+    for number in 0..500 {
+        let answer = post(&format!("key-{number}")).await;
+        assert_eq!(answer.code(), 200, "{answer:?}");
+    }
+    let last = post("key-499").await;
+    assert_eq!((last.code(), last.header("idempotency-replayed")), (200, "true"), "{last:?}");
+    let memory = fleet.nodes[0].peak_memory_kib();
+    println!("memory {memory} KiB");
+    assert!(memory <= LEAST_KIB, "{memory} KiB of {LEAST_KIB}");
+}
