--- a/crates/client/src/wire/call.rs
+++ b/crates/client/src/wire/call.rs
@@ -14,7 +14,9 @@
 use baobabreel_core::idempotency::Attempt;
 use baobabreel_core::registration::BootTime;
 use baobabreel_core::tenants::KeyDigest;
-use http::HeaderValue;
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -84,6 +86,10 @@
     pub lease_ms: Option<u64>,
 }
 
+/// Headers of a request with many headers, which are sent as one: a line `name:value` for each, in base64.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PackedHeaders(pub HeaderMap);
+
 /// Asks a daemon for the state of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallQuery {
@@ -235,6 +241,37 @@
     rmp_serde::from_slice(&encoded).map_err(|e| DecodeHeadError(e.to_string()))
 }
 
+impl From<&PackedHeaders> for HeaderValue {
+    fn from(packed: &PackedHeaders) -> Self {
+        let mut lines = Vec::new();
+        for (name, value) in &packed.0 {
+            lines.extend_from_slice(name.as_str().as_bytes());
+            lines.push(b':');
+            lines.extend_from_slice(value.as_bytes());
+            lines.push(b'\n');
+        }
+        let text = BASE64_STANDARD.encode(lines);
+        Self::try_from(text).unwrap_or_else(|_| Self::from_static(""))
+    }
+}
+
+impl TryFrom<&HeaderValue> for PackedHeaders {
+    type Error = DecodeHeadError;
+
+    fn try_from(value: &HeaderValue) -> Result<Self, Self::Error> {
+        let malformed = || DecodeHeadError("malformed packed headers".to_owned());
+        let lines = BASE64_STANDARD.decode(value).map_err(|e| DecodeHeadError(e.to_string()))?;
+        let mut headers = HeaderMap::new();
+        for line in lines.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
+            let colon = line.iter().position(|byte| *byte == b':').ok_or_else(malformed)?;
+            let name = HeaderName::from_bytes(&line[..colon]).ok().ok_or_else(malformed)?;
+            let value = HeaderValue::from_bytes(&line[colon + 1..]).ok().ok_or_else(malformed)?;
+            headers.try_append(name, value).ok().ok_or_else(malformed)?;
+        }
+        Ok(Self(headers))
+    }
+}
+
 impl From<&CallHead> for HeaderValue {
     fn from(head: &CallHead) -> Self {
         to_header(head)
--- a/crates/client/src/wire/mod.rs
+++ b/crates/client/src/wire/mod.rs
@@ -14,7 +14,7 @@
 pub use body::{BodyAnswer, BodyQuery};
 pub use call::{
     AnswerHead, CallHead, CallQuery, CallStateWire, ConditionWire, DecodeHeadError, KeyHead,
-    LoadWire, TenantHead,
+    LoadWire, PackedHeaders, TenantHead,
 };
 pub use control::{
     BatchWire, CodecError, DocumentAnswer, DocumentExtension, DocumentNotice, DocumentQuery,
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -11,6 +11,10 @@
 use super::state::Admission;
 use crate::config::Class;
 
+/// Most requests that a client may have sent ahead on a connection for the class of the next one to count. Otherwise a
+/// few clients that send ahead on a route of a high class would keep all lower classes out.
+const MAX_AHEAD: u32 = 8;
+
 /// What a request is for, highest cost first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Precedence {
@@ -62,8 +66,9 @@
 }
 
 impl RefusalCost {
-    pub fn new(precedence: Precedence, class: Class) -> Self {
+    pub fn new(precedence: Precedence, class: Class, ahead: u32) -> Self {
         let rank = match precedence {
+            _ if ahead > MAX_AHEAD => Rank::FarAhead,
             Precedence::Starved => Rank::Starved,
             Precedence::Nested => Rank::Nested,
             Precedence::Behind | Precedence::Usual => Rank::ByClass,
@@ -80,10 +85,12 @@
     Nested,
     ByClass,
     Excess,
+    FarAhead,
 }
 
-/// Order of start: the cost of a refusal, then the time by which the answer is due, then the arrival.
-pub(super) type StartOrder = (RefusalCost, Duration, u64);
+/// Order of start: the cost of a refusal, then the number of requests that were sent ahead, then the time by which the
+/// answer is due, then the arrival.
+pub(super) type StartOrder = (RefusalCost, u32, Duration, u64);
 
 impl Admission {
     /// Counts the offer of a request and decides what its refusal would cost.
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -16,6 +16,10 @@
     pub route: usize,
     pub tenant: Option<usize>,
     pub precedence: Precedence,
+    /// Requests that its client sent on the same connection before it without waiting for their responses.
+    pub ahead: u32,
+    /// Whether its client has sent all of it.
+    pub is_sent: bool,
     pub deadline: Duration,
     /// Time by which the answer must arrive to be of full use.
     pub target: Option<Duration>,
@@ -31,12 +35,12 @@
     }
 
     fn start_order(&self) -> StartOrder {
-        (self.cost(), self.due(), self.arrival)
+        (self.cost(), self.ahead, self.due(), self.arrival)
     }
 
     /// Cost of its refusal.
     pub fn cost(&self) -> RefusalCost {
-        RefusalCost::new(self.precedence, self.class)
+        RefusalCost::new(self.precedence, self.class, self.ahead)
     }
 
     /// Time by which requests of one class are ordered: the target if there is one, otherwise the
@@ -47,7 +51,8 @@
     }
 }
 
-/// Queued requests in the order in which they start: by the cost of a refusal, then by due time.
+/// Queued requests in the order in which they start: by the cost of a refusal, then by the number of requests that
+/// were sent ahead of them, then by due time.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiting: Vec<PendingRequest>,
@@ -77,9 +82,10 @@
         &self.waiting
     }
 
-    /// Removes and returns the last request if its refusal costs less than that of `item`.
+    /// Removes and returns the last request if its refusal costs less than that of `item`, or as much and more were
+    /// sent ahead of it.
     pub fn shed_below(&mut self, item: &PendingRequest) -> Option<PendingRequest> {
-        self.waiting.pop_if(|last| last.cost() > item.cost())
+        self.waiting.pop_if(|last| (last.cost(), last.ahead) > (item.cost(), item.ahead))
     }
 
     /// First request in the queue for which `is_match` returns true.
--- a/crates/core/src/admission/state.rs
+++ b/crates/core/src/admission/state.rs
@@ -12,13 +12,16 @@
 use super::refusal::{Promises, default_retry_after, refusal, refuse};
 use super::routes::RouteTable;
 use super::shares::{Share, Tenants};
-use super::ticket::{Action, Decision, OfferResult, Ticket, TicketId};
+use super::ticket::{Action, ClientState, Decision, OfferResult, Ticket, TicketId};
 use super::wait::ClassRunTimes;
 use crate::balance::LoadReport;
 use crate::condition::RateLimit;
 use crate::config::Class;
 use crate::error::ErrorKind;
 
+/// Part of the slots for which requests that are still being sent compete like all others: 1 in this number.
+const SENDING_PART: u32 = 2;
+
 /// Slots and queue of one backend server.
 ///
 /// Exactly one of these happens to every offered request: it starts, is refused, or is cancelled before
@@ -47,12 +50,14 @@
 /// A request that holds a slot.
 #[derive(Debug)]
 pub(super) struct RunningRequest {
-    id: TicketId,
+    pub(super) id: TicketId,
     pub(super) class: Class,
     /// Whether it counts towards the bulk share.
     pub(super) bulk: bool,
     pub(super) route: usize,
     pub(super) has_target: bool,
+    /// Whether its client had sent all of it when it was offered.
+    is_sent: bool,
     started: Duration,
 }
 
@@ -84,8 +89,22 @@
 
     /// Decides on a new request. Its id must differ from those of all requests that run or wait.
     pub fn offer(&mut self, ticket: Ticket<'_>, now: Duration) -> OfferResult {
+        self.offer_of(ClientState::default(), ticket, now)
+    }
+
+    /// Like [`offer`](Self::offer), for a request of a client that sent others ahead or has not sent all of this one.
+    ///
+    /// What a connection gets under contention does not grow with what it sends ahead: such a request starts after those
+    /// of its class that had fewer ahead of them, and is refused before them. So does one whose client has yet to send
+    /// a part of it, as if the others of that kind were ahead of it, but for as many as half of the slots take.
+    pub fn offer_of(
+        &mut self,
+        client: ClientState,
+        ticket: Ticket<'_>,
+        now: Duration,
+    ) -> OfferResult {
         let mut evicted = Vec::new();
-        let decision = self.decide(ticket, now, &mut evicted);
+        let decision = self.decide(client, ticket, now, &mut evicted);
         self.observe_queue(now);
         OfferResult { decision, evicted }
     }
@@ -93,10 +112,16 @@
     /// Frees the slot of a request that has ended, records its run time and starts queued requests.
     #[must_use]
     pub fn finish(&mut self, id: TicketId, now: Duration) -> Vec<Action> {
+        self.finish_after_lag(id, Duration::ZERO, now)
+    }
+
+    /// Like [`finish`](Self::finish); `lag` is the time by which the client lagged, which does not count as run time.
+    #[must_use]
+    pub fn finish_after_lag(&mut self, id: TicketId, lag: Duration, now: Duration) -> Vec<Action> {
         let Some(ended) = self.release(id) else {
             return Vec::new();
         };
-        let time = now.saturating_sub(ended.started);
+        let time = now.saturating_sub(ended.started).saturating_sub(lag);
         self.routes.observe(ended.route, time);
         self.run_times.get_mut(ended.class).observe(time);
         self.start_queued(now)
@@ -273,14 +298,20 @@
         self.draining
     }
 
-    fn decide(&mut self, ticket: Ticket<'_>, now: Duration, evicted: &mut Vec<Action>) -> Decision {
+    fn decide(
+        &mut self,
+        client: ClientState,
+        ticket: Ticket<'_>,
+        now: Duration,
+        evicted: &mut Vec<Action>,
+    ) -> Decision {
         if self.draining {
             return refuse(ErrorKind::Draining, Duration::ZERO);
         }
         if ticket.deadline <= now {
             return refuse(ErrorKind::DeadlineUnreachable, Duration::ZERO);
         }
-        let item = self.classify(ticket, now);
+        let item = self.classify(client, ticket, now);
         // A queued request that the rate limit has held up starts first.
         if self.may_start(item.bulk, now) && self.next_due().is_none() {
             self.start(&item, now);
@@ -309,7 +340,12 @@
     /// class, since it must not be shed before lookups, but counts towards the bulk share. A route with
     /// a target is never bulk by its run times: the target tells how long its requests may take, and
     /// bulk work is not limited by targets under overload.
-    fn classify(&mut self, ticket: Ticket<'_>, now: Duration) -> PendingRequest {
+    fn classify(
+        &mut self,
+        client: ClientState,
+        ticket: Ticket<'_>,
+        now: Duration,
+    ) -> PendingRequest {
         let route = self.routes.intern(ticket.route, now);
         let may_learn = self.cfg.learn_bulk && ticket.target.is_none();
         let learnt = may_learn && self.routes.is_bulk(route);
@@ -327,6 +363,8 @@
             route,
             tenant,
             precedence: Precedence::Usual,
+            ahead: self.requests_ahead(client),
+            is_sent: !client.is_sending,
             deadline: ticket.deadline,
             target: ticket.target,
             queued_at: now,
@@ -338,6 +376,19 @@
         item
     }
 
+    /// Requests that count as sent ahead of one of this client. Those whose clients still send them count as requests of
+    /// one connection, but for a part, so that they are never kept out.
+    fn requests_ahead(&self, client: ClientState) -> u32 {
+        if !client.is_sending {
+            return client.ahead;
+        }
+        let running = self.running.iter().filter(|running| !running.is_sent).count();
+        let waiting = self.queue.all().iter().filter(|item| !item.is_sent).count();
+        let sending = u32::try_from(running + waiting).unwrap_or(u32::MAX);
+        let share = (self.cfg.slots / SENDING_PART).max(1);
+        client.ahead.max((sending + 1).saturating_sub(share))
+    }
+
     fn may_start(&self, bulk: bool, now: Duration) -> bool {
         self.has_slot(bulk) && self.is_on_pace(now)
     }
@@ -346,7 +397,7 @@
         self.pace.as_ref().is_none_or(|pace| pace.may_start(now))
     }
 
-    fn has_slot(&self, bulk: bool) -> bool {
+    pub(super) fn has_slot(&self, bulk: bool) -> bool {
         (self.running.len() as u64) < u64::from(self.cfg.slots)
             && (!bulk || self.bulk_running < self.bulk_slots())
     }
@@ -368,6 +419,7 @@
             bulk: item.bulk,
             route: item.route,
             has_target: item.target.is_some(),
+            is_sent: item.is_sent,
             started: now,
         });
     }
--- a/crates/core/src/admission/ticket.rs
+++ b/crates/core/src/admission/ticket.rs
@@ -29,6 +29,15 @@
     pub nested: bool,
 }
 
+/// What the client of a request has done on its connection by the time at which the request is offered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ClientState {
+    /// Requests that it sent before this one without waiting for their responses.
+    pub ahead: u32,
+    /// Whether it has yet to send a part of the body.
+    pub is_sending: bool,
+}
+
 /// Decision on a new request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
--- a/crates/core/src/error/mod.rs
+++ b/crates/core/src/error/mod.rs
@@ -86,6 +86,9 @@
     Unauthenticated,
     /// The tenant has used up its quota.
     QuotaExceeded,
+    /// The client did not send its body or read its response while others waited for its place, or its body broke
+    /// off.
+    ClientFailed,
 }
 
 /// Answer to a request that failed with an error kind.
@@ -118,7 +121,7 @@
 }
 
 /// The answer for each error kind, in the order of [`ErrorKind`], which indexes it.
-pub const ANSWERS: [Answer; 25] = [
+pub const ANSWERS: [Answer; 26] = [
     row(ErrorKind::BadRequest, "bad_request", 400, Outcome::NotRun, 0),
     row(ErrorKind::BadKey, "bad_key", 400, Outcome::NotRun, 0),
     row(ErrorKind::Forbidden, "forbidden", 403, Outcome::NotRun, 0),
@@ -144,6 +147,7 @@
     row(ErrorKind::Quarantined, "quarantined", 503, Outcome::NotRun, 0),
     row(ErrorKind::Unauthenticated, "unauthenticated", 401, Outcome::NotRun, 0),
     row(ErrorKind::QuotaExceeded, "quota_exceeded", 429, Outcome::NotRun, 1),
+    row(ErrorKind::ClientFailed, "client_failed", 502, Outcome::Unknown, 0),
 ];
 
 impl ErrorKind {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod buffers;
 pub mod callers;
 pub mod calls;
 pub mod condition;
@@ -16,6 +17,7 @@
 pub mod error;
 pub mod id;
 pub mod idempotency;
+pub mod lag;
 pub mod link;
 pub mod membership;
 pub mod prelude;
--- a/crates/core/src/tenants/table.rs
+++ b/crates/core/src/tenants/table.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use super::Tenant;
+use super::{KeyDigest, Tenant};
 use crate::id::TenantName;
 
 /// Error: two tenants have the same API key, so that the owner of a request is not known.
@@ -67,6 +67,12 @@
         self.by_key.get(key)
     }
 
+    /// Tenant that owns an API key with this digest. Looks at all keys, so it is for what is rare.
+    #[must_use]
+    pub fn find_digest(&self, digest: KeyDigest) -> Option<&Arc<Tenant>> {
+        self.iter().find(|tenant| tenant.has_key(digest))
+    }
+
     /// Tenant with this name.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Arc<Tenant>> {
--- a/crates/core/tests/errors.rs
+++ b/crates/core/tests/errors.rs
@@ -58,6 +58,7 @@
         ErrorKind::UpstreamLost,
         ErrorKind::DeadlineExceeded,
         ErrorKind::Internal,
+        ErrorKind::ClientFailed,
     ];
     for answer in &ANSWERS {
         let claims_not_run = answer.outcome == Outcome::NotRun;
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -1,10 +1,13 @@
 //! What the connections of callers hold, and the actions of their budget: wait, refuse, close.
 
 use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use baobabreel_core::callers::{CallerBudget, CallerLimits, ConnectionId};
+use futures_util::FutureExt;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -16,13 +19,13 @@
 
 /// Part of the memory of the instance that callers may hold. The rest is for the daemon itself (about 12 MB), calls of
 /// other daemons, buffers of the HTTP library, and what the allocator cannot reuse.
-const MEMORY_SHARE: u64 = 4;
+pub const MEMORY_SHARE: u64 = 4;
 
 /// Part of the total that the heads which wait on an HTTP/2 connection may hold: 1 in this number.
 const HTTP2_SHARE: u64 = 8;
 
 /// Total where the memory of the instance is not known, in bytes; as for an instance of 512 MB.
-const DEFAULT_TOTAL_BYTES: u64 = 128 << 20;
+pub const DEFAULT_TOTAL_BYTES: u64 = 128 << 20;
 
 /// Header sections are read up to this multiple of their limit, so that the daemon can answer one that
 /// is too large with one of its defined errors.
@@ -51,6 +54,10 @@
     Closed,
     /// An idle connection was closed in favour of others.
     IdleClosed,
+    /// A connection whose caller lagged was closed in favour of others.
+    LaggingClosed,
+    /// A slot, a connection to another daemon or a buffer was taken back, as its client lagged while others waited.
+    TakenBack,
 }
 
 impl CallerLimit {
@@ -62,6 +69,8 @@
             Self::Refused => "refused",
             Self::Closed => "closed",
             Self::IdleClosed => "idle_closed",
+            Self::LaggingClosed => "lagging_closed",
+            Self::TakenBack => "taken_back",
         }
     }
 }
@@ -77,6 +86,8 @@
 pub struct Callers {
     state: Mutex<State>,
     clock: Clock,
+    /// Memory of the requests that wait to be read, in bytes.
+    waiting_bytes: AtomicU64,
     /// Limits of an HTTP/2 connection.
     pub http2: Http2Limits,
     /// Most connections.
@@ -90,6 +101,8 @@
     pub streams: u32,
     /// Receive window of the connection, in bytes; limits the bodies that are buffered while their requests wait.
     pub window: u32,
+    /// Memory of the requests that wait on all connections from which on no more are received, in bytes.
+    pub waiting_bytes: u64,
 }
 
 impl Http2Limits {
@@ -99,7 +112,11 @@
         let streams = part / (HEADER_READ_FACTOR * header_bytes) as u64;
         let within =
             |value: u64, least, most| u32::try_from(value).unwrap_or(most).clamp(least, most);
-        Self { streams: within(streams, 16, 100), window: within(part / 8, 64 * 1024, 512 * 1024) }
+        Self {
+            streams: within(streams, 16, 100),
+            window: within(part / 8, 64 * 1024, 512 * 1024),
+            waiting_bytes: part,
+        }
     }
 }
 
@@ -115,7 +132,8 @@
         let budget = CallerBudget::new(caller_limits);
         let state = State { budget, connections: BTreeMap::new() };
         let http2 = Http2Limits::new(total, limits.header_bytes);
-        Self { state: Mutex::new(state), clock, http2, connections }
+        let waiting_bytes = AtomicU64::new(0);
+        Self { state: Mutex::new(state), clock, waiting_bytes, http2, connections }
     }
 
     fn change<T>(&self, change: impl FnOnce(&mut CallerBudget, Duration) -> T) -> T {
@@ -124,7 +142,7 @@
 }
 
 /// Counts a limit that acted so many times, and writes a log line unless there were too many.
-fn record(cx: &Cx, limit: CallerLimit, count: usize) {
+pub fn record(cx: &Cx, limit: CallerLimit, count: usize) {
     if count == 0 {
         return;
     }
@@ -135,15 +153,22 @@
     tracing::warn!(limit = limit.name(), count, held, left_out, "limit on callers acted");
 }
 
-/// Closes connections without a request in favour of callers that wait to connect, at most `most`.
+/// Closes connections in favour of callers that wait to connect, at most `most`: those without a request, and those
+/// whose callers lag.
 pub fn close_idle(cx: &Cx, most: usize) {
     let mut state = lock(&cx.callers.state);
-    let chosen = state.budget.close_idle(most, cx.clock.now());
-    for (stop, _) in chosen.iter().filter_map(|id| state.connections.get(id)) {
+    let now = cx.clock.now();
+    let idle = state.budget.close_idle(most, now);
+    let lagging = state.budget.close_lagging(most - idle.len(), now);
+    for (stop, _) in idle.iter().filter_map(|id| state.connections.get(id)) {
         stop.cancel();
     }
+    for (_, abort) in lagging.iter().filter_map(|id| state.connections.get(id)) {
+        abort.cancel();
+    }
     drop(state);
-    record(cx, CallerLimit::IdleClosed, chosen.len());
+    record(cx, CallerLimit::IdleClosed, idle.len());
+    record(cx, CallerLimit::LaggingClosed, lagging.len());
 }
 
 /// Connection of a caller.
@@ -161,7 +186,7 @@
 impl CallerConnection {
     /// Adds a connection, which ends when `closing` is cancelled.
     pub fn open(cx: &Cx, closing: &CancellationToken) -> Arc<Self> {
-        let (stop, abort) = (closing.child_token(), CancellationToken::new());
+        let (stop, abort) = (closing.child_token(), cx.aborted.child_token());
         let mut state = lock(&cx.callers.state);
         let id = state.budget.open(cx.clock.now());
         state.connections.insert(id, (stop.clone(), abort.clone()));
@@ -190,7 +215,8 @@
     /// Counts a request that holds `bytes` and its response that is to come; `None` if the request is to be refused.
     pub fn admit(self: &Arc<Self>, bytes: usize) -> Option<HeldRequest> {
         let (bytes, expected) = (bytes as u64 + REQUEST_BYTES, BUFFER_BYTES);
-        let admission = self.cx.callers.change(|budget, _| budget.admit(self.id, bytes, expected));
+        let admission =
+            self.cx.callers.change(|budget, now| budget.admit(self.id, bytes, expected, now));
         self.close_all(&admission.close);
         if !admission.admitted {
             record(&self.cx, CallerLimit::Refused, 1);
@@ -202,19 +228,79 @@
     /// Records the size of the read buffer, which was `from` before; returns whether there is room for more.
     pub fn resize_buffer(&self, from: usize, to: usize) -> bool {
         let (from, to) = (from as u64, to as u64);
-        let (close, is_over) = self.cx.callers.change(|budget, _| {
-            let close = budget.resize(self.id, from, to);
+        let (close, is_over) = self.cx.callers.change(|budget, now| {
+            let close = budget.resize(self.id, from, to, now);
             (close, budget.is_over(0))
         });
         self.close_all(&close);
         !is_over
     }
 
-    /// Counts what a request holds that waits to be read; released with the returned guard.
-    pub fn hold_waiting(self: &Arc<Self>, bytes: usize) -> WaitingRequest {
-        let bytes = bytes + usize::try_from(REQUEST_BYTES).unwrap_or_default();
+    /// Gives others their turn before the next request is read of a caller that has sent `ahead` requests without waiting
+    /// for their responses.
+    pub async fn wait_for_turn(&self, ahead: u32) {
+        let pause = self.cx.callers.change(|budget, _| budget.pause(self.id, ahead));
+        if pause.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            record(&self.cx, CallerLimit::Paused, 1);
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.stop.cancelled() => {}
+            }
+        }
+    }
+
+    /// Requests in progress.
+    pub fn requests(&self) -> usize {
+        self.cx.callers.change(|budget, _| budget.requests(self.id))
+    }
+
+    /// Waits for the caller to send or take bytes. A caller that lags may be closed in favour of others.
+    pub async fn await_caller(
+        &self,
+        action: impl Future<Output = io::Result<usize>>,
+    ) -> io::Result<usize> {
+        let mut action = std::pin::pin!(action);
+        if let Some(done) = (&mut action).now_or_never() {
+            return done;
+        }
+        self.wait();
+        let done = action.await;
+        self.record_progress(done.as_ref().copied().unwrap_or_default());
+        done
+    }
+
+    /// Records that the caller is waited for from now on.
+    pub fn wait(&self) {
+        self.cx.callers.change(|budget, now| budget.wait(self.id, now));
+    }
+
+    /// Records that the caller sent or took so many bytes, and is not waited for any more.
+    pub fn record_progress(&self, bytes: usize) {
+        self.cx.callers.change(|budget, now| budget.record_progress(self.id, bytes as u64, now));
+    }
+
+    /// Counts what a request holds that waits to be read; released with the returned guard. `None` if there is no room
+    /// for it, and the connection has other requests.
+    pub fn hold_waiting(self: &Arc<Self>, bytes: usize) -> Option<WaitingRequest> {
+        let are_many_waiting = self.are_many_waiting();
+        let held = self.hold(bytes + usize::try_from(REQUEST_BYTES).unwrap_or_default());
+        let has_room = !are_many_waiting && self.cx.callers.change(|budget, _| !budget.is_over(0));
+        let waiting = WaitingRequest::new(held);
+        (has_room || self.requests() == 0).then_some(waiting)
+    }
+
+    /// Whether so many requests wait that no further ones are to be received over HTTP/2.
+    pub fn are_many_waiting(&self) -> bool {
+        let callers = &self.cx.callers;
+        callers.waiting_bytes.load(Ordering::Relaxed) > callers.http2.waiting_bytes
+    }
+
+    /// Counts bytes that the connection holds until the returned guard is dropped.
+    pub fn hold(self: &Arc<Self>, bytes: usize) -> HeldBytes {
         self.resize_buffer(0, bytes);
-        WaitingRequest { connection: Arc::clone(self), bytes }
+        HeldBytes { connection: Arc::clone(self), bytes }
     }
 
     fn close_all(&self, chosen: &[ConnectionId]) {
@@ -238,14 +324,33 @@
     }
 }
 
-/// What a request holds that waits to be read.
+/// Bytes that count towards what a connection holds.
 #[derive(Debug)]
-pub struct WaitingRequest {
+pub struct HeldBytes {
     connection: Arc<CallerConnection>,
     bytes: usize,
 }
 
+/// What a request holds that waits to be read.
+#[derive(Debug)]
+pub struct WaitingRequest(HeldBytes);
+
+impl WaitingRequest {
+    fn new(held: HeldBytes) -> Self {
+        let callers = &held.connection.cx.callers;
+        callers.waiting_bytes.fetch_add(held.bytes as u64, Ordering::Relaxed);
+        Self(held)
+    }
+}
+
 impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        let callers = &self.0.connection.cx.callers;
+        callers.waiting_bytes.fetch_sub(self.0.bytes as u64, Ordering::Relaxed);
+    }
+}
+
+impl Drop for HeldBytes {
     fn drop(&mut self) {
         self.connection.resize_buffer(self.bytes, 0);
     }
@@ -260,11 +365,20 @@
 }
 
 impl HeldRequest {
-    /// Records that the response is ready and holds so many bytes.
-    pub fn respond(&mut self, bytes: u64) {
+    /// Connection of the request.
+    #[must_use]
+    pub fn connection(&self) -> &CallerConnection {
+        &self.connection
+    }
+
+    /// Records that the response is ready and holds so many bytes, and whether it is a refusal for lack of room.
+    pub fn respond(&mut self, bytes: u64, is_refusal: bool) {
         let (id, expected) = (self.connection.id, std::mem::take(&mut self.expected));
         let callers = &self.connection.cx.callers;
-        let close = callers.change(|budget, _| budget.respond(id, expected, bytes));
+        let close = callers.change(|budget, now| {
+            budget.record_response(id, is_refusal);
+            budget.respond(id, expected, bytes, now)
+        });
         self.bytes += bytes;
         self.connection.close_all(&close);
         self.connection.released.notify_one();
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -25,12 +25,14 @@
 use baobabreel_core::relay::{RELAYS_PER_DATA_CENTRE, ReadRole, relays};
 use eyre::{OptionExt, Result};
 use kameo::actor::{ActorRef, WeakActorRef};
+use tokio_util::sync::CancellationToken;
 
 pub use clock::Clock;
 pub use drain_end::{AnsweredAtEnd, DrainEnd};
 pub use messages::append_entry;
 pub use view::{MeshView, is_able};
 
+use crate::buffers::Buffers;
 use crate::callers::Callers;
 use crate::control::{Distribution, Documents, Follower, Lease, Membership, Readers, Rollouts};
 use crate::keys::Keys;
@@ -141,12 +143,19 @@
     pub http: HttpClient,
     /// End of the drain.
     pub drain_end: DrainEnd,
+    /// Cancelled when the daemon ends as in a crash: its connections are dropped, and nothing on them is answered.
+    pub aborted: CancellationToken,
     /// Connections of callers and what they hold.
     pub callers: Callers,
+    /// Buffers for the long bodies of requests of other daemons.
+    pub request_buffers: Arc<Buffers>,
+    /// Buffers for the long bodies of responses to other daemons.
+    pub response_buffers: Arc<Buffers>,
     position: Mutex<Position>,
     distribution: OnceLock<WeakActorRef<Distribution>>,
     membership: OnceLock<WeakActorRef<Membership>>,
     phase: AtomicU8,
+    is_configured: AtomicBool,
     relay: AtomicBool,
     requests: AtomicUsize,
     drain_started: OnceLock<Duration>,
@@ -161,6 +170,7 @@
     pub fn new(settings: Settings, identity: Identity, metrics: Metrics) -> Self {
         let clock = Clock::new();
         let http = HttpClient::new().with_name(identity.id.clone());
+        let retention = settings.log_retention().unwrap_or_default();
         Self {
             config: ArcSwap::from_pointee(CompiledConfig::default()),
             view: ArcSwap::from_pointee(MeshView::default()),
@@ -170,7 +180,6 @@
             links: Arc::new(Links::new(settings.limits.link_bits_per_sec, clock)),
             balance: Balancers::new(&identity, &settings),
             metrics,
-        let retention = settings.log_retention().unwrap_or_default();
             log_limiter: LogRateLimiter::default(),
             members: ArcSwap::from_pointee(Members::default()),
             keys: Keys::new(&identity, clock, retention, settings.limits.memory_bytes),
@@ -184,11 +193,15 @@
             rollouts: Rollouts::new(settings.rollout),
             http,
             drain_end: DrainEnd::default(),
+            aborted: CancellationToken::new(),
             callers: Callers::new(&settings.limits, clock),
+            request_buffers: Buffers::new(&settings.limits, clock),
+            response_buffers: Buffers::new(&settings.limits, clock),
             position: Mutex::default(),
             distribution: OnceLock::new(),
             membership: OnceLock::new(),
             phase: AtomicU8::new(Phase::Starting as u8),
+            is_configured: AtomicBool::new(false),
             relay: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             drain_started: OnceLock::new(),
@@ -212,9 +225,18 @@
 
     /// Moves to `phase`, unless the daemon is already in a later one.
     pub fn advance(&self, phase: Phase) {
+        if phase == Phase::Serving {
+            self.is_configured.store(true, Ordering::Release);
+        }
         self.phase.fetch_max(phase as u8, Ordering::AcqRel);
     }
 
+    /// Whether the daemon has had a configuration to serve callers by. One that is told to stop before that never gets
+    /// one.
+    pub fn is_configured(&self) -> bool {
+        self.is_configured.load(Ordering::Acquire)
+    }
+
     /// Begins to drain, unless that has begun already.
     pub fn begin_drain(&self) {
         self.drain_started.get_or_init(|| self.clock.now());
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -19,11 +19,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::adapter::{Adapter, NativeAdapter};
+use crate::buffers::take_back_buffers;
 use crate::context::{Context, Cx, Identity, Phase, append_entry};
 use crate::control::{BackendTracker, Control, Leave, LocalChanged};
-use crate::listeners::{Reply, bind, serve_callers, serve_peers, serve_simple_http};
+use crate::listeners::{Reply, bind, bind_callers, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
-use crate::proxy::start_at_rate_limit;
+use crate::proxy::{start_at_rate_limit, take_back_slots};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -83,7 +84,7 @@
     async fn bind(settings: &Settings) -> Result<Self> {
         let listen = &settings.listen;
         Ok(Self {
-            callers: bind("callers", listen.callers).await?,
+            callers: bind_callers(listen.callers)?,
             peers: bind("peers", listen.peers).await?,
             backend: bind("backend", listen.backend).await?,
             operators: bind("operators", listen.operators).await?,
@@ -173,6 +174,14 @@
         let pacer = start_at_rate_limit(Arc::clone(&self.cx));
         self.tasks.spawn(async move { stop.run_until_cancelled(pacer).await });
         let stop = self.stop.clone();
+        let reclaim = take_back_slots(Arc::clone(&self.cx));
+        self.tasks.spawn(async move { stop.run_until_cancelled(reclaim).await });
+        for buffers in [&self.cx.request_buffers, &self.cx.response_buffers] {
+            let stop = self.stop.clone();
+            let reclaim = take_back_buffers(Arc::clone(&self.cx), Arc::clone(buffers));
+            self.tasks.spawn(async move { stop.run_until_cancelled(reclaim).await });
+        }
+        let stop = self.stop.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = stop.cancelled() => {}
@@ -307,7 +316,8 @@
 
     /// Stops the daemon at once without draining it, like a crash.
     pub fn abort(self) {
-        // What has arrived is still read before connections close; a crashed daemon would not serve it.
+        self.cx.aborted.cancel();
+        // A request whose task runs at this moment is refused.
         self.cx.advance(Phase::Draining);
         self.stop.cancel();
         self.stop_serving.cancel();
--- a/crates/daemon/src/http1/head.rs
+++ b/crates/daemon/src/http1/head.rs
@@ -7,8 +7,11 @@
 
 use super::HeadError;
 
-/// Most headers of a request.
-const MAX_HEADERS: usize = 128;
+/// Headers for which there is room without an allocation; most requests have fewer.
+const USUAL_HEADERS: usize = 64;
+
+/// Shortest header: a name of one byte, a colon and the line end. So the limit on bytes also limits the number.
+const MIN_HEADER_BYTES: usize = 4;
 
 /// How the end of a request body is determined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,21 +35,41 @@
     pub expects_continue: bool,
 }
 
+/// Head or what is wrong with it, and its length in bytes.
+type ParsedHead = (Result<Head, HeadError>, usize);
+
 /// Parses a request head and removes it from the front of `buf`; `None` while it is incomplete.
 pub fn take_head(buf: &mut BytesMut) -> Result<Option<Head>, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut headers);
-    let len = match parsed.parse(buf) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooLarge),
-        Err(_) => return Err(HeadError::Malformed("the head is malformed")),
+    let mut usual = [httparse::EMPTY_HEADER; USUAL_HEADERS];
+    let parsed = match parse_into(&mut usual, buf) {
+        Err(httparse::Error::TooManyHeaders) => {
+            let mut many = vec![httparse::EMPTY_HEADER; buf.len() / MIN_HEADER_BYTES];
+            parse_into(&mut many, buf)
+        }
+        parsed => parsed,
+    };
+    let Some((head, len)) = parsed.ok().ok_or(HeadError::Malformed("the head is malformed"))?
+    else {
+        return Ok(None);
     };
-    let head = parse_head(&parsed)?;
+    let head = head?;
     buf.advance(len);
     Ok(Some(head))
 }
 
+/// Parses a head with room for as many headers as `headers` has; returns it with its length, or `None` while it is
+/// incomplete.
+fn parse_into<'a>(
+    headers: &mut [httparse::Header<'a>],
+    buf: &'a [u8],
+) -> Result<Option<ParsedHead>, httparse::Error> {
+    let mut parsed = httparse::Request::new(headers);
+    match parsed.parse(buf)? {
+        httparse::Status::Complete(len) => Ok(Some((parse_head(&parsed), len))),
+        httparse::Status::Partial => Ok(None),
+    }
+}
+
 fn parse_head(parsed: &httparse::Request<'_, '_>) -> Result<Head, HeadError> {
     let malformed = HeadError::Malformed;
     let method = parsed.method.and_then(|method| Method::from_bytes(method.as_bytes()).ok());
@@ -73,11 +96,12 @@
 
 fn parse_headers(parsed: &httparse::Request<'_, '_>) -> Result<HeaderMap, HeadError> {
     let malformed = || HeadError::Malformed("a header is malformed");
-    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    let headers = HeaderMap::try_with_capacity(parsed.headers.len());
+    let mut headers = headers.ok().ok_or(HeadError::TooLarge)?;
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok().ok_or_else(malformed)?;
         let value = HeaderValue::from_bytes(header.value).ok().ok_or_else(malformed)?;
-        headers.append(name, value);
+        headers.try_append(name, value).ok().ok_or(HeadError::TooLarge)?;
     }
     Ok(headers)
 }
--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -8,6 +8,7 @@
 //! A connection ends in two steps: after the last response the daemon ends its side, then it discards what still comes
 //! until the caller closes too.
 
+mod body_rest;
 mod chunks;
 mod head;
 mod reader;
@@ -107,12 +108,14 @@
     let (tx, rx) = mpsc::channel(MAX_PIPELINED_REQUESTS);
     let no_more_requests = CancellationToken::new();
     let abort = connection.abort.clone();
+    let mut writer = writer::Writer::new(write, no_more_requests.clone(), Arc::clone(&connection));
     let reader = reader::Reader::new(read, buf, service, no_more_requests.clone(), connection);
-    let mut writer = writer::Writer::new(write, no_more_requests.clone());
-    let mut reading = std::pin::pin!(reader.run(tx));
+    let mut reading = Box::pin(reader.run(tx));
     let written = tokio::select! {
+        // Nothing more is answered on a connection that is to be closed at once.
+        biased;
         () = abort.cancelled() => {
-            tracing::trace!("caller connection closed at a limit");
+            tracing::trace!("caller connection closed at once");
             return;
         }
         () = &mut reading => {
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -1,24 +1,25 @@
 //! Reads requests and dispatches each one as soon as its head is complete.
 
+use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use baobabreel_core::link::LARGE_BODY_BYTES;
 use bytes::BytesMut;
 use futures_util::FutureExt;
-use http::{Method, Request, Version};
+use http::{Method, Request, StatusCode, Version};
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::body_rest::BodyRest;
 use super::chunks::{ChunkDecoder, Decoded, take_at_most};
 use super::head::{self, Framing, Head};
-use super::writer::{PendingResponse, ResponseSource, UnreadBody};
+use super::writer::{PendingResponse, ResponseSource};
 use super::{Delivery, HeadError, MAX_DISCARDED_BYTES, Service};
 use crate::callers::{BUFFER_BYTES, CallerConnection};
-use crate::proxy::{BodySender, RequestBody, body_pipe, section_bytes};
+use crate::proxy::{BodySender, RequestBody, RequestsAhead, body_pipe, held_section_bytes};
 
 /// Free space in the buffer before each read, in bytes.
 const MIN_BUFFER_SPACE_BYTES: usize = 8 * 1024;
@@ -43,6 +44,9 @@
     connection: Arc<CallerConnection>,
     /// Size of `buf` that counts towards what the connection holds.
     counted_buffer: usize,
+    /// Requests that were sent before the last one without waiting for their responses; see [`requests_ahead`]. `None`
+    /// before the first.
+    ahead: Option<u32>,
 }
 
 impl<S: Service> Reader<S> {
@@ -53,7 +57,7 @@
         no_more_requests: CancellationToken,
         connection: Arc<CallerConnection>,
     ) -> Self {
-        Self { read, buf, service, no_more_requests, connection, counted_buffer: 0 }
+        Self { read, buf, service, no_more_requests, connection, counted_buffer: 0, ahead: None }
     }
 
     /// Reads until the caller disconnects. After the last request, `answers` is closed and the rest of the
@@ -119,34 +123,47 @@
         }
         // Before the request is passed on: the writer may close the connection while none is waiting.
         let place = answers.reserve().await.ok().ok_or(ReadEnd::Finished)?;
-        let (parts, ()) = request.into_parts();
-        let req = Request::from_parts(parts, body);
-        let held_head = section_bytes(req.uri(), req.headers()) + held_body_bytes(framing);
-        let delivery = self.service.begin_delivery(&req);
-        let call = self.service.call(req);
-        let Some(mut held) = self.connection.admit(size_of_val(&call) + held_head) else {
-            delivery.written();
+        let (rest, unread_body) =
+            unread.as_ref().map(|(sender, framing)| BodyRest::new(sender, *framing)).unzip();
+        let held_body = held_body_bytes(framing);
+        let Some(pending) = self.start(request.map(|()| body), held_body, !may_follow) else {
             // The rest of the request is not read.
             place.send(self.refusal(HeadError::NoRoom, &method, version));
             return Ok(false);
         };
+        place.send(pending.with_unread_body(unread_body));
+        if let (Some((mut sender, framing)), Some(mut rest)) = (unread, rest) {
+            self.read_body(&mut sender, framing, &mut rest).await?;
+            sender.finish().await;
+        }
+        Ok(may_follow)
+    }
+
+    /// Starts the task that handles a request; `None` if there is no room for it. The future of the task is large, so
+    /// it must not become a part of that of the connection.
+    fn start(
+        &self,
+        mut req: Request<RequestBody>,
+        held_body: usize,
+        close: bool,
+    ) -> Option<PendingResponse<S::Delivery>> {
+        let (method, version) = (req.method().clone(), req.version());
+        req.extensions_mut().insert(RequestsAhead(self.ahead.unwrap_or_default()));
+        let held_head = held_section_bytes(req.uri(), req.headers());
+        let delivery = self.service.begin_delivery(&req);
+        let call = self.service.call(req);
+        let Some(mut held) = self.connection.admit(size_of_val(&call) + held_head + held_body)
+        else {
+            delivery.written();
+            return None;
+        };
         let call = call.map(move |res| {
-            held.respond(res.body().held_bytes());
+            let is_refusal = res.status() == StatusCode::SERVICE_UNAVAILABLE;
+            held.respond(res.body().held_bytes(), is_refusal);
             (res, held)
         });
         let source = ResponseSource::Task(tokio::spawn(call).into());
-        let unread_body =
-            unread.as_ref().map(|(sender, framing)| UnreadBody::new(sender, *framing));
-        let left = unread_body.as_ref().map(UnreadBody::left);
-        let pending = PendingResponse::new(source, &method, version, !may_follow)
-            .tracked_by(delivery)
-            .with_unread_body(unread_body);
-        place.send(pending);
-        if let Some((mut sender, framing)) = unread {
-            self.read_body(&mut sender, framing, &left.unwrap_or_default()).await?;
-            sender.finish().await;
-        }
-        Ok(may_follow)
+        Some(PendingResponse::new(source, &method, version, close).tracked_by(delivery))
     }
 
     /// Returns the body of a request; if it is not completely in the buffer, also the sender and
@@ -170,11 +187,11 @@
         &mut self,
         sender: &mut BodySender,
         framing: Framing,
-        left: &AtomicU64,
+        rest: &mut BodyRest,
     ) -> Result<(), ReadEnd> {
         match framing {
-            Framing::Length(length) => self.read_length(sender, length, left).await,
-            Framing::Chunked => self.read_chunks(sender).await,
+            Framing::Length(length) => self.read_length(sender, length, rest).await,
+            Framing::Chunked => self.read_chunks(sender, rest).await,
         }
     }
 
@@ -182,7 +199,7 @@
         &mut self,
         sender: &mut BodySender,
         mut remaining: u64,
-        left: &AtomicU64,
+        rest: &mut BodyRest,
     ) -> Result<(), ReadEnd> {
         if remaining > LARGE_BODY_BYTES {
             // A large body is not read before a backend server has been found for it.
@@ -193,17 +210,21 @@
                 return Err(ReadEnd::Finished);
             }
             if self.buf.is_empty() {
-                self.fill().await?;
+                self.fill_body(sender, rest).await?;
             }
             let data = take_at_most(&mut self.buf, remaining);
             remaining -= data.len() as u64;
-            left.store(remaining, Ordering::Release);
+            rest.set_left(remaining);
             sender.send(data).await;
         }
         Ok(())
     }
 
-    async fn read_chunks(&mut self, sender: &mut BodySender) -> Result<(), ReadEnd> {
+    async fn read_chunks(
+        &mut self,
+        sender: &mut BodySender,
+        rest: &mut BodyRest,
+    ) -> Result<(), ReadEnd> {
         let mut decoder = ChunkDecoder::default();
         let mut discarded = 0;
         loop {
@@ -215,11 +236,23 @@
                 Decoded::Data(data) if sender.is_abandoned() => discarded += data.len() as u64,
                 Decoded::Data(data) => sender.send(data).await,
                 Decoded::End => return Ok(()),
-                Decoded::NeedsInput => self.fill().await?,
+                Decoded::NeedsInput => self.fill_body(sender, rest).await?,
             }
         }
     }
 
+    /// Reads more of a body. The rest of one that nobody needs any more has as long as an idle connection, and the
+    /// connection may be closed in favour of others.
+    async fn fill_body(&mut self, sender: &BodySender, rest: &mut BodyRest) -> Result<(), ReadEnd> {
+        let idle = self.service.limits().idle;
+        let stop = self.connection.stop.clone();
+        tokio::select! {
+            biased;
+            filled = fill_waited(&mut self.read, &mut self.buf, &self.connection) => filled,
+            () = rest.given_up(sender, idle, &stop) => Err(ReadEnd::Finished),
+        }
+    }
+
     /// Reads the head of the next request. The outer error is one to report to the caller; the inner one
     /// ends reading without a response.
     async fn next_head(
@@ -229,6 +262,18 @@
         let limits = self.service.limits();
         let mut started = None;
         self.connection.wait_to_read().await;
+        // A caller that waits for its responses sends nothing before the last one has been written.
+        let mut is_ahead = true;
+        if self.buf.is_empty() {
+            match self.fill().now_or_never() {
+                Some(Ok(())) => {}
+                Some(Err(end)) => return Ok(Err(end)),
+                None => is_ahead = false,
+            }
+        }
+        if let Some(ahead) = self.ahead.filter(|_| is_ahead) {
+            self.connection.wait_for_turn(ahead).await;
+        }
         loop {
             let has_room = self.count_buffer();
             if self.no_more_requests.is_cancelled() {
@@ -236,6 +281,7 @@
             }
             if !self.buf.is_empty() {
                 if let Some(head) = head::take_head(&mut self.buf)? {
+                    self.ahead = Some(requests_ahead(self.ahead, is_ahead));
                     return Ok(Ok(head));
                 }
                 if self.buf.len() > limits.bytes {
@@ -254,13 +300,21 @@
                 }
                 None => Instant::now() + limits.idle,
             };
+            let (read, buf, connection) = (&mut self.read, &mut self.buf, &self.connection);
+            let filling = async {
+                match started {
+                    Some(_) => fill_waited(read, buf, connection).await,
+                    None => fill(read, buf).await,
+                }
+            };
             tokio::select! {
                 // A request that has arrived is read before the connection closes.
                 biased;
-                filled = fill(&mut self.read, &mut self.buf) => {
+                filled = filling => {
                     if let Err(end) = filled {
                         return Ok(Err(end));
                     }
+                    is_ahead |= started.is_none() && self.connection.requests() > 0;
                 }
                 () = self.no_more_requests.cancelled() => return Ok(Err(ReadEnd::Finished)),
                 () = self.connection.stop.cancelled(), if started.is_none() => return Ok(Err(ReadEnd::Finished)),
@@ -293,6 +347,18 @@
     }
 }
 
+/// Number of requests that the caller has sent ahead of the next one; `last` is that of the request before it.
+///
+/// A caller that does not wait can look as if it did, when all that it sent has just been read. So the number falls by
+/// halves only.
+fn requests_ahead(last: Option<u32>, is_ahead: bool) -> u32 {
+    match last {
+        None => 0,
+        Some(last) if is_ahead => last.saturating_add(1),
+        Some(last) => last / 2,
+    }
+}
+
 /// Most bytes of a body that are in memory at once.
 fn held_body_bytes(framing: Framing) -> usize {
     let most = match framing {
@@ -302,10 +368,36 @@
     usize::try_from(most).unwrap_or(usize::MAX)
 }
 
-/// Reads once from the connection and appends to `buf`.
+/// Reads once from the connection and appends to `buf`, which takes no memory while a connection without a request
+/// waits.
 async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> Result<(), ReadEnd> {
+    if buf.is_empty() {
+        *buf = BytesMut::new();
+    }
+    loop {
+        if let Err(e) = read.readable().await {
+            return read_result(Err(e));
+        }
+        buf.reserve(MIN_BUFFER_SPACE_BYTES);
+        match read.try_read_buf(buf) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            read => return read_result(read),
+        }
+    }
+}
+
+/// Reads more of a request that has begun, so that its caller is waited for.
+async fn fill_waited(
+    read: &mut OwnedReadHalf,
+    buf: &mut BytesMut,
+    connection: &CallerConnection,
+) -> Result<(), ReadEnd> {
     buf.reserve(MIN_BUFFER_SPACE_BYTES);
-    match read.read_buf(buf).await {
+    read_result(connection.await_caller(read.read_buf(buf)).await)
+}
+
+fn read_result(read: io::Result<usize>) -> Result<(), ReadEnd> {
+    match read {
         Ok(0) => Err(ReadEnd::Disconnected),
         Ok(_) => Ok(()),
         Err(e) => {
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -18,10 +17,11 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::head::{Framing as RequestFraming, has_option};
-use super::{Delivery, MAX_DISCARDED_BYTES};
-use crate::callers::HeldRequest;
-use crate::proxy::{BodyError, BodySender, BodyWatch, ProxyBody};
+use super::Delivery;
+use super::body_rest::UnreadBody;
+use super::head::has_option;
+use crate::callers::{CallerConnection, HeldRequest};
+use crate::proxy::{BodyError, ProxyBody};
 
 /// Longest time for one write; a caller that reads too slowly is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -59,33 +59,6 @@
     Continue,
 }
 
-/// Request body that had not been read when its request was dispatched.
-#[derive(Debug)]
-pub(super) struct UnreadBody {
-    watch: BodyWatch,
-    /// Bytes that have not been read; 0 if the length is not known.
-    left: Arc<AtomicU64>,
-}
-
-impl UnreadBody {
-    pub(super) fn new(sender: &BodySender, framing: RequestFraming) -> Self {
-        let left = match framing {
-            RequestFraming::Length(length) => length,
-            RequestFraming::Chunked => 0,
-        };
-        Self { watch: sender.watch(), left: Arc::new(AtomicU64::new(left)) }
-    }
-
-    pub(super) fn left(&self) -> Arc<AtomicU64> {
-        Arc::clone(&self.left)
-    }
-
-    /// Whether more of it is left than is discarded for a further request.
-    fn ends_connection(&self) -> bool {
-        self.left.load(Ordering::Acquire) > MAX_DISCARDED_BYTES && self.watch.is_abandoned()
-    }
-}
-
 /// Response to be written after those before it.
 #[derive(Debug)]
 pub(super) struct PendingResponse<D> {
@@ -143,11 +116,16 @@
     no_more_requests: CancellationToken,
     /// When the kernel last took bytes.
     last_write: Option<Instant>,
+    connection: Arc<CallerConnection>,
 }
 
 impl Writer {
-    pub(super) fn new(write: OwnedWriteHalf, no_more_requests: CancellationToken) -> Self {
-        Self { write, no_more_requests, last_write: None }
+    pub(super) fn new(
+        write: OwnedWriteHalf,
+        no_more_requests: CancellationToken,
+        connection: Arc<CallerConnection>,
+    ) -> Self {
+        Self { write, no_more_requests, last_write: None, connection }
     }
 
     /// Writes responses until the last one.
@@ -183,6 +161,9 @@
             if let Some(delivery) = pending.delivery {
                 delivery.written();
             }
+            if let Some(unread) = pending.unread_body {
+                unread.record_answered();
+            }
             if closed {
                 break;
             }
@@ -277,14 +258,24 @@
         tokio::select! {
             biased;
             written = self.write(data) => written,
-            () = std::future::poll_fn(|cx| body.poll_abort(cx)) => {
-                Err(io::Error::other(BodyError::DeadlinePassed))
+            e = std::future::poll_fn(|cx| body.poll_abort(cx)) => Err(io::Error::other(e)),
+        }
+    }
+
+    /// Writes everything; the caller is waited for while it takes nothing.
+    async fn write_all(&mut self, mut data: &[u8]) -> io::Result<()> {
+        while !data.is_empty() {
+            let written = self.connection.await_caller(self.write.write(data)).await?;
+            if written == 0 {
+                return Err(io::Error::from(io::ErrorKind::WriteZero));
             }
+            data = &data[written..];
         }
+        Ok(())
     }
 
     async fn write(&mut self, data: &[u8]) -> io::Result<()> {
-        match tokio::time::timeout(WRITE_TIMEOUT, self.write.write_all(data)).await {
+        match tokio::time::timeout(WRITE_TIMEOUT, self.write_all(data)).await {
             Ok(written) => {
                 self.last_write = Some(Instant::now());
                 written
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! `baobabreel-core`; this crate supplies it with sockets, clocks, tasks and randomness.
 
 pub mod adapter;
+pub mod buffers;
 pub mod callers;
 pub mod context;
 pub mod control;
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -6,6 +6,7 @@
 
 use baobabreel_core::error::ErrorKind;
 use bytes::BytesMut;
+use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http2;
@@ -18,23 +19,27 @@
 use tokio_util::task::TaskTracker;
 
 use super::delivery::Delivery;
+use super::hooked::{Gate, HookedStream};
 use super::prefixed::PrefixedStream;
-use super::{Accepted, BoundedListener, close_connections, serve_until, wait_for_close};
-use crate::callers::{self, BUFFER_BYTES, CallerConnection, HEADER_READ_FACTOR, HeldRequest};
+use super::{
+    Accepted, BoundedListener, close_connections, serve_until, wait_for_close, wait_until_idle,
+};
+use crate::callers::{
+    self, BUFFER_BYTES, CallerConnection, HEADER_READ_FACTOR, HeldRequest, WaitingRequest,
+};
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
-use crate::proxy::{CallError, ProxyBody, RequestBody, ToldCallers, section_bytes, serve_caller};
-
-/// Time between two checks whether the limit on connections is reached. Idle connections are closed then, as callers
-/// may wait to connect.
-const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Share of the connections that is closed at once if they are idle: 1 in this number.
-const IDLE_CLOSE_PART: usize = 8;
+use crate::proxy::{
+    CallError, ProxyBody, RequestBody, RequestsAhead, ToldCallers, held_section_bytes,
+    section_bytes, serve_caller,
+};
 
 /// Most bytes that the library buffers for one HTTP/2 stream whose caller does not read.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Memory that the library takes for an HTTP/2 connection, in bytes.
+const HTTP2_STATE_BYTES: usize = 16 * 1024;
+
 /// Default time limit for receiving a request head, if the configuration has none.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -57,21 +62,14 @@
 pub async fn serve_callers(cx: Cx, listener: TcpListener, stop: CancellationToken) {
     let connections = TaskTracker::new();
     let closing = CancellationToken::new();
-    let most = cx.callers.connections;
-    let listener = BoundedListener::new(listener, most);
+    let listener = BoundedListener::new(listener, cx.callers.connections);
     let serve = |accepted| {
         connections.spawn(serve_connection(Arc::clone(&cx), accepted, closing.clone()));
     };
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
-            () = tokio::time::sleep(FULL_CHECK_INTERVAL) => {
-                if listener.is_full() {
-                    callers::close_idle(&cx, most.div_ceil(IDLE_CLOSE_PART));
-                }
-                continue;
-            }
+            accepted = listener.accept(|most| callers::close_idle(&cx, most)) => accepted,
         };
         serve(accepted);
     }
@@ -97,17 +95,31 @@
     };
     if is_http2 {
         tokio::select! {
+            biased;
             () = connection.abort.cancelled() => {}
-            () = serve_http2(service, PrefixedStream::new(buf, stream), &connection, at) => {}
+            // In boxes, so that a connection takes the memory of one protocol only.
+            () = Box::pin(serve_http2(service, PrefixedStream::new(buf, stream), &connection, at)) => {}
+            () = closed_in_favour(&connection, &closing) => {}
         }
     } else {
-        http1::serve_connection(stream, buf, service, connection).await;
+        Box::pin(http1::serve_connection(stream, buf, service, connection)).await;
     }
 }
 
+/// Waits until a connection without a request has not ended in time after it was to close in favour of others. The
+/// library waits for the caller to confirm the close.
+async fn closed_in_favour(connection: &CallerConnection, closing: &CancellationToken) {
+    connection.stop.cancelled().await;
+    wait_until_idle(|| !closing.is_cancelled() && connection.requests() == 0).await;
+}
+
 /// Reads until the protocol is known and returns whether it is HTTP/2; `None` if the connection ends or
 /// is idle for too long before that.
-async fn detect_http2(stream: &mut TcpStream, buf: &mut BytesMut, idle: Duration) -> Option<bool> {
+pub(super) async fn detect_http2(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    idle: Duration,
+) -> Option<bool> {
     loop {
         let compared = buf.len().min(HTTP2_PREFACE.len());
         if buf[..compared] != HTTP2_PREFACE[..compared] {
@@ -134,13 +146,17 @@
     accepted_at: Instant,
 ) {
     let CallerService { cx, told } = caller;
+    let _state = connection.hold(HTTP2_STATE_BYTES);
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let service = service_fn(|mut req: Request<Incoming>| {
         let (cx, connection) = (Arc::clone(&cx), Arc::clone(connection));
         req.extensions_mut().insert(told.clone());
+        // Counted now, as many streams may arrive before the first one is served.
+        let bytes = stream_bytes(&req);
+        let waiting = connection.hold_waiting(bytes);
         async move {
             let delivery = Delivery::begin(&cx, &req);
-            let (res, held) = serve_stream(cx, &connection, req).await;
+            let (res, held) = serve_stream(cx, &connection, req, bytes, waiting).await;
             Ok::<_, Infallible>(delivery.attach(res, held))
         }
     });
@@ -151,40 +167,54 @@
         .initial_connection_window_size(cx.callers.http2.window)
         .max_concurrent_streams(cx.callers.http2.streams)
         .max_send_buf_size(SEND_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(HookedStream::new(stream, Gate::new(Arc::clone(connection)))),
+            service,
+        );
     let close = wait_for_close(&connection.stop, accepted_at);
     if let Err(e) = serve_until(close, conn).await {
         tracing::debug!(error = %e, "caller connection failed");
     }
 }
 
+/// Memory of a request over HTTP/2 before it is served, in bytes.
+fn stream_bytes(req: &Request<Incoming>) -> usize {
+    // The library holds a head as received and decoded.
+    let head = 2 * held_section_bytes(req.uri(), req.headers());
+    let size = req.body().size_hint();
+    let body = if req.body().is_end_stream() { 0 } else { size.upper().unwrap_or(u64::MAX) };
+    head + usize::try_from(body.min(BUFFER_BYTES)).unwrap_or(usize::MAX)
+}
+
 /// Serves a request of an HTTP/2 connection once what the connection holds allows it.
 async fn serve_stream(
     cx: Cx,
     connection: &Arc<CallerConnection>,
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
+    bytes: usize,
+    waiting: Option<WaitingRequest>,
 ) -> (Response<ProxyBody>, Option<HeldRequest>) {
-    // The library holds a head as received and decoded.
-    let head = 2 * section_bytes(req.uri(), req.headers());
-    let size = req.body().size_hint();
-    let body = if req.body().is_end_stream() { 0 } else { size.upper().unwrap_or(u64::MAX) };
-    let bytes = head + usize::try_from(body.min(BUFFER_BYTES)).unwrap_or(usize::MAX);
-    let waiting = connection.hold_waiting(bytes);
+    let Some(waiting) = waiting else {
+        return (no_room(&cx), None);
+    };
     connection.wait_to_read().await;
     drop(waiting);
+    let ahead = u32::try_from(connection.requests()).unwrap_or(u32::MAX);
+    req.extensions_mut().insert(RequestsAhead(ahead));
     // In a box, so that a request that waits holds only its head.
     let mut call = Box::pin(handle_request(Arc::clone(&cx), req.map(RequestBody::Hyper)));
     let Some(mut held) = connection.admit(size_of_val(&*call) + bytes) else {
-        return (no_room().into_response(&cx.settings.dialect), None);
+        return (no_room(&cx), None);
     };
     let res = call.as_mut().await;
-    held.respond(res.body().held_bytes());
+    held.respond(res.body().held_bytes(), res.status() == StatusCode::SERVICE_UNAVAILABLE);
     (res, Some(held))
 }
 
-/// Error for a request that is not taken because the connections of callers hold too much.
-fn no_room() -> CallError {
-    CallError::new(ErrorKind::Overloaded, NO_ROOM)
+/// Response to a request that is not taken because the connections of callers hold too much. Without a body, as a caller
+/// that does not read would hold that, too.
+fn no_room(cx: &Cx) -> Response<ProxyBody> {
+    CallError::new(ErrorKind::Overloaded, NO_ROOM).into_response_without_body(&cx.settings.dialect)
 }
 
 /// Request handler for caller connections.
@@ -262,7 +292,7 @@
         Some(key) if *method == Method::GET => {
             *res.body_mut() = ProxyBody::full(format!("{}\n", key.as_str()));
             let headers = res.headers_mut();
-            headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
             headers.insert(http::header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
         }
         Some(_) => *res.status_mut() = StatusCode::METHOD_NOT_ALLOWED,
--- a/crates/daemon/src/listeners/delivery.rs
+++ b/crates/daemon/src/listeners/delivery.rs
@@ -78,7 +78,8 @@
             inner,
             rest: Bytes::new(),
             delivery: Some(self),
-            _held: held,
+            held,
+            handed_over: 0,
         })
     }
 }
@@ -111,7 +112,9 @@
     rest: Bytes,
     delivery: Option<Delivery>,
     /// What the request and its response hold; released with the body.
-    _held: Option<HeldRequest>,
+    held: Option<HeldRequest>,
+    /// Bytes that were handed over last, and that the caller may not have taken yet.
+    handed_over: usize,
 }
 
 impl TrackedBody {
@@ -130,6 +133,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let taken = std::mem::take(&mut self.handed_over);
+        if let Some(held) = &self.held {
+            held.connection().record_progress(taken);
+        }
         if self.rest.is_empty() {
             let polled = Pin::new(&mut self.inner).poll_frame(cx);
             match std::task::ready!(polled) {
@@ -145,6 +152,10 @@
             }
         }
         let length = self.rest.len().min(MAX_FRAME_BYTES);
+        self.handed_over = length;
+        if let Some(held) = &self.held {
+            held.connection().wait();
+        }
         Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(length)))))
     }
 
--- a/crates/daemon/src/proxy/balance.rs
+++ b/crates/daemon/src/proxy/balance.rs
@@ -18,7 +18,8 @@
 use baobabreel_core::rollout::Side;
 
 use super::budgets::{BudgetUse, RetryBudgets};
-use super::pool::PooledConnection;
+use super::place::Place;
+use super::pool::HeldConnection;
 use crate::context::{Clock, Identity, MeshView, is_able};
 use crate::control::{ReleaseViews, ResponseWatch};
 use crate::settings::{Policy, Settings};
@@ -351,7 +352,7 @@
     started: Duration,
     result: CallResult,
     outstanding: Arc<AtomicUsize>,
-    connection: Option<PooledConnection>,
+    connection: Option<HeldConnection>,
     watch: Option<ResponseWatch>,
 }
 
@@ -369,10 +370,15 @@
     }
 
     /// Keeps the connection of the call until the response has ended.
-    pub fn keep_connection(&mut self, connection: PooledConnection) {
+    pub fn keep_connection(&mut self, connection: HeldConnection) {
         self.connection = Some(connection);
     }
 
+    /// Place on the connections to the daemon, while the call holds one.
+    pub fn place(&self) -> Option<&Place> {
+        self.connection.as_ref().map(HeldConnection::place)
+    }
+
     /// Records that the response was received to its end: the connection can be reused.
     pub fn complete(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/crates/daemon/src/proxy/body.rs
+++ b/crates/daemon/src/proxy/body.rs
@@ -13,8 +13,10 @@
 
 use super::balance::CallGuard;
 use super::host::SlotGuard;
-use super::pool::PooledConnection;
+use super::place::Place;
+use super::pool::HeldConnection;
 use super::request_body::RequestBody;
+use crate::buffers::SHORT_BODY_BYTES;
 
 /// Most bytes that are read ahead of a response over HTTP/1.1, and so the largest head of a response. By default the
 /// library reads up to 400 KB ahead, more than a small instance has for many unread responses.
@@ -37,6 +39,8 @@
     DeadlinePassed,
     /// The connection ended in the middle of the body, or the body is malformed.
     Broken,
+    /// The client read it too slowly while others waited for its place.
+    TakenBack,
 }
 
 impl fmt::Display for BodyError {
@@ -47,6 +51,7 @@
             Self::Short => f.write_str("failed to read a body: shorter than announced"),
             Self::DeadlinePassed => f.write_str("failed to read a body: the deadline passed"),
             Self::Broken => f.write_str("failed to read a body: it broke off or is malformed"),
+            Self::TakenBack => f.write_str("failed to pass a body on: its client did not read it"),
         }
     }
 }
@@ -68,7 +73,7 @@
     /// Outstanding call at the entry daemon.
     Entry(CallGuard),
     /// Connection to the daemon that sent the response.
-    Connection(Option<PooledConnection>),
+    Connection(Option<HeldConnection>),
     /// Both, when the entry daemon is the host daemon.
     Both(SlotGuard, CallGuard),
 }
@@ -87,8 +92,20 @@
         }
     }
 
-    /// Records that the response broke off.
+    /// Place of the request, while it holds one.
+    fn place(&self) -> Option<&Place> {
+        match self {
+            Self::Host(host) | Self::Both(host, _) => Some(host.place()),
+            Self::Entry(entry) => entry.place(),
+            Self::Connection(connection) => connection.as_ref().map(HeldConnection::place),
+        }
+    }
+
+    /// Records that the response broke off. The daemon beside the backend server ends one whose client lags.
     fn record_broken_response(&mut self) {
+        if self.place().is_some_and(Place::is_lagging) {
+            return;
+        }
         if let Self::Entry(entry) | Self::Both(_, entry) = self {
             entry.record_bad_response();
         }
@@ -127,6 +144,8 @@
     pub inner: Incoming,
     /// Bytes still expected, if the length is known.
     pub expected: Option<u64>,
+    /// Bytes that were handed over last, and that the client may not have taken yet.
+    pub handed_over: usize,
     /// Elapses when the response is aborted.
     pub deadline: Pin<Box<tokio::time::Sleep>>,
     /// Resources to release.
@@ -134,21 +153,49 @@
 }
 
 impl Tracked {
+    /// Records that the client is to take so many bytes before it asks for more.
+    pub fn hand_over(&mut self, bytes: usize) {
+        self.handed_over = bytes;
+        if let Some(place) = self.guard.place() {
+            place.wait();
+        }
+    }
+
+    fn poll_taken_back(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.guard.place().map_or(Poll::Pending, |place| place.poll_taken_back(cx))
+    }
+
+    /// Why the body is aborted now, while the client does not ask for more.
+    fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<BodyError> {
+        if self.poll_taken_back(cx).is_ready() {
+            return Poll::Ready(BodyError::TakenBack);
+        }
+        self.deadline.as_mut().poll(cx).map(|()| BodyError::DeadlinePassed)
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(place) = self.guard.place() {
+            place.record_progress(std::mem::take(&mut self.handed_over));
+        }
         if self.deadline.as_mut().poll(cx).is_ready() {
             self.guard.record_broken_response();
             return Poll::Ready(Some(Err(BodyError::DeadlinePassed)));
         }
+        if self.poll_taken_back(cx).is_ready() {
+            return Poll::Ready(Some(Err(BodyError::TakenBack)));
+        }
         let polled = poll_incoming(&mut self.inner, cx);
         match &polled {
             Poll::Ready(Some(Err(_))) => self.guard.record_broken_response(),
             Poll::Ready(Some(Ok(frame))) => {
-                let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
                 if let Some(expected) = &mut self.expected {
-                    *expected = expected.saturating_sub(bytes);
+                    *expected = expected.saturating_sub(bytes as u64);
                 }
                 if self.inner.is_end_stream() {
                     self.guard.complete();
+                } else {
+                    self.hand_over(bytes);
                 }
             }
             Poll::Ready(None) if self.expected.is_some_and(|left| left > 0) => {
@@ -196,13 +243,27 @@
         }
     }
 
-    /// Whether the body is aborted now. One that has been received to its end is not, nor is one
+    /// Whether the body is long or of unknown length, and still arrives.
+    #[must_use]
+    pub fn is_long(&self) -> bool {
+        let is_short = |bytes| bytes <= SHORT_BODY_BYTES;
+        matches!(self, Self::Tracked(_)) && !self.size_hint().upper().is_some_and(is_short)
+    }
+
+    /// Records that the response waits for its turn, and not for its client.
+    pub fn await_turn(&self) {
+        if let Self::Tracked(tracked) = self
+            && let Some(place) = tracked.guard.place()
+        {
+            place.record_progress(0);
+        }
+    }
+
+    /// Why the body is aborted now. One that has been received to its end is not, nor is one
     /// without a deadline.
-    pub fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    pub fn poll_abort(&mut self, cx: &mut Context<'_>) -> Poll<BodyError> {
         match self {
-            Self::Tracked(tracked) if !tracked.inner.is_end_stream() => {
-                tracked.deadline.as_mut().poll(cx)
-            }
+            Self::Tracked(tracked) if !tracked.inner.is_end_stream() => tracked.poll_abort(cx),
             Self::Buffered { rest, .. } => rest.poll_abort(cx),
             Self::Empty | Self::Full(_) | Self::Stream { .. } | Self::Tracked(_) => Poll::Pending,
         }
--- a/crates/daemon/src/proxy/call_error.rs
+++ b/crates/daemon/src/proxy/call_error.rs
@@ -62,9 +62,18 @@
                 Self::new(ErrorKind::Overloaded, detail)
             }
             SendError::Lost(detail) => Self::new(ErrorKind::UpstreamLost, detail),
+            SendError::TakenBack => Self::client_failed(),
         }
     }
 
+    /// Creates the error of a request whose client failed after a part of it was sent.
+    pub fn client_failed() -> Self {
+        let mut e =
+            Self::new(ErrorKind::ClientFailed, "the body broke off or did not come in time");
+        e.close = true;
+        e
+    }
+
     /// Creates the error of a call that must not be queued and found no free slot.
     pub fn no_free_slot(load: LoadWire) -> Self {
         let mut e = Self::new(ErrorKind::Overloaded, "no slot is free");
@@ -122,6 +131,14 @@
         }
         res
     }
+
+    /// Response without the details of the error, whose body would take memory while its client does not read.
+    #[must_use]
+    pub fn into_response_without_body(self, dialect: &Dialect) -> Response<ProxyBody> {
+        let mut res = self.into_response(dialect).map(|_| ProxyBody::Empty);
+        res.headers_mut().remove(CONTENT_TYPE);
+        res
+    }
 }
 
 /// Value of `Retry-After`.
--- a/crates/daemon/src/proxy/dispatch.rs
+++ b/crates/daemon/src/proxy/dispatch.rs
@@ -27,9 +27,10 @@
 use super::lease;
 use super::peer_body::Cancellable;
 use super::peer_call::CALL_PREFIX;
-use super::pool::{PooledConnection, SendError};
+use super::pool::{HeldConnection, SendError};
 use super::response_check::check_status;
 use super::sends::SendMark;
+use crate::callers::{self, CallerLimit};
 use crate::context::{Cx, is_able};
 
 /// Largest response body that is buffered before the head of the response is passed on, in bytes.
@@ -49,7 +50,7 @@
     /// Load of its backend server.
     pub load: LoadWire,
     /// Connection that the body arrives on.
-    pub connection: PooledConnection,
+    pub connection: HeldConnection,
 }
 
 /// Chooses a backend server of `service` that is not in `tried`, and counts a call to it. `draw` is random and the
@@ -183,7 +184,7 @@
 
 /// Reports a failed attempt to the balancer and returns its error.
 fn record_failure(mut guard: CallGuard, e: CallError) -> CallError {
-    if e.kind == ErrorKind::Quarantined {
+    if matches!(e.kind, ErrorKind::Quarantined | ErrorKind::ClientFailed) {
         // This is about the request, not about the backend server.
         return e;
     }
@@ -266,6 +267,7 @@
     // Each transmission has its own identifier, so that a query for its state cannot refer to another one.
     let condition = cx.balance.condition_at(to.addr, cx.clock.now()).map(Into::into);
     let head = CallHead { id: rand::random(), condition, ..head.clone() };
+    headers::pack(req.headers_mut(), &cx.settings.dialect.request_id);
     req.headers_mut().insert(headers::CALL_HEAD, HeaderValue::from(&head));
     let mark = SendMark::of(&mut req);
     let sent_at = cx.clock.now();
@@ -273,38 +275,43 @@
     let refused = CancellationToken::new();
     let req = req.map(|body| Cancellable::wrap(body, &refused));
     let refused = refused.drop_guard();
-    let exchange = cx.peers.call(to.addr, req);
-    let (mut res, connection) =
-        match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
-            WaitResult::Ended(Ok(answered)) => answered,
-            WaitResult::Ended(Err(e)) => {
-                if matches!(e, SendError::Unreachable) {
-                    (options.on_silence)();
-                }
-                let was_lost = matches!(e, SendError::Lost(_));
-                let deadline = options.deadline;
-                if was_lost && call_wait::has_not_arrived(cx, to, head.id, sent_at, deadline).await
-                {
-                    let detail = "the connection to the daemon broke before the call arrived";
-                    return Err(CallError::new(ErrorKind::NoBackendServer, detail));
-                }
-                return Err(CallError::from_send_error(e, "the daemon"));
+    let connection = cx.peers.hold_connection(to.addr, cx.clock);
+    let exchange = cx.peers.call(&connection, req);
+    let mut res = match call_wait::wait_for_response(cx, to, head.id, options, exchange).await {
+        WaitResult::Ended(Ok(answered)) => answered,
+        WaitResult::Ended(Err(SendError::Lost(_))) if connection.place().has_broken_body() => {
+            return Err(CallError::client_failed());
+        }
+        WaitResult::Ended(Err(e)) => {
+            if matches!(e, SendError::TakenBack) {
+                callers::record(cx, CallerLimit::TakenBack, 1);
             }
-            WaitResult::NotRun => {
-                let detail = "the connection to the daemon went silent before the call arrived";
-                return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+            if matches!(e, SendError::Unreachable) {
+                (options.on_silence)();
             }
-            WaitResult::Lost(_) | WaitResult::DeadlinePassed if !mark.is_set() => {
-                let detail = "no connection to the daemon was established in time";
+            let was_lost = matches!(e, SendError::Lost(_));
+            let deadline = options.deadline;
+            if was_lost && call_wait::has_not_arrived(cx, to, head.id, sent_at, deadline).await {
+                let detail = "the connection to the daemon broke before the call arrived";
                 return Err(CallError::new(ErrorKind::NoBackendServer, detail));
             }
-            WaitResult::Lost(reason) => {
-                return Err(CallError::new(ErrorKind::UpstreamLost, reason.to_string()));
-            }
-            WaitResult::DeadlinePassed => {
-                return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
-            }
-        };
+            return Err(CallError::from_send_error(e, "the daemon"));
+        }
+        WaitResult::NotRun => {
+            let detail = "the connection to the daemon went silent before the call arrived";
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        WaitResult::Lost(_) | WaitResult::DeadlinePassed if !mark.is_set() => {
+            let detail = "no connection to the daemon was established in time";
+            return Err(CallError::new(ErrorKind::NoBackendServer, detail));
+        }
+        WaitResult::Lost(reason) => {
+            return Err(CallError::new(ErrorKind::UpstreamLost, reason.to_string()));
+        }
+        WaitResult::DeadlinePassed => {
+            return Err(CallError::new(ErrorKind::DeadlineExceeded, "the deadline passed"));
+        }
+    };
     let answer = res
         .headers_mut()
         .remove(headers::ANSWER_HEAD)
--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use baobabreel_client::wire::CallHead;
+use baobabreel_core::admission::ClientState;
 use baobabreel_core::balance::FreeSlotSearch;
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::id::ServiceName;
@@ -17,6 +18,7 @@
 use crate::proxy::call_error::CallError;
 use crate::proxy::caller_request::CallerRequest;
 use crate::proxy::dispatch;
+use crate::proxy::headers;
 use crate::proxy::lease;
 use crate::proxy::lines::{self, AnsweredBy, FailedAttempt};
 
@@ -250,6 +252,8 @@
         let head = self.head(service, options)?;
         let tenant = self.tenant.as_ref();
         authenticate::renew_lease(self.cx, &self.config, tenant, req.headers_mut())?;
+        let is_sending = matches!(req.body(), ProxyBody::Stream { .. });
+        headers::write_client(req.headers_mut(), ClientState { ahead: self.ahead, is_sending });
         let mark = self.sends.begin();
         req.extensions_mut().insert(mark.clone());
         let daemon = guard.name().to_owned();
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -36,6 +36,11 @@
 use crate::context::{Cx, Phase};
 use crate::telemetry::{Span, TraceContext};
 
+/// Number of requests that a client sent on the same connection before a request without waiting for their responses;
+/// an extension of the request.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestsAhead(pub u32);
+
 /// State of one request while it is served, with the version of the configuration that applies to it.
 struct Call<'a> {
     cx: &'a Cx,
@@ -54,6 +59,8 @@
     /// Identifier of the request, for its log lines.
     request_id: String,
     marked_as_retry: bool,
+    /// Requests that its client sent ahead of it on its connection.
+    ahead: u32,
     sends: Sends,
     /// Random number that decides whether the request goes to the canary of a roll-out.
     draw: u64,
@@ -97,11 +104,12 @@
     start: Duration,
 ) -> Result<(String, Response<ProxyBody>), CallError> {
     match cx.phase() {
-        Phase::Starting => {
+        Phase::Draining => return Err(draining()),
+        // Also when it is told to stop, as without a configuration no route matches.
+        _ if !cx.is_configured() => {
             return Err(CallError::new(ErrorKind::NotReady, "no configuration yet"));
         }
-        Phase::Draining => return Err(draining()),
-        Phase::Serving | Phase::Closing | Phase::Leaving | Phase::Handover => {}
+        Phase::Starting | Phase::Serving | Phase::Closing | Phase::Leaving | Phase::Handover => {}
     }
     let (parts, body) = req.into_parts();
     if parts.method == Method::CONNECT {
@@ -183,6 +191,7 @@
         let target = route.spec.target_latency.map(|latency| start + latency);
         let request_id = lines::request_id(cx, &parts.headers);
         let class = class_of(&route, tenant.as_ref());
+        let ahead = parts.extensions.get::<RequestsAhead>().map_or(0, |ahead| ahead.0);
         Ok(Self {
             cx,
             config,
@@ -195,6 +204,7 @@
             target,
             request_id,
             marked_as_retry,
+            ahead,
             sends: Sends::default(),
             draw: rand::random(),
             span,
--- a/crates/daemon/src/proxy/headers.rs
+++ b/crates/daemon/src/proxy/headers.rs
@@ -2,17 +2,24 @@
 
 use std::time::Duration;
 
-use baobabreel_client::wire::{DecodeHeadError, TenantHead};
+use baobabreel_client::wire::{DecodeHeadError, PackedHeaders, TenantHead};
+use baobabreel_core::admission::ClientState;
 use baobabreel_core::quarantine::RequestDigest;
 use http::Uri;
 use http::header::{
-    AGE, CONNECTION, DATE, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AGE, CONNECTION, CONTENT_LENGTH, DATE, HOST, HeaderMap, HeaderName, HeaderValue,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 use crate::settings::Settings;
 use crate::telemetry::{Span, TRACEPARENT};
 
+/// Most headers that a call between daemons has beside those that daemons set.
+const MAX_PLAIN_HEADERS: usize = 64;
+
+/// Memory that a header takes beside its bytes, in the request and in its copy for an attempt, in bytes.
+const HEADER_MEMORY_BYTES: usize = 256;
+
 /// Tells the caller whether the request ran.
 pub const OUTCOME: HeaderName = HeaderName::from_static("baobabreel-outcome");
 /// Head of a call between daemons.
@@ -33,6 +40,12 @@
 pub const TENANT_HEAD: HeaderName = HeaderName::from_static("baobabreel-tenant");
 /// Identifier of the grant of a large body, in calls between daemons.
 pub const BODY_GRANT: HeaderName = HeaderName::from_static("baobabreel-body-grant");
+/// Number of requests that the client sent ahead of this one on its connection, in calls between daemons.
+pub const AHEAD: HeaderName = HeaderName::from_static("baobabreel-ahead");
+/// Marks a request whose client has yet to send a part of the body, in calls between daemons.
+pub const SENDING: HeaderName = HeaderName::from_static("baobabreel-sending");
+/// Headers of a request that has many, in calls between daemons; see [`PackedHeaders`].
+pub const PACKED: HeaderName = HeaderName::from_static("baobabreel-headers");
 /// Tells whether a request with a key is the first attempt.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("baobabreel-attempt");
 /// Marks a recorded response that is sent again.
@@ -40,6 +53,21 @@
 /// Idempotency key of a caller.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Headers that only daemons may set.
+const INTERNAL: [HeaderName; 11] = [
+    OUTCOME,
+    CALL_HEAD,
+    ANSWER_HEAD,
+    TOKEN,
+    CALLER_HOST,
+    DIGEST,
+    TENANT_HEAD,
+    BODY_GRANT,
+    AHEAD,
+    SENDING,
+    PACKED,
+];
+
 const TRACESTATE: HeaderName = HeaderName::from_static("tracestate");
 /// Tells how long the sender keeps an idle connection.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -83,13 +111,49 @@
 
 /// Removes the headers that only daemons may set.
 pub fn remove_internal(headers: &mut HeaderMap) {
-    for name in
-        [OUTCOME, CALL_HEAD, ANSWER_HEAD, TOKEN, CALLER_HOST, DIGEST, TENANT_HEAD, BODY_GRANT]
-    {
+    for name in INTERNAL {
         headers.remove(name);
     }
 }
 
+/// Packs the headers of a request into one if there are many, except `request_id` and those that daemons set.
+///
+/// The HTTP library takes at most 100 headers, while a caller is limited by bytes alone.
+pub fn pack(headers: &mut HeaderMap, request_id: &HeaderName) {
+    if headers.len() <= MAX_PLAIN_HEADERS {
+        return;
+    }
+    let is_plain = |name: &HeaderName| {
+        let plain = [HOST, CONTENT_LENGTH, TRANSFER_ENCODING];
+        plain.contains(name) || name == request_id || INTERNAL.contains(name)
+    };
+    let mut packed = HeaderMap::new();
+    let mut last = None;
+    for (name, value) in std::mem::take(headers) {
+        // The name of a header with several values comes with the first one only.
+        last = name.or(last);
+        let Some(name) = last.clone() else { continue };
+        let section = if is_plain(&name) { &mut *headers } else { &mut packed };
+        section.append(name, value);
+    }
+    headers.insert(PACKED, HeaderValue::from(&PackedHeaders(packed)));
+}
+
+/// Unpacks the headers of a request; those that were set since stay.
+///
+/// # Errors
+///
+/// The packed headers are malformed.
+pub fn unpack(headers: &mut HeaderMap) -> Result<(), DecodeHeadError> {
+    let Some(value) = headers.remove(PACKED) else { return Ok(()) };
+    let PackedHeaders(mut packed) = PackedHeaders::try_from(&value)?;
+    for name in headers.keys() {
+        packed.remove(name);
+    }
+    headers.extend(packed);
+    Ok(())
+}
+
 /// Writes the digest of a request.
 pub fn write_digest(headers: &mut HeaderMap, digest: RequestDigest) {
     write_text(headers, &DIGEST, &format!("{digest:032x}"));
@@ -110,6 +174,24 @@
     headers.remove(TENANT_HEAD).map(|value| TenantHead::try_from(&value)).transpose()
 }
 
+/// Writes what the client of a request has done on its connection.
+pub fn write_client(headers: &mut HeaderMap, client: ClientState) {
+    if client.ahead > 0 {
+        headers.insert(AHEAD, HeaderValue::from(client.ahead));
+    }
+    if client.is_sending {
+        headers.insert(SENDING, HeaderValue::from_static("1"));
+    }
+}
+
+/// Removes and parses what the client of a request has done on its connection; a malformed number of requests that
+/// were sent ahead counts as 0.
+pub fn take_client(headers: &mut HeaderMap) -> ClientState {
+    let ahead = headers.remove(AHEAD);
+    let ahead = ahead.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or_default();
+    ClientState { ahead, is_sending: headers.remove(SENDING).is_some() }
+}
+
 /// Removes and parses the identifier of the grant of a call's body; `None` if it is absent or malformed.
 pub fn take_body_grant(headers: &mut HeaderMap) -> Option<u64> {
     headers.remove(BODY_GRANT)?.to_str().ok()?.parse().ok()
@@ -124,6 +206,12 @@
     target + headers.iter().map(line).sum::<usize>()
 }
 
+/// Memory of a request target and headers, in bytes.
+#[must_use]
+pub fn held_section_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
+    section_bytes(uri, headers) + HEADER_MEMORY_BYTES * headers.len()
+}
+
 /// Reads the time until the deadline; `None` if the header is absent.
 pub fn read_timeout(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, String> {
     let Some(value) = headers.get(name) else {
--- a/crates/daemon/src/proxy/host/local.rs
+++ b/crates/daemon/src/proxy/host/local.rs
@@ -37,6 +37,8 @@
     pub(super) admitter: Arc<Mutex<Admitter>>,
     /// Wakes the task that starts queued requests at the rate limit.
     pub(super) pacer: Notify,
+    /// Wakes the task that takes slots back, as a request found none.
+    pub(super) contended: Notify,
     connection_limit: usize,
     policy: Policy,
 }
@@ -52,6 +54,7 @@
             backend: ArcSwapOption::empty(),
             admitter,
             pacer: Notify::new(),
+            contended: Notify::new(),
             connection_limit,
             policy,
         }
--- a/crates/daemon/src/proxy/host/mod.rs
+++ b/crates/daemon/src/proxy/host/mod.rs
@@ -5,6 +5,7 @@
 mod condition;
 mod info;
 mod local;
+mod reclaim;
 mod run;
 mod slots;
 mod tenant;
@@ -21,6 +22,7 @@
 
 pub use info::BackendInfo;
 pub use local::{LocalBackend, health_path};
+pub use reclaim::take_back_slots;
 pub use slots::{SlotGuard, start_at_rate_limit};
 
 use self::local::Backend;
@@ -78,21 +80,27 @@
     let deadline = cx.clock.now() + Duration::from_millis(head.remaining_ms);
     let backend = ready_backend(cx, head, deadline)?;
     let digest = headers::take_digest(req.headers_mut());
+    let client = headers::take_client(req.headers_mut());
     let tenant = headers::take_tenant(req.headers_mut())
         .map_err(|e| CallError::new(ErrorKind::BadRequest, e.to_string()))?;
     let lease_end = tenant.as_ref().map(|tenant| lease::end_at_entry(cx, tenant));
     cx.quarantine.check(digest, cx.clock.now())?;
-    let mut guard = cx.host.admit(cx, head, tenant.as_ref(), deadline).await?;
+    let mut guard = cx.host.admit(cx, head, tenant.as_ref(), client, deadline).await?;
     if cx.host.is_draining() {
         return Err(draining());
     }
     let permit = cx.quarantine.permit(digest, cx.clock.now()).await?;
     if let Some(tenant) = &tenant {
-        tenant::check_key(cx, head, tenant)?;
+        let moved_to = tenant::check_key(cx, head, tenant)?;
+        if let (Some(name), Some(other)) = (&cx.settings.dialect.tenant, moved_to) {
+            headers::write_text(req.headers_mut(), name, &other);
+        }
     }
     if let Some(lease_end) = lease_end {
         lease::check_at_host(cx, lease_end)?;
     }
+    headers::unpack(req.headers_mut())
+        .map_err(|e| CallError::new(ErrorKind::BadRequest, e.to_string()))?;
     let sent_at = cx.clock.now();
     *started = Some(sent_at);
     let mark = SendMark::of(&mut req);
@@ -108,14 +116,27 @@
     }
     *req.version_mut() = Version::HTTP_11;
     guard.run = digest.map(|digest| Run::new(cx, &backend, digest, permit));
-    let mut sending = std::pin::pin!(backend.pool.send(req));
+    let place = Arc::clone(&guard.place);
+    let req = req.map(|body| place.watch(body));
     let margin = refusal_margin(remaining);
-    let sent = match tokio::time::timeout(remaining - margin, &mut sending).await {
-        Err(_) if mark.is_set() => tokio::time::timeout(margin, sending).await,
-        sent => sent,
+    let sending = async {
+        let mut sending = std::pin::pin!(backend.pool.send(req));
+        match tokio::time::timeout(remaining - margin, &mut sending).await {
+            Err(_) if mark.is_set() => tokio::time::timeout(margin, sending).await,
+            sent => sent,
+        }
+    };
+    let sent = tokio::select! {
+        biased;
+        sent = sending => sent,
+        () = place.taken_back() => Ok(Err(SendError::TakenBack)),
     };
     let (response, connection) = match sent {
         Ok(Ok(answered)) => answered,
+        Ok(Err(SendError::Lost(_))) if place.has_broken_body() => {
+            guard.end_run(false);
+            return Err(CallError::client_failed());
+        }
         Ok(Err(e)) => {
             guard.end_run(matches!(e, SendError::Lost(_)));
             return Err(CallError::from_send_error(e, "the backend server"));
@@ -138,7 +159,7 @@
         }
         return Err(e);
     }
-    guard.connection = Some(connection);
+    guard.place.keep(connection);
     // A response at the deadline does not show that the request would have ended well.
     if response.status() == StatusCode::GATEWAY_TIMEOUT {
         guard.end_run(false);
@@ -219,10 +240,9 @@
         return ProxyBody::Empty;
     }
     let expected = body.size_hint().exact();
-    ProxyBody::Tracked(Box::new(Tracked {
-        inner: body,
-        expected,
-        deadline: Box::pin(tokio::time::sleep(left)),
-        guard,
-    }))
+    let deadline = Box::pin(tokio::time::sleep(left));
+    let mut tracked = Box::new(Tracked { inner: body, expected, handed_over: 0, deadline, guard });
+    // The response may wait for its client from the start, behind an earlier one.
+    tracked.hand_over(0);
+    ProxyBody::Tracked(tracked)
 }
--- a/crates/daemon/src/proxy/host/slots.rs
+++ b/crates/daemon/src/proxy/host/slots.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use baobabreel_client::wire::{CallHead, TenantHead};
-use baobabreel_core::admission::{Action, Admission, Decision, Ticket, TicketId};
+use baobabreel_core::admission::{Action, Admission, ClientState, Decision, Ticket, TicketId};
 use baobabreel_core::condition::HostedCondition;
 use baobabreel_core::error::ErrorKind;
 use tokio::sync::oneshot;
@@ -15,6 +15,7 @@
 use super::run::Run;
 use crate::context::Cx;
 use crate::proxy::call_error::CallError;
+use crate::proxy::place::Place;
 use crate::proxy::pool::PooledConnection;
 use crate::sync::lock;
 
@@ -41,6 +42,8 @@
     /// Backend server that `condition` is about; it may have been removed since.
     pub described: Option<BackendInfo>,
     waiting: HashMap<TicketId, oneshot::Sender<Result<(), CallError>>>,
+    /// Places of the requests that run or wait.
+    pub places: HashMap<TicketId, Arc<Place>>,
     next_id: TicketId,
 }
 
@@ -51,6 +54,7 @@
             condition: HostedCondition::default(),
             described: None,
             waiting: HashMap::new(),
+            places: HashMap::new(),
             next_id: 0,
         }
     }
@@ -76,6 +80,7 @@
             let (id, result) = match action {
                 Action::Start(id) => (id, Ok(())),
                 Action::Refuse { id, kind, retry_after } => {
+                    self.places.remove(&id);
                     let e = CallError::new(kind, "the request left the queue");
                     (id, Err(e.with_retry_after(retry_after)))
                 }
@@ -95,10 +100,11 @@
         cx: &Cx,
         head: &CallHead,
         tenant: Option<&TenantHead>,
+        client: ClientState,
         deadline: Duration,
     ) -> Result<SlotGuard, CallError> {
         let now = cx.clock.now();
-        match self.offer(cx, head, tenant, deadline, now)? {
+        match self.offer(cx, head, tenant, client, deadline, now)? {
             Accepted::Slot(guard) => Ok(guard),
             Accepted::Queue(guard, rx) => {
                 let left = deadline.saturating_sub(now);
@@ -113,11 +119,13 @@
         cx: &Cx,
         head: &CallHead,
         tenant: Option<&TenantHead>,
+        client: ClientState,
         deadline: Duration,
         now: Duration,
     ) -> Result<Accepted, CallError> {
         let mut admitter = lock(&self.admitter);
         if head.only_if_free && !admitter.admission.has_free_slot(now) {
+            self.contended.notify_one();
             return Err(CallError::no_free_slot(visible_load(&admitter.admission, now)));
         }
         admitter.next_id += 1;
@@ -132,9 +140,16 @@
             // Where callers have API keys, only calls of backend servers have no tenant.
             nested: tenant.is_none() && cx.config.load().tenants.is_some(),
         };
-        let offer = admitter.admission.offer(ticket, now);
+        let offer = admitter.admission.offer_of(client, ticket, now);
         admitter.apply(offer.evicted);
-        let guard = || SlotGuard { cx: Arc::clone(cx), id: Some(id), connection: None, run: None };
+        let place = Place::new(cx.clock);
+        if !matches!(offer.decision, Decision::Refuse { .. }) {
+            admitter.places.insert(id, Arc::clone(&place));
+        }
+        if offer.decision != Decision::Start {
+            self.contended.notify_one();
+        }
+        let guard = || SlotGuard { cx: Arc::clone(cx), id: Some(id), place, run: None };
         match offer.decision {
             Decision::Start => Ok(Accepted::Slot(guard())),
             Decision::Queued => {
@@ -171,8 +186,10 @@
     fn release(&self, id: TicketId, is_complete: bool, now: Duration) {
         let mut admitter = lock(&self.admitter);
         admitter.waiting.remove(&id);
+        let place = admitter.places.remove(&id);
         let actions = if is_complete {
-            admitter.admission.finish(id, now)
+            let lag = place.map_or(Duration::ZERO, |place| place.lag());
+            admitter.admission.finish_after_lag(id, lag, now)
         } else {
             admitter.admission.cancel(id, now)
         };
@@ -228,7 +245,8 @@
 pub struct SlotGuard {
     cx: Cx,
     id: Option<TicketId>,
-    pub(super) connection: Option<PooledConnection>,
+    /// Also holds the connection to the backend server.
+    pub(super) place: Arc<Place>,
     /// Run at the backend server, once the request was sent and if it has a digest.
     pub(super) run: Option<Run>,
 }
@@ -240,12 +258,17 @@
 }
 
 impl SlotGuard {
+    /// Place of the request.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
     /// Records that the response was received to its end: the connection can be reused.
     pub fn complete(&mut self) {
         if let Some(run) = self.run.take() {
             run.survived();
         }
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.place.take_connection() {
             connection.release();
         }
         if let Some(id) = self.id.take() {
@@ -270,11 +293,12 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        if self.connection.as_ref().is_some_and(PooledConnection::is_closed) {
+        let connection = self.place.take_connection();
+        if connection.as_ref().is_some_and(PooledConnection::is_closed) {
             self.end_run(true);
         }
         // Releasing the slot starts the next request, which needs the connection.
-        self.connection = None;
+        drop(connection);
         if let Some(id) = self.id.take() {
             self.cx.host.release(id, false, self.cx.clock.now());
         }
--- a/crates/daemon/src/proxy/peer_body.rs
+++ b/crates/daemon/src/proxy/peer_body.rs
@@ -16,49 +16,70 @@
 
 use super::body::{BodyError, ProxyBody, poll_incoming};
 use super::request_body::RequestBody;
+use crate::buffers::Turn;
 
 /// Time for the sender to receive the refusal and to stop; covers two round trips between the most distant regions.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
 /// Body that arrives from another daemon. If it is dropped before its end, it is read and discarded for a short time.
 #[derive(Debug)]
-pub struct ReceivedBody(Option<Incoming>);
+pub struct ReceivedBody {
+    /// `None` once it has ended.
+    body: Option<Incoming>,
+    /// Turn of a long body, which holds a buffer.
+    turn: Option<Turn>,
+}
 
 impl From<Incoming> for ReceivedBody {
     fn from(body: Incoming) -> Self {
-        Self(Some(body))
+        Self { body: Some(body), turn: None }
     }
 }
 
 impl ReceivedBody {
+    /// Sets the turn that a long body has waited for.
+    pub fn set_turn(&mut self, turn: Turn) {
+        self.turn = Some(turn);
+    }
+
+    /// Takes the turn out, for a body that stays in memory after its end.
+    pub fn take_turn(&mut self) -> Option<Turn> {
+        self.turn.take()
+    }
+
     pub(super) fn poll(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match &mut self.0 {
-            Some(body) => {
-                let polled = poll_incoming(body, cx);
-                if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
-                    self.0 = None;
+        let Some(body) = &mut self.body else { return Poll::Ready(None) };
+        let polled = poll_incoming(body, cx);
+        if let Some(turn) = &self.turn {
+            match &polled {
+                Poll::Pending => turn.wait(),
+                Poll::Ready(Some(Ok(frame))) => {
+                    turn.record_progress(frame.data_ref().map_or(0, Bytes::len));
                 }
-                polled
+                Poll::Ready(_) => {}
             }
-            None => Poll::Ready(None),
         }
+        if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
+            self.body = None;
+        }
+        polled
     }
 
     pub(super) fn is_end_stream(&self) -> bool {
-        self.0.as_ref().is_none_or(Body::is_end_stream)
+        self.body.as_ref().is_none_or(Body::is_end_stream)
     }
 
     pub(super) fn size_hint(&self) -> SizeHint {
-        self.0.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
+        self.body.as_ref().map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
     }
 }
 
 impl Drop for ReceivedBody {
     fn drop(&mut self) {
-        let Some(mut body) = self.0.take().filter(|body| !body.is_end_stream()) else { return };
+        let Some(mut body) = self.body.take().filter(|body| !body.is_end_stream()) else { return };
         let Ok(runtime) = Handle::try_current() else { return };
         runtime.spawn(async move {
             let discard = async { while let Some(Ok(_)) = body.frame().await {} };
--- a/crates/daemon/src/proxy/peer_call.rs
+++ b/crates/daemon/src/proxy/peer_call.rs
@@ -18,8 +18,10 @@
 use super::host::{self, HostedResponse};
 use super::keyed::{self, BufferedRequest};
 use super::link::Links;
+use super::peer_body::ReceivedBody;
 use super::request_body::RequestBody;
 use super::sends::Sends;
+use crate::buffers::{SHORT_BODY_BYTES, Turn};
 use crate::context::Cx;
 use crate::telemetry::{Span, TraceContext};
 
@@ -32,17 +34,20 @@
     path.strip_prefix(CALL_PREFIX).is_some_and(|rest| rest.starts_with('/'))
 }
 
-/// Serves a call of another daemon.
-pub async fn serve_peer_call(cx: Cx, req: Request<Incoming>) -> Response<ProxyBody> {
+/// Serves a call of another daemon. If its body is long, it waits for `turn` first.
+pub async fn serve_peer_call(cx: Cx, req: Request<Incoming>, turn: Turn) -> Response<ProxyBody> {
     let start = cx.clock.now();
-    let req = req.map(|body| RequestBody::Peer(body.into()));
+    let mut req = req.map(ReceivedBody::from);
     let parent = TraceContext::read(req.headers());
     let span = Span::start("host", parent, 0.0, start);
     let head = req.headers().get(headers::CALL_HEAD).map(CallHead::try_from);
     let (route, result) = match head {
-        Some(Ok(head)) => {
+        Some(Ok(mut head)) => {
             let result = match ActiveCalls::begin(&cx, head.id) {
-                Some(_active) => serve_call(&cx, &head, req, &span).await,
+                Some(_active) => match wait_for_turn(&cx, &mut head, req.body_mut(), turn).await {
+                    Ok(()) => serve_call(&cx, &head, req.map(RequestBody::Peer), &span).await,
+                    Err(e) => Err(e),
+                },
                 None => Err(CallError::new(ErrorKind::NotReady, "the caller gave this call up")),
             };
             (head.route, result)
@@ -53,28 +58,76 @@
             (String::new(), Err(e))
         }
     };
-    let (mut res, outcome, error) = match result {
-        Ok(res) => (res, Outcome::Ran, None),
+    let error = result.as_ref().err().map(|e| e.kind);
+    let res = match result {
+        Ok(res) => res,
         Err(e) => {
-            let kind = e.kind;
             let is_full = e.full_load.is_some();
             let mut res = e.into_response(&cx.settings.dialect);
             if is_full {
                 // Attempts to find a free slot are frequent; without a body the connection can be reused at once.
                 *res.body_mut() = ProxyBody::Empty;
             }
-            (res, kind.answer().outcome, Some(kind))
+            res
         }
     };
+    let res = with_answer_head(&cx, res, error);
+    let result = error.map_or("ran", ErrorKind::name);
+    span.finish(cx.clock.now(), &route, result);
+    res
+}
+
+/// Waits until the body of a call can be passed on; a short one can at once. Takes the wait off the time that is left.
+async fn wait_for_turn(
+    cx: &Cx,
+    head: &mut CallHead,
+    body: &mut ReceivedBody,
+    mut turn: Turn,
+) -> Result<(), CallError> {
+    let is_short = |bytes| bytes <= SHORT_BODY_BYTES;
+    if body.size_hint().upper().is_some_and(is_short) {
+        return Ok(());
+    }
+    let start = cx.clock.now();
+    let left = Duration::from_millis(head.remaining_ms);
+    let is_ready = tokio::select! {
+        biased;
+        is_ready = turn.ready() => is_ready,
+        () = cx.drain_end.reached() => false,
+        // Another daemon may still serve it in the rest of the time.
+        () = tokio::time::sleep(left / 2) => false,
+    };
+    if !is_ready {
+        let detail = "too many long bodies of other daemons are being passed on";
+        return Err(CallError::new(ErrorKind::Overloaded, detail));
+    }
+    body.set_turn(turn);
+    let left = left.saturating_sub(cx.clock.now().saturating_sub(start));
+    head.remaining_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    Ok(())
+}
+
+/// Refuses a call of another daemon for which the listener has no room. Its daemon can send it elsewhere.
+pub fn refuse_peer_call(cx: &Cx, req: Request<Incoming>, e: CallError) -> Response<ProxyBody> {
+    // What still arrives is read for a short time, as a reset would overtake the refusal.
+    drop(ReceivedBody::from(req.into_body()));
+    let kind = e.kind;
+    with_answer_head(cx, e.into_response_without_body(&cx.settings.dialect), Some(kind))
+}
+
+/// Adds what the daemon that sent the call is to know: whether the request ran, and the state of the backend server.
+fn with_answer_head(
+    cx: &Cx,
+    mut res: Response<ProxyBody>,
+    error: Option<ErrorKind>,
+) -> Response<ProxyBody> {
     let answer = AnswerHead {
-        outcome,
+        outcome: error.map_or(Outcome::Ran, |kind| kind.answer().outcome),
         error,
         load: cx.host.visible_load(cx.clock.now()),
         condition: cx.host.reported_condition().map(Into::into),
     };
     res.headers_mut().insert(headers::ANSWER_HEAD, HeaderValue::from(&answer));
-    let result = error.map_or("ran", ErrorKind::name);
-    span.finish(cx.clock.now(), &route, result);
     res
 }
 
@@ -99,8 +152,10 @@
         headers::write_trace(&mut headers, span);
     }
     if let Some(key) = &head.key {
-        let body = read_body(body, head).await;
-        let body = body.map_err(|e| keyed::error_before_owner(e, key.attempt()))?;
+        let mut body = body;
+        let read = read_body(&mut body, head).await;
+        let _turn = body.take_turn();
+        let body = read.map_err(|e| keyed::error_before_owner(e, key.attempt()))?;
         let req = BufferedRequest { method: parts.method, uri, headers, body };
         return keyed::serve_as_owner(cx, head.clone(), key.clone(), req).await;
     }
@@ -156,7 +211,7 @@
 }
 
 /// Buffers the body of a request with a key.
-async fn read_body(body: RequestBody, head: &CallHead) -> Result<Bytes, CallError> {
+async fn read_body(body: &mut RequestBody, head: &CallHead) -> Result<Bytes, CallError> {
     let limit = usize::try_from(MAX_REPLAY_BYTES).unwrap_or(usize::MAX);
     let timeout = Duration::from_millis(head.remaining_ms);
     let body_error = |detail| CallError::transient(ErrorKind::BadRequest, detail);
--- a/crates/daemon/src/proxy/pool/mod.rs
+++ b/crates/daemon/src/proxy/pool/mod.rs
@@ -1,9 +1,11 @@
 //! Connections to backend servers and other daemons.
 
+mod held;
 mod idle_limit;
 mod peer;
 mod pooled;
 
+pub use held::HeldConnection;
 pub use idle_limit::IdleLimit;
 pub use peer::{PeerError, PeerPool};
 pub use pooled::{ConnectionPool, PooledConnection, Protocol, SendError};
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -23,8 +23,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::pooled::{ConnectionPool, PooledConnection, Protocol, SendError};
+use super::held::HeldConnection;
+use super::pooled::{ConnectionPool, Protocol, SendError};
 use super::{describe, http2_builder};
+use crate::context::Clock;
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::TOKEN;
 use crate::sync::{lock, read, write};
@@ -133,16 +135,22 @@
     ///
     /// # Errors
     ///
-    /// Any error but [`SendError::Lost`] only if the peer cannot have received the request.
+    /// Any error but [`SendError::Lost`] and [`SendError::TakenBack`] only if the peer cannot have received the request.
     pub async fn call(
         &self,
-        addr: SocketAddr,
+        connection: &HeldConnection,
         mut req: Request<ProxyBody>,
-    ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+    ) -> Result<Response<Incoming>, SendError> {
         if let Some(value) = &self.token {
             req.headers_mut().insert(TOKEN, value.clone());
         }
-        self.call_pool(addr).send(req).await
+        connection.send(req).await
+    }
+
+    /// Place among the connections for calls to a peer.
+    #[must_use]
+    pub fn hold_connection(&self, addr: SocketAddr, clock: Clock) -> HeldConnection {
+        HeldConnection::new(self.call_pool(addr), clock)
     }
 
     /// Removes the connections to a peer. Idle ones are closed now, those in use when their response has ended;
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -3,11 +3,13 @@
 //! A connection carries one request at a time, also with HTTP/2: the limit on connections then means
 //! the same for both protocols, and a connection that breaks fails no other request.
 
+use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use baobabreel_core::lag::HolderId;
 use baobabreel_core::quarantine::CrashId;
 use http::header::HOST;
 use http::uri::{Authority, Scheme};
@@ -17,11 +19,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
 
 use super::idle_limit::IdleLimit;
 use super::{describe, http2_builder};
 use crate::proxy::body::{MAX_READ_AHEAD_BYTES, ProxyBody};
 use crate::proxy::headers::KEEP_ALIVE;
+use crate::proxy::place::Place;
 use crate::proxy::sends::SendMark;
 use crate::sync::lock;
 
@@ -31,6 +35,9 @@
 /// Shortest time between two connections that are opened only to find out whether the server has ended.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time for the request whose connection is taken back to end.
+const TAKE_BACK_TIME: Duration = Duration::from_millis(10);
+
 /// Parameter of the `Keep-Alive` header with the seconds for which the server keeps an idle connection.
 const KEEP_ALIVE_TIMEOUT: &str = "timeout=";
 
@@ -45,6 +52,8 @@
     Full,
     /// The request may have been received.
     Lost(String),
+    /// The request may have been received; its connection was taken back, since its client did not send its body.
+    TakenBack,
 }
 
 /// Protocol of the connections of a pool.
@@ -58,23 +67,30 @@
 
 /// Request sender of a connection.
 #[derive(Debug)]
-enum Sender {
+struct Sender {
+    handle: SenderHandle,
+    /// Task that drives the connection.
+    driver: AbortHandle,
+}
+
+#[derive(Debug)]
+enum SenderHandle {
     Http1(http1::SendRequest<ProxyBody>),
     Http2(http2::SendRequest<ProxyBody>),
 }
 
 impl Sender {
     fn is_closed(&self) -> bool {
-        match self {
-            Self::Http1(sender) => sender.is_closed(),
-            Self::Http2(sender) => sender.is_closed(),
+        match &self.handle {
+            SenderHandle::Http1(sender) => sender.is_closed(),
+            SenderHandle::Http2(sender) => sender.is_closed(),
         }
     }
 
     fn is_ready(&self) -> bool {
-        match self {
-            Self::Http1(sender) => sender.is_ready(),
-            Self::Http2(sender) => sender.is_ready(),
+        match &self.handle {
+            SenderHandle::Http1(sender) => sender.is_ready(),
+            SenderHandle::Http2(sender) => sender.is_ready(),
         }
     }
 
@@ -82,9 +98,9 @@
         &mut self,
         req: Request<ProxyBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<ProxyBody>>> {
-        match self {
-            Self::Http1(sender) => sender.try_send_request(req).await,
-            Self::Http2(sender) => sender.try_send_request(req).await,
+        match &mut self.handle {
+            SenderHandle::Http1(sender) => sender.try_send_request(req).await,
+            SenderHandle::Http2(sender) => sender.try_send_request(req).await,
         }
     }
 }
@@ -105,6 +121,8 @@
     idle: Mutex<Vec<IdleConnection>>,
     idle_limit: Mutex<IdleLimit>,
     permits: Arc<Semaphore>,
+    pub(super) limit: usize,
+    pub(super) holders: Mutex<Holders>,
     started: Instant,
     /// The last end of the server.
     end: Mutex<Option<ServerEnd>>,
@@ -112,6 +130,13 @@
     probed_at: Mutex<Option<Instant>>,
 }
 
+/// Requests whose connections can be taken back.
+#[derive(Debug, Default)]
+pub(super) struct Holders {
+    pub places: HashMap<HolderId, Arc<Place>>,
+    pub next_id: HolderId,
+}
+
 /// End of a server: its address refused connections.
 #[derive(Debug, Clone, Copy)]
 struct ServerEnd {
@@ -151,6 +176,11 @@
         self.sender.is_closed()
     }
 
+    /// Closes the connection at once, also in the middle of a response.
+    pub fn close(self) {
+        self.sender.driver.abort();
+    }
+
     /// Returns the connection to its pool, after the response has ended.
     pub fn release(self) {
         if self.sender.is_closed() {
@@ -173,6 +203,8 @@
             idle: Mutex::default(),
             idle_limit: Mutex::default(),
             permits,
+            limit,
+            holders: Mutex::default(),
             started: Instant::now(),
             end: Mutex::default(),
             probed_at: Mutex::default(),
@@ -207,10 +239,22 @@
         );
     }
 
+    /// Permit for a connection; one that was taken back if all are in use.
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
+            return Some(permit);
+        }
+        if !self.take_back_lagging() {
+            return None;
+        }
+        let permit = Arc::clone(&self.permits).acquire_owned();
+        tokio::time::timeout(TAKE_BACK_TIME, permit).await.ok()?.ok()
+    }
+
     /// Opens a connection; fails with [`SendError::Full`] at the limit of connections.
     async fn connect(&self) -> Result<(Sender, OwnedSemaphorePermit), SendError> {
         let not_sent = |what: &str| SendError::NotSent(what.to_owned());
-        let permit = Arc::clone(&self.permits).try_acquire_owned().ok().ok_or(SendError::Full)?;
+        let permit = self.permit().await.ok_or(SendError::Full)?;
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
@@ -235,14 +279,14 @@
                     .max_buf_size(MAX_READ_AHEAD_BYTES)
                     .handshake(TokioIo::new(stream));
                 let (sender, conn) = handshake.await.map_err(failed)?;
-                tokio::spawn(drive_connection(conn));
-                Sender::Http1(sender)
+                let driver = tokio::spawn(drive_connection(conn)).abort_handle();
+                Sender { handle: SenderHandle::Http1(sender), driver }
             }
             Protocol::Http2 => {
                 let handshake = http2_builder().handshake(TokioIo::new(stream));
                 let (sender, conn) = handshake.await.map_err(failed)?;
-                tokio::spawn(drive_connection(conn));
-                Sender::Http2(sender)
+                let driver = tokio::spawn(drive_connection(conn)).abort_handle();
+                Sender { handle: SenderHandle::Http2(sender), driver }
             }
         };
         Ok((sender, permit))
--- a/crates/daemon/src/proxy/request_body.rs
+++ b/crates/daemon/src/proxy/request_body.rs
@@ -1,6 +1,7 @@
 //! Request bodies, independent of the protocol that they arrive over.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use super::body::{BodyError, poll_incoming};
 use super::link::{Arrival, Paced};
 use super::peer_body::{Cancellable, ReceivedBody};
+use super::place::Place;
+use crate::buffers::Turn;
 
 /// Most pieces of a body that are buffered for a slow receiver.
 const PIPE_CAPACITY: usize = 4;
@@ -54,6 +57,13 @@
         /// Counts the bytes.
         arrival: Arrival,
     },
+    /// Sent on while it arrives, which shows how far its client lags.
+    Watched {
+        /// Source of the bytes.
+        inner: Box<RequestBody>,
+        /// Place of the request.
+        place: Arc<Place>,
+    },
     /// Received piece by piece from a [`BodySender`].
     Pipe {
         /// Pieces of the body.
@@ -101,6 +111,14 @@
         Ok((first.freeze(), Some(self)))
     }
 
+    /// Takes out the turn of a body from another daemon that stays in memory after its end.
+    pub fn take_turn(&mut self) -> Option<Turn> {
+        match self {
+            Self::Peer(body) => body.take_turn(),
+            _ => None,
+        }
+    }
+
     /// Body whose first bytes were read before.
     #[must_use]
     pub fn begun(first: Bytes, rest: Self) -> Self {
@@ -152,6 +170,11 @@
         self.pieces.is_closed()
     }
 
+    /// Waits until the receiver has dropped the body.
+    pub async fn abandoned(&self) {
+        self.pieces.closed().await;
+    }
+
     /// Observer of the body.
     #[must_use]
     pub fn watch(&self) -> BodyWatch {
@@ -205,6 +228,18 @@
                 }
                 polled
             }
+            Self::Watched { inner, place } => {
+                let polled = Pin::new(inner.as_mut()).poll_frame(cx);
+                match &polled {
+                    Poll::Pending => place.wait(),
+                    Poll::Ready(Some(Ok(frame))) => {
+                        place.record_progress(frame.data_ref().map_or(0, Bytes::len));
+                    }
+                    Poll::Ready(Some(Err(_))) => place.record_broken_body(),
+                    Poll::Ready(None) => place.record_progress(0),
+                }
+                polled
+            }
             Self::Pipe { pieces, left, ended, begun } => {
                 if let Some(begun) = begun.take()
                     && begun.send(()).is_err()
@@ -242,7 +277,7 @@
             Self::Peer(body) => body.is_end_stream(),
             Self::Cancellable(body) => body.is_end_stream(),
             Self::Paced(paced) => paced.is_end_stream(),
-            Self::Arriving { inner, .. } => inner.is_end_stream(),
+            Self::Arriving { inner, .. } | Self::Watched { inner, .. } => inner.is_end_stream(),
             Self::Pipe { ended, .. } => *ended,
         }
     }
@@ -257,7 +292,7 @@
             Self::Peer(body) => body.size_hint(),
             Self::Cancellable(body) => body.size_hint(),
             Self::Paced(paced) => paced.size_hint(),
-            Self::Arriving { inner, .. } => inner.size_hint(),
+            Self::Arriving { inner, .. } | Self::Watched { inner, .. } => inner.size_hint(),
             Self::Begun { .. } | Self::Pipe { left: None, .. } => SizeHint::default(),
         }
     }
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -3,6 +3,7 @@
 //! Tests wait on conditions with generous limits; the bounds that they assert are those of the
 //! design page.
 
+mod crowd;
 mod fleet;
 mod raw;
 
@@ -13,6 +14,7 @@
 use baobabreel_test_support::load::{CallEnd, Key, LoadPlan, LoadReport, RequestTemplate};
 use baobabreel_test_support::mesh::{ChangeBuilder, Mesh, NodeSpec};
 
+pub use crowd::{Crowd, Habit};
 pub use fleet::{Fleet, FleetNode};
 pub use raw::{RawAnswer, RawBackend, exchange, h1, h2};
 
--- a/crates/testsuite/src/raw.rs
+++ b/crates/testsuite/src/raw.rs
@@ -253,7 +253,7 @@
         lock(&self.shared).endless_closed_at
     }
 
-    /// Head of the last request, in lower case.
+    /// Head of the last request that does not ask about its health, in lower case.
     #[must_use]
     pub fn last_head(&self) -> String {
         lock(&self.shared).last_head.clone()
@@ -271,7 +271,10 @@
     }
     let (parts, endless_rest) = {
         let mut shared = lock(&shared);
-        shared.last_head = String::from_utf8_lossy(&head).to_lowercase();
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        if !head.starts_with("get /health ") {
+            shared.last_head = head;
+        }
         (shared.answer.clone(), shared.endless_rest.clone())
     };
     for (bytes, pause) in parts {
--- a/crates/testsuite/tests/arrived_at_stop.rs
+++ b/crates/testsuite/tests/arrived_at_stop.rs
@@ -5,7 +5,7 @@
 
 use baobabreel_test_support::mesh::NodeSpec;
 use baobabreel_test_support::process::Signal;
-use baobabreel_testsuite::{Fleet, LIMIT, h2, wait_until};
+use baobabreel_testsuite::{Fleet, LIMIT, h2, ready_mesh, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
@@ -203,3 +203,23 @@
     let connected: usize = connecting.join_all().await.iter().sum();
     assert!(connected > CONNECTIONS, "{connected} connected");
 }
+
+/// Guards against a daemon that still answers after the crash that a test plays, and so looks to others as if it drained.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn daemon_answers_nothing_after_a_crash() {
+    let specs = [("a1", "yard"), ("a2", "catalogue")];
+    let specs = specs.map(|(name, service)| NodeSpec::new(name, "hobart-a", service));
+    let mut mesh = ready_mesh(specs.to_vec()).await;
+    let addresses = mesh.nodes[0].addresses();
+    let requests = connect(addresses.callers, Some(REQUEST)).await;
+    let calls = connect(addresses.peers, Some(CALL)).await;
+    mesh.crash(0);
+    for (request, mut streams) in [(REQUEST, requests), (CALL, calls)] {
+        for stream in &mut streams {
+            // Its connection may have been reset already.
+            drop(stream.write_all(request.as_bytes()).await);
+        }
+        let answers = answers(streams).await;
+        assert!(!answers.iter().any(|answer| answer.starts_with("HTTP")), "{answers:#?}");
+    }
+}
--- a/crates/testsuite/tests/not_sent.rs
+++ b/crates/testsuite/tests/not_sent.rs
@@ -159,3 +159,41 @@
     assert_eq!(answer.header("baobabreel-outcome"), "not_run");
     assert_eq!(backend.journal().len(), ran);
 }
+
+/// Guards against the answer 502 for a command that another daemon refused, as its connections hold as much memory as
+/// they may.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn command_without_room_at_another_daemon_did_not_run() {
+    /// A quarter of it holds two connections and a small request, and no large one.
+    const MEMORY_BYTES: u64 = 256 * 1024;
+    let log = LogServer::start(LogSettings::new()).await.expect("log starts");
+    let start = async |name: &str, seeds: &[SocketAddr], memory: Option<u64>| {
+        let spec = NodeSpec::new(name, "hobart-a", "catalogue");
+        let text = settings_text(&spec, &log.url(), seeds);
+        let mut settings = settings::parse("test", &text).expect("good settings");
+        settings.limits.memory_bytes = memory;
+        Daemon::start(settings).await.expect("daemon starts")
+    };
+    let host = start("a1", &[], Some(MEMORY_BYTES)).await;
+    let announce = format!("http://{}", host.addresses().backend);
+    let backend = BackendSettings::new("a1", "catalogue").announce_url(announce);
+    let backend = BackendServer::start(backend).await.expect("backend starts");
+    let entry = start("a2", &[host.addresses().peers], None).await;
+    log.append("config", &entry_text(first_change()));
+    let to = entry.addresses().callers;
+    wait_until("it serves", async || h1(to, "/bids/1", &[], "a bid").await.code() == 200).await;
+    let ran = backend.journal().len();
+    let long = "h".repeat(12_000);
+    let mut headers = vec![("x-long", long.as_str())];
+    headers.resize(20, ("x-short", "h"));
+    let upload = "b".repeat(100_000);
+    for body in ["a bid".to_owned(), upload] {
+        for _ in 0..5 {
+            let answer = h1(to, "/bids/2", &headers, body.clone()).await;
+            assert_eq!(answer.code(), 503, "{answer:?}");
+            assert_eq!(answer.header("baobabreel-outcome"), "not_run");
+        }
+    }
+    assert_eq!(backend.journal().len(), ran);
+    wait_until("it serves", async || h1(to, "/bids/3", &[], "a bid").await.code() == 200).await;
+}
