--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -17,7 +17,6 @@
 use baobabreel_core::config::{Class, CompiledConfig, Route};
 use baobabreel_core::error::{ErrorKind, Outcome};
 use baobabreel_core::id::ServiceName;
-use baobabreel_core::idempotency::Origin;
 use baobabreel_core::routing::{RequestLine, find_route};
 use http::header::HOST;
 use http::request::Parts;
@@ -67,8 +66,8 @@
     marked_as_retry: bool,
     /// Requests that its client sent ahead of it on its connection.
     ahead: u32,
-    /// Whose request it is, where it has a key.
-    origin: Origin,
+    /// Address of its caller, if it is known.
+    caller: Option<CallerAddress>,
     sends: Sends,
     /// Random number that decides whether the request goes to the canary of a roll-out.
     draw: u64,
@@ -177,12 +176,6 @@
     }
 }
 
-fn origin_of(tenant: Option<&Authenticated>, parts: &Parts) -> Origin {
-    let addr = || parts.extensions.get::<CallerAddress>().map(|addr| Origin::of_address(addr.0));
-    let tenant = tenant.map(|found| Origin::of_tenant(&found.tenant.name));
-    tenant.or_else(addr).unwrap_or_default()
-}
-
 impl<'a> Call<'a> {
     fn new(
         cx: &'a Cx,
@@ -205,7 +198,7 @@
         let target = route.spec.target_latency.map(|latency| start + latency);
         let request_id = lines::request_id(cx, &parts.headers);
         let class = class_of(&route, tenant.as_ref());
-        let origin = origin_of(tenant.as_ref(), parts);
+        let caller = parts.extensions.get::<CallerAddress>().copied();
         let ahead = parts.extensions.get::<RequestsAhead>().map_or(0, |ahead| ahead.0);
         Ok(Self {
             cx,
@@ -220,7 +213,7 @@
             request_id,
             marked_as_retry,
             ahead,
-            origin,
+            caller,
             sends: Sends::default(),
             draw: rand::random(),
             span,
--- a/crates/daemon/src/proxy/entry/owner.rs
+++ b/crates/daemon/src/proxy/entry/owner.rs
@@ -5,7 +5,7 @@
 use baobabreel_client::wire::{CallHead, KeyHead};
 use baobabreel_core::error::ErrorKind;
 use baobabreel_core::idempotency::{
-    Attempt as KeyAttempt, Key, KeyRoute, KeyedRequest, unreachable_owner,
+    Attempt as KeyAttempt, Key, KeyRoute, KeyedRequest, Origin, unreachable_owner,
 };
 use baobabreel_core::registry::Incarnate;
 use http::request::Parts;
@@ -42,6 +42,13 @@
         self.send_to_owner(&key, attempt, head, req).await
     }
 
+    /// Whose share of the owner's table the key counts towards.
+    fn origin(&self) -> Origin {
+        let addr = || self.caller.map(|caller| Origin::of_address(caller.0));
+        let tenant = self.tenant.as_ref().map(|found| Origin::of_tenant(&found.tenant.name));
+        tenant.or_else(addr).unwrap_or(Origin::UNKNOWN)
+    }
+
     /// Forwards a request with a key to the daemon that owns the key, which may be this one.
     async fn send_to_owner(
         &self,
@@ -50,12 +57,13 @@
         mut head: CallHead,
         req: BufferedRequest,
     ) -> Result<Response<ProxyBody>, CallError> {
+        let origin = self.origin();
         let request = KeyedRequest {
             service: &self.route.spec.service,
             key,
             fingerprint: req.fingerprint(),
             attempt,
-            origin: self.origin,
+            origin,
         };
         let key_head = |owner: &Incarnate| KeyHead {
             key: key.as_str().to_owned(),
@@ -63,7 +71,7 @@
             first: attempt == KeyAttempt::First,
             owner: Some((owner.id.clone(), owner.incarnation)),
             fallback: self.route.spec.fallback.clone(),
-            origin: self.origin,
+            origin,
         };
         let cx = self.cx;
         match cx.keys.route(&request, &cx.members.load()) {
