Test what an upload gets whose buffer is taken back

The list of what clients can make a daemon hold had no test of the answer. 40 uploads stop in the middle behind a second daemon, at one of 32 MiB (10 buffers), and another upload comes: it is served, and those that stopped get 502 or 504 (unknown) or 503 (not run), never a success.

--- a/crates/testsuite/tests/crowds_through_daemons.rs
+++ b/crates/testsuite/tests/crowds_through_daemons.rs
@@ -9,9 +9,12 @@
 use std::time::Duration;
 
 use baobabreel_test_support::mesh::NodeSpec;
-use baobabreel_testsuite::{Crowd, Fleet, Habit, h1, wait_until};
+use baobabreel_testsuite::{Crowd, Fleet, Habit, RawAnswer, h1, wait_until};
 use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::task::JoinSet;
 
 /// Memory of the instance in KiB, and the bound of the tests.
 const MEMORY_KIB: u64 = 64 * 1_024;
@@ -110,6 +113,63 @@
     assert_served_beside(&fleet, fleet.nodes[1].callers, crowds).await;
 }
 
+/// Uploads that stop in the middle, more than an instance with little memory has buffers for.
+const STALLED: usize = 40;
+
+/// Sends half of an upload and reads the head of the answer; `None` if the connection ends without one.
+async fn stall(to: SocketAddr) -> Option<RawAnswer> {
+    let mut stream = TcpStream::connect(to).await.ok()?;
+    let head = "POST /bids/1 HTTP/1.1\r\nhost: x\r\ncontent-length: 200000\r\n\r\n";
+    stream.write_all(format!("{head}{}", "b".repeat(100_000)).as_bytes()).await.ok()?;
+    let mut bytes = Vec::new();
+    // The connection may stay open for the rest of the body.
+    while !bytes.windows(4).any(|end| end == b"\r\n\r\n") {
+        if stream.read_buf(&mut bytes).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(RawAnswer::parse(bytes).await)
+}
+
+/// Guards against a client whose buffer is taken back and that gets a success, a false promise or nothing at all, and
+/// against uploads of others that wait behind it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upload_whose_buffer_is_taken_back_gets_no_promise() {
+    let _only = ONE_AT_A_TIME.lock().await;
+    let memory = format!("\"limits\": {{\"memory_bytes\": {}}}", 32 * 1_024 * 1_024);
+    let host = NodeSpec::new("a0", "hobart-a", "catalogue")
+        .backend(|backend| backend.slots(SLOTS))
+        .setting(memory);
+    let entry = NodeSpec::new("a1", "hobart-a", "yard");
+    let fleet = Fleet::ready(vec![(host, "catalogue"), (entry, "yard")]).await;
+    let to = fleet.nodes[1].callers;
+    let mut stalled: JoinSet<Option<RawAnswer>> = (0..STALLED).map(|_| stall(to)).collect();
+    tokio::time::sleep(SETTLING).await;
+    let upload = Bytes::from("b".repeat(200_000));
+    wait_until("an upload is taken beside those that stopped", async || {
+        h1(to, "/bids/1", &[], upload.clone()).await.code() == 200
+    })
+    .await;
+    let mut ends = Vec::new();
+    wait_until("all that stopped are answered or closed", async || {
+        while let Some(end) = stalled.try_join_next() {
+            ends.push(end.expect("the client does not panic"));
+        }
+        ends.len() == STALLED
+    })
+    .await;
+    let mut without_promise = 0;
+    for answer in ends.iter().flatten() {
+        match (answer.code(), answer.header("baobabreel-outcome")) {
+            (502 | 504, "unknown") => without_promise += 1,
+            (503 | 408, "not_run") => {}
+            _ => panic!("{answer:?}"),
+        }
+    }
+    println!("{without_promise} of {} answers promise nothing", ends.iter().flatten().count());
+    assert!(without_promise > 0, "{ends:?}");
+}
+
 /// HTTP/2 frames of a header list that does not end.
 fn endless_header_list() -> Bytes {
     /// Length of the payload of each frame: 138 fields of 104 bytes. Its bytes are ASCII, as are all of these.
