Count the whole memory of an outcome of a request with a key

What was seen: a client with 24,000 new keys of 64 bytes took a daemon of 32 MiB to 33,272 to 33,548 KiB (limit 32,768). Cause: an outcome was estimated at 352 bytes. Change: 480 bytes are counted, so that an instance of 110 MB records 48,059 outcomes in its fifth of the memory, no longer 65,536; one of 150 MB still does.

--- a/crates/core/src/idempotency/table.rs
+++ b/crates/core/src/idempotency/table.rs
@@ -28,8 +28,9 @@
 /// Part of the memory of an instance that outcomes may take without their answers: 1 in this number.
 const ENTRY_SHARE: u64 = 5;
 
-/// Memory of an outcome without its answer, in bytes: its key, its place in a table that doubles, and in two queues.
-const ENTRY_BYTES: u64 = 352;
+/// Memory of an outcome without its answer, in bytes: the longest key, its place in a table that doubles and in two
+/// queues, and what the allocator adds to them and to the answer.
+const ENTRY_BYTES: u64 = 480;
 
 /// Size limits of an [`OutcomeTable`].
 #[derive(Debug, Clone, Copy)]
