Linger for callers that still send when a connection closes

Cause: a connection was dropped 1 s after the kernel took its last bytes, while the client still read and sent its next request for each response; input at a closed socket is answered with a reset, which discards the rest.

Change: the second counts from the last input of the client, 5 s at most.

--- a/crates/daemon/src/http1/mod.rs
+++ b/crates/daemon/src/http1/mod.rs
@@ -20,7 +20,8 @@
 use bytes::BytesMut;
 use http::{Request, Response};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::callers::CallerConnection;
@@ -29,10 +30,13 @@
 /// Most requests of one connection that are in progress at once.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 
-/// Time for a caller to close the connection after the last bytes that were written. Input that arrives at a closed
-/// socket is answered with a reset, which discards what the caller has not received yet.
+/// Time for a caller to close the connection after the last bytes that were written, or that it sent since. Input that
+/// arrives at a closed socket is answered with a reset, which discards what the caller has not received yet.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// Longest time for a caller that sends on to close the connection after the last bytes that were written.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(5);
+
 /// Largest rest of an unwanted request body that is discarded so that the connection can carry further requests, in
 /// bytes. Callers over loopback send as much within milliseconds; after a longer rest the connection is closed.
 const MAX_DISCARDED_BYTES: u64 = 512 * 1024;
@@ -109,7 +113,10 @@
     let no_more_requests = CancellationToken::new();
     let abort = connection.abort.clone();
     let mut writer = writer::Writer::new(write, no_more_requests.clone(), Arc::clone(&connection));
-    let reader = reader::Reader::new(read, buf, service, no_more_requests.clone(), connection);
+    let late_input = Arc::new(Notify::new());
+    let stop_reading = no_more_requests.clone();
+    let reader =
+        reader::Reader::new(read, buf, service, stop_reading, Arc::clone(&late_input), connection);
     let mut reading = Box::pin(reader.run(tx));
     let written = tokio::select! {
         // Nothing more is answered on a connection that is to be closed at once.
@@ -129,7 +136,20 @@
     }
     no_more_requests.cancel();
     let Some(last_write) = writer.finish().await else { return };
-    if tokio::time::timeout_at(last_write + LINGER_TIME, reading).await.is_err() {
-        tracing::debug!("the caller did not close its connection after the last response");
+    tokio::select! {
+        () = reading => {}
+        () = linger(last_write, &late_input) => {
+            tracing::debug!("the caller did not close its connection after the last response");
+        }
+    }
+}
+
+/// Waits as long as a caller has to close its connection. One that sends ahead sends on with each response that it
+/// reads, until it has read the last one, which announces the close.
+async fn linger(last_write: Instant, late_input: &Notify) {
+    let latest = last_write + MAX_LINGER_TIME;
+    let mut until = last_write + LINGER_TIME;
+    while tokio::time::timeout_at(until, late_input.notified()).await.is_ok() {
+        until = latest.min(Instant::now() + LINGER_TIME);
     }
 }
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -9,7 +9,7 @@
 use http::{Method, Request, StatusCode, Version};
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -41,6 +41,8 @@
     service: S,
     /// Cancelled by the writer when it is about to close the connection.
     no_more_requests: CancellationToken,
+    /// Told of input that arrives after the last request.
+    late_input: Arc<Notify>,
     connection: Arc<CallerConnection>,
     /// Size of `buf` that counts towards what the connection holds.
     counted_buffer: usize,
@@ -55,9 +57,19 @@
         buf: BytesMut,
         service: S,
         no_more_requests: CancellationToken,
+        late_input: Arc<Notify>,
         connection: Arc<CallerConnection>,
     ) -> Self {
-        Self { read, buf, service, no_more_requests, connection, counted_buffer: 0, ahead: None }
+        Self {
+            read,
+            buf,
+            service,
+            no_more_requests,
+            late_input,
+            connection,
+            counted_buffer: 0,
+            ahead: None,
+        }
     }
 
     /// Reads until the caller disconnects. After the last request, `answers` is closed and the rest of the
@@ -343,6 +355,7 @@
             if self.fill().await.is_err() {
                 return;
             }
+            self.late_input.notify_one();
         }
     }
 }
--- a/crates/testsuite/tests/lost_at_close.rs
+++ b/crates/testsuite/tests/lost_at_close.rs
@@ -37,6 +37,18 @@
     String::from_utf8_lossy(&data).into_owned()
 }
 
+/// Takes a whole response with a length from the front of `data`; returns its head.
+fn take_response(data: &mut Vec<u8>) -> Option<String> {
+    let start = data.windows(4).position(|end| end == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&data[..start]).into_owned();
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+    let end = start + length.parse::<usize>().expect("a length");
+    (data.len() >= end).then(|| {
+        data.drain(..end);
+        head
+    })
+}
+
 /// Connects with a small receive buffer.
 async fn connect(to: SocketAddr) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -148,6 +160,46 @@
     );
 }
 
+/// Guards against responses that are ready and lost at a stop, because their caller reads them slowly and sends its next
+/// request for each: input at a closed connection is answered with a reset.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn slow_reader_that_sends_ahead_loses_nothing_at_a_stop() {
+    const AHEAD: usize = 8;
+    const BYTES: usize = 30_000;
+    /// Bytes that the caller reads after each pause; the kernel holds more than a second's worth.
+    const READ_BYTES: usize = 4_000;
+    const PAUSE: Duration = Duration::from_millis(50);
+    let spec = NodeSpec::new("a1", "hobart-a", "catalogue")
+        .setting("\"drain_notice_ms\": 300")
+        .setting("\"drain_limit_ms\": 20000");
+    let fleet = Fleet::ready(vec![(spec, "catalogue")]).await;
+    let mut stream = connect(fleet.nodes[0].callers).await;
+    let request = format!("GET /lots/1 HTTP/1.1\r\nhost: x\r\nx-response-bytes: {BYTES}\r\n\r\n");
+    stream.write_all(request.repeat(AHEAD).as_bytes()).await.expect("it is sent");
+    let (mut pending, mut answers, mut is_last) = (Vec::new(), 0, false);
+    let ended = loop {
+        let mut part = vec![0; READ_BYTES];
+        match tokio::time::timeout(LIMIT, stream.read(&mut part)).await.expect("it goes on") {
+            Ok(0) => break Ok(()),
+            Ok(count) => pending.extend_from_slice(&part[..count]),
+            Err(e) => break Err(e.kind()),
+        }
+        while let Some(head) = take_response(&mut pending) {
+            answers += 1;
+            is_last = head.contains("connection: close");
+            if !is_last {
+                // It may be refused already.
+                drop(stream.write_all(request.as_bytes()).await);
+            }
+            if answers == 2 {
+                fleet.nodes[0].daemon.signal(Signal::Terminate).expect("it runs");
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    };
+    assert_eq!((ended, is_last), (Ok(()), true), "{answers} answers, {} bytes", pending.len());
+}
+
 /// Guards against a connection that is closed behind a response which does not announce it, so that a caller cannot tell
 /// that what it sent behind has not run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
