Refuse a large body when no daemon answers whether it has room

Cause: a daemon that did not answer a question for a grant within 250 ms counted as one that needs none, so the body was sent without a grant. Where the link of the host daemon is full, that is exactly when its answers are late: the bodies that came unasked kept it full, and so its answers late, long after the burst had ended.

Change: if no host daemon grants the body and one of those asked was silent, the request is refused with 503 and Retry-After before its body has been read.

--- a/crates/daemon/src/proxy/entry/body_grant.rs
+++ b/crates/daemon/src/proxy/entry/body_grant.rs
@@ -28,6 +28,9 @@
 /// Time for the answer of a host daemon; covers a round trip between distant data centres and a loaded instance.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// `Retry-After` where no host daemon answers: the time that each of them was given.
+const SILENT_RETRY_AFTER: Duration = ANSWER_TIMEOUT;
+
 /// Where and how the body of a request is sent.
 #[derive(Debug, Default)]
 pub(super) struct BodyGrant {
@@ -80,7 +83,7 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Overloaded`] if no link has room for the body in time.
+    /// [`ErrorKind::Overloaded`] if no link has room for the body in time, or if no host daemon answers.
     pub(super) async fn grant_body(&self, body: &RequestBody) -> Result<BodyGrant, CallError> {
         let links = &self.cx.links;
         let is_length_known = body.size_hint().exact().is_some();
@@ -163,7 +166,12 @@
     }
 
     /// Asks host daemons, beginning with `first`, for a grant with a short wait, and then the one with the shortest
-    /// wait for any grant. `None` if none answers.
+    /// wait for any grant. `None` if none is able to serve.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Overloaded`] if none grants the body and one of them refuses it or is silent. A body that were sent
+    /// without a grant would use the link of a silent daemon even if that link is what keeps it from answering.
     async fn find_host(
         &self,
         id: TransferId,
@@ -174,6 +182,7 @@
         let mut tried = Vec::new();
         let mut shortest: Option<(Host, Duration)> = None;
         let mut retry_after: Option<Duration> = None;
+        let mut is_silent = false;
         let mut next = Some(first);
         while let Some(mut host) = next.take() {
             tried.push(host.guard.name().to_owned());
@@ -192,7 +201,7 @@
                     retry_after = Some(retry_after.map_or(after, |known| known.min(after)));
                 }
                 HostAnswer::NotServing => host.guard.record_failure(Failure::Refused),
-                HostAnswer::Silent => {}
+                HostAnswer::Silent => is_silent = true,
             }
             if tried.len() < MAX_HOSTS {
                 let chosen = self.choose(&tried).ok();
@@ -207,16 +216,18 @@
                 HostAnswer::Refused(after, _) | HostAnswer::Wait(after, _) => {
                     retry_after = Some(retry_after.map_or(after, |known| known.min(after)));
                 }
-                HostAnswer::NotServing | HostAnswer::Silent => {}
+                HostAnswer::Silent => is_silent = true,
+                HostAnswer::NotServing => {}
             }
         }
-        match retry_after {
-            Some(after) => {
-                let detail = "no backend server can receive and run the body in time";
-                Err(CallError::new(ErrorKind::Overloaded, detail).with_retry_after(after))
+        let (detail, after) = match retry_after {
+            Some(after) => ("no backend server can receive and run the body in time", after),
+            None if is_silent => {
+                ("no daemon answers whether the body has room", SILENT_RETRY_AFTER)
             }
-            None => Ok(None),
-        }
+            None => return Ok(None),
+        };
+        Err(CallError::new(ErrorKind::Overloaded, detail).with_retry_after(after))
     }
 
     /// Asks one host daemon.
