Ask for room again before a large body is sent a second time

Callers saw short calls and other services fail beside failed uploads: each further attempt at an upload of up to 64 KiB, which is kept in memory, added its bytes to a link that had not been asked.

Cause: the grant was for the first attempt only; a further one chose its backend server as for a small request and sent the body at the rate of the sender's own link.

Change: before a further attempt the body is offered to other daemons than those tried before. If none has room, the caller gets the error of the earlier attempt, or the refusal with Retry-After if nothing ran.

--- a/crates/daemon/src/proxy/entry/attempts.rs
+++ b/crates/daemon/src/proxy/entry/attempts.rs
@@ -50,7 +50,7 @@
 
 impl Call<'_> {
     /// Makes attempts until one succeeds or no further one is allowed. The first one uses the grant of the body, if it
-    /// has one.
+    /// has one; a further one asks for a grant of its own.
     pub(super) async fn run(
         &self,
         req: &mut CallerRequest,
@@ -115,7 +115,7 @@
             }
             if is_misdirected(&e) && refusals < self.cx.settings.retry.max_misdirected_retries {
                 refusals += 1;
-                earlier = Some(e);
+                (grant, earlier) = self.next_grant(req, &progress.tried, e).await?;
                 continue;
             }
             let attempt = self.attempt_state(progress.number, req.can_resend());
@@ -126,11 +126,25 @@
                 return Err(e);
             }
             self.cx.metrics.record_retry(&self.route.name);
-            earlier = Some(e);
+            (grant, earlier) = self.next_grant(req, &progress.tried, e).await?;
             progress.number += 1;
         }
     }
 
+    /// Grant of the body for the attempt after one that failed with `e`. If the body has room nowhere, `e` is returned, or
+    /// the refusal if the request has not run.
+    async fn next_grant(
+        &self,
+        req: &CallerRequest,
+        tried: &[String],
+        e: CallError,
+    ) -> Result<(BodyGrant, Option<CallError>), CallError> {
+        match self.grant_again(&req.body, tried).await {
+            Ok(grant) => Ok((grant, Some(e))),
+            Err(refusal) => Err(combine(Some(e), refusal)),
+        }
+    }
+
     /// Takes one retry or hedge out of the budgets; false when one of them is used up.
     fn try_spend(&self, use_for: BudgetUse) -> bool {
         self.cx.balance.try_spend(&self.state, &self.service, use_for, self.cx.clock.now())
--- a/crates/daemon/src/proxy/entry/body_grant.rs
+++ b/crates/daemon/src/proxy/entry/body_grant.rs
@@ -1,12 +1,11 @@
 //! Grants of large bodies, which are asked for before a body is read.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use baobabreel_client::wire::{BodyAnswer, BodyQuery, LoadWire, decode, encode};
 use baobabreel_core::balance::Failure;
 use baobabreel_core::error::ErrorKind;
-use baobabreel_core::id::ServiceName;
+use baobabreel_core::id::{RouteName, ServiceName};
 use baobabreel_core::link::{BodyOffer, TransferId};
 use http_body::Body;
 
@@ -88,18 +87,42 @@
         let links = &self.cx.links;
         let is_length_known = body.size_hint().exact().is_some();
         let record_length = (!is_length_known).then(|| self.route.name.clone());
-        let sending = |reservation, grant, bytes_per_sec| {
-            let links = Arc::clone(links);
-            let record_length = record_length.clone();
-            Sending { links, reservation, grant, bytes_per_sec, record_length }
-        };
         let bytes = links.large_length(&self.route.name, body);
         let Some(bytes) = bytes.filter(|bytes| *bytes <= self.max_body()) else {
             let is_recorded = !is_length_known && !body.is_end_stream();
-            let sending = is_recorded.then(|| sending(None, None, None));
+            let sending = is_recorded.then(|| Sending::ungranted(links, record_length));
             return Ok(BodyGrant { host: None, sending });
         };
-        let Ok((service, guard)) = self.choose(&[]) else {
+        self.grant_bytes(bytes, &[], record_length).await
+    }
+
+    /// Finds a host daemon that grants a body again, after attempts at the daemons `tried`. A body that is streamed has
+    /// no further attempt.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::grant_body`].
+    pub(super) async fn grant_again(
+        &self,
+        body: &CallerBody,
+        tried: &[String],
+    ) -> Result<BodyGrant, CallError> {
+        match body {
+            CallerBody::Buffered(data) if self.cx.links.is_large(data.len() as u64) => {
+                self.grant_bytes(data.len() as u64, tried, None).await
+            }
+            _ => Ok(BodyGrant::default()),
+        }
+    }
+
+    /// Finds a host daemon that grants `bytes` and is not among those `tried`, and waits until they are to start.
+    async fn grant_bytes(
+        &self,
+        bytes: u64,
+        tried: &[String],
+        record_length: Option<RouteName>,
+    ) -> Result<BodyGrant, CallError> {
+        let Ok((service, guard)) = self.choose(tried) else {
             return Ok(BodyGrant::default());
         };
         if guard.name() == self.cx.identity.id {
@@ -109,20 +132,24 @@
         let id: TransferId = rand::random();
         let reservation = self.reserve_own_link(id, bytes)?;
         let not_before = reservation.as_ref().map_or(Duration::ZERO, |place| place.start);
-        let found = self.find_host(id, bytes, not_before, Host { service, guard }).await;
+        let mut sending = Sending::ungranted(&self.cx.links, record_length);
+        sending.reservation = reservation;
+        let found = self.find_host(id, bytes, not_before, Host { service, guard }, tried).await;
         let Some((host, answer)) = found.inspect_err(|_| {
             self.cx.metrics.record_body("refused_by_host", bytes, Duration::ZERO);
         })?
         else {
             self.cx.metrics.record_body("not_asked", bytes, Duration::ZERO);
-            return Ok(BodyGrant { host: None, sending: Some(sending(reservation, None, None)) });
+            return Ok(BodyGrant { host: None, sending: Some(sending) });
         };
-        let (start, grant, rate) = match answer {
-            HostAnswer::Granted { start, bytes_per_sec } => (start, Some(id), Some(bytes_per_sec)),
-            _ => (not_before, None, None),
+        let (start, result) = match answer {
+            HostAnswer::Granted { start, bytes_per_sec } => {
+                (sending.grant, sending.bytes_per_sec) = (Some(id), Some(bytes_per_sec));
+                (start, "granted")
+            }
+            _ => (not_before, "not_asked"),
         };
         let wait = start.saturating_sub(self.cx.clock.now());
-        let result = if grant.is_some() { "granted" } else { "not_asked" };
         self.cx.metrics.record_body(result, bytes, wait);
         tokio::time::sleep(wait).await;
         // The time spent waiting is not the backend server's.
@@ -130,7 +157,7 @@
         let guard = self.cx.balance.choose_again(&service, name, self.cx.clock);
         drop(host.guard);
         let host = guard.map(|guard| (service, guard));
-        Ok(BodyGrant { host, sending: Some(sending(reservation, grant, rate)) })
+        Ok(BodyGrant { host, sending: Some(sending) })
     }
 
     /// Time after which the response is of no use.
@@ -165,7 +192,7 @@
         self.tenant.as_ref().map(|tenant| tenant.tenant.name.clone())
     }
 
-    /// Asks host daemons, beginning with `first`, for a grant with a short wait, and then the one with the shortest
+    /// Asks host daemons but those `tried`, beginning with `first`, for a grant with a short wait, and then the one with the shortest
     /// wait for any grant. `None` if none is able to serve.
     ///
     /// # Errors
@@ -178,8 +205,10 @@
         bytes: u64,
         not_before: Duration,
         first: Host,
+        tried: &[String],
     ) -> Result<Option<(Host, HostAnswer)>, CallError> {
-        let mut tried = Vec::new();
+        let most = tried.len() + MAX_HOSTS;
+        let mut tried = tried.to_vec();
         let mut shortest: Option<(Host, Duration)> = None;
         let mut retry_after: Option<Duration> = None;
         let mut is_silent = false;
@@ -203,7 +232,7 @@
                 HostAnswer::NotServing => host.guard.record_failure(Failure::Refused),
                 HostAnswer::Silent => is_silent = true,
             }
-            if tried.len() < MAX_HOSTS {
+            if tried.len() < most {
                 let chosen = self.choose(&tried).ok();
                 next = chosen.map(|(service, guard)| Host { service, guard });
             }
--- a/crates/daemon/src/proxy/link/mod.rs
+++ b/crates/daemon/src/proxy/link/mod.rs
@@ -87,10 +87,15 @@
 
     /// Length that counts for a body, announced or expected for its route; `None` if it needs no grant.
     pub fn large_length(&self, route: &str, body: &RequestBody) -> Option<u64> {
-        self.budgets.as_ref()?;
         let expected = || lock(&self.lengths).get(route).map(|bytes| *bytes as u64);
         let length = body.size_hint().exact().or_else(expected)?;
-        (length > LARGE_BODY_BYTES).then_some(length)
+        self.is_large(length).then_some(length)
+    }
+
+    /// Whether a body of this length needs a grant.
+    #[must_use]
+    pub fn is_large(&self, bytes: u64) -> bool {
+        self.budgets.is_some() && bytes > LARGE_BODY_BYTES
     }
 
     /// Offers a body to the outgoing direction.
--- a/crates/daemon/src/proxy/link/paced.rs
+++ b/crates/daemon/src/proxy/link/paced.rs
@@ -37,6 +37,13 @@
 }
 
 impl Sending {
+    /// A body that has no grant, paced by the link of this instance only.
+    #[must_use]
+    pub fn ungranted(links: &Arc<Links>, record_length: Option<RouteName>) -> Self {
+        let links = Arc::clone(links);
+        Self { links, reservation: None, grant: None, bytes_per_sec: None, record_length }
+    }
+
     /// Records the length of the body if it was not known before.
     pub fn record_length(&self, bytes: u64) {
         if let Some(route) = &self.record_length {
