Count the bodies of callers on the link only if they pass it

Callers saw uploads refused for want of room on links that were idle.

Cause: the body of a caller counted against the incoming budget of the daemon that read it. On a machine whose callers run beside the daemon, those bytes never pass the link.

Change: the listener compares the two addresses of a connection; only bodies from another address count.

--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -30,7 +30,7 @@
 use crate::context::{Cx, Phase};
 use crate::http1::{self, HeadError, HeadLimits, Service};
 use crate::proxy::{
-    CallError, CallerAddress, ProxyBody, RequestBody, RequestsAhead, ToldCallers,
+    CallError, CallerAddress, ProxyBody, RequestBody, RequestsAhead, ToldCallers, UsesLink,
     held_section_bytes, section_bytes, serve_caller,
 };
 
@@ -82,7 +82,8 @@
     let Accepted { mut stream, at, permit: _permit } = accepted;
     let connection = CallerConnection::open(&cx, &closing);
     let addr = stream.peer_addr().ok().map(|addr| CallerAddress(addr.ip()));
-    let service = CallerService { cx, told: ToldCallers::default(), addr };
+    let uses_link = UsesLink(uses_link(&stream));
+    let service = CallerService { cx, told: ToldCallers::default(), addr, uses_link };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
     let is_http2 = tokio::select! {
@@ -107,6 +108,14 @@
     }
 }
 
+/// Whether the bytes of a connection pass the link of the instance; those of a caller on the same instance don't.
+fn uses_link(stream: &TcpStream) -> bool {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(local)) => peer.ip().to_canonical() != local.ip().to_canonical(),
+        _ => true,
+    }
+}
+
 /// Waits until a connection without a request has not ended in time after it was to close in favour of others. The
 /// library waits for the caller to confirm the close.
 async fn closed_in_favour(connection: &CallerConnection, closing: &CancellationToken) {
@@ -146,13 +155,14 @@
     connection: &Arc<CallerConnection>,
     accepted_at: Instant,
 ) {
-    let CallerService { cx, told, addr } = caller;
+    let CallerService { cx, told, addr, uses_link } = caller;
     let _state = connection.hold(HTTP2_STATE_BYTES);
     let header_bytes = cx.settings.limits.header_bytes * HEADER_READ_FACTOR;
     let service = service_fn(|mut req: Request<Incoming>| {
         let (cx, connection) = (Arc::clone(&cx), Arc::clone(connection));
         req.extensions_mut().insert(told.clone());
         addr.map(|addr| req.extensions_mut().insert(addr));
+        req.extensions_mut().insert(uses_link);
         // Counted now, as many streams may arrive before the first one is served.
         let bytes = stream_bytes(&req);
         let waiting = connection.hold_waiting(bytes);
@@ -226,6 +236,7 @@
     /// Times before which refused requests on this connection must not be sent again.
     told: ToldCallers,
     addr: Option<CallerAddress>,
+    uses_link: UsesLink,
 }
 
 impl Service for CallerService {
@@ -241,6 +252,7 @@
     ) -> impl Future<Output = Response<ProxyBody>> + Send + 'static {
         req.extensions_mut().insert(self.told.clone());
         self.addr.map(|addr| req.extensions_mut().insert(addr));
+        req.extensions_mut().insert(self.uses_link);
         handle_request(Arc::clone(&self.cx), req)
     }
 
--- a/crates/daemon/src/proxy/entry/mod.rs
+++ b/crates/daemon/src/proxy/entry/mod.rs
@@ -46,6 +46,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct CallerAddress(pub IpAddr);
 
+/// Whether the body of a request comes over the link of the instance; an extension of the request.
+#[derive(Debug, Clone, Copy)]
+pub struct UsesLink(pub bool);
+
 /// State of one request while it is served, with the version of the configuration that applies to it.
 struct Call<'a> {
     cx: &'a Cx,
@@ -278,7 +282,10 @@
         let has_place = self.target.is_some() && self.config.tenants.is_some();
         let told = parts.extensions.get::<ToldCallers>().filter(|_| has_place).cloned();
         let mut grant = self.grant_body(&body).await?;
-        let body = Links::receive(&self.cx.links, None, body, &mut None);
+        let body = match parts.extensions.get::<UsesLink>() {
+            Some(UsesLink(false)) => body,
+            _ => Links::receive(&self.cx.links, None, body, &mut None),
+        };
         let mut req = self.prepare(parts, body, false).await?;
         grant.release_small(&req.body);
         let told = told.zip(req.digest());
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -36,7 +36,7 @@
 pub use body::{BodyError, ProxyBody, STREAMED_BYTES};
 pub use call_error::CallError;
 pub use dispatch::candidate;
-pub use entry::{CallerAddress, RequestsAhead, ToldCallers, serve_caller};
+pub use entry::{CallerAddress, RequestsAhead, ToldCallers, UsesLink, serve_caller};
 pub use headers::{OUTCOME, TIMEOUT, has_token, held_section_bytes, section_bytes};
 pub use host::{BackendInfo, LocalBackend, health_path, start_at_rate_limit, take_back_slots};
 pub use lines::{log_undelivered, request_id};
