Count the bytes on the link of an instance by what they are for

A full link took quotas, configuration and calls of other services along, and neither logs nor metrics said what filled it: callers, calls, control messages or reads of the store.

Connections between daemons, of callers on other instances and to the store now have a meter; the counter baobabreel.link.bytes has the bytes by direction and flow. The pool of control connections keeps how long its messages took and how many got no answer in time, for the delay that a full link causes.

--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -15,7 +15,7 @@
 use crate::proxy::STREAMED_BYTES;
 use crate::settings::Limits;
 use crate::sync::lock;
-use crate::telemetry::LogLineKind;
+use crate::telemetry::{Flow, LogLineKind, Meter};
 
 /// Part of the memory of the instance that callers may hold. The rest is for the daemon itself (about 12 MB), calls of
 /// other daemons, buffers of the HTTP library, and what the allocator cannot reuse.
@@ -181,17 +181,25 @@
     /// Cancelled when the connection is to be closed at once.
     pub abort: CancellationToken,
     released: Notify,
+    /// Counts its bytes if they pass the link of the instance.
+    meter: Option<Meter>,
 }
 
 impl CallerConnection {
     /// Adds a connection, which ends when `closing` is cancelled.
-    pub fn open(cx: &Cx, closing: &CancellationToken) -> Arc<Self> {
+    pub fn open(cx: &Cx, closing: &CancellationToken, uses_link: bool) -> Arc<Self> {
         let (stop, abort) = (closing.child_token(), cx.aborted.child_token());
         let mut state = lock(&cx.callers.state);
         let id = state.budget.open(cx.clock.now());
         state.connections.insert(id, (stop.clone(), abort.clone()));
         drop(state);
-        Arc::new(Self { cx: Arc::clone(cx), id, stop, abort, released: Notify::new() })
+        let meter = uses_link.then(|| Meter::new(&cx.traffic, Flow::Callers));
+        Arc::new(Self { cx: Arc::clone(cx), id, stop, abort, released: Notify::new(), meter })
+    }
+
+    /// Counts its bytes; `None` if they do not pass the link of the instance.
+    pub fn meter(&self) -> Option<&Meter> {
+        self.meter.as_ref()
     }
 
     /// Waits until the next request may be read.
--- a/crates/daemon/src/context/mod.rs
+++ b/crates/daemon/src/context/mod.rs
@@ -39,7 +39,7 @@
 use crate::proxy::{ActiveCalls, Balancers, Links, LocalBackend, PeerPool, Quarantine, Quotas};
 use crate::settings::{ConfigSource, Settings};
 use crate::sync::lock;
-use crate::telemetry::{LogRateLimiter, Metrics};
+use crate::telemetry::{LogRateLimiter, Metrics, Traffic};
 
 /// Identity of a daemon, set when it starts.
 #[derive(Debug, Clone)]
@@ -141,6 +141,8 @@
     pub rollouts: Rollouts,
     /// HTTP client for short requests.
     pub http: HttpClient,
+    /// Bytes on the link of the instance.
+    pub traffic: Arc<Traffic>,
     /// End of the drain.
     pub drain_end: DrainEnd,
     /// Cancelled when the daemon ends as in a crash: its connections are dropped, and nothing on them is answered.
@@ -169,13 +171,15 @@
     #[must_use]
     pub fn new(settings: Settings, identity: Identity, metrics: Metrics) -> Self {
         let clock = Clock::new();
+        let traffic = Arc::default();
         let http = HttpClient::new().with_name(identity.id.clone());
         let retention = settings.log_retention().unwrap_or_default();
         Self {
             config: ArcSwap::from_pointee(CompiledConfig::default()),
             view: ArcSwap::from_pointee(MeshView::default()),
             host: LocalBackend::new(settings.limits.backend_connections, settings.policy),
-            peers: PeerPool::new(settings.token.clone()),
+            peers: PeerPool::new(settings.token.clone(), &traffic),
+            traffic,
             calls: ActiveCalls::default(),
             links: Arc::new(Links::new(settings.limits.link_bits_per_sec, clock)),
             balance: Balancers::new(&identity, &settings),
--- a/crates/daemon/src/daemon/handle.rs
+++ b/crates/daemon/src/daemon/handle.rs
@@ -1,5 +1,6 @@
 //! What a platform adapter tells the daemon and asks it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use baobabreel_client::wire::PackedDocument;
@@ -15,6 +16,7 @@
     offer_document, platform_lost, rollouts,
 };
 use crate::proxy::Quarantine;
+use crate::telemetry::Traffic;
 
 /// Receives what the adapter learns from its platform.
 #[derive(Debug, Clone)]
@@ -142,6 +144,12 @@
         self.cx.readers.raise_alarm();
     }
 
+    /// Bytes on the link of the instance, for the adapter to count those of its platform.
+    #[must_use]
+    pub fn traffic(&self) -> Arc<Traffic> {
+        Arc::clone(&self.cx.traffic)
+    }
+
     /// Generation of the platform's store, which the adapter and the other daemons report.
     #[must_use]
     pub fn store_generation(&self) -> StoreGeneration {
--- a/crates/daemon/src/http1/reader.rs
+++ b/crates/daemon/src/http1/reader.rs
@@ -316,7 +316,7 @@
             let filling = async {
                 match started {
                     Some(_) => fill_waited(read, buf, connection).await,
-                    None => fill(read, buf).await,
+                    None => fill(read, buf, connection).await,
                 }
             };
             tokio::select! {
@@ -345,7 +345,7 @@
     }
 
     async fn fill(&mut self) -> Result<(), ReadEnd> {
-        fill(&mut self.read, &mut self.buf).await
+        fill(&mut self.read, &mut self.buf, &self.connection).await
     }
 
     /// Discards input until the caller closes the connection.
@@ -383,18 +383,22 @@
 
 /// Reads once from the connection and appends to `buf`, which takes no memory while a connection without a request
 /// waits.
-async fn fill(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> Result<(), ReadEnd> {
+async fn fill(
+    read: &mut OwnedReadHalf,
+    buf: &mut BytesMut,
+    connection: &CallerConnection,
+) -> Result<(), ReadEnd> {
     if buf.is_empty() {
         *buf = BytesMut::new();
     }
     loop {
         if let Err(e) = read.readable().await {
-            return read_result(Err(e));
+            return read_result(Err(e), connection);
         }
         buf.reserve(MIN_BUFFER_SPACE_BYTES);
         match read.try_read_buf(buf) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            read => return read_result(read),
+            read => return read_result(read, connection),
         }
     }
 }
@@ -406,13 +410,18 @@
     connection: &CallerConnection,
 ) -> Result<(), ReadEnd> {
     buf.reserve(MIN_BUFFER_SPACE_BYTES);
-    read_result(connection.await_caller(read.read_buf(buf)).await)
+    read_result(connection.await_caller(read.read_buf(buf)).await, connection)
 }
 
-fn read_result(read: io::Result<usize>) -> Result<(), ReadEnd> {
+fn read_result(read: io::Result<usize>, connection: &CallerConnection) -> Result<(), ReadEnd> {
     match read {
         Ok(0) => Err(ReadEnd::Disconnected),
-        Ok(_) => Ok(()),
+        Ok(bytes) => {
+            if let Some(meter) = connection.meter() {
+                meter.record_received(bytes);
+            }
+            Ok(())
+        }
         Err(e) => {
             tracing::trace!(error = %e, "failed to read from a caller connection");
             Err(ReadEnd::Disconnected)
--- a/crates/daemon/src/http1/writer.rs
+++ b/crates/daemon/src/http1/writer.rs
@@ -269,6 +269,9 @@
             if written == 0 {
                 return Err(io::Error::from(io::ErrorKind::WriteZero));
             }
+            if let Some(meter) = self.connection.meter() {
+                meter.record_sent(written);
+            }
             data = &data[written..];
         }
         Ok(())
--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -80,9 +80,10 @@
 
 async fn serve_connection(cx: Cx, accepted: Accepted, closing: CancellationToken) {
     let Accepted { mut stream, at, permit: _permit } = accepted;
-    let connection = CallerConnection::open(&cx, &closing);
+    let uses_link = uses_link(&stream);
+    let connection = CallerConnection::open(&cx, &closing, uses_link);
     let addr = stream.peer_addr().ok().map(|addr| CallerAddress(addr.ip()));
-    let uses_link = UsesLink(uses_link(&stream));
+    let uses_link = UsesLink(uses_link);
     let service = CallerService { cx, told: ToldCallers::default(), addr, uses_link };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
@@ -100,7 +101,7 @@
             biased;
             () = connection.abort.cancelled() => {}
             // In boxes, so that a connection takes the memory of one protocol only.
-            () = Box::pin(serve_http2(service, PrefixedStream::new(buf, stream), &connection, at)) => {}
+            () = Box::pin(serve_http2(service, prefixed(buf, stream, &connection), &connection, at)) => {}
             () = closed_in_favour(&connection, &closing) => {}
         }
     } else {
@@ -108,6 +109,11 @@
     }
 }
 
+/// Connection of a caller, with the bytes that were read already.
+fn prefixed(buf: BytesMut, stream: TcpStream, connection: &CallerConnection) -> PrefixedStream {
+    PrefixedStream::new(buf, stream, connection.meter().cloned())
+}
+
 /// Whether the bytes of a connection pass the link of the instance; those of a caller on the same instance don't.
 fn uses_link(stream: &TcpStream) -> bool {
     match (stream.peer_addr(), stream.local_addr()) {
--- a/crates/daemon/src/listeners/peers.rs
+++ b/crates/daemon/src/listeners/peers.rs
@@ -31,6 +31,7 @@
 use crate::proxy::{
     CallError, ProxyBody, has_token, held_section_bytes, is_call, refuse_peer_call, serve_peer_call,
 };
+use crate::telemetry::{Flow, Meter};
 
 /// Path prefix of all messages between daemons.
 const PEER_PREFIX: &str = "/peer/v1/";
@@ -136,7 +137,7 @@
         () = wait_until_closing(&connection, &closing, at) => return,
     };
     let header_bytes = cx.settings.limits.header_bytes * HEADER_FACTOR;
-    let listed = Arc::clone(&connection);
+    let (listed, traffic) = (Arc::clone(&connection), Arc::clone(&cx.traffic));
     let service = service_fn(move |req: Request<Incoming>| {
         let (cx, control, listed) = (Arc::clone(&cx), control.clone(), Arc::clone(&listed));
         // Counted now, as many streams may arrive before the first one is served.
@@ -163,7 +164,8 @@
         }
     });
     let close = wait_until_closing(&connection, &closing, at);
-    let stream = PrefixedStream::new(buf, stream);
+    let flow = if is_http2 { Flow::Control } else { Flow::Calls };
+    let stream = PrefixedStream::new(buf, stream, Some(Meter::new(&traffic, flow)));
     let ended = if is_http2 {
         let hook = RoomHook::new(Arc::clone(&connection), HTTP2_HEAD_COPIES * HTTP2_HEADER_BYTES);
         let io = TokioIo::new(HookedStream::new(stream, hook));
--- a/crates/daemon/src/listeners/prefixed.rs
+++ b/crates/daemon/src/listeners/prefixed.rs
@@ -8,17 +8,22 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::telemetry::{Meter, Metered};
+
 /// Connection that yields the bytes already read before the rest of its stream.
 #[derive(Debug)]
 pub struct PrefixedStream {
     prefix: BytesMut,
-    stream: TcpStream,
+    stream: Metered<TcpStream>,
 }
 
 impl PrefixedStream {
-    /// Puts `prefix` in front of the input from `stream`.
-    pub fn new(prefix: BytesMut, stream: TcpStream) -> Self {
-        Self { prefix, stream }
+    /// Puts `prefix` in front of the input from `stream`, and counts the bytes of both if there is a meter.
+    pub fn new(prefix: BytesMut, stream: TcpStream, meter: Option<Meter>) -> Self {
+        if let Some(meter) = &meter {
+            meter.record_received(prefix.len());
+        }
+        Self { prefix, stream: Metered::new(stream, meter) }
     }
 }
 
--- a/crates/daemon/src/proxy/pool/mod.rs
+++ b/crates/daemon/src/proxy/pool/mod.rs
@@ -1,10 +1,12 @@
 //! Connections to backend servers and other daemons.
 
+mod control_times;
 mod held;
 mod idle_limit;
 mod peer;
 mod pooled;
 
+pub use control_times::ControlTimes;
 pub use held::HeldConnection;
 pub use idle_limit::IdleLimit;
 pub use peer::{PeerError, PeerPool};
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::control_times::ControlTimes;
 use super::held::HeldConnection;
 use super::pooled::{ConnectionPool, Protocol, SendError};
 use super::{describe, http2_builder};
@@ -30,6 +31,7 @@
 use crate::proxy::body::ProxyBody;
 use crate::proxy::headers::TOKEN;
 use crate::sync::{lock, read, write};
+use crate::telemetry::{Flow, Meter, Metered, Traffic};
 
 /// Time in which a control connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -96,14 +98,22 @@
     control_connections: RwLock<HashMap<SocketAddr, Arc<ControlConnection>>>,
     call_pools: RwLock<HashMap<SocketAddr, Arc<ConnectionPool>>>,
     token: Option<HeaderValue>,
+    traffic: Arc<Traffic>,
+    control_times: Mutex<ControlTimes>,
 }
 
 impl PeerPool {
-    /// Creates a pool that authenticates with `token`.
+    /// Creates a pool that authenticates with `token`, and counts its bytes in `traffic`.
     #[must_use]
-    pub fn new(token: Option<String>) -> Self {
+    pub fn new(token: Option<String>, traffic: &Arc<Traffic>) -> Self {
         let token = token.and_then(|token| HeaderValue::from_str(&token).ok());
-        Self { control_connections: RwLock::default(), call_pools: RwLock::default(), token }
+        Self {
+            control_connections: RwLock::default(),
+            call_pools: RwLock::default(),
+            token,
+            traffic: Arc::clone(traffic),
+            control_times: Mutex::default(),
+        }
     }
 
     /// Control connection to a peer, added on first use.
@@ -126,7 +136,8 @@
         drop(pools);
         let mut pools = write(&self.call_pools);
         let pool = pools.entry(addr).or_insert_with(|| {
-            Arc::new(ConnectionPool::new(addr, Protocol::Http1, MAX_CALL_CONNECTIONS))
+            let pool = ConnectionPool::new(addr, Protocol::Http1, MAX_CALL_CONNECTIONS);
+            Arc::new(pool.metered(Meter::new(&self.traffic, Flow::Calls)))
         });
         Arc::clone(pool)
     }
@@ -153,6 +164,11 @@
         HeldConnection::new(self.call_pool(addr), clock)
     }
 
+    /// Takes the times of the control messages that ended since the last call.
+    pub fn take_control_times(&self) -> ControlTimes {
+        std::mem::take(&mut lock(&self.control_times))
+    }
+
     /// Removes the connections to a peer. Idle ones are closed now, those in use when their response has ended;
     /// the next request opens new ones.
     pub fn close_connections(&self, addr: SocketAddr) {
@@ -186,7 +202,7 @@
         if failed_at.is_some_and(|at| at >= requested_at) {
             return Err(PeerError::NotSent(format!("failed to connect to {addr}")));
         }
-        match connect(addr).await {
+        match connect(addr, Meter::new(&self.traffic, Flow::Control)).await {
             Ok(sender) => {
                 control_connection.replace(sender.clone());
                 Ok(sender)
@@ -258,10 +274,12 @@
             let body = Limited::new(res.into_body(), MAX_CONTROL_BYTES).collect().await;
             body.map(|body| body.to_bytes()).map_err(|e| PeerError::Lost(e.to_string()))
         };
+        let begin = Instant::now();
         let answer = match tokio::time::timeout(timeout, exchange).await {
             Ok(answer) => answer,
             Err(_) => Err(PeerError::Lost("no answer in time".to_owned())),
         };
+        lock(&self.control_times).record(&answer, begin.elapsed());
         if matches!(answer, Err(PeerError::Lost(_))) {
             // The connection may have gone silent; the next message opens a new one.
             write(&self.control_connections).remove(&addr);
@@ -281,11 +299,12 @@
 }
 
 /// Opens a control connection and spawns the task that drives it.
-async fn connect(addr: SocketAddr) -> Result<SendRequest<ProxyBody>, String> {
+async fn connect(addr: SocketAddr, meter: Meter) -> Result<SendRequest<ProxyBody>, String> {
     let connecting = async {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
-        http2_builder().handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
+        let stream = TokioIo::new(Metered::new(stream, Some(meter)));
+        http2_builder().handshake(stream).await.map_err(|e| e.to_string())
     };
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok((sender, conn))) => {
--- a/crates/daemon/src/proxy/pool/pooled.rs
+++ b/crates/daemon/src/proxy/pool/pooled.rs
@@ -28,6 +28,7 @@
 use crate::proxy::place::Place;
 use crate::proxy::sends::SendMark;
 use crate::sync::lock;
+use crate::telemetry::{Meter, Metered};
 
 /// Time in which a connection must be established; covers two round trips between the most distant regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -118,6 +119,8 @@
 pub struct ConnectionPool {
     addr: SocketAddr,
     protocol: Protocol,
+    /// Counts the bytes of its connections if they pass the link of the instance.
+    meter: Option<Meter>,
     idle: Mutex<Vec<IdleConnection>>,
     idle_limit: Mutex<IdleLimit>,
     permits: Arc<Semaphore>,
@@ -200,6 +203,7 @@
         Self {
             addr,
             protocol,
+            meter: None,
             idle: Mutex::default(),
             idle_limit: Mutex::default(),
             permits,
@@ -211,6 +215,13 @@
         }
     }
 
+    /// Counts the bytes of its connections.
+    #[must_use]
+    pub fn metered(mut self, meter: Meter) -> Self {
+        self.meter = Some(meter);
+        self
+    }
+
     /// Takes the connection that was used last, so that surplus ones reach the idle limit, and closes those that
     /// have.
     fn take_idle(&self) -> Option<TakenConnection> {
@@ -272,18 +283,18 @@
         if let Err(e) = stream.set_nodelay(true) {
             tracing::debug!(error = %e, "failed to set TCP_NODELAY");
         }
+        let stream = TokioIo::new(Metered::new(stream, self.meter.clone()));
         let failed = |e| not_sent(&format!("failed to start a connection: {e}"));
         let sender = match self.protocol {
             Protocol::Http1 => {
-                let handshake = http1::Builder::new()
-                    .max_buf_size(MAX_READ_AHEAD_BYTES)
-                    .handshake(TokioIo::new(stream));
+                let handshake =
+                    http1::Builder::new().max_buf_size(MAX_READ_AHEAD_BYTES).handshake(stream);
                 let (sender, conn) = handshake.await.map_err(failed)?;
                 let driver = tokio::spawn(drive_connection(conn)).abort_handle();
                 Sender { handle: SenderHandle::Http1(sender), driver }
             }
             Protocol::Http2 => {
-                let handshake = http2_builder().handshake(TokioIo::new(stream));
+                let handshake = http2_builder().handshake(stream);
                 let (sender, conn) = handshake.await.map_err(failed)?;
                 let driver = tokio::spawn(drive_connection(conn)).abort_handle();
                 Sender { handle: SenderHandle::Http2(sender), driver }
--- a/crates/daemon/src/telemetry/metrics.rs
+++ b/crates/daemon/src/telemetry/metrics.rs
@@ -27,6 +27,8 @@
     body_wait: Histogram<f64>,
     caller_limits: Counter<u64>,
     control_bytes: Counter<u64>,
+    link_bytes: Counter<u64>,
+    body_rate: Gauge<f64>,
     quota_refusals: Counter<u64>,
     quota_reserve: Counter<u64>,
     config_offset: Gauge<u64>,
@@ -94,6 +96,18 @@
                 .with_unit("By")
                 .with_description("Bodies of control messages by direction")
                 .build(),
+            link_bytes: meter
+                .u64_counter("baobabreel.link.bytes")
+                .with_unit("By")
+                .with_description(
+                    "Bytes on the link of the instance by direction and flow, without headers of packets",
+                )
+                .build(),
+            body_rate: meter
+                .f64_gauge("baobabreel.link.body.rate")
+                .with_unit("By/s")
+                .with_description("Rate that large request bodies may use, by direction of the link")
+                .build(),
             quota_refusals: meter
                 .u64_counter("baobabreel.quota.refusals")
                 .with_description("Requests refused by the quotas of their tenants, by reason")
@@ -181,6 +195,19 @@
         self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", direction)]);
     }
 
+    /// Counts bytes that passed the link of the instance.
+    pub fn record_link_bytes(&self, direction: &'static str, flow: &'static str, bytes: u64) {
+        if bytes > 0 {
+            let of = [KeyValue::new("direction", direction), KeyValue::new("flow", flow)];
+            self.link_bytes.add(bytes, &of);
+        }
+    }
+
+    /// Records the rate that large bodies may use on the link, in bytes per second.
+    pub fn record_body_rate(&self, direction: &'static str, bytes_per_sec: f64) {
+        self.body_rate.record(bytes_per_sec, &[KeyValue::new("direction", direction)]);
+    }
+
     /// Counts a request that a quota refused; the reason is `limit` or `no_account`.
     pub fn record_quota_refusal(&self, reason: &'static str) {
         self.quota_refusals.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -6,10 +6,12 @@
 mod limit;
 mod metrics;
 mod trace;
+mod traffic;
 
 pub use limit::{LogLineKind, LogRateLimiter};
 pub use metrics::Metrics;
 pub use trace::{Span, TRACEPARENT, TraceContext};
+pub use traffic::{Flow, Meter, Metered, Traffic, Volume};
 
 use eyre::{Result, WrapErr, eyre};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -46,7 +46,7 @@
 #[tokio::test]
 async fn notice_on_a_connection_that_went_silent_is_sent_again() {
     let (addr, connections) = start_peer().await;
-    let pool = PeerPool::new(None);
+    let pool = PeerPool::new(None, &Arc::default());
     let begin = Instant::now();
     let answer = pool.notice(addr, "/peer/v1/document-notice", b"news".to_vec()).await;
     let time = begin.elapsed();
