Let large bodies give way to what else passes the link

Callers of other services and quotas of the whole deployment suffered from full links of ten instances: bodies were granted 0.75 of a link whatever else passed it.

Cause: the share was fixed.

Change: core::link::BodyRate gives bodies what others leave of 0.88 of the link, between 0.1 and 0.8 of it, and slows them down while control messages of the daemon take 30 ms longer than usual on a busy link. watch_link feeds it five times a second and says in a log line what uses a link that is nearly full.

The tests of the rate are new; the earlier code had no rate to set.

--- a/crates/core/src/link/budget.rs
+++ b/crates/core/src/link/budget.rs
@@ -111,6 +111,11 @@
         self.bytes_per_sec
     }
 
+    /// Changes the rate; bodies that were granted keep their start.
+    pub fn set_rate(&mut self, bytes_per_sec: f64) {
+        self.bytes_per_sec = bytes_per_sec.max(1.0);
+    }
+
     /// Bytes admitted that have not arrived.
     #[must_use]
     pub fn backlog(&self) -> u64 {
--- a/crates/core/src/link/pacer.rs
+++ b/crates/core/src/link/pacer.rs
@@ -19,6 +19,11 @@
         Self { bytes_per_sec: bytes_per_sec.max(1.0), free_at: Duration::ZERO }
     }
 
+    /// Changes the rate of the bytes to come.
+    pub fn set_rate(&mut self, bytes_per_sec: f64) {
+        self.bytes_per_sec = bytes_per_sec.max(1.0);
+    }
+
     /// Reserves the next place for `bytes`; returns the time at which they may be sent.
     pub fn reserve(&mut self, bytes: usize, now: Duration) -> Duration {
         let start = self.free_at.max(now.saturating_sub(LATE_TOLERANCE));
--- a/crates/core/tests/link.rs
+++ b/crates/core/tests/link.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use baobabreel_core::config::Class;
-use baobabreel_core::link::{BodyOffer, LinkBudget, LinkDecision, Pacer, body_rate};
+use baobabreel_core::link::{
+    BodyOffer, BodyRate, LinkBudget, LinkDecision, LinkUse, Pacer, body_rate,
+};
 
 const LINK_BITS: u64 = 10_000_000;
 const LINK_BYTES_PER_SEC: f64 = 1_250_000.0;
@@ -222,3 +224,76 @@
     let decision = budget.offer(&BodyOffer { max_wait: None, ..body }, ms(0));
     assert_eq!(decision, LinkDecision::Grant { start });
 }
+
+/// Time between two observations of a link.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Observes a link in constant use for a time, in parts of the link.
+fn observe(
+    rate: &mut BodyRate,
+    time: Duration,
+    (bodies, others): (f64, f64),
+    delay: Option<Duration>,
+) {
+    let bytes = |share: f64| (share * LINK_BYTES_PER_SEC * LOOK.as_secs_f64()) as u64;
+    for _ in 0..time.as_millis() / LOOK.as_millis() {
+        let (body_bytes, other_bytes) = (bytes(bodies), bytes(others));
+        rate.observe(&LinkUse { elapsed: LOOK, body_bytes, other_bytes, delay });
+    }
+}
+
+/// Part of the link that bodies may use.
+fn share(rate: &BodyRate) -> f64 {
+    rate.bytes_per_sec() / LINK_BYTES_PER_SEC
+}
+
+/// Guards against bodies that use a fixed part of a link of which others need more than the rest.
+#[test]
+fn bodies_give_way_to_what_else_passes_the_link() {
+    let mut rate = BodyRate::new(LINK_BITS);
+    observe(&mut rate, ms(5_000), (0.4, 0.3), Some(ms(5)));
+    assert!((0.5..=0.6).contains(&share(&rate)), "{rate:?}");
+    observe(&mut rate, ms(5_000), (0.1, 0.9), Some(ms(5)));
+    assert!(share(&rate) <= 0.15, "{rate:?}");
+    observe(&mut rate, ms(5_000), (0.4, 0.02), Some(ms(5)));
+    assert!(share(&rate) >= 0.75, "{rate:?}");
+}
+
+/// Guards against bodies that go on at their rate while control messages wait on the link that they fill, and against a
+/// rate that stays low for long afterwards.
+#[test]
+fn bodies_slow_down_while_short_messages_are_late() {
+    let mut rate = BodyRate::new(LINK_BITS);
+    observe(&mut rate, ms(2_000), (0.75, 0.05), Some(ms(5)));
+    let usual = share(&rate);
+    observe(&mut rate, ms(1_000), (0.75, 0.05), Some(ms(80)));
+    assert!(share(&rate) <= 0.4 * usual, "{rate:?}");
+    observe(&mut rate, ms(10_000), (0.75, 0.05), Some(ms(80)));
+    assert!((0.05..=0.15).contains(&share(&rate)), "{rate:?}");
+    observe(&mut rate, ms(4_000), (0.3, 0.05), Some(ms(5)));
+    assert!(share(&rate) >= 0.95 * usual, "{rate:?}");
+}
+
+/// Guards against bodies that are slowed down for delays of which they cannot be the cause.
+#[test]
+fn bodies_keep_their_rate_while_the_link_is_not_busy() {
+    let mut rate = BodyRate::new(LINK_BITS);
+    observe(&mut rate, ms(10_000), (0.3, 0.1), Some(ms(400)));
+    assert!(share(&rate) >= 0.7, "{rate:?}");
+    rate.observe(&LinkUse { elapsed: Duration::ZERO, body_bytes: 1, other_bytes: 1, delay: None });
+    assert!(rate.bytes_per_sec().is_finite(), "{rate:?}");
+}
+
+/// Guards against a budget that grants by its first rate after the link has become slower for bodies.
+#[test]
+fn grants_follow_the_rate() {
+    let mut link = LinkBudget::new(LINK_BITS);
+    let granted = link.offer(&offer(1, 90_000, Duration::ZERO), Duration::ZERO);
+    assert_eq!(granted, LinkDecision::Grant { start: Duration::ZERO });
+    link.set_rate(0.1 * LINK_BYTES_PER_SEC);
+    // 90 KB at 125 KB/s.
+    let next = link.offer(&offer(2, 50_000, Duration::ZERO), Duration::ZERO);
+    assert_eq!(next, LinkDecision::Grant { start: ms(720) });
+    let late = link.offer(&offer(3, 200_000, Duration::ZERO), Duration::ZERO);
+    assert!(matches!(late, LinkDecision::Refuse { .. }), "{late:?}");
+}
--- a/crates/daemon/src/daemon/mod.rs
+++ b/crates/daemon/src/daemon/mod.rs
@@ -24,7 +24,7 @@
 use crate::control::{BackendTracker, Control, Leave, LocalChanged};
 use crate::listeners::{Reply, bind, bind_callers, serve_callers, serve_peers, serve_simple_http};
 use crate::operators::serve_operators;
-use crate::proxy::{start_at_rate_limit, take_back_slots};
+use crate::proxy::{start_at_rate_limit, take_back_slots, watch_link};
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
@@ -174,6 +174,9 @@
         let pacer = start_at_rate_limit(Arc::clone(&self.cx));
         self.tasks.spawn(async move { stop.run_until_cancelled(pacer).await });
         let stop = self.stop.clone();
+        let watch = watch_link(Arc::clone(&self.cx));
+        self.tasks.spawn(async move { stop.run_until_cancelled(watch).await });
+        let stop = self.stop.clone();
         let reclaim = take_back_slots(Arc::clone(&self.cx));
         self.tasks.spawn(async move { stop.run_until_cancelled(reclaim).await });
         for buffers in [&self.cx.request_buffers, &self.cx.response_buffers] {
--- a/crates/daemon/src/proxy/link/arrival.rs
+++ b/crates/daemon/src/proxy/link/arrival.rs
@@ -1,5 +1,6 @@
 //! Bodies that arrive from other daemons.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -40,6 +41,7 @@
     /// Counts bytes that have arrived.
     pub fn record(&self, bytes: usize) {
         if let Some(budgets) = &self.links.budgets {
+            budgets.received.fetch_add(bytes as u64, Ordering::Relaxed);
             lock(&budgets.inbound).arrived(self.id, bytes as u64);
         }
     }
--- a/crates/daemon/src/proxy/link/mod.rs
+++ b/crates/daemon/src/proxy/link/mod.rs
@@ -1,25 +1,29 @@
 //! Large request bodies on the link of the instance.
 //!
 //! [`Links`] holds the budgets of both directions; `core::link` decides. [`Paced`] sends a body at the granted rate,
-//! [`Arrival`] counts one that arrives.
+//! [`Arrival`] counts one that arrives. [`watch_link`] sets the rates by what else passes the link.
 
 mod answer;
 mod arrival;
 mod paced;
+mod watch;
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use baobabreel_core::id::RouteName;
 use baobabreel_core::link::{
-    BodyOffer, LARGE_BODY_BYTES, LinkBudget, LinkDecision, Pacer, TransferId, body_rate,
+    BodyOffer, BodyRate, LARGE_BODY_BYTES, LinkBudget, LinkDecision, LinkUse, Pacer, TransferId,
+    body_rate,
 };
 use http_body::Body;
 
 pub use answer::{BODY_GRANT_PATH, answer_body_query, source};
 pub use arrival::{Arrival, Receipt};
 pub use paced::{Paced, Sending};
+pub use watch::watch_link;
 
 use super::request_body::RequestBody;
 use crate::context::Clock;
@@ -52,7 +56,31 @@
     outbound: Mutex<LinkBudget>,
     /// Spreads the bytes of all bodies that leave this instance.
     pacer: Mutex<Pacer>,
-    body_rate: f64,
+    rates: Mutex<BodyRates>,
+    /// Bytes of bodies that have arrived.
+    received: AtomicU64,
+    /// Bytes of bodies that were sent.
+    sent: AtomicU64,
+}
+
+/// Rates of bodies in both directions.
+#[derive(Debug)]
+struct BodyRates {
+    inbound: BodyRate,
+    outbound: BodyRate,
+}
+
+/// Use of a link of known rate, in bytes and bytes per second.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkRates {
+    /// Rate of each direction of the link.
+    pub link: f64,
+    /// Rate that bodies may use inwards.
+    pub inbound: f64,
+    /// Rate that bodies may use outwards.
+    pub outbound: f64,
+    /// Bytes that were granted inwards and have not arrived.
+    pub backlog: u64,
 }
 
 /// Place of a body in the budget of the outgoing direction; released on drop.
@@ -80,7 +108,12 @@
             inbound: Mutex::new(LinkBudget::new(rate)),
             outbound: Mutex::new(LinkBudget::new(rate)),
             pacer: Mutex::new(Pacer::new(body_rate(rate))),
-            body_rate: body_rate(rate),
+            rates: Mutex::new(BodyRates {
+                inbound: BodyRate::new(rate),
+                outbound: BodyRate::new(rate),
+            }),
+            received: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
         });
         Self { clock, budgets, run_times: RouteValues::default(), lengths: RouteValues::default() }
     }
@@ -98,6 +131,38 @@
         self.budgets.is_some() && bytes > LARGE_BODY_BYTES
     }
 
+    /// Bytes of bodies that have arrived, and of those that were sent.
+    #[must_use]
+    pub fn passed(&self) -> (u64, u64) {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.budgets.as_ref().map_or((0, 0), |known| (read(&known.received), read(&known.sent)))
+    }
+
+    /// Sets the rates of bodies by what passed the link in each direction.
+    pub fn observe(&self, inbound: &LinkUse, outbound: &LinkUse) {
+        let Some(budgets) = &self.budgets else { return };
+        let mut rates = lock(&budgets.rates);
+        rates.inbound.observe(inbound);
+        rates.outbound.observe(outbound);
+        lock(&budgets.inbound).set_rate(rates.inbound.bytes_per_sec());
+        lock(&budgets.outbound).set_rate(rates.outbound.bytes_per_sec());
+        lock(&budgets.pacer).set_rate(rates.outbound.bytes_per_sec());
+    }
+
+    /// Use of the link; `None` if its rate is not known.
+    #[must_use]
+    pub fn rates(&self) -> Option<LinkRates> {
+        let budgets = self.budgets.as_ref()?;
+        let backlog = lock(&budgets.inbound).backlog();
+        let rates = lock(&budgets.rates);
+        Some(LinkRates {
+            link: rates.inbound.link_bytes_per_sec(),
+            inbound: rates.inbound.bytes_per_sec(),
+            outbound: rates.outbound.bytes_per_sec(),
+            backlog,
+        })
+    }
+
     /// Offers a body to the outgoing direction.
     ///
     /// # Errors
--- a/crates/daemon/src/proxy/link/paced.rs
+++ b/crates/daemon/src/proxy/link/paced.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
 
 use baobabreel_core::id::RouteName;
@@ -58,7 +59,8 @@
         if let Some(grant) = self.grant {
             req.headers_mut().insert(headers::BODY_GRANT, HeaderValue::from(grant));
         }
-        let rate = self.bytes_per_sec.unwrap_or(budgets.body_rate).min(budgets.body_rate);
+        let own = lock(&budgets.outbound).bytes_per_sec();
+        let rate = self.bytes_per_sec.unwrap_or(own).min(own);
         if let Some(reservation) = &self.reservation {
             // The place may have expired while the host had the body wait.
             let length = req.body().size_hint().lower();
@@ -144,9 +146,9 @@
 
     fn record_passed(&mut self, bytes: usize) {
         self.passed += bytes as u64;
-        if let (Some(budgets), Some(reservation)) =
-            (&self.sending.links.budgets, &self.sending.reservation)
-        {
+        let Some(budgets) = &self.sending.links.budgets else { return };
+        budgets.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        if let Some(reservation) = &self.sending.reservation {
             lock(&budgets.outbound).arrived(reservation.id, bytes as u64);
         }
     }
--- a/crates/daemon/src/proxy/mod.rs
+++ b/crates/daemon/src/proxy/mod.rs
@@ -40,7 +40,7 @@
 pub use headers::{OUTCOME, TIMEOUT, has_token, held_section_bytes, section_bytes};
 pub use host::{BackendInfo, LocalBackend, health_path, start_at_rate_limit, take_back_slots};
 pub use lines::{log_undelivered, request_id};
-pub use link::{BODY_GRANT_PATH, Links, answer_body_query};
+pub use link::{BODY_GRANT_PATH, Links, answer_body_query, watch_link};
 pub use peer_call::{is_call, refuse_peer_call, serve_peer_call};
 pub use pool::{IdleLimit, PeerError, PeerPool, Protocol};
 pub use quarantine::{Quarantine, Share};
