Answer no 404 or 401 by a copy that came through another daemon

Callers got 404 for routes that had been added, and would get 401 for new API keys, from a daemon that started while the store was down and had its configuration from a neighbour. The neighbour itself answered 503, since it had the configuration from a copy that nobody had confirmed.

Cause: only a document that was read as a copy counted as unconfirmed. The same document from a peer counted as confirmed, whatever the peer knew of it, and was served after 1 s in place of 5 s.

Change: a daemon says how long ago its document was known to be the newest one, also if it knows that only from others; a document of a peer that can't say it counts as an unconfirmed copy.

--- a/crates/core/src/relay/freshness.rs
+++ b/crates/core/src/relay/freshness.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Freshness {
     known_at: Option<Duration>,
+    /// The same as another daemon knew it, however long ago.
+    heard_at: Option<Duration>,
     /// When the daemon took a copy that may be behind.
     copied_at: Option<Duration>,
     /// Whether the platform is read and has answered the last time.
@@ -45,9 +47,11 @@
     /// Records that another daemon knew of no newer document `age` ago; returns whether this was
     /// accepted.
     pub fn confirmed_by_peer(&mut self, age: Duration, now: Duration) -> bool {
+        let known_at = Some(now.saturating_sub(age));
+        self.heard_at = self.heard_at.max(known_at);
         let counts = age <= MAX_CONFIRMATION_AGE;
         if counts {
-            self.known_at = self.known_at.max(Some(now.saturating_sub(age)));
+            self.known_at = self.known_at.max(known_at);
         }
         counts
     }
@@ -78,4 +82,11 @@
         }
         self.known_at.map(|at| now.saturating_sub(at))
     }
+
+    /// The same, also by what other daemons knew too long ago to confirm it.
+    #[must_use]
+    pub fn age_by_all(&self, now: Duration) -> Option<Duration> {
+        let heard = self.heard_at.map(|at| now.saturating_sub(at));
+        self.age(now).into_iter().chain(heard).min()
+    }
 }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -440,6 +440,8 @@
         "a confirmation that is too old must not count"
     );
     assert_eq!(late.age(MS(8_000)), None);
+    assert_eq!(late.age_by_all(MS(8_000)), Some(MS(1_300)), "it is passed on with its age");
+    assert_eq!(notified.age_by_all(MS(7_300)), Some(MS(700)));
     let mut known = notified;
     assert!(known.confirmed_by_peer(MS(900), MS(7_300)));
     assert_eq!(known.age(MS(7_300)), Some(MS(700)), "the earlier confirmation is more recent");
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -58,8 +58,17 @@
     Platform,
     /// A copy that the daemons store on the platform; it may be out of date.
     Copy,
-    /// The daemon at this address.
+    /// The daemon at this address, which once knew that it was the newest one.
     Peer(SocketAddr),
+    /// The daemon at this address, which has it from a copy that neither the platform nor a peer has confirmed.
+    UnconfirmedPeer(SocketAddr),
+}
+
+impl Origin {
+    /// Whether the document may lack what has been added since a copy was stored, unless it is confirmed.
+    fn needs_confirmation(self) -> bool {
+        matches!(self, Self::Copy | Self::UnconfirmedPeer(_))
+    }
 }
 
 /// A document, with its encoded form for other daemons once one has requested it.
@@ -126,9 +135,11 @@
         }
     }
 
-    /// Whether the current document is an unconfirmed copy, which may lack newer routes.
+    /// Whether the current document is an unconfirmed copy, which may lack newer routes. It may have come through other
+    /// daemons.
     pub fn is_unconfirmed(&self) -> bool {
-        let is_copy = self.newest.load().as_ref().is_some_and(|n| n.origin == Origin::Copy);
+        let newest = self.newest.load();
+        let is_copy = newest.as_ref().is_some_and(|newest| newest.origin.needs_confirmation());
         is_copy && lock(&self.freshness).is_unknown()
     }
 
@@ -168,7 +179,7 @@
 /// Answers another daemon that requests a newer document or asks whether there is one.
 pub fn answer(cx: &Cx, query: DocumentQuery) -> DocumentAnswer {
     // Read before the position: the age then belongs to the document in the position or to an older one.
-    let age = lock(&cx.documents.freshness).age(cx.clock.now());
+    let age = lock(&cx.documents.freshness).age_by_all(cx.clock.now());
     let newer = if query.with_document { cx.documents.newer_than(query.known) } else { None };
     let position = cx.position();
     DocumentAnswer {
@@ -232,8 +243,9 @@
     match origin {
         Origin::Platform => confirm(cx),
         Origin::Peer(_) => check_ready(cx),
-        Origin::Copy => {
+        Origin::Copy | Origin::UnconfirmedPeer(_) => {
             lock(&documents.freshness).copy_taken(cx.clock.now());
+            check_ready(cx);
             tokio::spawn(request_confirmation(Arc::clone(cx)));
         }
     }
@@ -268,7 +280,7 @@
 
 /// Whether a document came from another data centre, so that the local relays may not have it yet.
 fn is_from_other_data_centre(cx: &Cx, origin: Origin) -> bool {
-    let Origin::Peer(addr) = origin else { return false };
+    let (Origin::Peer(addr) | Origin::UnconfirmedPeer(addr)) = origin else { return false };
     let members = cx.members.load();
     let sender = members.iter().find(|member| member.peer_addr == addr);
     sender.is_some_and(|sender| sender.data_centre != cx.identity.data_centre)
@@ -356,7 +368,12 @@
         rollouts::learn(cx, notice);
     }
     match answer.newer.as_ref().map(Document::try_from) {
-        Some(Ok(document)) => offer(cx, document, Origin::Peer(from)),
+        Some(Ok(document)) => {
+            let is_confirmed = answer.confirmed_ms.is_some();
+            let origin =
+                if is_confirmed { Origin::Peer(from) } else { Origin::UnconfirmedPeer(from) };
+            offer(cx, document, origin);
+        }
         Some(Err(e)) => {
             tracing::warn!(%from, error = %e, "failed to decode a document from a peer")
         }
