--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -171,8 +171,17 @@
     ///
     /// See [`Fleet::ready`]; or the backend server that the first node starts with cannot be ended.
     pub async fn with_raw_backend() -> (Self, RawBackend) {
-        let specs = ["a1", "a2"].map(|name| (NodeSpec::new(name, "hobart-a", "yard"), "yard"));
-        let mut fleet = Self::ready(specs.to_vec()).await;
+        let specs = ["a1", "a2"].map(|name| NodeSpec::new(name, "hobart-a", "yard"));
+        Self::with_raw_backend_beside(specs).await
+    }
+
+    /// Like [`Fleet::with_raw_backend`], with nodes of the service `yard` of the test's own.
+    ///
+    /// # Panics
+    ///
+    /// See [`Fleet::with_raw_backend`].
+    pub async fn with_raw_backend_beside(specs: [NodeSpec; 2]) -> (Self, RawBackend) {
+        let mut fleet = Self::ready(specs.map(|spec| (spec, "yard")).to_vec()).await;
         let first = &mut fleet.nodes[0];
         first.backend.signal(Signal::Kill).expect("it runs");
         first.backend.wait(LIMIT).await.expect("it ends");
