--- a/crates/daemon/src/listeners/callers.rs
+++ b/crates/daemon/src/listeners/callers.rs
@@ -80,10 +80,9 @@
 
 async fn serve_connection(cx: Cx, accepted: Accepted, closing: CancellationToken) {
     let Accepted { mut stream, at, permit: _permit } = accepted;
-    let uses_link = uses_link(&stream);
-    let connection = CallerConnection::open(&cx, &closing, uses_link);
+    let uses_link = UsesLink(uses_link(&stream));
+    let connection = CallerConnection::open(&cx, &closing, uses_link.0);
     let addr = stream.peer_addr().ok().map(|addr| CallerAddress(addr.ip()));
-    let uses_link = UsesLink(uses_link);
     let service = CallerService { cx, told: ToldCallers::default(), addr, uses_link };
     let mut buf = BytesMut::new();
     let detected = detect_http2(&mut stream, &mut buf, service.limits().idle);
@@ -105,6 +104,9 @@
             () = closed_in_favour(&connection, &closing) => {}
         }
     } else {
+        if let Some(meter) = connection.meter() {
+            meter.record_received(buf.len());
+        }
         Box::pin(http1::serve_connection(stream, buf, service, connection)).await;
     }
 }
