Refuse no request for want of an API key by a copy that may be old

Callers without a key, or with a malformed one, got 401 from a daemon that served by an unconfirmed copy, where only an unknown key got 503. A newer configuration may have a route that needs no key, and clients don't send a request again after 401.

Cause: the question whether the configuration may be old was asked on one of the ways to 401 only.

Change: every 401 of the entry daemon asks it. The test failed before: "HTTP/1.1 401 Unauthorized" to a request without a key.

--- a/crates/daemon/src/proxy/entry/authenticate.rs
+++ b/crates/daemon/src/proxy/entry/authenticate.rs
@@ -41,15 +41,20 @@
         return Ok(None);
     };
     lease::check_version(cx, config.version)?;
-    let key = read_key(headers)?;
-    let Some(tenant) = tenants.find(key) else {
-        return Err(if cx.documents.is_unconfirmed() {
-            let detail = "the API key is not known in a configuration that may be old";
+    let found = read_key(headers).and_then(|key| {
+        let tenant =
+            tenants.find(key).ok_or_else(|| unauthenticated("the API key is not known"))?;
+        Ok((key, tenant))
+    });
+    let (key, tenant) = found.map_err(|e| {
+        // A newer one may know the key, or a route that needs none.
+        if cx.documents.is_unconfirmed() {
+            let detail = "no known API key, by a configuration that may be old";
             CallError::new(ErrorKind::NotReady, detail)
         } else {
-            unauthenticated("the API key is not known")
-        });
-    };
+            e
+        }
+    })?;
     let (name, key_digest) = (tenant.name.clone(), digest_key(key));
     let head = TenantHead { name, key_digest, lease_ms: None };
     Ok(Some(Authenticated { tenant: Arc::clone(tenant), head }))
