Take only 404 for a daemon that does not know the question about a body

Cause: every refusal of the question counted as "the daemon is older and needs no grant", also the 503 of a listener whose connections hold as much memory as they may.

Change: 404 alone means that the message is not known; any other refusal counts like no answer. The test is on the error that decides it.

--- a/crates/daemon/src/proxy/entry/body_grant.rs
+++ b/crates/daemon/src/proxy/entry/body_grant.rs
@@ -71,7 +71,7 @@
     Unsupported,
     /// It has no backend server that is able to serve.
     NotServing,
-    /// It did not answer.
+    /// It did not answer the question.
     Silent,
 }
 
@@ -296,7 +296,12 @@
         let answer = match cx.peers.control(member.peer_addr, BODY_GRANT_PATH, data, timeout).await
         {
             Ok(answer) => answer,
-            Err(PeerError::Refused(_)) => return HostAnswer::Unsupported,
+            Err(e) if e.is_unknown_message() => return HostAnswer::Unsupported,
+            // It knows the message and has no room even for that.
+            Err(e @ PeerError::Refused(_)) => {
+                tracing::debug!(to = %member.peer_addr, error = %e, "a question about a body was refused");
+                return HostAnswer::Silent;
+            }
             Err(PeerError::NotSent(_) | PeerError::Lost(_)) => {
                 cx.balance.record_unreachable(&host.service, member, cx.clock.now());
                 return HostAnswer::Silent;
--- a/crates/daemon/src/proxy/pool/peer.rs
+++ b/crates/daemon/src/proxy/pool/peer.rs
@@ -60,6 +60,14 @@
     Refused(StatusCode),
 }
 
+impl PeerError {
+    /// Whether the peer does not know the message, so that it is an older daemon.
+    #[must_use]
+    pub fn is_unknown_message(&self) -> bool {
+        matches!(self, Self::Refused(StatusCode::NOT_FOUND))
+    }
+}
+
 impl fmt::Display for PeerError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -1,4 +1,4 @@
-//! Messages to other daemons over connections that go silent.
+//! Messages to other daemons over connections that go silent, and to daemons that refuse them.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use baobabreel_daemon::proxy::PeerPool;
+use baobabreel_daemon::proxy::{PeerError, PeerPool};
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http2;
@@ -54,3 +54,40 @@
     assert!(time < NOTICE_LIMIT, "answered after {time:?}");
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
+
+/// Starts a peer that answers each message with this status.
+async fn start_refusing_peer(status: StatusCode) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a local address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |_: Request<Incoming>| async move {
+                let mut res = Response::new(Full::new(Bytes::new()));
+                *res.status_mut() = status;
+                Ok::<_, Infallible>(res)
+            });
+            let builder = http2::Builder::new(TokioExecutor::new());
+            tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+        }
+    });
+    addr
+}
+
+/// Guards against a daemon with no room for a message that is taken for an older one which does not know it: a large
+/// body would be sent to it without a grant.
+#[tokio::test]
+async fn only_an_older_daemon_does_not_know_a_message() {
+    let pool = PeerPool::new(None, &Arc::default());
+    for (status, is_unknown) in [
+        (StatusCode::NOT_FOUND, true),
+        (StatusCode::SERVICE_UNAVAILABLE, false),
+        (StatusCode::FORBIDDEN, false),
+        (StatusCode::INTERNAL_SERVER_ERROR, false),
+    ] {
+        let addr = start_refusing_peer(status).await;
+        let answer = pool.control(addr, "/peer/v1/body-grant", Vec::new(), NOTICE_LIMIT).await;
+        let e = answer.expect_err("the message is refused");
+        assert!(matches!(e, PeerError::Refused(_)), "{status}: {e}");
+        assert_eq!(e.is_unknown_message(), is_unknown, "{status}");
+    }
+}
